--- /dev/null
+++ b/fakes/src/gooseberry_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the backend servers, for tests and the demo."""
--- /dev/null
+++ b/fakes/src/gooseberry_fakes/cluster.py
@@ -0,0 +1,367 @@
+"""Starts a whole deployment as separate processes on loopback addresses."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+import subprocess
+import sys
+import time
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Self
+
+import tomli_w
+import urllib3
+
+from .topology import ENTRY_PORT, PEER_PORT, SERVER_PORT, Deployment, list_vms
+
+OPERATOR_TOKEN = "operator-token-of-the-stand-ins"
+PEER_SECRET = "peer-secret-of-the-stand-ins"
+READY_S = 30.0
+ROOT = Path(__file__).resolve().parents[3]
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer to a test request; ``error`` names a transport failure."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    error: str = ""
+
+    def json(self) -> Any:
+        """Return the parsed body."""
+        return json.loads(self.body)
+
+    @property
+    def outcome(self) -> str:
+        """Outcome that the system reported, or ``cut`` without a whole answer."""
+        return "cut" if self.error else self.headers.get("x-outcome", "")
+
+
+def send(
+    address: str,
+    port: int,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 60.0,
+) -> Reply:
+    """Send one request to a loopback address, once."""
+    pool = urllib3.HTTPConnectionPool(address, port, retries=False, maxsize=1)
+    data = (
+        body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
+    )
+    sent_headers = {"Content-Type": "application/json", **(headers or {})}
+    try:
+        response = pool.urlopen(
+            method, path, body=data, headers=sent_headers, timeout=timeout_s
+        )
+        found = {key.lower(): value for key, value in response.headers.items()}
+        return Reply(response.status, found, response.data)
+    except (urllib3.exceptions.HTTPError, OSError) as exc:
+        return Reply(0, {}, b"", repr(exc))
+    finally:
+        pool.close()
+
+
+class Cluster:
+    """Processes of one deployment; ends only what it has started."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        run_dir: Path,
+        net: int = 41,
+        overrides: dict[str, dict[str, Any]] | None = None,
+    ) -> None:
+        self.deployment = deployment
+        self.run_dir = run_dir
+        self.net = net
+        self.overrides = overrides or {}
+        self.vms = {vm["id"]: vm for vm in list_vms(deployment, net)}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.platform = {
+            "log": f"127.{net}.200.1",
+            "store": f"127.{net}.200.2",
+            "vms": f"127.{net}.200.3",
+        }
+
+    def __enter__(self) -> Self:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        self.stop()
+
+    # Processes.
+
+    def entry_vms(self, domain: str | None = None) -> list[str]:
+        """Return the ids of the entry VMs."""
+        return self._ids("entry", domain)
+
+    def engines(self, domain: str | None = None) -> list[str]:
+        """Return the ids of the engines."""
+        return self._ids("engine", domain)
+
+    def services(self) -> list[str]:
+        """Return the ids of the plain service's servers."""
+        return self._ids("service", None)
+
+    def _ids(self, kind: str, domain: str | None) -> list[str]:
+        return [
+            vm["id"]
+            for vm in self.vms.values()
+            if vm["kind"] == kind and domain in (None, vm["domain"])
+        ]
+
+    def start(self) -> None:
+        """Start the platform, the backend servers and the entry VMs."""
+        self.run_dir.mkdir(parents=True, exist_ok=True)
+        for name, command in self._platform_commands().items():
+            self._spawn(name, command)
+        for vm_id in self.engines() + self.services():
+            self.start_server(vm_id)
+        self.wait_for("vms", self.platform["vms"], SERVER_PORT, "/v1/vms")
+        self.publish_list()
+        for vm_id in self.entry_vms():
+            self.start_entry_vm(vm_id)
+        for vm_id in self.entry_vms():
+            self.wait_ready(vm_id)
+
+    def _platform_commands(self) -> dict[str, list[str]]:
+        one = self.deployment
+        port = str(SERVER_PORT)
+        rate, retention = str(one.appends_per_s), str(one.retention_s)
+        return {
+            "log": ["log", self.platform["log"], port]
+            + ["--appends-per-s", rate, "--retention-s", retention],
+            "store": ["store", self.platform["store"], port]
+            + ["--rate", str(one.store_rate)],
+            "vms": ["vms", self.platform["vms"], port, "--lag-s", str(one.list_lag_s)],
+        }
+
+    def start_server(self, vm_id: str) -> None:
+        """Start a backend server."""
+        vm, one = self.vms[vm_id], self.deployment
+        command = [vm["kind"], vm["address"], str(SERVER_PORT)]
+        if vm["kind"] == "engine":
+            command += ["--slots", str(one.slots), "--batch", str(one.batch)]
+            command += ["--token-s", str(one.token_s)]
+            command += ["--store-url", f"http://{self.platform['store']}:{SERVER_PORT}"]
+            command += ["--checks-fencing"] if one.checks_fencing else []
+        else:
+            command += [f"--{name}" for name, on in one.service_options.items() if on]
+        self._spawn(vm_id, command)
+
+    def _spawn(self, name: str, command: list[str]) -> None:
+        self._popen(name, [sys.executable, "-m", "gooseberry_fakes", *command])
+
+    def _popen(self, name: str, command: list[str]) -> None:
+        with (self.run_dir / f"{name}.log").open("ab") as out:
+            self.processes[name] = subprocess.Popen(
+                command, stdout=out, stderr=out, stdin=subprocess.DEVNULL
+            )
+
+    def settings(self, vm_id: str) -> dict[str, Any]:
+        """Return the settings of an entry VM."""
+        vm = self.vms[vm_id]
+        shared = ROOT / "deploy" / f"{self.deployment.name}.toml"
+        cfg: dict[str, Any] = tomllib.loads(shared.read_text(encoding="utf-8"))
+        cfg["vm"] = {"id": vm_id, "domain": vm["domain"], "address": vm["address"]}
+        cfg["http"] = {"port": ENTRY_PORT}
+        cfg["peer"] = {"port": PEER_PORT, "secret": PEER_SECRET}
+        cfg["operator"] = {"token": OPERATOR_TOKEN}
+        cfg["platform"] = {
+            f"{key}_url": f"http://{self.platform[name]}:{SERVER_PORT}"
+            for key, name in (("log", "log"), ("store", "store"), ("vm_list", "vms"))
+        }
+        cfg["log"] = {"retention_s": self.deployment.retention_s}
+        for section, values in self.overrides.items():
+            cfg.setdefault(section, {}).update(values)
+        return cfg
+
+    def start_entry_vm(self, vm_id: str) -> None:
+        """Start an entry VM, new or as a replacement."""
+        path = self.run_dir / f"{vm_id}.toml"
+        path.write_text(tomli_w.dumps(self.settings(vm_id)), encoding="utf-8")
+        command = [sys.executable, "-m", "gooseberryrun", "--settings", str(path)]
+        self._popen(vm_id, command)
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait(timeout=10)
+
+    def signal(self, vm_id: str, number: signal.Signals) -> None:
+        """Send a signal to a process that was started here."""
+        self.processes[vm_id].send_signal(number)
+
+    def kill(self, vm_id: str) -> None:
+        """Kill a process and wait for its end."""
+        self.processes[vm_id].kill()
+        self.processes[vm_id].wait(timeout=10)
+
+    # Waiting.
+
+    def wait_for(self, name: str, address: str, port: int, path: str) -> None:
+        """Wait until a path answers 200."""
+        deadline = time.monotonic() + READY_S
+        while send(address, port, "GET", path, timeout_s=2).status != 200:
+            if time.monotonic() > deadline or self.processes[name].poll() is not None:
+                log = (self.run_dir / f"{name}.log").read_text(errors="replace")
+                raise RuntimeError(f"{name} did not become ready:\n{log[-3000:]}")
+            time.sleep(0.05)
+
+    def wait_ready(self, vm_id: str) -> None:
+        """Wait until an entry VM is ready."""
+        self.wait_for(vm_id, self.vms[vm_id]["address"], ENTRY_PORT, "/readyz")
+
+    def wait_owned(self, runners: list[str] | None = None) -> None:
+        """Wait until every engine has an owner with a lease in force."""
+        wanted = set(runners or self.engines())
+        deadline = time.monotonic() + READY_S
+        owned: set[str] = set()
+        while not wanted <= owned:
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"runners without owner: {sorted(wanted - owned)}")
+            time.sleep(0.1)
+            rows = self.rows("show leases where left_s > 0")
+            owned = {row["runner"] for row in rows}
+
+    # Requests.
+
+    def send(
+        self,
+        vm_id: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 60.0,
+    ) -> Reply:
+        """Send a request to an entry VM."""
+        address = self.vms[vm_id]["address"]
+        return send(address, ENTRY_PORT, method, path, body, headers, timeout_s)
+
+    def complete(
+        self,
+        vm_id: str,
+        model: str,
+        prompt: str,
+        timeout_s: float = 60.0,
+        **fields: Any,
+    ) -> Reply:
+        """Ask an entry VM for a completion."""
+        body = {"model": model, "prompt": prompt, **fields}
+        return self.send(vm_id, "POST", "/v1/completions", body, None, timeout_s)
+
+    def book(
+        self, vm_id: str, key: str, body: Any = None, timeout_s: float = 60.0
+    ) -> Reply:
+        """Send a non-idempotent request under a key."""
+        path = f"/services/{self.deployment.service}/bookings"
+        headers = {"Idempotency-Key": key}
+        return self.send(vm_id, "POST", path, body or {"n": 1}, headers, timeout_s)
+
+    def operate(self, command: str, vm_id: str | None = None) -> Reply:
+        """Send an operator's command to an entry VM."""
+        return self._operate("command", {"command": command}, vm_id)
+
+    def apply(
+        self, ops: list[dict[str, Any]], vm_id: str | None = None, expected: Any = None
+    ) -> Reply:
+        """Send a change of configuration to an entry VM."""
+        return self._operate("apply", {"ops": ops, "expected": expected}, vm_id)
+
+    def _operate(self, name: str, body: Any, vm_id: str | None) -> Reply:
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        chosen = vm_id or self.first_running()
+        return self.send(chosen, "POST", f"/operator/v1/{name}", body, headers, 15.0)
+
+    def first_running(self) -> str:
+        """Return an entry VM whose process runs."""
+        for vm_id in self.entry_vms():
+            process = self.processes.get(vm_id)
+            if process is not None and process.poll() is None:
+                return vm_id
+        raise RuntimeError("no entry VM runs")
+
+    def rows(self, command: str, vm_id: str | None = None) -> list[dict[str, Any]]:
+        """Return the rows of a query, or none if it was not answered."""
+        reply = self.operate(command, vm_id)
+        return list(reply.json()["rows"]) if reply.status == 200 else []
+
+    def configure(self, adapters: int) -> None:
+        """Configure adapters ``a0`` … at version 1, the rules and the service."""
+        ops = [_put("adapters", f"a{number}@1", {}) for number in range(adapters)]
+        service = self.deployment.service
+        ops.append(_put("services", service, dict(self.deployment.service_options)))
+        once = {"class": "once"}
+        ops.append(_put("rules", f"service/{service}/bookings", once))
+        for start in range(0, len(ops), 1000):
+            reply = self.apply(ops[start : start + 1000])
+            if reply.status != 200:
+                raise RuntimeError(f"configuration refused: {reply}")
+
+    # Stand-ins.
+
+    def control(self, name: str, **faults: Any) -> None:
+        """Set faults of a stand-in; platform services go by name."""
+        address = self.platform.get(name) or self.vms[name]["address"]
+        reply = send(address, SERVER_PORT, "POST", "/control", faults)
+        if reply.status != 200:
+            raise RuntimeError(f"{name}: control failed: {reply}")
+
+    def debug(self, name: str, path: str = "/debug/state") -> Any:
+        """Return the state of a stand-in."""
+        address = self.platform.get(name) or self.vms[name]["address"]
+        return send(address, SERVER_PORT, "GET", path).json()
+
+    def publish_list(self) -> None:
+        """Publish the VM list."""
+        body = {"vms": list(self.vms.values())}
+        send(self.platform["vms"], SERVER_PORT, "PUT", "/v1/vms", body)
+
+    def effects(self) -> list[dict[str, Any]]:
+        """Return the effects in the ledgers of every plain server."""
+        found: list[dict[str, Any]] = []
+        for vm_id in self.services():
+            found += self.debug(vm_id, "/debug/effects")
+        return found
+
+    def violations(self) -> list[str]:
+        """Return what went wrong on any engine."""
+        found: list[str] = []
+        for vm_id in self.engines():
+            with contextlib.suppress(ValueError):
+                found += self.debug(vm_id)["violations"]
+        return found
+
+    def broken_invariants(self) -> list[str]:
+        """Return log lines that report a broken invariant or a bug."""
+        found = []
+        for vm_id in self.entry_vms():
+            path = self.run_dir / f"{vm_id}.log"
+            text = path.read_text(errors="replace") if path.exists() else ""
+            for line in text.splitlines():
+                if "event=invariant_broken" in line or "event=internal_error" in line:
+                    found.append(f"{vm_id}: {line}")
+        return found
+
+
+def _put(table: str, key: str, value: dict[str, Any]) -> dict[str, Any]:
+    return {"op": "put", "table": table, "key": key, "value": value}
--- /dev/null
+++ b/fakes/src/gooseberry_fakes/demo.py
@@ -0,0 +1,216 @@
+"""Main job end to end: real traffic of every kind while an entry VM is killed."""
+
+from __future__ import annotations
+
+import sys
+import threading
+import time
+from collections import Counter, defaultdict
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import click
+
+from .cluster import Cluster, Reply
+from .topology import DEPLOYMENTS
+
+TRAFFIC_S = 15.0
+KILL_AFTER_S = 5.0
+ADAPTERS = 3000
+POPULAR = 8
+END_MARK = b"data: [DONE]"
+
+
+@dataclass(slots=True)
+class Tally:
+    """Outcomes and latencies by kind of request."""
+
+    outcomes: dict[str, Counter[str]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    seconds: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def add(self, kind: str, outcome: str, seconds: float) -> None:
+        """Count one request."""
+        with self.lock:
+            self.outcomes[kind][outcome] += 1
+            self.seconds[kind].append(seconds)
+
+    def rows(self) -> list[tuple[str, str, str, str]]:
+        """Return the table of kinds, outcomes, p50 and p99."""
+        rows = []
+        for kind, counts in sorted(self.outcomes.items()):
+            times = sorted(self.seconds[kind])
+            p50 = times[len(times) // 2]
+            p99 = times[min(len(times) - 1, int(len(times) * 0.99))]
+            shown = ", ".join(f"{name} {n}" for name, n in counts.most_common())
+            rows.append((kind, shown, f"{p50 * 1000:.0f} ms", f"{p99 * 1000:.0f} ms"))
+        return rows
+
+
+class Traffic:
+    """Callers that try another entry VM when one does not answer."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.tally = Tally()
+        self.jobs: dict[str, str] = {}
+        self.bookings: dict[str, list[Reply]] = defaultdict(list)
+        self.wrong: list[str] = []
+        self._dead: set[str] = set()
+
+    def vm(self, number: int) -> str:
+        """Return the entry VM for a request, as the balancer would."""
+        vms = [vm for vm in self.cluster.entry_vms() if vm not in self._dead]
+        return vms[number % len(vms)]
+
+    def kill(self, vm_id: str) -> None:
+        """Kill an entry VM; the balancer notices at once."""
+        self._dead.add(vm_id)
+        self.cluster.kill(vm_id)
+
+    def lookup(self, number: int) -> None:
+        """Send a quick lookup."""
+        path = f"/services/{self.cluster.deployment.service}/stock"
+        started = time.monotonic()
+        reply = self.cluster.send(self.vm(number), "GET", path)
+        self.tally.add("quick lookup", reply.outcome, time.monotonic() - started)
+
+    def completion(self, number: int) -> None:
+        """Stream a completion; a cut stream is repeated by the caller."""
+        model = f"a{number % POPULAR}@1"
+        started = time.monotonic()
+        for attempt in range(3):
+            reply = self.cluster.complete(
+                self.vm(number + attempt), model, f"prompt {number}", stream=True
+            )
+            whole = reply.status == 200 and END_MARK in reply.body
+            outcome = "whole" if whole else reply.outcome
+            if whole and f'"model": "{model}"'.encode() not in reply.body:
+                self.wrong.append(f"{model}: answer names another model")
+            self.tally.add("completion", outcome, time.monotonic() - started)
+            if whole:
+                return
+
+    def job(self, number: int) -> None:
+        """Submit a patient job."""
+        model = f"a{number % POPULAR}@1"
+        key = f"job-{number}"
+        started = time.monotonic()
+        body = {"model": model, "prompt": f"lesson {number}", "background": True}
+        for attempt in range(5):
+            reply = self.cluster.send(
+                self.vm(number + attempt),
+                "POST",
+                "/v1/completions",
+                body,
+                {"Idempotency-Key": key},
+            )
+            if reply.status == 202:
+                self.jobs[reply.json()["id"]] = model
+                break
+        self.tally.add("patient job", reply.outcome, time.monotonic() - started)
+
+    def booking(self, number: int) -> None:
+        """Send a booking twice, by way of two entry VMs."""
+        key = f"booking-{number}"
+        started = time.monotonic()
+        with ThreadPoolExecutor(2) as pool:
+            vms = [self.vm(number), self.vm(number + 4)]
+            for reply in pool.map(lambda vm: self.cluster.book(vm, key), vms):
+                self.bookings[key].append(reply)
+                seconds = time.monotonic() - started
+                self.tally.add("booking (sent twice)", reply.outcome, seconds)
+
+    def repeat_unknown(self) -> None:
+        """Ask again under the same key for every booking without an answer."""
+        for number, (key, replies) in enumerate(self.bookings.items()):
+            until = time.monotonic() + 15
+            while replies[-1].outcome != "ran" and time.monotonic() < until:
+                replies.append(self.cluster.book(self.vm(number), key))
+                time.sleep(0.2)
+
+
+def run_traffic(traffic: Traffic, victim: str) -> None:
+    """Send every kind of request for a while and kill an entry VM midway."""
+    kinds = [traffic.lookup, traffic.completion, traffic.job, traffic.booking]
+    started = time.monotonic()
+    killed = False
+    number = 0
+    with ThreadPoolExecutor(48) as pool:
+        while time.monotonic() - started < TRAFFIC_S:
+            pool.submit(kinds[number % len(kinds)], number)
+            number += 1
+            time.sleep(0.02)
+            if not killed and time.monotonic() - started > KILL_AFTER_S:
+                killed = True
+                click.echo(f"killing entry VM {victim}")
+                traffic.kill(victim)
+
+
+def wait_for_jobs(traffic: Traffic, limit_s: float = 25.0) -> list[str]:
+    """Return the jobs that are not finished within the limit."""
+    until = time.monotonic() + limit_s
+    left = dict(traffic.jobs)
+    while left and time.monotonic() < until:
+        for job_id in list(left):
+            reply = traffic.cluster.send(traffic.vm(0), "GET", f"/v1/jobs/{job_id}")
+            if reply.status == 200 and reply.json()["status"] == "done":
+                if f'"model": "{left[job_id]}"' not in reply.json()["result"]:
+                    traffic.wrong.append(f"job {job_id} ran on another model")
+                del left[job_id]
+        time.sleep(0.2)
+    return list(left)
+
+
+def check_bookings(traffic: Traffic) -> list[str]:
+    """Compare what callers were told with the ledgers of effects."""
+    prefix = f"{traffic.cluster.deployment.service}:"
+    effects = Counter(
+        one["key"].removeprefix(prefix) for one in traffic.cluster.effects()
+    )
+    broken = [f"{key} took effect {n} times" for key, n in effects.items() if n > 1]
+    for key, replies in traffic.bookings.items():
+        last = replies[-1].outcome
+        if last == "not_run" and effects[key]:
+            broken.append(f"{key} was said not to have run, but took effect")
+        if any(reply.outcome == "ran" for reply in replies) and not effects[key]:
+            broken.append(f"{key} was said to have run, but took no effect")
+        if last != "ran":
+            broken.append(f"{key} has no answer: {replies[-1]}")
+    return broken
+
+
+@click.command()
+@click.argument("name", type=click.Choice(sorted(DEPLOYMENTS)), default="papillon")
+@click.option("--run-dir", type=click.Path(path_type=Path), default=Path(".run/demo"))
+def main(name: str, run_dir: Path) -> None:
+    """Run the demo of one deployment."""
+    started = time.monotonic()
+    cluster = Cluster(DEPLOYMENTS[name], run_dir / f"{name}-{time.time_ns()}", net=42)
+    with cluster:
+        click.echo(f"{name}: {len(cluster.processes)} processes are ready")
+        cluster.configure(ADAPTERS)
+        cluster.wait_owned()
+        traffic = Traffic(cluster)
+        run_traffic(traffic, cluster.entry_vms()[1])
+        traffic.repeat_unknown()
+        late = wait_for_jobs(traffic)
+        broken = check_bookings(traffic) + cluster.violations()
+        broken += cluster.broken_invariants() + traffic.wrong
+        broken += [f"job {job_id} was not finished" for job_id in late]
+    click.echo(f"\n{'kind':24}{'outcomes':46}{'p50':>10}{'p99':>10}")
+    for kind, shown, p50, p99 in traffic.tally.rows():
+        click.echo(f"{kind:24}{shown:46}{p50:>10}{p99:>10}")
+    click.echo(f"\njobs accepted {len(traffic.jobs)}, finished in time: {not late}")
+    click.echo(f"took {time.monotonic() - started:.0f} s")
+    for line in broken:
+        click.echo(f"BROKEN: {line}")
+    click.echo("invariants: " + ("BROKEN" if broken else "all held"))
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fakes/src/gooseberry_fakes/engine.py
@@ -0,0 +1,225 @@
+"""Stand-in for a model engine: batches, adapter slots, load time and faults."""
+
+from __future__ import annotations
+
+import hashlib
+import http.client
+import json
+import uuid
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlsplit
+
+import eventlet
+from eventlet.event import Event
+from eventlet.semaphore import Semaphore
+
+from .server import DropConnectionError, FakeRequest, FakeResponse, FakeServer
+
+CRASH_MARK = "CRASH-RUNNER"
+DEFAULT_TOKENS = 16
+
+
+def make_token(model: str, prompt: str, index: int) -> str:
+    """Return the token at a place of the answer, the same on every engine."""
+    digest = hashlib.blake2b(f"{model}|{prompt}|{index}".encode(), digest_size=3)
+    return f"w{digest.hexdigest()} "
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """Shape of an engine; ``token_s`` is the pause between tokens in seconds."""
+
+    slots: int
+    batch: int
+    token_s: float
+    checks_fencing: bool
+    store_url: str
+    restart_s: float = 1.0
+
+
+class FakeEngine(FakeServer):
+    """Engine whose answers are a function of the model and the prompt.
+
+    Faults: ``break_after`` (streams cut after some events), ``wrong_model`` (answers
+    that name another model), ``fail_loads``, ``leaving``.
+    """
+
+    def __init__(self, address: str, port: int, options: EngineOptions) -> None:
+        super().__init__(address, port)
+        self._options = options
+        self._places = Semaphore(options.batch)
+        self._resident: set[str] = set()
+        self._active: Counter[str] = Counter()
+        self._cancelled: set[str] = set()
+        self._running: dict[str, str] = {}
+        self._fence: tuple[int, ...] = (-1,)
+        self._boot = uuid.uuid4().hex[:12]
+        self._crash = Event()
+        self._counts: Counter[str] = Counter()
+        self._violations: list[str] = []
+
+    # Crashing and restarting cold.
+
+    def wait_until_closed(self) -> None:
+        """Block until the engine crashes."""
+        self._crash.wait()
+
+    def wait_until_reopened(self) -> None:
+        """Restart cold after a while."""
+        self._boot = uuid.uuid4().hex[:12]
+        self._resident.clear()
+        self._fence = (-1,)
+        eventlet.sleep(self._options.restart_s)
+        self._crash = Event()
+
+    def _die(self) -> None:
+        self._counts["crashes"] += 1
+        if not self._crash.ready():
+            self._crash.send()
+
+    # Requests.
+
+    def handle(self, request: FakeRequest) -> FakeResponse:
+        """Answer one request."""
+        if request.path == "/debug/state":
+            return FakeResponse(self._state())
+        if request.path == "/load":
+            return FakeResponse(self._report())
+        if request.path == "/v1/load_lora_adapter":
+            return self._load(request)
+        if request.path == "/v1/unload_lora_adapter":
+            return self._unload(request)
+        if request.path.endswith("/cancel"):
+            return self._cancel(request.path.split("/")[3])
+        return self._complete(request)
+
+    def _state(self) -> dict[str, Any]:
+        return {
+            "violations": self._violations,
+            "counts": dict(self._counts),
+            "resident": sorted(self._resident),
+            "running": len(self._running),
+        }
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "incarnation": self._boot,
+            "resident": sorted(self._resident),
+            "running": len(self._running),
+            "leaving": bool(self.faults.get("leaving", False)),
+        }
+
+    def _is_stale(self, request: FakeRequest) -> bool:
+        number = request.headers.get("fencing-number", "0")
+        fence = tuple(int(part) for part in number.split("."))
+        if self._options.checks_fencing and fence < self._fence:
+            self._counts["stale_orders"] += 1
+            return True
+        self._fence = max(self._fence, fence)
+        return False
+
+    def _load(self, request: FakeRequest) -> FakeResponse:
+        name = request.json()["lora_name"]
+        if self._is_stale(request):
+            return FakeResponse({"error": "stale fencing number"}, 412)
+        if self.take_fault("fail_loads"):
+            return FakeResponse({"error": "load failed"}, 503)
+        if name in self._resident:
+            return FakeResponse({})
+        if len(self._resident) >= self._options.slots:
+            return FakeResponse({"error": "no free slot"}, 409)
+        boot = self._boot
+        if not self._fetch(name):
+            return FakeResponse({"error": "weight store failed"}, 503)
+        if boot != self._boot:
+            raise DropConnectionError
+        self._resident.add(name)
+        self._counts["loads"] += 1
+        return FakeResponse({})
+
+    def _fetch(self, name: str) -> bool:
+        url = urlsplit(self._options.store_url)
+        conn = http.client.HTTPConnection(url.hostname or "", url.port, timeout=30)
+        try:
+            conn.request("GET", f"/v1/weights/{name}")
+            return conn.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            conn.close()
+
+    def _unload(self, request: FakeRequest) -> FakeResponse:
+        name = request.json()["lora_name"]
+        if self._is_stale(request):
+            return FakeResponse({"error": "stale fencing number"}, 412)
+        if self._active[name]:
+            self._violations.append(f"evicted {name} while in use")
+        self._resident.discard(name)
+        self._counts["evictions"] += 1
+        return FakeResponse({})
+
+    def _cancel(self, request_id: str) -> FakeResponse:
+        if request_id not in self._running:
+            return FakeResponse({"error": "unknown request"}, 404)
+        self._cancelled.add(request_id)
+        while request_id in self._running:
+            eventlet.sleep(0.002)
+        return FakeResponse({})
+
+    def _complete(self, request: FakeRequest) -> FakeResponse:
+        body = request.json()
+        model = body["model"]
+        if model not in self._resident:
+            return FakeResponse({"error": f"{model} is not loaded"}, 404)
+        self._counts["requests"] += 1
+        named = "other@1" if self.take_fault("wrong_model") else model
+        chat = request.path.endswith("chat/completions")
+        headers = {"X-Engine-Boot": self._boot}
+        if body.get("stream"):
+            headers["Content-Type"] = "text/event-stream"
+            events = self._stream(body, named, chat)
+            return FakeResponse(headers=headers, chunks=events)
+        text = "".join(self._generate(body))
+        message = {"message": {"role": "assistant", "content": text}}
+        choice = message if chat else {"text": text}
+        answer = {"id": body["request_id"], "model": named, "choices": [choice]}
+        return FakeResponse(answer, headers=headers)
+
+    def _stream(self, body: dict[str, Any], named: str, chat: bool) -> Iterator[bytes]:
+        cut_after = int(self.faults.get("break_after", 0))
+        for count, token in enumerate(self._generate(body), 1):
+            choice = {"delta": {"content": token}} if chat else {"text": token}
+            event = {"id": body["request_id"], "model": named, "choices": [choice]}
+            yield b"data: " + json.dumps(event).encode() + b"\n\n"
+            if cut_after and count >= cut_after and self.take_fault("breaks"):
+                raise DropConnectionError
+        yield b"data: [DONE]\n\n"
+
+    def _generate(self, body: dict[str, Any]) -> Iterator[str]:
+        """Yield the tokens of an answer; holds a place in the batch meanwhile."""
+        model, request_id, boot = body["model"], body["request_id"], self._boot
+        prompt = json.dumps(body.get("prompt", body.get("messages")))
+        self._active[model] += 1
+        self._running[request_id] = model
+        try:
+            with self._places:
+                start = int(body.get("resume_at", 0))
+                for index in range(start, int(body.get("max_tokens", DEFAULT_TOKENS))):
+                    eventlet.sleep(self._options.token_s)
+                    if CRASH_MARK in prompt and index >= 1:
+                        self._die()
+                    self._check_alive(boot, request_id)
+                    if model not in self._resident:
+                        self._violations.append(f"{model} vanished while in use")
+                    yield make_token(model, prompt, index)
+        finally:
+            self._active[model] -= 1
+            self._running.pop(request_id, None)
+            self._cancelled.discard(request_id)
+
+    def _check_alive(self, boot: str, request_id: str) -> None:
+        if self._crash.ready() or boot != self._boot or request_id in self._cancelled:
+            raise DropConnectionError
--- /dev/null
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of gooseberryctl; nothing below this package is a public API."""
--- /dev/null
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/commands/__init__.py
@@ -0,0 +1,9 @@
+"""Commands by name, in the order of the help."""
+
+from gooseberryctl._internal.base_command import BaseCommand
+
+from .apply import ApplyCommand
+from .ask import AskCommand
+from .diff import DiffCommand
+
+COMMANDS: tuple[type[BaseCommand], ...] = (AskCommand, DiffCommand, ApplyCommand)
--- /dev/null
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/output.py
@@ -0,0 +1,28 @@
+"""Output of rows as tables or JSON."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import click
+from tabulate import tabulate
+
+
+def print_result(result: dict[str, Any], as_json: bool) -> None:
+    """Print the rows of a result and what is missing from them."""
+    if as_json:
+        click.echo(json.dumps(result, indent=2, sort_keys=True))
+        return
+    rows = result.get("rows", [])
+    if rows:
+        click.echo(tabulate(rows, headers="keys", tablefmt="plain"))
+    else:
+        click.echo("(no rows)")
+    for vm in result.get("missing", []):
+        click.echo(f"missing: {vm} did not answer", err=True)
+    click.echo(
+        f"revision {result.get('revision')}, knowledge at most "
+        f"{result.get('age_s', 0.0):.1f} s old",
+        err=True,
+    )
--- /dev/null
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/session.py
@@ -0,0 +1,72 @@
+"""Connection of an operator to the entry VMs."""
+
+from __future__ import annotations
+
+import getpass
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+
+from .exceptions import RefusedError, UnknownOutcomeError, UnreachableError
+
+TIMEOUT_S = 15.0
+CONNECT_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """Entry VMs to try in turn, as ``address:port``, and the operator's token."""
+
+    servers: tuple[str, ...]
+    token: str
+    as_json: bool
+
+    def post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Send a command to the first entry VM that can be reached."""
+        failures = []
+        for server in self.servers:
+            try:
+                return self._post_to(server, path, body)
+            except urllib3.exceptions.NewConnectionError as exc:
+                failures.append(f"{server}: {exc}")
+            except urllib3.exceptions.ConnectTimeoutError:
+                failures.append(f"{server}: connect timeout")
+        raise UnreachableError("no entry VM answers: " + "; ".join(failures))
+
+    def _post_to(self, server: str, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        host, _, port = server.rpartition(":")
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=TIMEOUT_S)
+        pool = urllib3.HTTPConnectionPool(host, int(port), retries=False)
+        try:
+            response = pool.urlopen(
+                "POST",
+                path,
+                body=json.dumps({**body, "operator": getpass.getuser()}),
+                headers={"Authorization": f"Bearer {self.token}"},
+                timeout=timeout,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ):
+            raise
+        except urllib3.exceptions.HTTPError as exc:
+            raise UnknownOutcomeError(f"{server} did not finish: {exc}") from exc
+        finally:
+            pool.close()
+        return _decode(response.status, response.data)
+
+
+def _decode(status: int, data: bytes) -> dict[str, Any]:
+    try:
+        answer: dict[str, Any] = json.loads(data)
+    except ValueError as exc:
+        raise UnknownOutcomeError(f"answer {status} is not JSON") from exc
+    if status == 200:
+        return answer
+    detail = str(answer.get("detail", f"status {status}"))
+    if answer.get("outcome") == "unknown":
+        raise UnknownOutcomeError(detail)
+    raise RefusedError(detail)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/__main__.py
@@ -0,0 +1,25 @@
+"""Entry point of the ``gooseberryrun`` binary."""
+
+from __future__ import annotations
+
+import warnings
+
+# docs/design.md records why eventlet is used although it is in maintenance mode.
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+import eventlet.hubs  # noqa: E402
+
+eventlet.hubs.use_hub("eventlet.hubs.asyncio")
+eventlet.monkey_patch()
+
+from gooseberryrun._internal.cli import run  # noqa: E402
+
+
+def main() -> None:
+    """Run the command line."""
+    run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of gooseberryrun; nothing below this package is a public API."""
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
@@ -0,0 +1,80 @@
+"""Crash reports: which requests were in flight when a runner died."""
+
+from __future__ import annotations
+
+from result import Err
+
+from gooseberryrun._internal.state import Clock, CrashReport, Settings, Vm
+
+from ._appender import Appender
+from ._events import log_event
+from ._membership import Membership
+from ._messages import CrashNotice
+from ._metrics import POISONED
+from ._ports import Engines, Peers
+from ._replica import Replica
+from ._tasks import spawn
+
+
+class Crashes:
+    """Reports crashes and answers whether a request is a suspect."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        membership: Membership,
+        replica: Replica,
+        appender: Appender,
+        engines: Engines,
+        peers: Peers,
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._membership = membership
+        self._replica = replica
+        self._appender = appender
+        self._engines = engines
+        self._peers = peers
+
+    def is_refused(self, fingerprint: str) -> bool:
+        """Tell whether the request was present at too many crashes."""
+        now = self._clock.monotonic()
+        return self._replica.suspects.is_refused(fingerprint, now)
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Tell whether the request must run apart from other suspects."""
+        now = self._clock.monotonic()
+        return self._replica.suspects.is_suspect(fingerprint, now)
+
+    def suspect(self, engine: Vm, incarnation: str, fingerprint: str) -> None:
+        """Report a request whose stream broke, if its runner really crashed."""
+        report = self._engines.report(engine)
+        if not isinstance(report, Err) and report.ok_value.incarnation == incarnation:
+            return
+        self.take_notice(CrashNotice(engine.id, incarnation, [fingerprint]), True)
+
+    def take_notice(self, notice: CrashNotice, own: bool = False) -> None:
+        """Count a crash; an own report is spread to every VM and the log."""
+        now = self._clock.monotonic()
+        suspects = self._replica.suspects
+        fresh = suspects.record_crash(
+            notice.runner, notice.incarnation, notice.fingerprints, now
+        )
+        for fingerprint in fresh:
+            refused = suspects.is_refused(fingerprint, now)
+            log_event("suspect", fingerprint=fingerprint, refused=refused)
+            if refused:
+                POISONED.inc()
+        if own and fresh:
+            for vm in self._membership.entry_vms():
+                if vm != self._cfg.vm.id:
+                    self._peers.tell(vm, notice)
+            spawn("crash-report", lambda: self._append(notice))
+
+    def _append(self, notice: CrashNotice) -> None:
+        record = CrashReport(
+            notice.runner, notice.incarnation, notice.fingerprints, self._clock.unix()
+        )
+        deadline = self._clock.monotonic() + self._cfg.platform.timeout_s
+        self._appender.append(record, deadline)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_events.py
@@ -0,0 +1,38 @@
+"""Log lines: one line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import json
+
+from absl import logging
+from opentelemetry import trace
+
+MAX_VALUE_LENGTH = 2000
+"""Longest value that is logged, in characters."""
+
+
+def log_event(event: str, level: str = "info", **fields: object) -> None:
+    """Log one event; values with spaces or quotes are escaped as JSON strings."""
+    parts = [f"event={event}"]
+    context = trace.get_current_span().get_span_context()
+    if context.is_valid:
+        parts.append(f"trace_id={context.trace_id:032x}")
+    parts += [f"{key}={_format_value(value)}" for key, value in fields.items()]
+    logging.log(_LEVELS[level], "%s", " ".join(parts))
+
+
+def _format_value(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)[:MAX_VALUE_LENGTH]
+    if text and text.isprintable() and not set(text) & {" ", '"', "="}:
+        return text
+    return json.dumps(text)
+
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
@@ -0,0 +1,258 @@
+"""Who is there: the platform's lagging list, heartbeats and rumours of leaving."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from result import Err
+
+from gooseberryrun._internal.state import (
+    Clock,
+    Settings,
+    Vm,
+    VmKind,
+    VmState,
+    rank_nodes,
+    top_node,
+)
+
+from ._events import log_event
+from ._ports import VmList
+
+MAX_VOTERS = 5
+"""VMs of a failure domain that promise leases; keeps heartbeats O(1) a VM."""
+ABSENT_READS_TO_DROP = 2
+"""Reads of the list without a VM before it is dropped."""
+
+
+@dataclass(slots=True)
+class _Heard:
+    boot: str
+    at: float
+
+
+@dataclass(slots=True)
+class _SilentVote:
+    at: float
+    silent: frozenset[str]
+
+
+class Membership:
+    """Soft state about the VMs; nothing that must always hold rests on it."""
+
+    def __init__(self, cfg: Settings, clock: Clock, vm_list: VmList, boot: str) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._vm_list = vm_list
+        self._boot = boot
+        self.me = cfg.vm.id
+        self.domain = cfg.vm.domain
+        self._vms: dict[str, Vm] = {}
+        self._absent: dict[str, int] = {}
+        self._heard: dict[str, _Heard] = {}
+        self._votes: dict[str, _SilentVote] = {}
+        self._rumours: dict[str, bool] = {}
+        self._drains: set[str] = set()
+        self.version = 0
+        self.started_at = clock.monotonic()
+        self.listed_at = float("-inf")
+        self.leaving = False
+
+    # Sources.
+
+    def poll(self) -> None:
+        """Read the platform's list; keep the last one while it is unreachable."""
+        fetched = self._vm_list.fetch()
+        if isinstance(fetched, Err):
+            return
+        self.listed_at = self._clock.monotonic()
+        self.take_list(fetched.ok_value)
+
+    def take_list(self, vms: list[Vm]) -> None:
+        """Adopt a list; a VM is dropped only after it was absent repeatedly."""
+        listed = {vm.id: vm for vm in vms}
+        changed = False
+        for vm in vms:
+            self._absent.pop(vm.id, None)
+            changed = self._vms.get(vm.id) != vm or changed
+            self._vms[vm.id] = vm
+            self._settle_rumour(vm)
+        for vm_id in [known for known in self._vms if known not in listed]:
+            self._absent[vm_id] = self._absent.get(vm_id, 0) + 1
+            if self._absent[vm_id] >= ABSENT_READS_TO_DROP:
+                self._drop(vm_id)
+                changed = True
+        if changed:
+            self.version += 1
+
+    def _drop(self, vm_id: str) -> None:
+        log_event("vm_dropped", vm=vm_id)
+        del self._vms[vm_id]
+        del self._absent[vm_id]
+        self._rumours.pop(vm_id, None)
+        self._heard.pop(vm_id, None)
+
+    def _settle_rumour(self, vm: Vm) -> None:
+        """Let the list end a rumour that it has confirmed before."""
+        if vm.id not in self._rumours:
+            return
+        if vm.state is VmState.LEAVING:
+            self._rumours[vm.id] = True
+        elif self._rumours[vm.id]:
+            del self._rumours[vm.id]
+
+    def learn_leaving(self, vm_id: str) -> None:
+        """Take a rumour that a VM is leaving."""
+        if vm_id in self._vms and vm_id not in self._rumours:
+            log_event("vm_leaving", vm=vm_id)
+            self._rumours[vm_id] = self._vms[vm_id].state is VmState.LEAVING
+            self.version += 1
+
+    def set_drains(self, vm_ids: set[str]) -> None:
+        """Take the VMs that operators drain."""
+        if vm_ids != self._drains:
+            self._drains = set(vm_ids)
+            self.version += 1
+
+    def hear(self, vm_id: str, boot: str, leaving: bool) -> None:
+        """Note a sign of life; a new boot ends a rumour about the old one."""
+        heard = self._heard.get(vm_id)
+        if heard is not None and heard.boot != boot and not leaving:
+            self._rumours.pop(vm_id, None)
+        self._heard[vm_id] = _Heard(boot, self._clock.monotonic())
+        if leaving:
+            self.learn_leaving(vm_id)
+
+    def take_vote(self, voter: str, silent: list[str]) -> None:
+        """Note which VMs a voter does not hear."""
+        self._votes[voter] = _SilentVote(self._clock.monotonic(), frozenset(silent))
+
+    # Views.
+
+    def get(self, vm_id: str) -> Vm | None:
+        """Return a listed VM."""
+        return self._vms.get(vm_id)
+
+    def all(self) -> list[Vm]:
+        """Return every listed VM."""
+        return list(self._vms.values())
+
+    def leaving_ids(self) -> list[str]:
+        """Return the VMs that are known or said to leave."""
+        return [vm.id for vm in self._vms.values() if self.is_leaving(vm)]
+
+    def is_leaving(self, vm: Vm) -> bool:
+        """Tell whether a VM must get no new work."""
+        if vm.id == self.me and self.leaving:
+            return True
+        return (
+            vm.state is VmState.LEAVING
+            or vm.id in self._rumours
+            or vm.id in self._drains
+        )
+
+    def entry_vms(self, domain: str | None = None) -> list[str]:
+        """Return the ids of the listed entry VMs, sorted."""
+        return sorted(
+            vm.id
+            for vm in self._vms.values()
+            if vm.kind is VmKind.ENTRY and domain in (None, vm.domain)
+        )
+
+    def engines(self) -> list[Vm]:
+        """Return the engines that may get new work."""
+        return [
+            vm
+            for vm in self._vms.values()
+            if vm.kind is VmKind.ENGINE and not self.is_leaving(vm)
+        ]
+
+    def domain_engines(self) -> list[Vm]:
+        """Return every listed engine of this failure domain, leaving ones too."""
+        return [
+            vm
+            for vm in self._vms.values()
+            if vm.kind is VmKind.ENGINE and vm.domain == self.domain
+        ]
+
+    def services(self, name: str) -> list[Vm]:
+        """Return the servers of a plain service, those of this domain first."""
+        servers = [
+            vm
+            for vm in self._vms.values()
+            if vm.kind is VmKind.SERVICE
+            and vm.service == name
+            and not self.is_leaving(vm)
+        ]
+        return sorted(servers, key=lambda vm: (vm.domain != self.domain, vm.id))
+
+    def has_service(self, name: str) -> bool:
+        """Tell whether any server of a plain service is listed."""
+        return any(
+            vm.kind is VmKind.SERVICE and vm.service == name
+            for vm in self._vms.values()
+        )
+
+    def is_first_for(self, key: str) -> bool:
+        """Tell whether this VM should do a piece of work that any VM may do."""
+        leaving = set(self.leaving_ids())
+        return top_node(key, set(self.entry_vms()) - leaving) == self.me
+
+    def voters(self, domain: str | None = None) -> list[str]:
+        """Return the VMs of a domain that promise leases."""
+        domain = domain or self.domain
+        return rank_nodes(domain, self.entry_vms(domain))[:MAX_VOTERS]
+
+    def silent(self) -> list[str]:
+        """Return the VMs of this domain that this VM does not hear."""
+        now = self._clock.monotonic()
+        limit_s = self._cfg.peer.dead_after_s
+        return [
+            vm_id
+            for vm_id in self.entry_vms(self.domain)
+            if vm_id != self.me and now - self._last_heard(vm_id) > limit_s
+        ]
+
+    def _last_heard(self, vm_id: str) -> float:
+        heard = self._heard.get(vm_id)
+        return heard.at if heard is not None else self.started_at
+
+    def boot_of(self, vm_id: str) -> str | None:
+        """Return the boot id heard last from a VM."""
+        if vm_id == self.me:
+            return self._boot
+        heard = self._heard.get(vm_id)
+        return heard.boot if heard is not None else None
+
+    def is_dead(self, vm_id: str) -> bool:
+        """Tell whether a majority of the domain's voters miss a VM of this domain."""
+        now = self._clock.monotonic()
+        voters = self.voters()
+        count = 0
+        for voter in voters:
+            if voter == self.me:
+                count += vm_id in self.silent()
+                continue
+            vote = self._votes.get(voter)
+            fresh = vote is not None and now - vote.at < self._cfg.peer.dead_after_s
+            count += fresh and vote is not None and vm_id in vote.silent
+        return count > len(voters) // 2
+
+    def live_domain_vms(self) -> list[str]:
+        """Return the VMs of this domain that may own runners."""
+        return [
+            vm_id
+            for vm_id in self.entry_vms(self.domain)
+            if not self.is_leaving(self._vms[vm_id]) and not self.is_dead(vm_id)
+        ]
+
+    def is_boot_gone(self, vm_id: str, boot: str) -> bool:
+        """Tell whether a boot of a VM has ended, as far as can be known here."""
+        if vm_id == self.me:
+            return boot != self._boot
+        if vm_id not in self._vms:
+            return bool(self._vms)
+        heard = self.boot_of(vm_id)
+        if heard is not None and heard != boot:
+            return True
+        return self._vms[vm_id].domain == self.domain and self.is_dead(vm_id)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
@@ -0,0 +1,334 @@
+"""Messages between entry VMs.
+
+Times cross VMs as remaining seconds, because monotonic clocks are not shared; the
+receiver turns them into deadlines at once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from gooseberryrun._internal.state import FencingNumber
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRequest:
+    """Runners that an owner asks a voter to promise; None means as before."""
+
+    epoch: int
+    fencing: dict[str, FencingNumber] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Sign of life of an entry VM to a voter of its failure domain."""
+
+    vm: str
+    boot: str
+    seq: int
+    leaving: bool
+    lease: LeaseRequest
+    leaving_vms: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatAck:
+    """Answer to a heartbeat.
+
+    ``refused`` lists runners that were not promised, ``silent`` the VMs of the
+    domain that the voter does not hear. ``unknown_epoch`` asks for the whole list.
+    """
+
+    vm: str
+    boot: str
+    seq: int
+    refused: list[str]
+    silent: list[str]
+    unknown_epoch: bool = False
+    leaving: bool = False
+    leaving_vms: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """Soft state spread between failure domains."""
+
+    vm: str
+    boot: str
+    leaving: bool
+    leaving_vms: list[str]
+    next_offsets: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRelease:
+    """Runners that an owner gives back to the voters before its lease lapses."""
+
+    vm: str
+    boot: str
+    runners: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerNotice:
+    """Best known owner of a runner."""
+
+    runner: str
+    vm: str
+    boot: str
+    fencing: FencingNumber
+
+
+@dataclass(frozen=True, slots=True)
+class GrantRequest:
+    """Asks the owner of a runner for leave to send one request to it."""
+
+    request_id: str
+    runner: str
+    model: str
+    vm: str
+    boot: str
+    work_class: str
+    fingerprint: str
+    suspect: bool
+    wait_s: float
+    traceparent: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class GrantAnswer:
+    """Verdict of an owner on a grant request.
+
+    ``verdict`` is ``granted``, ``refused`` or ``not_owner``; ``lease_s``
+    counts from the grant, which came ``waited_s`` after the request arrived.
+    ``queued`` and ``running`` describe the runner for later choices.
+    """
+
+    verdict: str
+    runner: str
+    grant_id: str = ""
+    fencing: FencingNumber = FencingNumber()
+    lease_s: float = 0.0
+    waited_s: float = 0.0
+    reason: str = ""
+    queued: int = 0
+    running: int = 0
+    load_wait_s: float = 0.0
+    owner: OwnerNotice | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class GrantEnd:
+    """Grants that are no longer in use."""
+
+    runner: str
+    grant_ids: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class GrantUse:
+    """One grant that an entry VM is using."""
+
+    runner: str
+    grant_id: str
+    request_id: str
+    model: str
+    vm: str
+    boot: str
+    work_class: str
+    fingerprint: str
+    suspect: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UseRenewal:
+    """Extends all grants of a VM; ``counts`` gives their number by runner.
+
+    The cost does not grow with the grants. A count that differs from the owner's
+    book shows that a message was lost.
+    """
+
+    vm: str
+    boot: str
+    counts: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class UseRenewed:
+    """Acknowledges a renewal for the runners on which the lease is in force."""
+
+    vm: str
+    boot: str
+    runners: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class UseQuery:
+    """New owner's question for the grants in use on its runners."""
+
+    runners: list[str]
+    notices: list[OwnerNotice]
+
+
+@dataclass(frozen=True, slots=True)
+class UseReport:
+    """Every grant that ``vm`` uses on ``runners``."""
+
+    vm: str
+    boot: str
+    runners: list[str]
+    uses: list[GrantUse]
+
+
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """Book of a runner, sent by an owner that resigns to its successor."""
+
+    runner: str
+    uses: list[GrantUse]
+
+
+@dataclass(frozen=True, slots=True)
+class StorePermitRequest:
+    """Asks the keeper of the store budget for leave to load one adapter."""
+
+    runner: str
+
+
+@dataclass(frozen=True, slots=True)
+class StorePermit:
+    """Permit for one load, or the seconds to wait before asking again."""
+
+    granted: bool
+    retry_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StorePermitEnd:
+    """Reports that a permitted load has ended."""
+
+    runner: str
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsRequest:
+    """Asks a peer for the records of a stream from an offset on."""
+
+    stream: str
+    next_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlainRecord:
+    """Log record between peers."""
+
+    offset: int
+    writer: str
+    seq: int
+    data: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsReply:
+    """Records of a stream, or a snapshot where they are no longer kept."""
+
+    stream: str
+    records: list[PlainRecord]
+    synced: bool
+    snapshot: dict[str, Any] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CrashNotice:
+    """Requests in flight on a runner that crashed."""
+
+    runner: str
+    incarnation: str
+    fingerprints: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeQuery:
+    """Asks the holder of a key for what it knows of the outcome."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeReply:
+    """Outcome of a key at its holder; empty while the request is running."""
+
+    key: str
+    outcome: str = ""
+    status: int = 0
+    body: str = ""
+    content_type: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class StatusQuery:
+    """Asks a VM for a section of its operator view."""
+
+    section: str
+
+
+@dataclass(frozen=True, slots=True)
+class StatusReply:
+    """Rows of a section of the operator view."""
+
+    vm: str
+    rows: list[dict[str, Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class StopNotice:
+    """Operator's order to a VM to shut down gracefully."""
+
+    by: str
+
+
+@dataclass(frozen=True, slots=True)
+class Confirm:
+    """Asks whether a configuration revision is in force."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """Revision in force at a VM and the age of its knowledge in seconds."""
+
+    vm: str
+    revision: int
+    age_s: float
+
+
+PeerMessage = (
+    Heartbeat
+    | HeartbeatAck
+    | Gossip
+    | LeaseRelease
+    | OwnerNotice
+    | GrantRequest
+    | GrantAnswer
+    | GrantEnd
+    | UseRenewal
+    | UseRenewed
+    | UseQuery
+    | UseReport
+    | Handover
+    | StorePermitRequest
+    | StorePermit
+    | StorePermitEnd
+    | RecordsRequest
+    | RecordsReply
+    | CrashNotice
+    | OutcomeQuery
+    | OutcomeReply
+    | StatusQuery
+    | StatusReply
+    | StopNotice
+    | Confirm
+    | Confirmed
+)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -0,0 +1,41 @@
+"""Metrics of an entry VM; label sets are bounded, no label names an adapter."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter, Gauge, Histogram
+
+PREFIX = "gooseberryrun_"
+_SECONDS = (0.001, 0.005, 0.02, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60)
+
+REQUESTS = Counter(
+    PREFIX + "requests", "Requests answered, by route and status", ["route", "status"]
+)
+REFUSALS = Counter(PREFIX + "refusals", "Refusals, by code", ["code"])
+LOAD_STALL = Histogram(
+    PREFIX + "load_stall_seconds",
+    "Time requests waited for an adapter to arrive",
+    buckets=_SECONDS,
+)
+GRANT_WAIT = Histogram(
+    PREFIX + "grant_wait_seconds", "Time from grant request to grant", buckets=_SECONDS
+)
+BATCH_FILL = Gauge(
+    PREFIX + "batch_fill_ratio", "Filled share of the batches of owned runners"
+)
+LOADS = Counter(PREFIX + "adapter_loads", "Load orders, by result", ["result"])
+EVICTIONS = Counter(PREFIX + "adapter_evictions", "Evict orders, by result", ["result"])
+TAKEOVERS = Counter(PREFIX + "takeovers", "Runners taken over, by cause", ["cause"])
+RETRIES = Counter(PREFIX + "retries", "Repeated attempts, by cause", ["cause"])
+POISONED = Counter(PREFIX + "poison_verdicts", "Requests refused as crash causes")
+LOG_LAG = Gauge(
+    PREFIX + "log_age_seconds", "Time since the stream was read to its end", ["stream"]
+)
+LEASES = Gauge(PREFIX + "leases_held", "Runners with a lease in force")
+STORE_PERMITS = Counter(
+    PREFIX + "store_permits", "Store permits, by result", ["result"]
+)
+KEYS = Counter(PREFIX + "keys", "Non-idempotent requests, by outcome", ["outcome"])
+JOBS = Counter(PREFIX + "jobs", "Patient jobs, by event", ["event"])
+PEER_BYTES = Counter(PREFIX + "peer_bytes", "Bytes to peers", ["direction"])
+PEER_MESSAGES = Counter(PREFIX + "peer_messages", "Messages to peers", ["direction"])
+INTERNAL_ERRORS = Counter(PREFIX + "internal_errors", "Bugs caught", ["task"])
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
@@ -0,0 +1,306 @@
+"""One entry VM: its tasks, the dispatch of peers' messages and graceful shutdown."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import eventlet
+
+from gooseberryrun._internal.state import Clock, Settings
+
+from ._appender import Appender
+from ._completions import Completions
+from ._crashes import Crashes
+from ._events import log_event
+from ._grants import RENEWALS_PER_LEASE, Grants
+from ._leases import Leases
+from ._membership import Membership
+from ._messages import (
+    Confirm,
+    CrashNotice,
+    Gossip,
+    GrantAnswer,
+    GrantEnd,
+    GrantRequest,
+    Handover,
+    Heartbeat,
+    HeartbeatAck,
+    LeaseRelease,
+    OutcomeQuery,
+    PeerMessage,
+    RecordsRequest,
+    StatusQuery,
+    StopNotice,
+    StorePermitEnd,
+    StorePermitRequest,
+    UseQuery,
+    UseRenewal,
+    UseReport,
+)
+from ._once import Once
+from ._operations import Operations
+from ._owner import Owner
+from ._patient import Patient
+from ._placement import Placement
+from ._plain import Plain
+from ._ports import Engines, Inbound, Log, Peers, Services, VmList
+from ._refresh import Refresh
+from ._replica import Replica
+from ._store_budget import StorePermits
+from ._tasks import run_protected, spawn_periodic
+
+OWNER_TICK_S = 0.1
+JOB_SWEEP_S = 0.1
+LEDGER_SWEEP_S = 0.5
+REPORT_INTERVAL_S = 1.0
+STOP_POLL_S = 0.05
+
+
+class Node:
+    """Wires the coordination layer of one entry VM."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        boot: str,
+        log: Log,
+        vm_list: VmList,
+        engines: Engines,
+        services: Services,
+        peers: Peers,
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self.boot = boot
+        self._peers = peers
+        self._random = random.Random(boot)
+        self.open_requests = 0
+        self.stopping = False
+        self.membership = Membership(cfg, clock, vm_list, boot)
+        self.appender = Appender(cfg, clock, log, boot)
+        self.replica = Replica(cfg, clock, log, peers, boot)
+        self.leases = Leases(
+            cfg, clock, self.membership, self.replica, self.appender, peers, boot
+        )
+        self.permits = StorePermits(cfg, clock, self.membership, peers)
+        self.owner = Owner(
+            cfg,
+            clock,
+            self.membership,
+            self.replica,
+            self.leases,
+            engines,
+            self.permits,
+            peers,
+            boot,
+        )
+        self.grants = Grants(
+            cfg,
+            clock,
+            self.membership,
+            self.replica,
+            self.leases,
+            self.owner,
+            peers,
+            boot,
+        )
+        self.crashes = Crashes(
+            cfg, clock, self.membership, self.replica, self.appender, engines, peers
+        )
+        self.completions = Completions(
+            cfg,
+            clock,
+            self.membership,
+            self.replica,
+            self.grants,
+            Placement(cfg, clock, self.membership),
+            engines,
+            self.crashes,
+            boot,
+        )
+        self.plain = Plain(cfg, clock, self.membership, services)
+        self.once = Once(
+            cfg,
+            clock,
+            self.membership,
+            self.replica,
+            self.appender,
+            services,
+            peers,
+            boot,
+        )
+        self.patient = Patient(
+            cfg,
+            clock,
+            self.membership,
+            self.replica,
+            self.appender,
+            self.completions,
+            boot,
+        )
+        self.refresh = Refresh(
+            cfg, clock, self.membership, self.replica, self.appender, self.leases, boot
+        )
+        self.operations = Operations(
+            cfg,
+            clock,
+            self.membership,
+            self.replica,
+            self.appender,
+            self.leases,
+            self.owner,
+            self.once,
+            peers,
+        )
+        self.replica.on_owner_change = self.leases.owner_changed
+        self.replica.choose_peer = self._random_peer
+        self.patient.is_stopping = lambda: self.stopping
+        self._handlers = self._make_handlers()
+
+    def start(self) -> None:
+        """Start every task."""
+        self.appender.start()
+        self.replica.start()
+        cfg = self._cfg
+        spawn_periodic("vm-list", cfg.platform.vm_list_interval_s, self._poll_vms)
+        spawn_periodic("leases", cfg.peer.heartbeat_interval_s, self.leases.tick)
+        spawn_periodic("owner", OWNER_TICK_S, self.owner.tick)
+        spawn_periodic("reports", REPORT_INTERVAL_S, self.owner.request_reports)
+        renew_s = cfg.lease.grant_s / RENEWALS_PER_LEASE
+        spawn_periodic("grants", min(renew_s, 1.0), self.grants.renew)
+        spawn_periodic("patient", JOB_SWEEP_S, self.patient.sweep)
+        spawn_periodic("once", LEDGER_SWEEP_S, self.once.sweep)
+        refresh_s = min(cfg.log.retention_s / 20, 60.0)
+        spawn_periodic("refresh", refresh_s, self.refresh.sweep)
+        spawn_periodic("gossip", cfg.peer.heartbeat_interval_s, self._gossip)
+        expire_s = cfg.limits.suspect_ttl_s / 10
+        spawn_periodic("suspects", expire_s, self._expire_suspects)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send requests to this VM."""
+        return not self.stopping and self.replica.is_ready()
+
+    def _poll_vms(self) -> None:
+        self.membership.poll()
+        self.membership.set_drains(set(self.replica.config.tables["drains"]))
+
+    def _expire_suspects(self) -> None:
+        self.replica.suspects.expire(self._clock.monotonic())
+
+    def _random_peer(self) -> str | None:
+        others = [vm for vm in self.membership.entry_vms() if vm != self._cfg.vm.id]
+        return self._random.choice(others) if others else None
+
+    def _gossip(self) -> None:
+        """Tell a few VMs anywhere what this VM knows of leaving VMs."""
+        others = [vm for vm in self.membership.entry_vms() if vm != self._cfg.vm.id]
+        count = min(self._cfg.peer.gossip_fanout, len(others))
+        leaving = self.membership.leaving_ids()
+        offsets = {
+            stream: position.next_offset
+            for stream, position in self.replica.positions.items()
+        }
+        gossip = Gossip(
+            self._cfg.vm.id, self.boot, self.membership.leaving, leaving, offsets
+        )
+        for vm in self._random.sample(others, count):
+            self._peers.tell(vm, gossip)
+
+    # Messages of peers.
+
+    def dispatch(self, inbound: Inbound) -> None:
+        """Handle a message of a peer; must not block."""
+        run_protected("dispatch", lambda: self._dispatch(inbound))
+
+    def _dispatch(self, inbound: Inbound) -> None:
+        handler = self._handlers.get(type(inbound.message))
+        if handler is None:
+            log_event("unexpected_message", kind=type(inbound.message).__name__)
+            return
+        handler(inbound)
+
+    def _make_handlers(self) -> dict[type, Callable[[Inbound], None]]:
+        def answer(function: Callable[..., PeerMessage]) -> Callable[[Inbound], None]:
+            return lambda inbound: inbound.reply(function(inbound.message))
+
+        def take(function: Callable[..., None]) -> Callable[[Inbound], None]:
+            return lambda inbound: function(inbound.message)
+
+        return {
+            Heartbeat: lambda inbound: self._peers.tell(
+                inbound.sender, self.leases.take_heartbeat(_as_heartbeat(inbound))
+            ),
+            HeartbeatAck: take(self.leases.take_ack),
+            LeaseRelease: take(self.leases.take_release),
+            Gossip: take(self._take_gossip),
+            GrantRequest: lambda inbound: self.owner.take_request(
+                _as_request(inbound), inbound.reply
+            ),
+            GrantAnswer: lambda inbound: self.grants.take_late_answer(
+                inbound.sender, _as_answer(inbound)
+            ),
+            GrantEnd: take(self.owner.take_end),
+            UseRenewal: answer(self.owner.take_renewal),
+            UseReport: answer(self.owner.take_report),
+            UseQuery: take(self.grants.take_query),
+            Handover: take(self.owner.take_handover),
+            StorePermitRequest: answer(self.permits.answer),
+            StorePermitEnd: take(self.permits.take_end),
+            RecordsRequest: answer(self.replica.answer_records),
+            CrashNotice: take(self.crashes.take_notice),
+            OutcomeQuery: answer(self.once.answer_query),
+            StatusQuery: answer(self.operations.answer_status),
+            Confirm: answer(self.operations.answer_confirm),
+            StopNotice: self._take_stop,
+        }
+
+    def _take_gossip(self, gossip: Gossip) -> None:
+        self.membership.hear(gossip.vm, gossip.boot, gossip.leaving)
+        for vm_id in gossip.leaving_vms:
+            self.membership.learn_leaving(vm_id)
+
+    def _take_stop(self, inbound: Inbound) -> None:
+        notice = inbound.message
+        assert isinstance(notice, StopNotice)
+        inbound.reply(notice)
+        self.operations.request_stop(notice.by)
+
+    # Graceful shutdown.
+
+    def drain(self) -> bool:
+        """Hand over and finish; return whether every request was finished."""
+        log_event("stopping", vm=self._cfg.vm.id)
+        self.stopping = True
+        self.membership.leaving = True
+        deadline = self._clock.monotonic() + self._cfg.stop.deadline_s
+        while self._clock.monotonic() < deadline:
+            if self._is_idle():
+                return True
+            eventlet.sleep(STOP_POLL_S)
+        return self._is_idle()
+
+    def _is_idle(self) -> bool:
+        alone = len(self.membership.live_domain_vms()) == 0
+        return (
+            self.open_requests == 0
+            and self.patient.running() == 0
+            and not self.grants.held()
+            and (alone or not self.leases.owned())
+        )
+
+
+def _as_heartbeat(inbound: Inbound) -> Heartbeat:
+    assert isinstance(inbound.message, Heartbeat)
+    return inbound.message
+
+
+def _as_request(inbound: Inbound) -> GrantRequest:
+    assert isinstance(inbound.message, GrantRequest)
+    return inbound.message
+
+
+def _as_answer(inbound: Inbound) -> GrantAnswer:
+    assert isinstance(inbound.message, GrantAnswer)
+    return inbound.message
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_owner.py
@@ -0,0 +1,195 @@
+"""Owner's side of grants: one task for each owned runner, and use leases of VMs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from gooseberryrun._internal.state import Clock, FencingNumber, Ownership, Settings
+
+from ._events import log_event
+from ._leases import Leases
+from ._membership import Membership
+from ._messages import (
+    GrantAnswer,
+    GrantEnd,
+    GrantRequest,
+    Handover,
+    OwnerNotice,
+    UseQuery,
+    UseRenewal,
+    UseRenewed,
+    UseReport,
+)
+from ._metrics import BATCH_FILL
+from ._ports import Engines, Peers
+from ._replica import Replica
+from ._runner_task import Ask, End, EndVm, Resign, RunnerTask, Tick
+from ._store_budget import StorePermits
+
+MISMATCHES_TO_ASK = 2
+"""Renewals in a row with a wrong count before a full report is asked for."""
+
+
+class Owner:
+    """Runners that this VM owns."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        membership: Membership,
+        replica: Replica,
+        leases: Leases,
+        engines: Engines,
+        permits: StorePermits,
+        peers: Peers,
+        boot: str,
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._membership = membership
+        self._replica = replica
+        self._leases = leases
+        self._engines = engines
+        self._permits = permits
+        self._peers = peers
+        self._boot = boot
+        self._tasks: dict[str, RunnerTask] = {}
+        self._mismatches: dict[tuple[str, str], int] = {}
+        self._use_deadlines: dict[tuple[str, str], float] = {}
+        self.on_query: Callable[[UseQuery], None] = lambda query: None
+        leases.on_gain = self._gain
+        leases.on_lose = self._lose
+
+    def tasks(self) -> list[RunnerTask]:
+        """Return the tasks of the owned runners."""
+        return list(self._tasks.values())
+
+    def _gain(
+        self, runner: str, fencing: FencingNumber, previous: Ownership | None
+    ) -> None:
+        others = set(self._membership.entry_vms()) - {self._cfg.vm.id}
+        task = RunnerTask(
+            self._cfg,
+            self._clock,
+            runner,
+            self._membership,
+            self._leases,
+            self._engines,
+            self._permits,
+            others,
+            self.extend,
+        )
+        self._tasks[runner] = task
+        task.start()
+        notice = OwnerNotice(runner, self._cfg.vm.id, self._boot, fencing)
+        query = UseQuery([runner], [notice])
+        self.on_query(query)
+        for vm in others:
+            self._peers.tell(vm, query)
+
+    def _lose(self, runner: str, owner: Ownership) -> None:
+        task = self._tasks.pop(runner, None)
+        if task is None:
+            return
+        notice = OwnerNotice(runner, owner.vm, owner.boot, owner.fencing)
+        task.post(Resign(notice, lambda handover: self._peers.tell(owner.vm, handover)))
+        engine = self._membership.get(runner)
+        if engine is not None:
+            self._engines.close_lease(engine)
+
+    def notice(self, runner: str) -> OwnerNotice | None:
+        """Return the best known owner of a runner."""
+        owner = self._replica.owners.get(runner)
+        if owner is None:
+            return None
+        return OwnerNotice(runner, owner.vm, owner.boot, owner.fencing)
+
+    def take_request(
+        self, request: GrantRequest, reply: Callable[[GrantAnswer], None]
+    ) -> None:
+        """Queue a grant request, or say who owns the runner."""
+        task = self._tasks.get(request.runner)
+        if task is None:
+            owner = self.notice(request.runner)
+            reply(GrantAnswer("not_owner", request.runner, owner=owner))
+            return
+        task.post(Ask(request, reply))
+
+    def extend(self, vm: str, boot: str) -> None:
+        """Extend the use lease of a VM from now on."""
+        hold_s = self._cfg.lease.grant_s + self._cfg.lease.margin_s
+        deadline = self._clock.monotonic() + hold_s
+        known = self._use_deadlines.get((vm, boot), 0.0)
+        self._use_deadlines[(vm, boot)] = max(known, deadline)
+
+    def take_end(self, end: GrantEnd) -> None:
+        """End grants."""
+        task = self._tasks.get(end.runner)
+        if task is not None:
+            task.post(End(end.grant_ids))
+
+    def take_renewal(self, renewal: UseRenewal) -> UseRenewed:
+        """Extend every grant of a VM."""
+        self.extend(renewal.vm, renewal.boot)
+        for task in self._tasks.values():
+            self._compare_book(task, renewal)
+        valid = [runner for runner in renewal.counts if self._leases.is_valid(runner)]
+        return UseRenewed(self._cfg.vm.id, self._boot, valid)
+
+    def _compare_book(self, task: RunnerTask, renewal: UseRenewal) -> None:
+        """Ask for a full report when the counts differ twice in a row."""
+        key = (renewal.vm, task.runner)
+        counted = task.book.count_grants(renewal.vm, renewal.boot)
+        if counted == renewal.counts.get(task.runner, 0):
+            self._mismatches.pop(key, None)
+            return
+        self._mismatches[key] = self._mismatches.get(key, 0) + 1
+        if self._mismatches[key] < MISMATCHES_TO_ASK:
+            return
+        del self._mismatches[key]
+        log_event("books_differ", vm=renewal.vm, runner=task.runner)
+        notice = self.notice(task.runner)
+        query = UseQuery([task.runner], [notice] if notice is not None else [])
+        if renewal.vm == self._cfg.vm.id:
+            self.on_query(query)
+        else:
+            self._peers.tell(renewal.vm, query)
+
+    def take_report(self, report: UseReport) -> UseRenewed:
+        """Adopt the grants that a VM uses on runners that this VM took over."""
+        self.extend(report.vm, report.boot)
+        for runner in report.runners:
+            task = self._tasks.get(runner)
+            if task is not None:
+                task.post(report)
+        valid = [runner for runner in report.runners if self._leases.is_valid(runner)]
+        return UseRenewed(self._cfg.vm.id, self._boot, valid)
+
+    def take_handover(self, handover: Handover) -> None:
+        """Adopt the book of a runner from its last owner."""
+        for use in handover.uses:
+            self.extend(use.vm, use.boot)
+        task = self._tasks.get(handover.runner)
+        if task is not None:
+            task.post(handover)
+
+    def tick(self) -> None:
+        """Expire queues and use leases."""
+        now = self._clock.monotonic()
+        lapsed = [key for key, at in self._use_deadlines.items() if at <= now]
+        for key in lapsed:
+            del self._use_deadlines[key]
+        running = 0
+        for task in self._tasks.values():
+            running += task.book.running()
+            for vm, boot in lapsed:
+                task.post(EndVm(vm, boot))
+            task.post(Tick())
+        places = sum(task.book.batch for task in self._tasks.values())
+        BATCH_FILL.set(running / places if places else 0.0)
+
+    def request_reports(self) -> None:
+        """Fetch the reports of the owned runners."""
+        for task in self._tasks.values():
+            task.request_report()
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_replica.py
@@ -0,0 +1,310 @@
+"""Replayed state of the log's streams on this VM."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import eventlet
+import msgspec
+from result import Err
+
+from gooseberryrun._internal.state import (
+    CONFIG_STREAM,
+    NO_OFFSET,
+    OWNERS_STREAM,
+    STREAMS,
+    WORK_STREAM,
+    Clock,
+    ConfigChange,
+    ConfigSnapshot,
+    ConfigState,
+    CrashReport,
+    Intent,
+    JobAccepted,
+    JobDone,
+    JobState,
+    KeyRefresh,
+    LedgerState,
+    LogRecord,
+    Outcome,
+    OwnerClaim,
+    OwnerState,
+    Record,
+    Settings,
+    SuspectState,
+    decode_record,
+    encode_record,
+    to_refresh,
+)
+
+from ._events import log_event
+from ._messages import PlainRecord, RecordsReply, RecordsRequest
+from ._metrics import LOG_LAG
+from ._ports import Log, LogRead, Peers
+from ._waiters import Waiters
+
+RECENT_RECORDS = 4096
+"""Records of each stream kept for peers that lost the log."""
+
+
+@dataclass(slots=True)
+class StreamPosition:
+    """Progress of this VM in one stream.
+
+    ``confirmed_at`` is the monotonic time before the last read that reached the
+    end of the stream at the log itself.
+    """
+
+    next_offset: int = 0
+    confirmed_at: float = float("-inf")
+    synced: bool = False
+    reachable: bool = False
+    writers: dict[str, int] = field(default_factory=dict)
+    recent: deque[LogRecord] = field(
+        default_factory=lambda: deque(maxlen=RECENT_RECORDS)
+    )
+
+
+class Replica:
+    """State machines of all streams and the green threads that feed them."""
+
+    def __init__(
+        self, cfg: Settings, clock: Clock, log: Log, peers: Peers, boot: str
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._log = log
+        self._peers = peers
+        self._boot = boot
+        self.config = ConfigState()
+        self.owners = OwnerState()
+        self.ledger = LedgerState()
+        self.jobs = JobState()
+        self.suspects = SuspectState(
+            cfg.limits.crashes_to_refuse, cfg.limits.suspect_ttl_s
+        )
+        self.waiters = Waiters(clock)
+        self.config_recorded_at = clock.monotonic()
+        self.positions = {stream: StreamPosition() for stream in STREAMS}
+        self.on_owner_change: Callable[[str], None] = lambda runner: None
+        self.choose_peer: Callable[[], str | None] = lambda: None
+
+    def start(self) -> None:
+        """Start following every stream."""
+        for stream in STREAMS:
+            eventlet.spawn(self._follow, stream)
+
+    def is_ready(self) -> bool:
+        """Tell whether every stream was read to its end, here or by a peer."""
+        return all(position.synced for position in self.positions.values())
+
+    def log_age_s(self, stream: str) -> float:
+        """Return the seconds since the stream was known to be read to its end."""
+        return self._clock.monotonic() - self.positions[stream].confirmed_at
+
+    def is_log_reachable(self, stream: str) -> bool:
+        """Tell whether the last read of the stream succeeded."""
+        return self.positions[stream].reachable
+
+    def _follow(self, stream: str) -> None:
+        while True:
+            started_at = self._clock.monotonic()
+            position = self.positions[stream]
+            wait_s = self._cfg.log.poll_wait_s if position.synced else 0.0
+            read = self._log.read(stream, position.next_offset, wait_s)
+            if isinstance(read, Err):
+                self._lose_log(stream, read.err_value.detail)
+                self._ask_peer(stream)
+                eventlet.sleep(self._cfg.log.retry_interval_s)
+            elif not self._take_read(stream, read.ok_value, started_at):
+                self._ask_peer(stream)
+                eventlet.sleep(self._cfg.log.retry_interval_s)
+
+    def _lose_log(self, stream: str, detail: str) -> None:
+        position = self.positions[stream]
+        if position.reachable:
+            log_event("log_unreachable", level="warning", stream=stream, detail=detail)
+        position.reachable = False
+        LOG_LAG.labels(stream=stream).set(min(self.log_age_s(stream), 1e9))
+
+    def _take_read(self, stream: str, read: LogRead, started_at: float) -> bool:
+        """Apply a read; return False if older records are needed from a peer."""
+        position = self.positions[stream]
+        position.reachable = True
+        if read.first > position.next_offset and not self._skip_trimmed(stream, read):
+            return False
+        for record in read.records:
+            self.apply(stream, record)
+        if position.next_offset >= read.end:
+            position.confirmed_at = started_at
+            position.synced = True
+            LOG_LAG.labels(stream=stream).set(0)
+        return True
+
+    def _skip_trimmed(self, stream: str, read: LogRead) -> bool:
+        """Pass over records that expired before this VM read them."""
+        position = self.positions[stream]
+        if stream != CONFIG_STREAM:
+            log_event("log_trimmed", stream=stream, first=read.first)
+            position.next_offset = read.first
+            return True
+        for record in reversed(read.records):
+            decoded = decode_record(record.data)
+            if isinstance(decoded, Err):
+                continue
+            snapshot = decoded.ok_value
+            if isinstance(snapshot, ConfigSnapshot) and snapshot.base >= read.first - 1:
+                self.config.apply_snapshot(snapshot)
+                position.next_offset = snapshot.base + 1
+                return True
+        return False
+
+    def apply(self, stream: str, record: LogRecord) -> None:
+        """Apply one record; offsets below the position are repeats."""
+        position = self.positions[stream]
+        if record.offset < position.next_offset:
+            return
+        position.next_offset = record.offset + 1
+        position.recent.append(record)
+        if position.writers.get(record.writer, NO_OFFSET) >= record.seq:
+            return
+        position.writers[record.writer] = record.seq
+        decoded = decode_record(record.data)
+        if isinstance(decoded, Err):
+            log_event("record_skipped", level="warning", reason=decoded.err_value)
+            return
+        self._apply_typed(decoded.ok_value, record.offset)
+
+    def _apply_typed(self, record: Record, offset: int) -> None:
+        if isinstance(record, ConfigChange | ConfigSnapshot):
+            self._apply_config(record, offset)
+        elif isinstance(record, OwnerClaim):
+            for runner in self.owners.apply_claim(record, offset):
+                self.on_owner_change(runner)
+                self.waiters.touch(f"runner:{runner}")
+        elif isinstance(record, CrashReport):
+            self.suspects.record_crash(
+                record.runner,
+                record.incarnation,
+                record.fingerprints,
+                self._clock.monotonic(),
+            )
+        else:
+            self._apply_work(record, offset)
+
+    def _apply_config(self, record: ConfigChange | ConfigSnapshot, offset: int) -> None:
+        if isinstance(record, ConfigSnapshot):
+            self.config.apply_snapshot(record)
+            self.config.pass_offset(offset)
+            self.config_recorded_at = self._clock.monotonic()
+            return
+        verdict = self.config.apply_change(record, offset)
+        log_event(
+            "config_change",
+            change=record.change_id,
+            accepted=verdict.accepted,
+            revision=verdict.revision,
+            reason=verdict.reason,
+        )
+        self.waiters.touch(f"change:{record.change_id}")
+
+    def _apply_work(
+        self, record: Intent | Outcome | KeyRefresh | JobAccepted | JobDone, offset: int
+    ) -> None:
+        now = self._clock.monotonic()
+        if isinstance(record, Intent):
+            self.ledger.apply_intent(record, offset, now)
+            self.waiters.touch(f"key:{record.key}")
+        elif isinstance(record, Outcome):
+            self.ledger.apply_outcome(record, now)
+            self.waiters.touch(f"key:{record.key}")
+        elif isinstance(record, KeyRefresh):
+            self.ledger.apply_refresh(record, now)
+        elif isinstance(record, JobAccepted):
+            self.jobs.apply_accepted(record, now)
+            self.waiters.touch(f"job:{record.job_id}")
+        else:
+            self.jobs.apply_done(record, now)
+            self.waiters.touch(f"job:{record.job_id}")
+
+    def _ask_peer(self, stream: str) -> None:
+        """Learn records from a peer while the log does not give them."""
+        vm = self.choose_peer()
+        if vm is None:
+            return
+        position = self.positions[stream]
+        deadline = self._clock.monotonic() + self._cfg.platform.timeout_s
+        reply = self._peers.ask(
+            vm, RecordsRequest(stream, position.next_offset), deadline
+        )
+        if isinstance(reply, Err) or not isinstance(reply.ok_value, RecordsReply):
+            return
+        self._take_peer_reply(reply.ok_value)
+
+    def _take_peer_reply(self, reply: RecordsReply) -> None:
+        position = self.positions[reply.stream]
+        if reply.snapshot is not None:
+            self._restore(reply.stream, reply.snapshot)
+        for plain in reply.records:
+            if plain.offset == position.next_offset or reply.snapshot is not None:
+                record = LogRecord(plain.offset, plain.writer, plain.seq, plain.data)
+                self.apply(reply.stream, record)
+        if reply.synced:
+            position.synced = True
+
+    def answer_records(self, request: RecordsRequest) -> RecordsReply:
+        """Return records for a peer, or a snapshot if they are too old."""
+        position = self.positions[request.stream]
+        oldest = position.recent[0].offset if position.recent else position.next_offset
+        if request.next_offset < oldest:
+            return RecordsReply(
+                request.stream, [], position.synced, self._snapshot(request.stream)
+            )
+        records = [
+            PlainRecord(record.offset, record.writer, record.seq, record.data)
+            for record in position.recent
+            if record.offset >= request.next_offset
+        ]
+        return RecordsReply(request.stream, records, position.synced)
+
+    def _snapshot(self, stream: str) -> dict[str, Any]:
+        position = self.positions[stream]
+        records: list[tuple[int, dict[str, Any]]] = []
+        if stream == CONFIG_STREAM:
+            records.append((NO_OFFSET, encode_record(self.config.snapshot())))
+        elif stream == OWNERS_STREAM:
+            records += [
+                (
+                    owner.fencing.offset,
+                    encode_record(OwnerClaim(owner.vm, owner.boot, "", [runner])),
+                )
+                for runner, owner in self.owners.items()
+            ]
+        elif stream == WORK_STREAM:
+            records += [
+                (NO_OFFSET, encode_record(to_refresh(entry))) for entry in self.ledger
+            ]
+            for job in self.jobs:
+                records.append((NO_OFFSET, encode_record(job.accepted)))
+                if job.done is not None:
+                    records.append((NO_OFFSET, encode_record(job.done)))
+        return {
+            "next_offset": position.next_offset,
+            "writers": dict(position.writers),
+            "records": msgspec.to_builtins(records),
+        }
+
+    def _restore(self, stream: str, snapshot: dict[str, Any]) -> None:
+        position = self.positions[stream]
+        if snapshot["next_offset"] <= position.next_offset:
+            return
+        for offset, data in snapshot["records"]:
+            decoded = decode_record(data)
+            if not isinstance(decoded, Err):
+                self._apply_typed(decoded.ok_value, offset)
+        position.next_offset = snapshot["next_offset"]
+        position.writers.update(snapshot["writers"])
+        log_event("snapshot_restored", stream=stream, next=position.next_offset)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_requests.py
@@ -0,0 +1,65 @@
+"""Typed requests of callers and the answers to them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from gooseberryrun._internal.state import RunOutcome, WorkClass
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionRequest:
+    """Completion that names an adapter and its version.
+
+    ``body`` is the caller's JSON object; ``deadline`` is monotonic.
+    """
+
+    request_id: str
+    path: str
+    model: str
+    body: dict[str, Any]
+    stream: bool
+    work_class: WorkClass
+    fingerprint: str
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """Request for a plain service."""
+
+    request_id: str
+    service: str
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    key: str
+    work_class: WorkClass
+    fingerprint: str
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Answer to a caller; ``chunks`` yields the body as it arrives.
+
+    ``close`` is called when the caller has left or the body is complete.
+    """
+
+    status: int
+    content_type: str
+    chunks: Iterator[bytes]
+    outcome: RunOutcome = RunOutcome.RAN
+    headers: dict[str, str] = field(default_factory=dict)
+    close: Callable[[], None] = lambda: None
+
+
+class StreamCutError(Exception):
+    """A streamed answer could not be completed; its end mark was never sent."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail)
+        self.detail = detail
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -0,0 +1,463 @@
+"""Task of one owned runner: its queue, its grants and the orders to its engine."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import eventlet
+from opentelemetry import trace
+from result import Err, Result
+
+from gooseberryrun._internal.state import (
+    Clock,
+    FencingNumber,
+    Settings,
+    Vm,
+    WorkClass,
+    check,
+)
+
+from ._errors import EngineError, EngineFault
+from ._events import log_event
+from ._leases import Leases
+from ._membership import Membership
+from ._messages import (
+    GrantAnswer,
+    GrantRequest,
+    GrantUse,
+    Handover,
+    OwnerNotice,
+    UseReport,
+)
+from ._metrics import EVICTIONS, GRANT_WAIT, LOAD_STALL, LOADS
+from ._policy import make_policy
+from ._ports import EngineReport, Engines
+from ._scheduler import Grant, LoadOrder, RunnerScheduler, Waiting
+from ._store_budget import StorePermits
+from ._tasks import Task, spawn
+from ._tracing import start_span
+
+LOAD_RETRY_S = 0.5
+"""Pause before a failed load of the same adapter is tried again."""
+DEFAULT_SLOTS = 4
+DEFAULT_BATCH = 8
+
+DELIVERY_S = 5.0
+"""Age at which a grant must have reached the VM that asked for it."""
+
+Reply = Callable[[GrantAnswer], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Grant request of an entry VM with the way to answer it."""
+
+    request: GrantRequest
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """Grants that are no longer in use."""
+
+    grant_ids: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class EndVm:
+    """All grants of a VM's boot, whose use lease has lapsed."""
+
+    vm: str
+    boot: str
+
+
+@dataclass(frozen=True, slots=True)
+class OrderDone:
+    """Results of an order; None where the step was not taken."""
+
+    order: LoadOrder
+    evicted: bool | None
+    loaded: bool | None
+    permit_late: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReportTaken:
+    """Report of the engine, or why there is none."""
+
+    report: Result[EngineReport, EngineError]
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Passage of time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Resign:
+    """Another VM owns the runner now."""
+
+    notice: OwnerNotice
+    send: Callable[[Handover], None]
+
+
+TaskMessage = (
+    Ask | End | EndVm | OrderDone | ReportTaken | Tick | Resign | UseReport | Handover
+)
+
+
+class RunnerTask(Task[TaskMessage]):
+    """Owner's side of one runner under one fencing number."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        runner: str,
+        membership: Membership,
+        leases: Leases,
+        engines: Engines,
+        permits: StorePermits,
+        report_by: set[str],
+        extend_use: Callable[[str, str], None],
+    ) -> None:
+        super().__init__(f"runner-{runner}")
+        self._cfg = cfg
+        self._clock = clock
+        self.runner = runner
+        self._membership = membership
+        self._leases = leases
+        self._engines = engines
+        self._permits = permits
+        self._unaccounted = set(report_by)
+        self._extend_use = extend_use
+        self._active_since: float | None = None
+        self._replies: dict[str, tuple[Ask, float]] = {}
+        self._synced = False
+        self._reporting = False
+        self._resigned: OwnerNotice | None = None
+        self._incarnation = ""
+        vm = membership.get(runner)
+        self.book = RunnerScheduler(
+            runner,
+            (vm.slots if vm else 0) or DEFAULT_SLOTS,
+            (vm.batch if vm else 0) or DEFAULT_BATCH,
+            make_policy(cfg.policy),
+            cfg.limits.queue_per_runner,
+            cfg.policy.demand_half_life_s,
+        )
+
+    def handle(self, message: TaskMessage) -> None:
+        """Handle one message, then grant and order what has become possible."""
+        if isinstance(message, Ask):
+            self._take_ask(message)
+        elif isinstance(message, End):
+            for grant_id in message.grant_ids:
+                self.book.release(grant_id)
+        elif isinstance(message, EndVm):
+            self._end_vm(message)
+        elif isinstance(message, OrderDone):
+            self._finish_order(message)
+        else:
+            self._handle_rare(message)
+        self._advance()
+
+    def _handle_rare(self, message: TaskMessage) -> None:
+        if isinstance(message, ReportTaken):
+            self._take_report(message.report)
+        elif isinstance(message, UseReport):
+            self._take_use_report(message)
+        elif isinstance(message, Handover):
+            self._adopt(message.uses)
+            self._unaccounted.clear()
+        elif isinstance(message, Resign):
+            self._resign(message)
+        elif isinstance(message, Tick):
+            self._expire()
+
+    # Requests.
+
+    def _take_ask(self, ask: Ask) -> None:
+        request = ask.request
+        if self._resigned is not None:
+            self._answer_not_owner(ask)
+            return
+        vm = self._vm()
+        if vm is None or self._membership.is_leaving(vm):
+            self._refuse(ask, "leaving")
+            return
+        if request.request_id in self._replies:
+            return
+        if self.book.is_full():
+            self._refuse(ask, "queue_full")
+            return
+        now = self._clock.monotonic()
+        self._replies[request.request_id] = (ask, now)
+        self.book.enqueue(_to_waiting(request, now))
+
+    def _vm(self) -> Vm | None:
+        return self._membership.get(self.runner)
+
+    def _refuse(self, ask: Ask, reason: str) -> None:
+        ask.reply(self._answer("refused", reason=reason))
+
+    def _answer_not_owner(self, ask: Ask) -> None:
+        ask.reply(self._answer("not_owner", owner=self._resigned))
+
+    def _answer(
+        self,
+        verdict: str,
+        reason: str = "",
+        owner: OwnerNotice | None = None,
+        grant: Grant | None = None,
+        fencing: FencingNumber | None = None,
+    ) -> GrantAnswer:
+        return GrantAnswer(
+            verdict=verdict,
+            runner=self.runner,
+            grant_id=grant.grant_id if grant else "",
+            fencing=fencing or FencingNumber(),
+            lease_s=self._cfg.lease.grant_s,
+            reason=reason,
+            queued=self.book.queued,
+            running=self.book.running(),
+            load_wait_s=grant.load_wait_s if grant else 0.0,
+            owner=owner,
+        )
+
+    def _expire(self) -> None:
+        for waiting in self.book.drop_expired(self._clock.monotonic()):
+            ask, _ = self._replies.pop(waiting.request_id)
+            self._refuse(ask, "queue_timeout")
+        vm = self._vm()
+        if vm is None or self._membership.is_leaving(vm):
+            self._refuse_all("leaving")
+
+    def _refuse_all(self, reason: str) -> None:
+        for waiting in self.book.drop_all():
+            ask, _ = self._replies.pop(waiting.request_id)
+            self._refuse(ask, reason)
+
+    def _end_vm(self, message: EndVm) -> None:
+        ended = [
+            grant.grant_id
+            for grant in self.book.grants.values()
+            if (grant.vm, grant.boot) == (message.vm, message.boot)
+        ]
+        for grant_id in ended:
+            log_event("use_lease_lapsed", runner=self.runner, grant=grant_id)
+            self.book.release(grant_id)
+
+    def _take_use_report(self, report: UseReport) -> None:
+        """Adopt what a VM uses; end what it does not know and must have received."""
+        self._adopt([use for use in report.uses if use.runner == self.runner])
+        self._unaccounted.discard(report.vm)
+        used = {use.grant_id for use in report.uses}
+        before = self._clock.monotonic() - DELIVERY_S
+        for grant in list(self.book.grants.values()):
+            theirs = (grant.vm, grant.boot) == (report.vm, report.boot)
+            if theirs and grant.grant_id not in used and grant.granted_at < before:
+                log_event("grant_lost", runner=self.runner, grant=grant.grant_id)
+                self.book.release(grant.grant_id)
+
+    def _adopt(self, uses: list[GrantUse]) -> None:
+        for use in uses:
+            self.book.adopt(_to_grant(use))
+
+    def _resign(self, message: Resign) -> None:
+        self._resigned = message.notice
+        uses = [_to_use(self.runner, grant) for grant in self.book.grants.values()]
+        message.send(Handover(self.runner, uses))
+        for waiting in self.book.drop_all():
+            ask, _ = self._replies.pop(waiting.request_id)
+            self._answer_not_owner(ask)
+
+    # Decisions.
+
+    def _advance(self) -> None:
+        if self._resigned is not None or not self._leases.is_valid(self.runner):
+            return
+        if self._active_since is None:
+            self._active_since = self._clock.monotonic()
+        if not self._synced:
+            self.request_report()
+            return
+        self._grant_all()
+        self._order_next()
+
+    def _grant_all(self) -> None:
+        now = self._clock.monotonic()
+        while True:
+            grant = self.book.next_grant(uuid.uuid4().hex, now)
+            if grant is None:
+                return
+            ask, asked_at = self._replies.pop(grant.request_id)
+            GRANT_WAIT.observe(now - asked_at)
+            LOAD_STALL.observe(grant.load_wait_s)
+            fencing = self._leases.owned().get(self.runner)
+            with start_span("owner.decide", ask.request.traceparent) as span:
+                span.set_attribute("runner", self.runner)
+                span.set_attribute("queue_wait_s", now - asked_at)
+                span.set_attribute("load_wait_s", grant.load_wait_s)
+            self._extend_use(grant.vm, grant.boot)
+            answer = self._answer("granted", grant=grant, fencing=fencing)
+            ask.reply(replace(answer, waited_s=now - asked_at))
+
+    def _order_next(self) -> None:
+        order = self.book.next_order(self._clock.monotonic(), self._may_evict())
+        fencing = self._leases.owned().get(self.runner)
+        engine = self._vm()
+        if order is None or fencing is None or engine is None:
+            return
+        self.book.start_order(order)
+        spawn("order", lambda: self._carry_out(engine, order, fencing))
+
+    def _may_evict(self) -> bool:
+        """Tell whether every use of the runner is known here."""
+        if not self._unaccounted:
+            return True
+        self._unaccounted &= set(self._membership.entry_vms())
+        if self._active_since is None:
+            return False
+        # Grants of the previous owner end at the latest one grant lease after its
+        # own lease lapsed, which was before this one came into force.
+        hold_s = self._cfg.lease.grant_s + self._cfg.lease.margin_s
+        return self._clock.monotonic() >= self._active_since + hold_s
+
+    def _carry_out(self, engine: Vm, order: LoadOrder, fencing: FencingNumber) -> None:
+        """Take a permit, evict, then load; runs outside the task."""
+        done = OrderDone(order, None, None)
+        try:
+            done = self._evict_and_load(engine, order, fencing)
+        finally:
+            self.post(done)
+
+    def _evict_and_load(
+        self, engine: Vm, order: LoadOrder, fencing: FencingNumber
+    ) -> OrderDone:
+        deadline = self._clock.monotonic() + self._cfg.policy.load_timeout_s
+        if not self._permits.acquire(self.runner, eventlet.sleep, deadline):
+            return OrderDone(order, None, None, permit_late=True)
+        try:
+            with trace.get_tracer(__name__).start_as_current_span(
+                "engine.load"
+            ) as span:
+                span.set_attribute("model", order.model)
+                return self._order_engine(engine, order, fencing)
+        finally:
+            self._permits.release(self.runner)
+
+    def _order_engine(
+        self, engine: Vm, order: LoadOrder, fencing: FencingNumber
+    ) -> OrderDone:
+        def guard() -> bool:
+            return self._leases.is_valid(self.runner, fencing)
+
+        evicted = None
+        if order.victim is not None:
+            check(self.book.pins(order.victim) == 0, "no-eviction-in-use", order.victim)
+            unload = self._engines.unload(engine, order.victim, fencing, guard)
+            evicted = self._note(EVICTIONS, "evict", order.victim, unload)
+            if not evicted:
+                return OrderDone(order, False, None)
+        load = self._engines.load(engine, order.model, fencing, guard)
+        return OrderDone(order, evicted, self._note(LOADS, "load", order.model, load))
+
+    def _note(
+        self,
+        counter: object,
+        name: str,
+        model: str,
+        result: Result[None, EngineError],
+    ) -> bool:
+        fault = result.err_value.fault if isinstance(result, Err) else None
+        labelled = LOADS if counter is LOADS else EVICTIONS
+        labelled.labels(result=str(fault or "ok")).inc()
+        if fault is not None:
+            log_event(
+                f"{name}_failed",
+                level="warning",
+                runner=self.runner,
+                model=model,
+                fault=fault,
+                detail=result.unwrap_err().detail,
+            )
+        return fault is None
+
+    def _finish_order(self, done: OrderDone) -> None:
+        now = self._clock.monotonic()
+        if done.order.victim is not None:
+            self.book.finish_evict(done.evicted is True, now)
+        self.book.finish_load(done.loaded is True, now, LOAD_RETRY_S)
+        if done.evicted is False or done.loaded is False:
+            self._synced = False
+
+    # Reports.
+
+    def request_report(self) -> None:
+        """Fetch the engine's report outside the task."""
+        engine = self._vm()
+        if engine is None or self._reporting:
+            return
+        self._reporting = True
+        spawn("report", lambda: self.post(ReportTaken(self._engines.report(engine))))
+
+    def _take_report(self, report: Result[EngineReport, EngineError]) -> None:
+        self._reporting = False
+        if isinstance(report, Err):
+            if report.err_value.fault is EngineFault.NOT_SENT:
+                self._synced = False
+            return
+        if report.ok_value.leaving:
+            self._membership.learn_leaving(self.runner)
+        if self.book.is_busy_loading():
+            return
+        if report.ok_value.incarnation != self._incarnation:
+            self._incarnation = report.ok_value.incarnation
+            log_event("runner_incarnation", runner=self.runner, id=self._incarnation)
+        self.book.sync_resident(report.ok_value.resident, self._clock.monotonic())
+        self._synced = True
+
+
+def _to_waiting(request: GrantRequest, now: float) -> Waiting:
+    return Waiting(
+        request_id=request.request_id,
+        model=request.model,
+        vm=request.vm,
+        boot=request.boot,
+        work_class=WorkClass(request.work_class),
+        fingerprint=request.fingerprint,
+        suspect=request.suspect,
+        enqueued_at=now,
+        deadline=now + request.wait_s,
+    )
+
+
+def _to_grant(use: GrantUse) -> Grant:
+    return Grant(
+        grant_id=use.grant_id,
+        request_id=use.request_id,
+        model=use.model,
+        vm=use.vm,
+        boot=use.boot,
+        work_class=WorkClass(use.work_class),
+        fingerprint=use.fingerprint,
+        suspect=use.suspect,
+        granted_at=0.0,
+    )
+
+
+def _to_use(runner: str, grant: Grant) -> GrantUse:
+    return GrantUse(
+        runner=runner,
+        grant_id=grant.grant_id,
+        request_id=grant.request_id,
+        model=grant.model,
+        vm=grant.vm,
+        boot=grant.boot,
+        work_class=str(grant.work_class),
+        fingerprint=grant.fingerprint,
+        suspect=grant.suspect,
+    )
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_scheduler.py
@@ -0,0 +1,302 @@
+"""Decisions about one runner: whom to grant, what to load, what to evict.
+
+The scheduler does no I/O and reads no clock: the owner's task and the virtual-time
+measurements drive the same code.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from gooseberryrun._internal.state import DemandTracker, WorkClass, check
+
+from ._policy import Policy, RunnerView, WaitingView
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Request that waits at the owner; times are monotonic seconds."""
+
+    request_id: str
+    model: str
+    vm: str
+    boot: str
+    work_class: WorkClass
+    fingerprint: str
+    suspect: bool
+    enqueued_at: float
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Leave to run one request on the runner; pins the adapter until it ends."""
+
+    grant_id: str
+    request_id: str
+    model: str
+    vm: str
+    boot: str
+    work_class: WorkClass
+    fingerprint: str
+    suspect: bool
+    load_wait_s: float = 0.0
+    granted_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOrder:
+    """Adapter version to load, after evicting ``victim`` if there is one."""
+
+    model: str
+    victim: str | None
+
+
+class RunnerScheduler(RunnerView):
+    """Book and queue of one runner."""
+
+    def __init__(
+        self,
+        runner: str,
+        slots: int,
+        batch: int,
+        policy: Policy,
+        queue_limit: int,
+        demand_half_life_s: float,
+    ) -> None:
+        self.runner = runner
+        self.slots = slots
+        self.batch = batch
+        self._policy = policy
+        self._queue_limit = queue_limit
+        self._demand = DemandTracker(demand_half_life_s)
+        self._queues: OrderedDict[str, deque[Waiting]] = OrderedDict()
+        self._queued = 0
+        self._resident: dict[str, float] = {}
+        self._loading: str | None = None
+        self._evicting: str | None = None
+        self._load_started_at: dict[str, float] = {}
+        self._failed_until: dict[str, float] = {}
+        self._grants: dict[str, Grant] = {}
+        self._pins: Counter[str] = Counter()
+        self._patient_running = 0
+
+    # Views for policies.
+
+    def resident(self) -> Iterable[str]:
+        """Return the adapter versions that may be granted."""
+        return self._resident.keys()
+
+    def running(self) -> int:
+        """Return the number of grants in use."""
+        return len(self._grants)
+
+    def patient_running(self) -> int:
+        """Return the number of grants of patient work."""
+        return self._patient_running
+
+    def pins(self, model: str) -> int:
+        """Return the number of grants that use an adapter version."""
+        return self._pins[model]
+
+    def last_used(self, model: str) -> float:
+        """Return when an adapter version was last granted or loaded."""
+        return self._resident.get(model, 0.0)
+
+    def demand(self, model: str, now: float) -> float:
+        """Return the decayed demand for an adapter version."""
+        return self._demand.demand(model, now)
+
+    def queues(self) -> Iterable[tuple[str, WaitingView]]:
+        """Return the waiting work by adapter version, oldest queue first."""
+        return (
+            (model, WaitingView(tuple(queue))) for model, queue in self._queues.items()
+        )
+
+    def queue_of(self, model: str) -> WaitingView:
+        """Return the waiting work for one adapter version."""
+        return WaitingView(tuple(self._queues.get(model, ())))
+
+    # Changes.
+
+    @property
+    def queued(self) -> int:
+        """Number of waiting requests."""
+        return self._queued
+
+    @property
+    def grants(self) -> dict[str, Grant]:
+        """Grants in use by id."""
+        return self._grants
+
+    def count_grants(self, vm: str, boot: str) -> int:
+        """Return the number of grants of one boot of a VM."""
+        return sum((one.vm, one.boot) == (vm, boot) for one in self._grants.values())
+
+    def is_busy_loading(self) -> bool:
+        """Tell whether an order to the engine is outstanding."""
+        return self._loading is not None or self._evicting is not None
+
+    def is_full(self) -> bool:
+        """Tell whether the queue takes no more work."""
+        return self._queued >= self._queue_limit
+
+    def enqueue(self, waiting: Waiting) -> None:
+        """Add a request to the queue."""
+        self._queues.setdefault(waiting.model, deque()).append(waiting)
+        self._queued += 1
+        self._demand.count(waiting.model, waiting.enqueued_at)
+
+    def drop_waiting(self, request_id: str) -> Waiting | None:
+        """Remove a request from the queue."""
+        for model, queue in self._queues.items():
+            for waiting in queue:
+                if waiting.request_id == request_id:
+                    queue.remove(waiting)
+                    self._forget_queue(model)
+                    self._queued -= 1
+                    return waiting
+        return None
+
+    def drop_expired(self, now: float) -> list[Waiting]:
+        """Remove and return the requests whose deadline has passed."""
+        expired = [
+            waiting
+            for queue in self._queues.values()
+            for waiting in queue
+            if waiting.deadline <= now
+        ]
+        for waiting in expired:
+            self.drop_waiting(waiting.request_id)
+        return expired
+
+    def drop_all(self) -> list[Waiting]:
+        """Empty the queue and return what was in it."""
+        dropped = [waiting for queue in self._queues.values() for waiting in queue]
+        self._queues.clear()
+        self._queued = 0
+        return dropped
+
+    def next_grant(self, grant_id: str, now: float) -> Grant | None:
+        """Grant the waiting request that the policy picks, if one may run now."""
+        if len(self._grants) >= self.batch:
+            return None
+        waiting = self._policy.pick_waiting(self, now)
+        if waiting is None:
+            return None
+        check(waiting.model in self._resident, "grant-is-resident", waiting.model)
+        check(waiting.model != self._evicting, "no-grant-while-evicting")
+        self.drop_waiting(waiting.request_id)
+        grant = Grant(
+            grant_id=grant_id,
+            request_id=waiting.request_id,
+            model=waiting.model,
+            vm=waiting.vm,
+            boot=waiting.boot,
+            work_class=waiting.work_class,
+            fingerprint=waiting.fingerprint,
+            suspect=waiting.suspect,
+            load_wait_s=self._load_wait(waiting, now),
+            granted_at=now,
+        )
+        self.adopt(grant)
+        self._resident[waiting.model] = now
+        return grant
+
+    def _load_wait(self, waiting: Waiting, now: float) -> float:
+        """Return how long the request waited before its adapter was resident."""
+        loaded_at = self._load_started_at.get(waiting.model, 0.0)
+        return max(0.0, min(loaded_at, now) - waiting.enqueued_at)
+
+    def adopt(self, grant: Grant) -> bool:
+        """Take a grant into the book; repeats are ignored."""
+        if grant.grant_id in self._grants:
+            return False
+        self._grants[grant.grant_id] = grant
+        self._pins[grant.model] += 1
+        self._patient_running += grant.work_class is WorkClass.PATIENT
+        return True
+
+    def release(self, grant_id: str) -> Grant | None:
+        """End a grant; unknown ids are repeats."""
+        grant = self._grants.pop(grant_id, None)
+        if grant is None:
+            return None
+        self._pins[grant.model] -= 1
+        check(self._pins[grant.model] >= 0, "pins-not-negative", grant.model)
+        if not self._pins[grant.model]:
+            del self._pins[grant.model]
+        self._patient_running -= grant.work_class is WorkClass.PATIENT
+        return grant
+
+    def next_order(self, now: float, may_evict: bool) -> LoadOrder | None:
+        """Return the load that is worth most now, if one is possible."""
+        if self.is_busy_loading():
+            return None
+        model = self._policy.pick_load(self, now)
+        if model is None or self._failed_until.get(model, 0.0) > now:
+            return None
+        victim = None
+        if len(self._resident) >= self.slots:
+            if not may_evict:
+                return None
+            victim = self._policy.pick_victim(self, model, now)
+            if victim is None:
+                return None
+        return LoadOrder(model, victim)
+
+    def start_order(self, order: LoadOrder) -> None:
+        """Reserve the slot of an order that is about to be sent."""
+        check(not self.is_busy_loading(), "one-order-at-a-time")
+        self._loading = order.model
+        if order.victim is not None:
+            self.start_evict(order.victim)
+
+    def start_evict(self, model: str) -> None:
+        """Take an adapter version out of use before it is evicted."""
+        check(self._pins[model] == 0, "no-eviction-in-use", model)
+        self._evicting = model
+        self._resident.pop(model, None)
+
+    def finish_evict(self, evicted: bool, now: float) -> None:
+        """Note the end of an eviction; a failed one leaves the adapter resident."""
+        if self._evicting is not None and not evicted:
+            self._resident[self._evicting] = now
+        self._evicting = None
+
+    def finish_load(self, loaded: bool, now: float, retry_s: float) -> None:
+        """Note the end of a load order."""
+        model = self._loading
+        self._loading = None
+        if model is None:
+            return
+        if loaded:
+            self._resident[model] = now
+            self._load_started_at[model] = now
+        else:
+            self._failed_until[model] = now + retry_s
+
+    def sync_resident(self, models: list[str], now: float) -> None:
+        """Adopt the engine's own list of what is resident."""
+        listed = set(models) - {self._evicting}
+        for model in listed - set(self._resident):
+            self._resident[model] = now
+        for model in set(self._resident) - listed:
+            del self._resident[model]
+        stale = set(self._load_started_at) - listed
+        for model in stale:
+            del self._load_started_at[model]
+
+    def suspects_running(self) -> bool:
+        """Tell whether a suspect request is in flight."""
+        return any(grant.suspect for grant in self._grants.values())
+
+    def is_in_flight(self, fingerprint: str) -> bool:
+        """Tell whether a request with the same content is in flight."""
+        return any(grant.fingerprint == fingerprint for grant in self._grants.values())
+
+    def _forget_queue(self, model: str) -> None:
+        if not self._queues[model]:
+            del self._queues[model]
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_tasks.py
@@ -0,0 +1,78 @@
+"""Tasks: green threads that own their state and handle one message at a time."""
+
+from __future__ import annotations
+
+import os
+import traceback
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+import eventlet
+from eventlet.queue import LightQueue
+
+from gooseberryrun._internal.state import InvariantError
+
+from ._events import log_event
+from ._metrics import INTERNAL_ERRORS
+
+EXIT_BROKEN_INVARIANT = 70
+M = TypeVar("M")
+
+
+def run_protected(name: str, function: Callable[[], None]) -> None:
+    """Run a function; a broken invariant stops the process, other bugs are logged."""
+    try:
+        function()
+    except InvariantError as exc:
+        log_event("invariant_broken", level="error", task=name, detail=str(exc))
+        os._exit(EXIT_BROKEN_INVARIANT)
+    except Exception:
+        INTERNAL_ERRORS.labels(task=name).inc()
+        log_event(
+            "internal_error", level="error", task=name, detail=traceback.format_exc()
+        )
+
+
+def spawn(name: str, function: Callable[[], None]) -> None:
+    """Run a function in a green thread of its own."""
+    eventlet.spawn(run_protected, name, function)
+
+
+def spawn_periodic(name: str, interval_s: float, function: Callable[[], None]) -> None:
+    """Run a function every ``interval_s`` seconds until the process ends."""
+
+    def loop() -> None:
+        while True:
+            run_protected(name, function)
+            eventlet.sleep(interval_s)
+
+    eventlet.spawn(loop)
+
+
+class Task(ABC, Generic[M]):
+    """Green thread with a mailbox."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._mailbox = LightQueue()
+
+    def start(self) -> None:
+        """Start handling messages."""
+        eventlet.spawn(self._run)
+
+    def post(self, message: M) -> None:
+        """Put a message into the mailbox; never blocks."""
+        self._mailbox.put_nowait(message)
+
+    def _run(self) -> None:
+        while True:
+            self._handle_next()
+
+    def _handle_next(self) -> None:
+        message = self._mailbox.get()
+        run_protected(self._name, lambda: self.handle(message))
+
+    @abstractmethod
+    def handle(self, message: M) -> None:
+        """Handle one message."""
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_tracing.py
@@ -0,0 +1,27 @@
+"""Spans and W3C trace context."""
+
+from __future__ import annotations
+
+from contextlib import AbstractContextManager
+
+from opentelemetry import trace
+from opentelemetry.trace import Span
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+_PROPAGATOR = TraceContextTextMapPropagator()
+_TRACER_NAME = "gooseberryrun"
+
+
+def start_span(name: str, traceparent: str = "") -> AbstractContextManager[Span]:
+    """Start a span as current, under a remote parent if one is given."""
+    context = None
+    if traceparent:
+        context = _PROPAGATOR.extract({"traceparent": traceparent})
+    return trace.get_tracer(_TRACER_NAME).start_as_current_span(name, context=context)
+
+
+def current_traceparent() -> str:
+    """Return the trace context of the current span, or an empty string."""
+    carrier: dict[str, str] = {}
+    _PROPAGATOR.inject(carrier)
+    return carrier.get("traceparent", "")
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/_http_requests.py
@@ -0,0 +1,123 @@
+"""Callers' HTTP requests, parsed and validated."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.coordination import (
+    CompletionRequest,
+    Refusal,
+    ServiceRequest,
+)
+from gooseberryrun._internal.state import (
+    DEFAULT_JOB_DEADLINE_S,
+    ConfigState,
+    Rule,
+    WorkClass,
+    fingerprint,
+    parse_model_name,
+)
+
+COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
+MAX_KEY_LENGTH = 255
+_DEFAULT_MODEL_RULE = Rule(WorkClass.QUICK, DEFAULT_JOB_DEADLINE_S)
+_VOLATILE_FIELDS = ("stream", "background", "user", "request_id")
+"""Fields of a body that do not change what the engine executes."""
+
+
+def bad_request(detail: str, code: str = "bad_request", status: int = 400) -> Refusal:
+    """Return the refusal of a malformed request."""
+    return Refusal(status, code, detail)
+
+
+def parse_json_object(body: bytes) -> Result[dict[str, Any], Refusal]:
+    """Parse a JSON object."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        return Err(bad_request("the body is not valid JSON", "malformed_json"))
+    if not isinstance(value, dict):
+        return Err(bad_request("the body must be a JSON object", "malformed_json"))
+    return Ok(value)
+
+
+def parse_key(value: str) -> Result[str, Refusal]:
+    """Check an ``Idempotency-Key``."""
+    if len(value) > MAX_KEY_LENGTH or not value.isprintable():
+        detail = f"Idempotency-Key must have at most {MAX_KEY_LENGTH} characters"
+        return Err(bad_request(detail, "bad_key"))
+    return Ok(value)
+
+
+def find_model_rule(config: ConfigState, adapter: str) -> Rule:
+    """Return the rule for completions on an adapter."""
+    return config.find_rule(f"model/{adapter}") or _DEFAULT_MODEL_RULE
+
+
+def parse_completion(
+    path: str, body: dict[str, Any], request_id: str, deadline: float
+) -> Result[CompletionRequest, Refusal]:
+    """Check the fields of a completion that this system reads."""
+    model = body.get("model")
+    if not isinstance(model, str):
+        return Err(bad_request("model is missing or not a string"))
+    named = parse_model_name(model)
+    if isinstance(named, Err):
+        return Err(bad_request(named.err_value))
+    for name in ("stream", "background"):
+        if not isinstance(body.get(name, False), bool):
+            return Err(bad_request(f"{name} must be true or false"))
+    needed = "messages" if path.endswith("chat/completions") else "prompt"
+    if needed not in body:
+        return Err(bad_request(f"{needed} is missing"))
+    content = {key: body[key] for key in body if key not in _VOLATILE_FIELDS}
+    return Ok(
+        CompletionRequest(
+            request_id=request_id,
+            path=path,
+            model=model,
+            body=body,
+            stream=body.get("stream", False),
+            work_class=WorkClass.QUICK,
+            fingerprint=fingerprint(path, content),
+            deadline=deadline,
+        )
+    )
+
+
+def parse_service_request(
+    config: ConfigState,
+    service: str,
+    method: str,
+    path: str,
+    body: bytes,
+    content_type: str,
+    key: str,
+    request_id: str,
+    deadline: float,
+) -> Result[ServiceRequest, Refusal]:
+    """Classify a request to a plain service by the operators' rules."""
+    rule = config.find_rule(f"service/{service}{path.partition('?')[0]}")
+    work_class = rule.work_class if rule is not None else WorkClass.QUICK
+    if key:
+        work_class = WorkClass.ONCE
+    if work_class is WorkClass.ONCE and not key:
+        detail = "this request needs an Idempotency-Key header"
+        return Err(bad_request(detail, "key_required"))
+    return Ok(
+        ServiceRequest(
+            request_id=request_id,
+            service=service,
+            method=method,
+            path=path,
+            body=body,
+            content_type=content_type,
+            key=f"{service}:{key}" if key else "",
+            work_class=work_class,
+            fingerprint=fingerprint(method, service, path, body.hex()),
+            deadline=deadline,
+        )
+    )
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/_problem.py
@@ -0,0 +1,26 @@
+"""Error bodies for callers: RFC 9457 problem details with an explicit outcome."""
+
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+
+from gooseberryrun._internal.coordination import Refusal
+
+PROBLEM_CONTENT_TYPE = "application/problem+json"
+
+
+def encode_problem(refusal: Refusal, request_id: str) -> bytes:
+    """Return the body for a refusal.
+
+    ``outcome`` is ``ran``, ``not_run`` or ``unknown``.
+    """
+    body = {
+        "type": f"urn:gooseberryrun:{refusal.code}",
+        "title": HTTPStatus(refusal.status).phrase,
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "outcome": str(refusal.outcome),
+        "request_id": request_id,
+    }
+    return json.dumps(body).encode()
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_owners.py
@@ -0,0 +1,49 @@
+"""Who owns which runner, as far as this VM knows."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ._names import FencingNumber
+from ._records import OwnerClaim
+
+
+@dataclass(frozen=True, slots=True)
+class Ownership:
+    """Owner of one runner under a fencing number."""
+
+    vm: str
+    boot: str
+    fencing: FencingNumber
+
+
+class OwnerState:
+    """Highest known claim of each runner."""
+
+    def __init__(self) -> None:
+        self._owners: dict[str, Ownership] = {}
+
+    def get(self, runner: str) -> Ownership | None:
+        """Return the owner of a runner."""
+        return self._owners.get(runner)
+
+    def items(self) -> list[tuple[str, Ownership]]:
+        """Return runners with their owners."""
+        return list(self._owners.items())
+
+    def apply_claim(self, claim: OwnerClaim, offset: int) -> list[str]:
+        """Take a claim from the log; return the runners whose owner changed."""
+        changed = []
+        for runner in claim.runners:
+            ownership = Ownership(claim.vm, claim.boot, FencingNumber(offset))
+            if self.learn(runner, ownership):
+                changed.append(runner)
+        return changed
+
+    def learn(self, runner: str, ownership: Ownership) -> bool:
+        """Take a claim from any source; a lower number never replaces a higher."""
+        known = self._owners.get(runner)
+        if known is not None and known.fencing >= ownership.fencing:
+            return False
+        self._owners[runner] = ownership
+        return True
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_records.py
@@ -0,0 +1,203 @@
+"""Records of the platform's log and their plain form.
+
+A record travels as ``{"kind": ..., "body": {...}}``; kinds are the snake-case
+names registered below. Times in records are Unix seconds of the writer's clock and
+are used for ageing only, never for ordering.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+CONFIG_STREAM = "config"
+OWNERS_STREAM = "owners"
+WORK_STREAM = "work"
+NO_OFFSET = -1
+"""Offset of nothing: offsets of records start at 0."""
+STREAMS = (CONFIG_STREAM, OWNERS_STREAM, WORK_STREAM)
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigOp:
+    """One operation of a configuration change.
+
+    ``op`` is ``put`` or ``remove``; ``table`` is ``adapters``, ``rules``,
+    ``services`` or ``drains``; ``value`` is empty for ``remove``.
+    """
+
+    op: str
+    table: str
+    key: str
+    value: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigChange:
+    """Change of configuration; rejected unless ``expected`` is the revision."""
+
+    change_id: str
+    author: str
+    ops: list[ConfigOp]
+    expected: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigSnapshot:
+    """Whole configuration as of ``base``, written before its records expire."""
+
+    base: int
+    revision: int
+    tables: dict[str, dict[str, dict[str, Any]]]
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerClaim:
+    """Claim of runners by an entry VM; its offset is the fencing number."""
+
+    vm: str
+    boot: str
+    domain: str
+    runners: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Intent:
+    """Declares that ``holder`` may dispatch a non-idempotent request once.
+
+    ``takes_over`` is the offset of a dead holder's intent that this one replaces.
+    """
+
+    key: str
+    fingerprint: str
+    service: str
+    path: str
+    holder: str
+    boot: str
+    at: float
+    takes_over: int = NO_OFFSET
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Result of the intent at offset ``intent``.
+
+    ``outcome`` is ``ran``, ``not_run`` or ``unknown``.
+    """
+
+    key: str
+    intent: int
+    outcome: str
+    status: int = 0
+    body: str = ""
+    content_type: str = ""
+    by: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRefresh:
+    """Entry of the ledger re-appended before its own records expire."""
+
+    key: str
+    fingerprint: str
+    service: str
+    path: str
+    holder: str
+    boot: str
+    at: float
+    intent: int
+    outcome: str
+    status: int
+    body: str
+    content_type: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobAccepted:
+    """Patient request that must be finished; first record by id wins."""
+
+    job_id: str
+    path: str
+    request: dict[str, Any]
+    executor: str
+    boot: str
+    domain: str
+    at: float
+    deadline_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class JobDone:
+    """Result of a job; first record by id wins."""
+
+    job_id: str
+    status: int
+    body: str
+    by: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Request fingerprints in flight on a runner when it crashed."""
+
+    runner: str
+    incarnation: str
+    fingerprints: list[str]
+    at: float
+
+
+Record = (
+    ConfigChange
+    | ConfigSnapshot
+    | OwnerClaim
+    | Intent
+    | Outcome
+    | KeyRefresh
+    | JobAccepted
+    | JobDone
+    | CrashReport
+)
+
+_KINDS: dict[str, type[Any]] = {
+    "config_change": ConfigChange,
+    "config_snapshot": ConfigSnapshot,
+    "owner_claim": OwnerClaim,
+    "intent": Intent,
+    "outcome": Outcome,
+    "key_refresh": KeyRefresh,
+    "job_accepted": JobAccepted,
+    "job_done": JobDone,
+    "crash_report": CrashReport,
+}
+_NAMES = {cls: kind for kind, cls in _KINDS.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class LogRecord:
+    """Record as read from a stream: ``writer`` and ``seq`` identify the append."""
+
+    offset: int
+    writer: str
+    seq: int
+    data: dict[str, Any]
+
+
+def encode_record(record: Record) -> dict[str, Any]:
+    """Return the plain form of a record."""
+    return {"kind": _NAMES[type(record)], "body": msgspec.to_builtins(record)}
+
+
+def decode_record(data: dict[str, Any]) -> Result[Record, str]:
+    """Return the typed record, or why the plain form is not one."""
+    cls = _KINDS.get(str(data.get("kind")))
+    if cls is None:
+        return Err(f"unknown record kind {data.get('kind')!r}")
+    try:
+        record: Record = msgspec.convert(data.get("body"), cls)
+    except msgspec.ValidationError as exc:
+        return Err(str(exc))
+    return Ok(record)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/__init__.py
@@ -0,0 +1,57 @@
+"""Transport layer: sockets of callers, backend servers, platform and peers."""
+
+from ._engine_client import (
+    BOOT_HEADER,
+    FENCING_HEADER,
+    READ_BYTES,
+    REPORT_TIMEOUT_S,
+    HttpEngines,
+    HttpEngineStream,
+)
+from ._http_client import (
+    CONNECT_TIMEOUT_S,
+    CONNECTIONS_PER_HOST,
+    USER_TIMEOUT_MS,
+    GuardFailedError,
+    HttpClient,
+    HttpFailure,
+    describe_error,
+)
+from ._http_server import HttpServer, Reply
+from ._peer_links import (
+    KEEPALIVE_S,
+    KEEPALIVE_TIMEOUT_S,
+    MAX_QUEUED,
+    RECONNECT_S,
+    PeerLinks,
+)
+from ._platform_client import READ_LIMIT, HttpLog, HttpVmList
+from ._service_client import KEY_HEADER, HttpServices
+
+__all__ = [
+    "BOOT_HEADER",
+    "CONNECTIONS_PER_HOST",
+    "CONNECT_TIMEOUT_S",
+    "FENCING_HEADER",
+    "GuardFailedError",
+    "HttpClient",
+    "HttpEngineStream",
+    "HttpEngines",
+    "HttpFailure",
+    "HttpLog",
+    "HttpServer",
+    "HttpServices",
+    "HttpVmList",
+    "KEEPALIVE_S",
+    "KEEPALIVE_TIMEOUT_S",
+    "KEY_HEADER",
+    "MAX_QUEUED",
+    "PeerLinks",
+    "READ_BYTES",
+    "READ_LIMIT",
+    "RECONNECT_S",
+    "REPORT_TIMEOUT_S",
+    "Reply",
+    "USER_TIMEOUT_MS",
+    "describe_error",
+]
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_engine_client.py
@@ -0,0 +1,224 @@
+"""Model engines over HTTP."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+from http import HTTPStatus
+
+import msgspec
+import urllib3
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.coordination import (
+    EngineCall,
+    EngineError,
+    EngineFault,
+    EngineReport,
+    Engines,
+    EngineStream,
+    Guard,
+    StreamBlock,
+)
+from gooseberryrun._internal.protocol import EventChecker, check_whole_answer
+from gooseberryrun._internal.state import FencingNumber, Settings, Vm
+
+from ._http_client import HttpClient, HttpFailure, describe_error
+
+READ_BYTES = 65536
+BOOT_HEADER = "X-Engine-Boot"
+FENCING_HEADER = "Fencing-Number"
+REPORT_TIMEOUT_S = 1.0
+_JSON = {"Content-Type": "application/json"}
+
+
+class HttpEngineStream(EngineStream):
+    """Answer of an engine, streamed or whole."""
+
+    def __init__(
+        self, response: urllib3.BaseHTTPResponse, call: EngineCall, incarnation: str
+    ) -> None:
+        self.content_type = response.headers.get("Content-Type", "application/json")
+        self.incarnation = incarnation
+        self._response = response
+        self._model = call.model
+        self._checker = EventChecker(call.model) if call.stream else None
+        self._complete = False
+
+    def read(self) -> Result[StreamBlock, EngineError]:
+        """Return the next block of whole events, or the whole answer."""
+        try:
+            if self._checker is None:
+                return self._read_whole()
+            return self._read_events(self._checker)
+        except (
+            urllib3.exceptions.HTTPError,
+            OSError,
+            http.client.HTTPException,
+        ) as exc:
+            return Err(EngineError(EngineFault.BROKEN, describe_error(exc)))
+
+    def _read_whole(self) -> Result[StreamBlock, EngineError]:
+        body = self._response.read()
+        wrong = check_whole_answer(body, self._model)
+        if wrong is not None:
+            return Err(wrong)
+        self._complete = True
+        return Ok(StreamBlock(body, 1, True))
+
+    def _read_events(self, checker: EventChecker) -> Result[StreamBlock, EngineError]:
+        while True:
+            data = self._response.read1(READ_BYTES)
+            if not data:
+                return Err(EngineError(EngineFault.BROKEN, "ended without end mark"))
+            block = checker.feed(data)
+            if isinstance(block, Err) or block.ok_value.data:
+                self._complete = not isinstance(block, Err) and block.ok_value.done
+                return block
+
+    def close(self) -> None:
+        """Return the connection to its pool after a whole answer, else close it."""
+        if self._complete:
+            self._response.drain_conn()
+            self._response.release_conn()
+        else:
+            self._response.close()
+
+
+class HttpEngines(Engines):
+    """Calls to model engines; orders travel on connections of their own."""
+
+    def __init__(self, cfg: Settings, http_client: HttpClient) -> None:
+        self._cfg = cfg
+        self._http = http_client
+        self._orders = HttpClient(cfg)
+
+    def complete(
+        self, engine: Vm, call: EngineCall
+    ) -> Result[EngineStream, EngineError]:
+        """Start a completion."""
+        body = {
+            **call.body,
+            "model": call.model,
+            "stream": call.stream,
+            "priority": call.priority,
+            "request_id": call.request_id,
+        }
+        body.pop("background", None)
+        if call.resume_at:
+            body["resume_at"] = call.resume_at
+        done = self._http.request(
+            engine.address,
+            engine.port,
+            "POST",
+            call.path,
+            body=msgspec.json.encode(body),
+            headers={**_JSON, **call.headers},
+            timeout_s=call.deadline - time.monotonic(),
+            preload=False,
+        )
+        if isinstance(done, Err):
+            return Err(_to_error(done.err_value))
+        response = done.ok_value
+        incarnation = response.headers.get(BOOT_HEADER, "")
+        if response.status == HTTPStatus.OK:
+            return Ok(HttpEngineStream(response, call, incarnation))
+        return Err(_read_error(response))
+
+    def load(
+        self, engine: Vm, model: str, fencing: FencingNumber, guard: Guard
+    ) -> Result[None, EngineError]:
+        """Order a load and wait for it."""
+        body = {"lora_name": model, "lora_path": model}
+        path = "/v1/load_lora_adapter"
+        return self._order(engine, path, body, fencing, guard)
+
+    def unload(
+        self, engine: Vm, model: str, fencing: FencingNumber, guard: Guard
+    ) -> Result[None, EngineError]:
+        """Order an eviction and wait for it."""
+        path = "/v1/unload_lora_adapter"
+        return self._order(engine, path, {"lora_name": model}, fencing, guard)
+
+    def _order(
+        self,
+        engine: Vm,
+        path: str,
+        body: dict[str, str],
+        fencing: FencingNumber,
+        guard: Guard,
+    ) -> Result[None, EngineError]:
+        done = self._orders.request(
+            engine.address,
+            engine.port,
+            "POST",
+            path,
+            body=msgspec.json.encode(body),
+            headers={**_JSON, FENCING_HEADER: str(fencing)},
+            timeout_s=self._cfg.policy.load_timeout_s,
+            guard=guard,
+        )
+        if isinstance(done, Err):
+            return Err(_to_error(done.err_value))
+        if done.ok_value.status == HTTPStatus.OK:
+            return Ok(None)
+        return Err(_read_error(done.ok_value))
+
+    def report(self, engine: Vm) -> Result[EngineReport, EngineError]:
+        """Return the engine's report."""
+        done = self._http.request(
+            engine.address, engine.port, "GET", "/load", timeout_s=REPORT_TIMEOUT_S
+        )
+        if isinstance(done, Err):
+            return Err(_to_error(done.err_value))
+        if done.ok_value.status != HTTPStatus.OK:
+            return Err(_read_error(done.ok_value))
+        try:
+            return Ok(msgspec.json.decode(done.ok_value.data, type=EngineReport))
+        except msgspec.MsgspecError as exc:
+            return Err(EngineError(EngineFault.BROKEN, str(exc)))
+
+    def cancel(self, engine: Vm, request_id: str) -> bool:
+        """Cancel a request; true if the engine is gone or confirms it."""
+        done = self._http.request(
+            engine.address,
+            engine.port,
+            "POST",
+            f"/v1/requests/{request_id}/cancel",
+            timeout_s=REPORT_TIMEOUT_S,
+        )
+        if isinstance(done, Err):
+            failure = done.err_value
+            return not failure.sent and not failure.timed_out
+        return done.ok_value.status in (HTTPStatus.OK, HTTPStatus.NOT_FOUND)
+
+    def close_lease(self, engine: Vm) -> None:
+        """Close the connections on which orders travelled."""
+        self._orders.close(engine.address, engine.port)
+
+
+def _to_error(failure: HttpFailure) -> EngineError:
+    if failure.refused_by_guard:
+        return EngineError(EngineFault.LEASE_LAPSED, failure.detail)
+    if not failure.sent:
+        return EngineError(EngineFault.NOT_SENT, failure.detail)
+    if failure.timed_out:
+        return EngineError(EngineFault.TIMEOUT, failure.detail)
+    return EngineError(EngineFault.BROKEN, failure.detail)
+
+
+_FAULT_OF = {
+    HTTPStatus.NOT_FOUND: EngineFault.NOT_RESIDENT,
+    HTTPStatus.PRECONDITION_FAILED: EngineFault.STALE_FENCING,
+}
+
+
+def _read_error(response: urllib3.BaseHTTPResponse) -> EngineError:
+    """Return the error that an engine answered with."""
+    try:
+        detail = str(json.loads(response.data).get("error", ""))
+    except (ValueError, AttributeError, urllib3.exceptions.HTTPError):
+        detail = ""
+    fault = _FAULT_OF.get(HTTPStatus(response.status), EngineFault.REJECTED)
+    return EngineError(fault, detail or f"status {response.status}", response.status)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
@@ -0,0 +1,243 @@
+"""Streams between entry VMs, over grpclib.
+
+The asyncio side owns the connections; green threads put messages into queues and wait
+for answers. Each VM opens one stream to every peer that it talks to; answers come back
+on the stream of the question.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import grpclib.client
+import grpclib.server
+from eventlet.asyncio import spawn_for_awaitable
+from eventlet.event import Event
+from eventlet.timeout import Timeout
+from grpclib.config import Configuration
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.coordination import (
+    PEER_BYTES,
+    PEER_MESSAGES,
+    GrantAnswer,
+    Inbound,
+    PeerError,
+    PeerMessage,
+    Peers,
+    log_event,
+)
+from gooseberryrun._internal.protocol import (
+    decode_message,
+    encode_message,
+    peer_grpc,
+    peer_pb2,
+)
+from gooseberryrun._internal.state import Clock, Settings, Vm
+
+MAX_QUEUED = 10000
+"""Messages queued for a peer; more are dropped, oldest first."""
+RECONNECT_S = 0.2
+KEEPALIVE_S = 5.0
+KEEPALIVE_TIMEOUT_S = 3.0
+
+
+@dataclass(slots=True)
+class _Link:
+    vm: str
+    queue: asyncio.Queue[Any] = field(default_factory=asyncio.Queue)
+    pending: dict[int, Event] = field(default_factory=dict)
+
+
+def _put(queue: asyncio.Queue[Any], envelope: Any) -> None:
+    if queue.qsize() >= MAX_QUEUED:
+        queue.get_nowait()
+    queue.put_nowait(envelope)
+
+
+async def _next_frame(queue: asyncio.Queue[Any]) -> Any:
+    """Gather everything queued into one frame."""
+    envelopes = [await queue.get()]
+    while not queue.empty():
+        envelopes.append(queue.get_nowait())
+    frame = peer_pb2.Frame(envelopes=envelopes)
+    PEER_BYTES.labels(direction="out").inc(frame.ByteSize())
+    PEER_MESSAGES.labels(direction="out").inc(len(envelopes))
+    return frame
+
+
+async def _send_all(stream: Any, queue: asyncio.Queue[Any]) -> None:
+    while True:
+        await stream.send_message(await _next_frame(queue))
+
+
+def _count_in(frame: Any) -> None:
+    PEER_BYTES.labels(direction="in").inc(frame.ByteSize())
+    PEER_MESSAGES.labels(direction="in").inc(len(frame.envelopes))
+
+
+class _PeerService(peer_grpc.PeerBase):
+    """Server's side of the streams."""
+
+    def __init__(self, secret: str, dispatch: Callable[[Inbound], None]) -> None:
+        self._secret = secret
+        self._dispatch = dispatch
+
+    async def Link(self, stream: Any) -> None:  # noqa: N802 (name of the RPC)
+        """Serve the stream of one peer."""
+        given = stream.metadata.get("secret", "")
+        if not hmac.compare_digest(str(given).encode(), self._secret.encode()):
+            raise GRPCError(Status.UNAUTHENTICATED, "wrong peer secret")
+        sender = stream.metadata.get("vm", "")
+        queue: asyncio.Queue[Any] = asyncio.Queue()
+        await stream.send_initial_metadata()
+        writer = asyncio.ensure_future(_send_all(stream, queue))
+        try:
+            async for frame in stream:
+                _count_in(frame)
+                for envelope in frame.envelopes:
+                    self._take(sender, envelope, queue)
+        finally:
+            writer.cancel()
+
+    def _take(self, sender: str, envelope: Any, queue: asyncio.Queue[Any]) -> None:
+        decoded = decode_message(envelope.kind, envelope.body)
+        if isinstance(decoded, Err):
+            log_event("peer_message_rejected", peer=sender, reason=decoded.err_value)
+            return
+
+        def reply(message: PeerMessage) -> None:
+            kind, body = encode_message(message)
+            answer = peer_pb2.Envelope(
+                id=envelope.id, answer=True, kind=kind, body=body
+            )
+            _put(queue, answer)
+
+        self._dispatch(Inbound(sender, decoded.ok_value, reply))
+
+
+class PeerLinks(Peers):
+    """Streams to the other entry VMs, opened when they are first used."""
+
+    def __init__(self, cfg: Settings, clock: Clock) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._links: dict[str, _Link] = {}
+        self._ids = itertools.count(1)
+        self._server: grpclib.server.Server | None = None
+        self.find_vm: Callable[[str], Vm | None] = lambda vm: None
+        self.dispatch: Callable[[Inbound], None] = lambda inbound: None
+
+    def start(self) -> None:
+        """Listen for peers."""
+        secret = self._cfg.peer.secret.get_secret_value()
+        service = _PeerService(secret, lambda inbound: self.dispatch(inbound))
+        self._server = grpclib.server.Server([service])
+        address = str(self._cfg.vm.address)
+        spawn_for_awaitable(self._server.start(address, self._cfg.peer.port)).wait()
+
+    def tell(self, vm: str, message: PeerMessage) -> None:
+        """Send a message; it is lost if the peer cannot be reached."""
+        kind, body = encode_message(message)
+        _put(self._link(vm).queue, peer_pb2.Envelope(kind=kind, body=body))
+
+    def ask(
+        self, vm: str, message: PeerMessage, deadline: float
+    ) -> Result[PeerMessage, PeerError]:
+        """Send a message and wait for the answer; fails early if the link breaks."""
+        link = self._link(vm)
+        number = next(self._ids)
+        answered: Event = Event()
+        link.pending[number] = answered
+        kind, body = encode_message(message)
+        _put(link.queue, peer_pb2.Envelope(id=number, kind=kind, body=body))
+        left_s = max(0.0, deadline - self._clock.monotonic())
+        with Timeout(left_s, False):
+            result: Result[PeerMessage, PeerError] = answered.wait()
+            return result
+        link.pending.pop(number, None)
+        return Err(PeerError(vm, "no answer in time"))
+
+    def _link(self, vm: str) -> _Link:
+        link = self._links.get(vm)
+        if link is None:
+            link = _Link(vm)
+            self._links[vm] = link
+            spawn_for_awaitable(self._keep_open(link))
+        return link
+
+    async def _keep_open(self, link: _Link) -> None:
+        while self._links.get(link.vm) is link:
+            vm = self.find_vm(link.vm)
+            if vm is not None:
+                await self._run_link(link, vm)
+            self._fail(link)
+            if vm is None and link.queue.empty() and self._links.get(link.vm) is link:
+                del self._links[link.vm]
+                return
+            await asyncio.sleep(RECONNECT_S)
+
+    def _fail(self, link: _Link) -> None:
+        """Fail what waits for answers and drop what was not sent."""
+        while not link.queue.empty():
+            link.queue.get_nowait()
+        pending, link.pending = link.pending, {}
+        for answered in pending.values():
+            answered.send(Err(PeerError(link.vm, "the link is down")))
+
+    async def _run_link(self, link: _Link, vm: Vm) -> None:
+        config = Configuration(
+            _keepalive_time=KEEPALIVE_S, _keepalive_timeout=KEEPALIVE_TIMEOUT_S
+        )
+        channel = grpclib.client.Channel(vm.address, vm.peer_port, config=config)
+        try:
+            stub = peer_grpc.PeerStub(channel)
+            metadata = {
+                "vm": self._cfg.vm.id,
+                "secret": self._cfg.peer.secret.get_secret_value(),
+            }
+            timeout_s = self._cfg.peer.connect_timeout_s
+            async with stub.Link.open(metadata=metadata) as stream:
+                await asyncio.wait_for(stream.send_request(), timeout_s)
+                await asyncio.wait_for(stream.recv_initial_metadata(), timeout_s)
+                await self._exchange(link, stream)
+        except (TimeoutError, OSError, GRPCError, StreamTerminatedError) as exc:
+            log_event("link_down", level="debug", peer=link.vm, reason=repr(exc))
+        finally:
+            channel.close()
+
+    async def _exchange(self, link: _Link, stream: Any) -> None:
+        writer = asyncio.ensure_future(_send_all(stream, link.queue))
+        reader = asyncio.ensure_future(self._receive(link, stream))
+        try:
+            await asyncio.wait({writer, reader}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (writer, reader):
+                task.cancel()
+            await asyncio.gather(writer, reader, return_exceptions=True)
+            await stream.cancel()
+
+    async def _receive(self, link: _Link, stream: Any) -> None:
+        async for frame in stream:
+            _count_in(frame)
+            for envelope in frame.envelopes:
+                self._take_answer(link, envelope)
+
+    def _take_answer(self, link: _Link, envelope: Any) -> None:
+        decoded = decode_message(envelope.kind, envelope.body)
+        if isinstance(decoded, Err):
+            log_event("peer_message_rejected", peer=link.vm, reason=decoded.err_value)
+            return
+        answered = link.pending.pop(envelope.id, None)
+        if answered is not None:
+            answered.send(Ok(decoded.ok_value))
+        elif isinstance(decoded.ok_value, GrantAnswer):
+            late = Inbound(link.vm, decoded.ok_value, lambda message: None)
+            self.dispatch(late)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_service_client.py
@@ -0,0 +1,87 @@
+"""Plain services over HTTP."""
+
+from __future__ import annotations
+
+import time
+from http import HTTPStatus
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.coordination import (
+    Guard,
+    ServiceAnswer,
+    ServiceCall,
+    ServiceError,
+    Services,
+)
+from gooseberryrun._internal.state import Vm
+
+from ._engine_client import FENCING_HEADER
+from ._http_client import HttpClient
+
+KEY_HEADER = "Idempotency-Key"
+
+
+class HttpServices(Services):
+    """Calls to plain services."""
+
+    def __init__(self, http_client: HttpClient) -> None:
+        self._http = http_client
+
+    def call(
+        self, server: Vm, call: ServiceCall, guard: Guard
+    ) -> Result[ServiceAnswer, ServiceError]:
+        """Send one request; calls under a key use a new connection."""
+        headers = dict(call.headers)
+        if call.content_type:
+            headers["Content-Type"] = call.content_type
+        if call.key:
+            headers[KEY_HEADER] = call.key
+        if call.fencing is not None:
+            headers[FENCING_HEADER] = str(call.fencing)
+        done = self._http.request(
+            server.address,
+            server.port,
+            call.method,
+            call.path,
+            body=call.body or None,
+            headers=headers,
+            timeout_s=call.deadline - time.monotonic(),
+            guard=guard,
+            fresh=bool(call.key),
+        )
+        if isinstance(done, Err):
+            return Err(ServiceError(done.err_value.sent, done.err_value.detail))
+        response = done.ok_value
+        # The effects of a failed or fenced call are found out by key.
+        if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            return Err(ServiceError(True, f"status {response.status}"))
+        if response.status == HTTPStatus.PRECONDITION_FAILED and call.key:
+            return Err(ServiceError(True, "refused by fencing number"))
+        content_type = response.headers.get("Content-Type", "")
+        return Ok(ServiceAnswer(response.status, response.data, content_type))
+
+    def lookup(
+        self, server: Vm, key: str, fencing: int | None, deadline: float
+    ) -> Result[ServiceAnswer | None, ServiceError]:
+        """Ask a service for the answer recorded under a key."""
+        headers = {} if fencing is None else {FENCING_HEADER: str(fencing)}
+        done = self._http.request(
+            server.address,
+            server.port,
+            "GET",
+            f"/keys/{quote(key, safe='')}",
+            headers=headers,
+            timeout_s=deadline - time.monotonic(),
+        )
+        if isinstance(done, Err):
+            return Err(ServiceError(False, done.err_value.detail))
+        response = done.ok_value
+        if response.status == HTTPStatus.NOT_FOUND:
+            return Ok(None)
+        if response.status != HTTPStatus.OK:
+            return Err(ServiceError(False, f"status {response.status}"))
+        status = int(response.headers.get("X-Recorded-Status", "200"))
+        content_type = response.headers.get("Content-Type", "")
+        return Ok(ServiceAnswer(status, response.data, content_type))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the workspace."""
--- /dev/null
+++ b/tests/functional/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with separate processes."""
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by the tests."""
--- /dev/null
+++ b/tests/lib/clusters.py
@@ -0,0 +1,32 @@
+"""Small deployments for functional tests."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from gooseberry_fakes.cluster import Cluster
+from gooseberry_fakes.topology import PAPILLON
+
+_NETS = itertools.count(60)
+ADAPTERS = 40
+
+
+@contextmanager
+def run_cluster(
+    tmp_path: Path, overrides: dict[str, dict[str, Any]] | None = None, **shape: Any
+) -> Iterator[Cluster]:
+    """Run a deployment and check at the end that no invariant broke."""
+    shape.setdefault("store_rate", 20.0)
+    deployment = replace(PAPILLON, **shape)
+    cluster = Cluster(deployment, tmp_path, next(_NETS), overrides)
+    with cluster:
+        cluster.configure(ADAPTERS)
+        cluster.wait_owned()
+        yield cluster
+        assert cluster.violations() == []
+    assert cluster.broken_invariants() == []
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of pure code."""
