--- a/fakes/src/gooseberry_fakes/__main__.py
+++ b/fakes/src/gooseberry_fakes/__main__.py
@@ -13,6 +13,7 @@
 
 from gooseberry_fakes.engine import EngineOptions, FakeEngine  # noqa: E402
 from gooseberry_fakes.log import FakeLog  # noqa: E402
+from gooseberry_fakes.relay import FakeRelay, read_routes  # noqa: E402
 from gooseberry_fakes.service import FakeService  # noqa: E402
 from gooseberry_fakes.store import FakeStore  # noqa: E402
 from gooseberry_fakes.vms import FakeVmList  # noqa: E402
@@ -87,5 +88,14 @@
     FakeVmList(address, port, lag_s).run()
 
 
+@main.command()
+@click.argument("address")
+@click.argument("port", type=int)
+@click.argument("routes")
+def relay(address: str, port: int, routes: str) -> None:
+    """Run the relay between entry VMs."""
+    FakeRelay(address, port, read_routes(routes)).run()
+
+
 if __name__ == "__main__":
     main()
--- a/fakes/src/gooseberry_fakes/cluster.py
+++ b/fakes/src/gooseberry_fakes/cluster.py
@@ -79,6 +79,7 @@
         run_dir: Path,
         net: int = 41,
         overrides: dict[str, dict[str, Any]] | None = None,
+        relayed: bool = False,
     ) -> None:
         self.deployment = deployment
         self.run_dir = run_dir
@@ -86,10 +87,12 @@
         self.overrides = overrides or {}
         self.vms = {vm["id"]: vm for vm in list_vms(deployment, net)}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._relayed = relayed
         self.platform = {
             "log": f"127.{net}.200.1",
             "store": f"127.{net}.200.2",
             "vms": f"127.{net}.200.3",
+            "relay": f"127.{net}.200.4",
         }
 
     def __enter__(self) -> Self:
@@ -132,6 +135,8 @@
             self._spawn(name, command)
         for vm_id in self.engines() + self.services():
             self.start_server(vm_id)
+        if self._relayed:
+            self._start_relay()
         self.wait_for("vms", self.platform["vms"], SERVER_PORT, "/v1/vms")
         self.publish_list()
         for vm_id in self.entry_vms():
@@ -151,6 +156,28 @@
             "vms": ["vms", self.platform["vms"], port, "--lag-s", str(one.list_lag_s)],
         }
 
+    def _start_relay(self) -> None:
+        """Put a relay between every two entry VMs by way of the VM list's views."""
+        routes: list[list[Any]] = []
+        views: dict[str, dict[str, Any]] = {}
+        vms = self.entry_vms()
+        for row, source in enumerate(vms):
+            view = views.setdefault(self.vms[source]["address"], {})
+            for column, target in enumerate(vms):
+                if source == target:
+                    continue
+                listen = f"127.{self.net}.{100 + row}.{column + 1}"
+                address = self.vms[target]["address"]
+                routes.append([listen, address, PEER_PORT, _link(source, target)])
+                view[target] = {"address": listen}
+        path = self.run_dir / "routes.json"
+        path.write_text(json.dumps(routes), encoding="utf-8")
+        relay = self.platform["relay"]
+        self._spawn("relay", ["relay", relay, str(SERVER_PORT), str(path)])
+        self.wait_for("relay", relay, SERVER_PORT, "/")
+        self.wait_for("vms", self.platform["vms"], SERVER_PORT, "/v1/vms")
+        self.control("vms", views=views)
+
     def start_server(self, vm_id: str) -> None:
         """Start a backend server."""
         vm, one = self.vms[vm_id], self.deployment
@@ -327,6 +354,40 @@
         if reply.status != 200:
             raise RuntimeError(f"{name}: control failed: {reply}")
 
+    def cut(self, groups: list[list[str]], platform: list[str] | None = None) -> None:
+        """Separate groups of VMs from each other and some VMs from the platform.
+
+        Every group lists entry VMs and backend servers; VMs in no group reach all.
+        """
+        side = {vm: number for number, group in enumerate(groups) for vm in group}
+        vms = self.entry_vms()
+
+        def apart(one: str, other: str) -> bool:
+            known = one in side and other in side
+            return known and side[one] != side[other]
+
+        links = sorted({_link(a, b) for a in vms for b in vms if apart(a, b)})
+        self.control("relay", links=links)
+        for server in self.engines() + self.services():
+            away = [self.vms[vm]["address"] for vm in vms if apart(vm, server)]
+            self.control(server, cut=away)
+        lost = [self.vms[vm]["address"] for vm in platform or []]
+        for name in ("log", "store", "vms"):
+            self.control(name, cut=lost)
+
+    def heal(self) -> None:
+        """End every cut."""
+        self.cut([])
+
+    def domain(self, name: str) -> list[str]:
+        """Return every VM of a failure domain."""
+        return [vm["id"] for vm in self.vms.values() if vm["domain"] == name]
+
+    def owner(self, runner: str) -> str:
+        """Return the owner of a runner whose lease is in force."""
+        rows = self.rows(f"show leases where runner = {runner} and left_s > 0")
+        return str(rows[0]["owner"]) if rows else ""
+
     def debug(self, name: str, path: str = "/debug/state") -> Any:
         """Return the state of a stand-in."""
         address = self.platform.get(name) or self.vms[name]["address"]
@@ -364,6 +425,10 @@
         return found
 
 
+def _link(one: str, other: str) -> str:
+    return "|".join(sorted((one, other)))
+
+
 def _leave(_number: int, _frame: object) -> None:
     """Turn SIGTERM into an exception, so that started processes are ended."""
     raise SystemExit(143)
--- /dev/null
+++ b/tests/functional/test_leaving.py
@@ -0,0 +1,88 @@
+"""Leaving backend servers, and planned stops that cut off no request."""
+
+from __future__ import annotations
+
+import signal
+import time
+from pathlib import Path
+
+import pytest
+from gooseberry_fakes.cluster import Cluster
+
+from tests.lib.clusters import run_cluster
+from tests.lib.traffic import Completions, wait_until
+
+MODELS = [f"a{number}@1" for number in range(8)]
+LIMIT_S = 4.0
+"""A leaving backend server gets no new work after "a few seconds"."""
+
+
+def requests_at(cluster: Cluster, engine: str) -> int:
+    return int(cluster.debug(engine)["counts"].get("requests", 0))
+
+
+def check_no_new_work(cluster: Cluster, engine: str) -> None:
+    time.sleep(LIMIT_S)
+    before = requests_at(cluster, engine)
+    time.sleep(3)
+    assert requests_at(cluster, engine) == before
+
+
+@pytest.mark.parametrize("source", ["list", "engine", "operator"])
+def test_leaving_engine_gets_no_new_work(tmp_path: Path, source: str) -> None:
+    with run_cluster(tmp_path, list_lag_s=1.0) as cluster:
+        engine = "dakar-engine-1"
+        with Completions(cluster, cluster.entry_vms(), MODELS) as traffic:
+            time.sleep(3)
+            assert requests_at(cluster, engine) > 0
+            if source == "list":
+                cluster.vms[engine]["state"] = "leaving"
+                cluster.publish_list()
+            elif source == "engine":
+                cluster.control(engine, leaving=True)
+            else:
+                assert cluster.operate(f"drain {engine}").status == 200
+            check_no_new_work(cluster, engine)
+        assert traffic.wrong == []
+        assert traffic.failures == []
+
+
+def test_leaving_engine_in_a_domain_without_platform(tmp_path: Path) -> None:
+    """The list shows nothing to a cut-off domain; the engine's own word must do."""
+    with run_cluster(tmp_path, relayed=True) as cluster:
+        inside = cluster.domain("dakar")
+        outside = [vm for vm in cluster.vms if vm not in inside]
+        vms = cluster.entry_vms("dakar")
+        cluster.cut([inside, outside], platform=vms)
+        with Completions(cluster, vms, MODELS) as traffic:
+            time.sleep(6)
+            cluster.control("dakar-engine-1", leaving=True)
+            check_no_new_work(cluster, "dakar-engine-1")
+        assert traffic.wrong == []
+        assert traffic.counts["whole"] > 0
+
+
+def test_each_entry_vm_stopped_in_turn_under_load(tmp_path: Path) -> None:
+    with run_cluster(tmp_path) as cluster:
+        vms = cluster.entry_vms()
+        for vm in vms:
+            with Completions(cluster, vms, MODELS, workers=6) as traffic:
+                time.sleep(1.0)
+                rest = [other for other in vms if other != vm]
+                traffic.vms = rest
+                cluster.signal(vm, signal.SIGTERM)
+                status = cluster.processes[vm].wait(timeout=30)
+            assert status == 0, vm
+            assert traffic.wrong == []
+            assert traffic.failures == [], vm
+            cluster.start_entry_vm(vm)
+            cluster.wait_ready(vm)
+            cluster.wait_owned()
+
+
+def test_operator_stops_an_entry_vm(tmp_path: Path) -> None:
+    with run_cluster(tmp_path) as cluster:
+        assert cluster.operate("stop thies-2", "dakar-1").status == 200
+        process = cluster.processes["thies-2"]
+        wait_until(lambda: process.poll() is not None, 20, "graceful shutdown")
+        assert process.returncode == 0
--- a/tests/lib/clusters.py
+++ b/tests/lib/clusters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import os
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import replace
@@ -12,18 +13,22 @@
 from gooseberry_fakes.cluster import Cluster
 from gooseberry_fakes.topology import PAPILLON
 
-_NETS = itertools.count(60)
+_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
+_NETS = itertools.count(60 + 30 * _WORKER)
 ADAPTERS = 40
 
 
 @contextmanager
 def run_cluster(
-    tmp_path: Path, overrides: dict[str, dict[str, Any]] | None = None, **shape: Any
+    tmp_path: Path,
+    overrides: dict[str, dict[str, Any]] | None = None,
+    relayed: bool = False,
+    **shape: Any,
 ) -> Iterator[Cluster]:
     """Run a deployment and check at the end that no invariant broke."""
     shape.setdefault("store_rate", 20.0)
     deployment = replace(PAPILLON, **shape)
-    cluster = Cluster(deployment, tmp_path, next(_NETS), overrides)
+    cluster = Cluster(deployment, tmp_path, next(_NETS), overrides, relayed)
     with cluster:
         cluster.configure(ADAPTERS)
         cluster.wait_owned()
