Survive crashes, cuts, stops and partitions in the functional tests

Causes found by the tests, one each: - A rumour that a VM was leaving went round for ever and outlived the VM's restart; the last VM of a domain then thought itself alone and stopped without handing over ("runners without owner"). Notices now carry the boot and a lifetime that only first-hand sources renew. - Questions to a cut-off owner waited out the whole grant time: 6 answers in 10 s in a cut-off domain. Links with overdue answers are now pinged and fail their questions after connect_timeout_s; idle links cost nothing. - A cut-off domain loaded one adapter every 4.5 s: each VM used a ninth of the store's rate. Each domain now has a keeper for its whole share, and the system's keeper gives out that much less. - Broken connections counted as crashes although the engine lived, and real crashes did not (urllib3 derives refused connections from its timeouts; a dying engine resets the probe): six crashes for one request. Grants now carry the engine's incarnation and the probe asks until the answer is clear: two crashes. - A 5xx of an engine was reported as "not run"; it is now "unknown". - The stand-ins answered 500 where they meant to drop the connection.

Ruled out for the partitions: the store's real rate (20 a second in the test).

--- a/fakes/src/gooseberry_fakes/server.py
+++ b/fakes/src/gooseberry_fakes/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import logging
 import socket
@@ -101,7 +102,11 @@
     ) -> Iterator[bytes]:
         environ["eventlet.minimum_write_chunk_size"] = 0
         request = _to_request(environ)
-        response = self._answer(request)
+        try:
+            response = self._answer(request)
+        except DropConnectionError:
+            _close_socket(environ)
+            raise
         headers = dict(response.headers or {})
         if response.chunks is not None:
             start_response(f"{response.status} Status", list(headers.items()))
@@ -121,6 +126,12 @@
         return self.handle(request)
 
 
+def _close_socket(environ: dict[str, Any]) -> None:
+    """Close a connection before the server can answer 500 on it."""
+    with contextlib.suppress(OSError):
+        environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
+
+
 def _to_request(environ: dict[str, Any]) -> FakeRequest:
     query = {}
     for pair in environ.get("QUERY_STRING", "").split("&"):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
@@ -14,7 +14,7 @@
     select_rows,
 )
 from ._completions import MAX_PAUSE_S, PRIORITIES, RETRY_PAUSE_S, Completions
-from ._crashes import Crashes
+from ._crashes import CRASH_PROBE_S, CRASH_PROBES, Crashes
 from ._errors import (
     EngineError,
     EngineFault,
@@ -27,7 +27,13 @@
 from ._events import MAX_VALUE_LENGTH, log_event
 from ._grants import END_BATCH_S, RENEWALS_PER_LEASE, Grants, HeldGrant
 from ._leases import MAX_PENDING_HEARTBEATS, Leases
-from ._membership import ABSENT_READS_TO_DROP, MAX_VOTERS, Membership
+from ._membership import (
+    ABSENT_READS_TO_DROP,
+    DOMAIN_SILENT_S,
+    MAX_VOTERS,
+    NOTICE_S,
+    Membership,
+)
 from ._messages import (
     Confirm,
     Confirmed,
@@ -42,10 +48,12 @@
     HeartbeatAck,
     LeaseRelease,
     LeaseRequest,
+    LeavingNotice,
     OutcomeQuery,
     OutcomeReply,
     OwnerNotice,
     PeerMessage,
+    Ping,
     PlainRecord,
     RecordsReply,
     RecordsRequest,
@@ -175,6 +183,8 @@
     "BUCKETS",
     "CACHED_RANKINGS",
     "CONFIRM_S",
+    "CRASH_PROBES",
+    "CRASH_PROBE_S",
     "Change",
     "Command",
     "CommandError",
@@ -189,6 +199,7 @@
     "DEFAULT_BATCH",
     "DEFAULT_SLOTS",
     "DELIVERY_S",
+    "DOMAIN_SILENT_S",
     "DONE_KEPT_S",
     "END_BATCH_S",
     "EVICTIONS",
@@ -235,6 +246,7 @@
     "LeaseRelease",
     "LeaseRequest",
     "Leases",
+    "LeavingNotice",
     "LoadOrder",
     "Log",
     "LogError",
@@ -246,6 +258,7 @@
     "MAX_VOTERS",
     "MISMATCHES_TO_ASK",
     "Membership",
+    "NOTICE_S",
     "Node",
     "OUTCOME_APPEND_S",
     "OWNER_TICK_S",
@@ -266,6 +279,7 @@
     "PeerError",
     "PeerMessage",
     "Peers",
+    "Ping",
     "Placement",
     "Plain",
     "PlainRecord",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
@@ -36,7 +36,14 @@
 RETRY_PAUSE_S = 0.05
 """First pause before a repeated attempt; doubles with each one."""
 MAX_PAUSE_S = 1.0
-_NEVER_RAN = (EngineFault.NOT_SENT, EngineFault.REJECTED, EngineFault.NOT_RESIDENT)
+_NEVER_RAN = (
+    EngineFault.NOT_SENT,
+    EngineFault.UNREACHABLE,
+    EngineFault.NOT_RESIDENT,
+)
+_AVOIDED = (EngineFault.NOT_SENT, EngineFault.UNREACHABLE, EngineFault.BROKEN)
+_OVERLOAD = {"queue_full", "queue_timeout"}
+_UNAVAILABLE_STATUS = 503
 PRIORITIES = {WorkClass.QUICK: 0, WorkClass.ONCE: 0, WorkClass.PATIENT: 10}
 
 
@@ -52,9 +59,17 @@
     exclude: set[str] = field(default_factory=set)
     engine: Vm | None = None
     grant_id: str = ""
+    incarnation: str = ""
     stream: EngineStream | None = None
 
 
+def _never_ran(error: EngineError) -> bool:
+    """Tell whether an engine surely executed nothing of a failed attempt."""
+    if error.fault is EngineFault.REJECTED:
+        return error.status < 500 or error.status == _UNAVAILABLE_STATUS
+    return error.fault in _NEVER_RAN
+
+
 class Completions:
     """Runs completions on engines."""
 
@@ -122,7 +137,7 @@
                 run.stream = opened.ok_value
                 run.dispatched = True
                 return opened
-            if opened.err_value.fault not in _NEVER_RAN:
+            if not _never_ran(opened.err_value):
                 run.dispatched = True
             self._drop_stream(run)
             refusal = self._after_failure(run, opened.err_value)
@@ -178,12 +193,12 @@
         return self._pause_or_refuse(run, error)
 
     def _note_fault(self, run: _Run, engine: Vm, error: EngineError) -> None:
-        if error.fault in (EngineFault.NOT_SENT, EngineFault.BROKEN):
+        if error.fault in _AVOIDED:
             self._placement.avoid(engine.id)
             run.exclude = {engine.id}
         if error.fault is EngineFault.BROKEN:
-            incarnation = run.stream.incarnation if run.stream is not None else ""
-            self._crashes.suspect(engine, incarnation, run.request.fingerprint)
+            fingerprint = run.request.fingerprint
+            self._crashes.suspect(engine, run.incarnation, fingerprint)
 
     def _pause_or_refuse(self, run: _Run, error: EngineError) -> Refusal | None:
         patient = run.request.work_class is WorkClass.PATIENT
@@ -209,36 +224,50 @@
         """Ask owners until one grants a place on a runner."""
         limit = self._clock.monotonic() + self._cfg.limits.grant_wait_s
         deadline = min(run.request.deadline, limit)
-        last = "no runner is reachable"
+        reasons: set[str] = set()
         pause_s = RETRY_PAUSE_S
         exclude = set(run.exclude)
         while self._clock.monotonic() < deadline:
             engine = self._placement.choose(run.request.model, exclude)
             if engine is None:
+                if reasons and reasons <= _OVERLOAD:
+                    break
                 exclude.clear()
+                reasons.clear()
+                eventlet.sleep(pause_s)
+                pause_s = min(MAX_PAUSE_S, pause_s * 2)
+                continue
+            answer = self._ask_owner(run, engine, deadline)
+            if answer is not None and answer.verdict == "granted":
+                run.engine = engine
+                run.grant_id = answer.grant_id
+                run.incarnation = answer.incarnation
+                return Ok(answer)
+            reasons.add(self._pass_over(engine, answer, exclude))
+        return Err(self._refuse_capacity(run, reasons))
+
+    def _pass_over(
+        self, engine: Vm, answer: GrantAnswer | None, exclude: set[str]
+    ) -> str:
+        """Note why a runner gave no place and whether to ask another one."""
+        if answer is None:
+            self._placement.avoid(engine.id)
+            exclude.add(engine.id)
+            return "owner unreachable"
+        if answer.verdict == "not_owner":
+            owner = answer.owner
+            if owner is None or self._membership.is_boot_gone(owner.vm, owner.boot):
+                exclude.add(engine.id)
             else:
-                answer = self._ask_owner(run, engine, deadline)
-                if answer is not None and answer.verdict == "granted":
-                    run.engine = engine
-                    run.grant_id = answer.grant_id
-                    return Ok(answer)
-                last = answer.reason if answer is not None else "owner unreachable"
-                if answer is not None and answer.verdict == "refused":
-                    exclude.add(engine.id)
-                    if self._all_full(answer, exclude):
-                        break
-                elif answer is None:
-                    self._placement.avoid(engine.id)
-            eventlet.sleep(pause_s)
-            pause_s = min(MAX_PAUSE_S, pause_s * 2)
-        detail = f"no runner could take the request: {last}"
-        return Err(
-            Refusal(503, "no_capacity", detail, self._outcome(run), retry_after_s=1.0)
-        )
-
-    def _all_full(self, answer: GrantAnswer, exclude: set[str]) -> bool:
-        engines = {engine.id for engine in self._membership.engines()}
-        return answer.reason in ("queue_full", "queue_timeout") and engines <= exclude
+                eventlet.sleep(RETRY_PAUSE_S)
+            return "ownership is changing"
+        exclude.add(engine.id)
+        return answer.reason
+
+    def _refuse_capacity(self, run: _Run, reasons: set[str]) -> Refusal:
+        why = ", ".join(sorted(reasons)) or "no runner is reachable"
+        detail = f"no runner could take the request: {why}"
+        return Refusal(503, "no_capacity", detail, self._outcome(run), 1.0)
 
     def _ask_owner(self, run: _Run, engine: Vm, deadline: float) -> GrantAnswer | None:
         owner = self._owner_to_ask(engine, run.attempts)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import eventlet
 from result import Err
 
 from gooseberryrun._internal.state import Clock, CrashReport, Settings, Vm
 
 from ._appender import Appender
+from ._errors import EngineFault
 from ._events import log_event
 from ._membership import Membership
 from ._messages import CrashNotice
@@ -15,6 +17,10 @@
 from ._replica import Replica
 from ._tasks import spawn
 
+CRASH_PROBES = 5
+CRASH_PROBE_S = 0.2
+"""Pause between the questions that tell a crash from a broken connection."""
+
 
 class Crashes:
     """Reports crashes and answers whether a request is a suspect."""
@@ -48,12 +54,26 @@
         return self._replica.suspects.is_suspect(fingerprint, now)
 
     def suspect(self, engine: Vm, incarnation: str, fingerprint: str) -> None:
-        """Report a request whose stream broke, if its runner really crashed."""
-        report = self._engines.report(engine)
-        if not isinstance(report, Err) and report.ok_value.incarnation == incarnation:
+        """Report a request whose connection broke, if its runner really crashed.
+
+        A runner has crashed if it refuses connections or has another incarnation. One
+        that cannot be reached may only be cut off.
+        """
+        if not incarnation or not self._has_crashed(engine, incarnation):
             return
         self.take_notice(CrashNotice(engine.id, incarnation, [fingerprint]), True)
 
+    def _has_crashed(self, engine: Vm, incarnation: str) -> bool:
+        """Ask until the answer is clear; a dying engine may still accept and reset."""
+        for _ in range(CRASH_PROBES):
+            report = self._engines.report(engine)
+            if not isinstance(report, Err):
+                return report.ok_value.incarnation != incarnation
+            if report.err_value.fault is EngineFault.NOT_SENT:
+                return True
+            eventlet.sleep(CRASH_PROBE_S)
+        return False
+
     def take_notice(self, notice: CrashNotice, own: bool = False) -> None:
         """Count a crash; an own report is spread to every VM and the log."""
         now = self._clock.monotonic()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_errors.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_errors.py
@@ -12,6 +12,7 @@
     """Ways in which a call to a backend server can fail."""
 
     NOT_SENT = "not_sent"
+    UNREACHABLE = "unreachable"
     BROKEN = "broken"
     TIMEOUT = "timeout"
     REJECTED = "rejected"
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_leases.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_leases.py
@@ -268,15 +268,14 @@
             seq=self._seq,
             leaving=self._membership.leaving,
             lease=lease,
-            leaving_vms=self._membership.leaving_ids(),
+            notices=self._membership.leaving_notices(),
         )
 
     def take_ack(self, ack: HeartbeatAck) -> None:
         """Count the promises of a voter from the time the heartbeat was sent."""
         self._membership.hear(ack.vm, ack.boot, ack.leaving)
         self._membership.take_vote(ack.vm, ack.silent)
-        for vm_id in ack.leaving_vms:
-            self._membership.learn_leaving(vm_id)
+        self._membership.take_notices(ack.notices)
         sent = self._sent.get(ack.seq)
         if sent is None:
             return
@@ -292,8 +291,7 @@
     def take_heartbeat(self, beat: Heartbeat) -> HeartbeatAck:
         """Promise the runners of a heartbeat and return the answer."""
         self._membership.hear(beat.vm, beat.boot, beat.leaving)
-        for vm_id in beat.leaving_vms:
-            self._membership.learn_leaving(vm_id)
+        self._membership.take_notices(beat.notices)
         fencing = self._fencing_of(beat)
         refused = [] if fencing is None else self._promise(beat, fencing)
         return HeartbeatAck(
@@ -304,7 +302,7 @@
             silent=self._membership.silent(),
             unknown_epoch=fencing is None,
             leaving=self._membership.leaving,
-            leaving_vms=self._membership.leaving_ids(),
+            notices=self._membership.leaving_notices(),
         )
 
     def _fencing_of(self, beat: Heartbeat) -> dict[str, FencingNumber] | None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
@@ -17,10 +17,15 @@
 )
 
 from ._events import log_event
+from ._messages import LeavingNotice
 from ._ports import VmList
 
 MAX_VOTERS = 5
 """VMs of a failure domain that promise leases; keeps heartbeats O(1) a VM."""
+NOTICE_S = 8.0
+"""Time for which a notice that a VM is leaving is believed."""
+DOMAIN_SILENT_S = 5.0
+"""Time without a word from any VM of a domain after which it counts as cut off."""
 ABSENT_READS_TO_DROP = 2
 """Reads of the list without a VM before it is dropped."""
 
@@ -31,6 +36,12 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Rumour:
+    boot: str
+    deadline: float
+
+
 @dataclass(slots=True)
 class _SilentVote:
     at: float
@@ -51,7 +62,8 @@
         self._absent: dict[str, int] = {}
         self._heard: dict[str, _Heard] = {}
         self._votes: dict[str, _SilentVote] = {}
-        self._rumours: dict[str, bool] = {}
+        self._rumours: dict[str, _Rumour] = {}
+        self._leaving_engines: set[str] = set()
         self._drains: set[str] = set()
         self.version = 0
         self.started_at = clock.monotonic()
@@ -62,6 +74,7 @@
 
     def poll(self) -> None:
         """Read the platform's list; keep the last one while it is unreachable."""
+        self._expire_rumours()
         fetched = self._vm_list.fetch()
         if isinstance(fetched, Err):
             return
@@ -76,7 +89,6 @@
             self._absent.pop(vm.id, None)
             changed = self._vms.get(vm.id) != vm or changed
             self._vms[vm.id] = vm
-            self._settle_rumour(vm)
         for vm_id in [known for known in self._vms if known not in listed]:
             self._absent[vm_id] = self._absent.get(vm_id, 0) + 1
             if self._absent[vm_id] >= ABSENT_READS_TO_DROP:
@@ -90,22 +102,61 @@
         del self._vms[vm_id]
         del self._absent[vm_id]
         self._rumours.pop(vm_id, None)
+        self._leaving_engines.discard(vm_id)
         self._heard.pop(vm_id, None)
 
-    def _settle_rumour(self, vm: Vm) -> None:
-        """Let the list end a rumour that it has confirmed before."""
-        if vm.id not in self._rumours:
+    def take_notices(self, notices: list[LeavingNotice]) -> None:
+        """Take word of peers that VMs are leaving."""
+        now = self._clock.monotonic()
+        for notice in notices:
+            if notice.vm == self.me or self._is_outdated(notice):
+                continue
+            known = self._rumours.get(notice.vm)
+            deadline = now + min(notice.left_s, NOTICE_S)
+            if known is None or known.boot != notice.boot:
+                log_event("vm_leaving", vm=notice.vm, boot=notice.boot)
+                self.version += 1
+            elif known.deadline >= deadline:
+                continue
+            self._rumours[notice.vm] = _Rumour(notice.boot, deadline)
+
+    def _is_outdated(self, notice: LeavingNotice) -> bool:
+        heard = self._heard.get(notice.vm)
+        return bool(notice.boot) and heard is not None and heard.boot != notice.boot
+
+    def leaving_notices(self) -> list[LeavingNotice]:
+        """Return what this VM knows first-hand or has heard of leaving VMs."""
+        now = self._clock.monotonic()
+        notices = {
+            vm_id: LeavingNotice(vm_id, rumour.boot, rumour.deadline - now)
+            for vm_id, rumour in self._rumours.items()
+            if rumour.deadline > now
+        }
+        for vm_id in self._leaving_engines:
+            notices[vm_id] = LeavingNotice(vm_id, "", NOTICE_S)
+        for vm in self._vms.values():
+            if vm.state is VmState.LEAVING:
+                notices[vm.id] = LeavingNotice(vm.id, "", NOTICE_S)
+        if self.leaving:
+            notices[self.me] = LeavingNotice(self.me, self._boot, NOTICE_S)
+        return list(notices.values())
+
+    def take_engine_word(self, vm_id: str, leaving: bool) -> None:
+        """Take an engine's own word that it is leaving, or that it is not."""
+        if leaving is (vm_id in self._leaving_engines):
             return
-        if vm.state is VmState.LEAVING:
-            self._rumours[vm.id] = True
-        elif self._rumours[vm.id]:
-            del self._rumours[vm.id]
-
-    def learn_leaving(self, vm_id: str) -> None:
-        """Take a rumour that a VM is leaving."""
-        if vm_id in self._vms and vm_id not in self._rumours:
-            log_event("vm_leaving", vm=vm_id)
-            self._rumours[vm_id] = self._vms[vm_id].state is VmState.LEAVING
+        log_event("engine_leaving", vm=vm_id, leaving=leaving)
+        self.version += 1
+        if leaving:
+            self._leaving_engines.add(vm_id)
+        else:
+            self._leaving_engines.discard(vm_id)
+
+    def _expire_rumours(self) -> None:
+        now = self._clock.monotonic()
+        old = [vm for vm, rumour in self._rumours.items() if rumour.deadline <= now]
+        for vm_id in old:
+            del self._rumours[vm_id]
             self.version += 1
 
     def set_drains(self, vm_ids: set[str]) -> None:
@@ -116,12 +167,13 @@
 
     def hear(self, vm_id: str, boot: str, leaving: bool) -> None:
         """Note a sign of life; a new boot ends a rumour about the old one."""
-        heard = self._heard.get(vm_id)
-        if heard is not None and heard.boot != boot and not leaving:
-            self._rumours.pop(vm_id, None)
         self._heard[vm_id] = _Heard(boot, self._clock.monotonic())
+        rumour = self._rumours.get(vm_id)
+        if rumour is not None and rumour.boot not in ("", boot):
+            del self._rumours[vm_id]
+            self.version += 1
         if leaving:
-            self.learn_leaving(vm_id)
+            self.take_notices([LeavingNotice(vm_id, boot, NOTICE_S)])
 
     def take_vote(self, voter: str, silent: list[str]) -> None:
         """Note which VMs a voter does not hear."""
@@ -147,10 +199,15 @@
             return True
         return (
             vm.state is VmState.LEAVING
-            or vm.id in self._rumours
+            or vm.id in self._leaving_engines
             or vm.id in self._drains
+            or self._is_rumoured(vm.id)
         )
 
+    def _is_rumoured(self, vm_id: str) -> bool:
+        rumour = self._rumours.get(vm_id)
+        return rumour is not None and rumour.deadline > self._clock.monotonic()
+
     def entry_vms(self, domain: str | None = None) -> list[str]:
         """Return the ids of the listed entry VMs, sorted."""
         return sorted(
@@ -193,6 +250,18 @@
             for vm in self._vms.values()
         )
 
+    def vms_of_heard_domains(self) -> list[str]:
+        """Return the entry VMs of every domain from which some VM was heard lately."""
+        now = self._clock.monotonic()
+        heard = {self.domain}
+        for vm_id, one in self._heard.items():
+            vm = self._vms.get(vm_id)
+            if vm is not None and now - one.at < DOMAIN_SILENT_S:
+                heard.add(vm.domain)
+        if now - self.started_at < DOMAIN_SILENT_S:
+            return self.entry_vms()
+        return [vm for vm in self.entry_vms() if self._vms[vm].domain in heard]
+
     def is_first_for(self, key: str) -> bool:
         """Tell whether this VM should do a piece of work that any VM may do."""
         leaving = set(self.leaving_ids())
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
@@ -12,6 +12,19 @@
 from gooseberryrun._internal.state import FencingNumber
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingNotice:
+    """Word that a VM is leaving, good for ``left_s`` more seconds.
+
+    Only first-hand sources start the time again, so that a notice dies out once they
+    no longer say so. ``boot`` is empty for backend servers.
+    """
+
+    vm: str
+    boot: str
+    left_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseRequest:
     """Runners that an owner asks a voter to promise; None means as before."""
@@ -29,7 +42,7 @@
     seq: int
     leaving: bool
     lease: LeaseRequest
-    leaving_vms: list[str] = field(default_factory=list)
+    notices: list[LeavingNotice] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +60,7 @@
     silent: list[str]
     unknown_epoch: bool = False
     leaving: bool = False
-    leaving_vms: list[str] = field(default_factory=list)
+    notices: list[LeavingNotice] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +70,7 @@
     vm: str
     boot: str
     leaving: bool
-    leaving_vms: list[str]
+    notices: list[LeavingNotice]
     next_offsets: dict[str, int]
 
 
@@ -102,7 +115,8 @@
 
     ``verdict`` is ``granted``, ``refused`` or ``not_owner``; ``lease_s``
     counts from the grant, which came ``waited_s`` after the request arrived.
-    ``queued`` and ``running`` describe the runner for later choices.
+    ``queued`` and ``running`` describe the runner for later choices, ``incarnation``
+    changes with each restart of it.
     """
 
     verdict: str
@@ -115,6 +129,7 @@
     queued: int = 0
     running: int = 0
     load_wait_s: float = 0.0
+    incarnation: str = ""
     owner: OwnerNotice | None = None
 
 
@@ -191,9 +206,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StorePermitRequest:
-    """Asks the keeper of the store budget for leave to load one adapter."""
+    """Asks a keeper of the store budget for leave to load one adapter.
+
+    ``floor`` asks the domain's own keeper, for the domain's share of the rate.
+    """
 
     runner: str
+    floor: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -304,8 +323,14 @@
     age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks for a sign of life on a link on which answers are overdue."""
+
+
 PeerMessage = (
-    Heartbeat
+    Ping
+    | Heartbeat
     | HeartbeatAck
     | Gossip
     | LeaseRelease
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
@@ -197,13 +197,13 @@
         """Tell a few VMs anywhere what this VM knows of leaving VMs."""
         others = [vm for vm in self.membership.entry_vms() if vm != self._cfg.vm.id]
         count = min(self._cfg.peer.gossip_fanout, len(others))
-        leaving = self.membership.leaving_ids()
+        notices = self.membership.leaving_notices()
         offsets = {
             stream: position.next_offset
             for stream, position in self.replica.positions.items()
         }
         gossip = Gossip(
-            self._cfg.vm.id, self.boot, self.membership.leaving, leaving, offsets
+            self._cfg.vm.id, self.boot, self.membership.leaving, notices, offsets
         )
         for vm in self._random.sample(others, count):
             self._peers.tell(vm, gossip)
@@ -258,8 +258,7 @@
 
     def _take_gossip(self, gossip: Gossip) -> None:
         self.membership.hear(gossip.vm, gossip.boot, gossip.leaving)
-        for vm_id in gossip.leaving_vms:
-            self.membership.learn_leaving(vm_id)
+        self.membership.take_notices(gossip.notices)
 
     def _take_stop(self, inbound: Inbound) -> None:
         notice = inbound.message
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -224,6 +224,7 @@
             queued=self.book.queued,
             running=self.book.running(),
             load_wait_s=grant.load_wait_s if grant else 0.0,
+            incarnation=self._incarnation,
             owner=owner,
         )
 
@@ -410,8 +411,7 @@
             if report.err_value.fault is EngineFault.NOT_SENT:
                 self._synced = False
             return
-        if report.ok_value.leaving:
-            self._membership.learn_leaving(self.runner)
+        self._membership.take_engine_word(self.runner, report.ok_value.leaving)
         if self.book.is_busy_loading():
             return
         if report.ok_value.incarnation != self._incarnation:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_store_budget.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_store_budget.py
@@ -24,11 +24,13 @@
 class StoreBudget:
     """Token bucket with a bound on permits in flight.
 
-    A permit whose end is never reported is taken back after the load timeout.
+    ``share`` is the part of the rate that may be given out. A permit whose end is
+    never reported is taken back after the load timeout.
     """
 
     def __init__(self, rate: float, in_flight: int, timeout_s: float) -> None:
         self._rate = rate
+        self.share = 1.0
         self._limit = in_flight
         self._timeout_s = timeout_s
         self._tokens = 1.0
@@ -41,7 +43,7 @@
         if len(self._deadlines) >= self._limit:
             return 0.1
         if self._tokens < 1.0:
-            return (1.0 - self._tokens) / self._rate
+            return (1.0 - self._tokens) / max(self._rate * self.share, 1e-6)
         self._tokens -= 1.0
         self._deadlines[holder] = now + self._timeout_s
         return 0.0
@@ -52,7 +54,7 @@
 
     def _refill(self, now: float) -> None:
         if self._updated_at is not None:
-            gained = (now - self._updated_at) * self._rate
+            gained = (now - self._updated_at) * self._rate * self.share
             self._tokens = min(max(1.0, self._rate), self._tokens + gained)
         self._updated_at = now
         self._deadlines = {
@@ -62,15 +64,18 @@
         }
 
 
-def make_budget(cfg: PolicySettings, share: float = 1.0) -> StoreBudget:
-    """Return the budget for a share of the store's rate."""
-    return StoreBudget(
-        cfg.store_loads_per_s * share, cfg.store_in_flight, cfg.load_timeout_s
-    )
+def make_budget(cfg: PolicySettings) -> StoreBudget:
+    """Return the budget that the settings name."""
+    return StoreBudget(cfg.store_loads_per_s, cfg.store_in_flight, cfg.load_timeout_s)
 
 
 class StorePermits:
-    """Asks the keeper for permits, and keeps the budget if this VM is the keeper."""
+    """Asks keepers for permits, and keeps a budget where this VM is a keeper.
+
+    The keeper of the whole system gives out the rate, less the share of the failure
+    domains that it does not hear. A domain that cannot reach it uses its own share,
+    given out by a keeper of its own.
+    """
 
     def __init__(
         self, cfg: Settings, clock: Clock, membership: Membership, peers: Peers
@@ -80,13 +85,17 @@
         self._membership = membership
         self._peers = peers
         self._budget = make_budget(cfg.policy)
-        self._floor: StoreBudget | None = None
+        self._floor = make_budget(cfg.policy)
 
-    def _keeper(self) -> str:
-        """Return the keeper by rendezvous over the VMs that are not leaving."""
+    def _keepers(self) -> list[str]:
+        """Return the keeper of the system and the one of this domain."""
         leaving = set(self._membership.leaving_ids())
         vms = [vm for vm in self._membership.entry_vms() if vm not in leaving]
-        return top_node(KEEPER_KEY, vms) or self._cfg.vm.id
+        domain_vms = self._membership.live_domain_vms()
+        return [
+            top_node(KEEPER_KEY, vms) or self._cfg.vm.id,
+            top_node(KEEPER_KEY, domain_vms) or self._cfg.vm.id,
+        ]
 
     def acquire(
         self, runner: str, wait: Callable[[float], None], deadline: float
@@ -102,38 +111,40 @@
         return False
 
     def _ask(self, runner: str) -> StorePermit:
-        keeper = self._keeper()
-        if keeper == self._cfg.vm.id:
-            return self.answer(StorePermitRequest(runner))
-        deadline = self._clock.monotonic() + KEEPER_TIMEOUT_S
-        reply = self._peers.ask(keeper, StorePermitRequest(runner), deadline)
-        if not isinstance(reply, Err) and isinstance(reply.ok_value, StorePermit):
-            return reply.ok_value
-        return self._take_floor(runner)
-
-    def _take_floor(self, runner: str) -> StorePermit:
-        """Take a permit from this VM's floor share, while cut off from the keeper."""
-        if self._floor is None:
-            share = 1.0 / max(1, len(self._membership.entry_vms()))
-            self._floor = make_budget(self._cfg.policy, share)
-        STORE_PERMITS.labels(result="floor").inc()
-        wait_s = self._floor.take(runner, self._clock.monotonic())
-        return StorePermit(wait_s == 0.0, wait_s)
+        for floor, keeper in enumerate(self._keepers()):
+            request = StorePermitRequest(runner, bool(floor))
+            if keeper == self._cfg.vm.id:
+                return self.answer(request)
+            deadline = self._clock.monotonic() + KEEPER_TIMEOUT_S
+            reply = self._peers.ask(keeper, request, deadline)
+            if not isinstance(reply, Err) and isinstance(reply.ok_value, StorePermit):
+                return reply.ok_value
+        STORE_PERMITS.labels(result="no_keeper").inc()
+        return StorePermit(False, KEEPER_TIMEOUT_S)
 
     def answer(self, request: StorePermitRequest) -> StorePermit:
-        """Decide on a permit as the keeper."""
-        wait_s = self._budget.take(request.runner, self._clock.monotonic())
+        """Decide on a permit as a keeper."""
+        budget = self._floor if request.floor else self._budget
+        budget.share = self._share(request.floor)
+        wait_s = budget.take(request.runner, self._clock.monotonic())
         return StorePermit(wait_s == 0.0, wait_s)
 
+    def _share(self, floor: bool) -> float:
+        """Return the share of the rate that a keeper may give out."""
+        total = max(1, len(self._membership.entry_vms()))
+        if floor:
+            domain = self._membership.domain
+            return len(self._membership.entry_vms(domain)) / total
+        return len(self._membership.vms_of_heard_domains()) / total
+
     def release(self, runner: str) -> None:
         """Report the end of a load."""
-        self._budget.end(runner)
-        if self._floor is not None:
-            self._floor.end(runner)
-        keeper = self._keeper()
-        if keeper != self._cfg.vm.id:
-            self._peers.tell(keeper, StorePermitEnd(runner))
+        end = StorePermitEnd(runner)
+        self.take_end(end)
+        for keeper in set(self._keepers()) - {self._cfg.vm.id}:
+            self._peers.tell(keeper, end)
 
     def take_end(self, end: StorePermitEnd) -> None:
-        """Note as the keeper that a load has ended."""
+        """Note as a keeper that a load has ended."""
         self._budget.end(end.runner)
+        self._floor.end(end.runner)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/__init__.py
@@ -23,6 +23,7 @@
     KEEPALIVE_TIMEOUT_S,
     MAX_QUEUED,
     RECONNECT_S,
+    WATCH_S,
     PeerLinks,
 )
 from ._platform_client import READ_LIMIT, HttpLog, HttpVmList
@@ -53,5 +54,6 @@
     "REPORT_TIMEOUT_S",
     "Reply",
     "USER_TIMEOUT_MS",
+    "WATCH_S",
     "describe_error",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_engine_client.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_engine_client.py
@@ -201,6 +201,8 @@
 def _to_error(failure: HttpFailure) -> EngineError:
     if failure.refused_by_guard:
         return EngineError(EngineFault.LEASE_LAPSED, failure.detail)
+    if not failure.sent and failure.timed_out:
+        return EngineError(EngineFault.UNREACHABLE, failure.detail)
     if not failure.sent:
         return EngineError(EngineFault.NOT_SENT, failure.detail)
     if failure.timed_out:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_client.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_client.py
@@ -146,7 +146,11 @@
         except GuardFailedError:
             return Err(HttpFailure(False, False, True, "the lease has lapsed"))
         except (urllib3.exceptions.HTTPError, OSError) as exc:
-            timed_out = isinstance(exc, urllib3.exceptions.TimeoutError | TimeoutError)
+            # A refused connection is a NewConnectionError, which urllib3 derives from
+            # its timeouts.
+            timed_out = isinstance(
+                exc, urllib3.exceptions.TimeoutError | TimeoutError
+            ) and not isinstance(exc, urllib3.exceptions.NewConnectionError)
             return Err(HttpFailure(call.sent, timed_out, False, describe_error(exc)))
         finally:
             _CALL.reset(token)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import eventlet
 import grpclib.client
 import grpclib.server
 from eventlet.asyncio import spawn_for_awaitable
@@ -32,6 +33,7 @@
     PeerError,
     PeerMessage,
     Peers,
+    Ping,
     log_event,
 )
 from gooseberryrun._internal.protocol import (
@@ -45,15 +47,25 @@
 MAX_QUEUED = 10000
 """Messages queued for a peer; more are dropped, oldest first."""
 RECONNECT_S = 0.2
+WATCH_S = 0.25
+"""Time without an answer after which a sign of life is asked for."""
 KEEPALIVE_S = 5.0
 KEEPALIVE_TIMEOUT_S = 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    answered: Event
+    asked_at: float
+
+
 @dataclass(slots=True)
 class _Link:
     vm: str
     queue: asyncio.Queue[Any] = field(default_factory=asyncio.Queue)
-    pending: dict[int, Event] = field(default_factory=dict)
+    pending: dict[int, _Pending] = field(default_factory=dict)
+    received_at: float = 0.0
+    silent: bool = False
 
 
 def _put(queue: asyncio.Queue[Any], envelope: Any) -> None:
@@ -120,6 +132,9 @@
             )
             _put(queue, answer)
 
+        if isinstance(decoded.ok_value, Ping):
+            reply(decoded.ok_value)
+            return
         self._dispatch(Inbound(sender, decoded.ok_value, reply))
 
 
@@ -142,6 +157,7 @@
         self._server = grpclib.server.Server([service])
         address = str(self._cfg.vm.address)
         spawn_for_awaitable(self._server.start(address, self._cfg.peer.port)).wait()
+        eventlet.spawn(self._watch)
 
     def tell(self, vm: str, message: PeerMessage) -> None:
         """Send a message; it is lost if the peer cannot be reached."""
@@ -153,9 +169,11 @@
     ) -> Result[PeerMessage, PeerError]:
         """Send a message and wait for the answer; fails early if the link breaks."""
         link = self._link(vm)
+        if link.silent:
+            return Err(PeerError(vm, "the peer is silent"))
         number = next(self._ids)
         answered: Event = Event()
-        link.pending[number] = answered
+        link.pending[number] = _Pending(answered, self._clock.monotonic())
         kind, body = encode_message(message)
         _put(link.queue, peer_pb2.Envelope(id=number, kind=kind, body=body))
         left_s = max(0.0, deadline - self._clock.monotonic())
@@ -188,9 +206,40 @@
         """Fail what waits for answers and drop what was not sent."""
         while not link.queue.empty():
             link.queue.get_nowait()
+        self._fail_pending(link, "the link is down")
+
+    def _fail_pending(self, link: _Link, detail: str) -> None:
         pending, link.pending = link.pending, {}
-        for answered in pending.values():
-            answered.send(Err(PeerError(link.vm, "the link is down")))
+        for one in pending.values():
+            one.answered.send(Err(PeerError(link.vm, detail)))
+
+    def _watch(self) -> None:
+        """Find links on which answers are overdue; costs nothing on idle links."""
+        kind, body = encode_message(Ping())
+        while True:
+            now = self._clock.monotonic()
+            for link in list(self._links.values()):
+                if self._is_overdue(link, now):
+                    self._judge(link, now)
+                    _put(link.queue, peer_pb2.Envelope(id=0, kind=kind, body=body))
+            eventlet.sleep(WATCH_S)
+
+    def _is_overdue(self, link: _Link, now: float) -> bool:
+        if link.silent:
+            return True
+        oldest = next(iter(link.pending.values()), None)
+        return oldest is not None and now - oldest.asked_at > WATCH_S
+
+    def _judge(self, link: _Link, now: float) -> None:
+        """Fail the questions on a link that has been silent for too long."""
+        if link.silent:
+            return
+        oldest = next(iter(link.pending.values()))
+        heard_at = max(link.received_at, oldest.asked_at)
+        if now - heard_at > self._cfg.peer.connect_timeout_s:
+            link.silent = True
+            log_event("peer_silent", peer=link.vm)
+            self._fail_pending(link, "the peer is silent")
 
     async def _run_link(self, link: _Link, vm: Vm) -> None:
         config = Configuration(
@@ -227,6 +276,8 @@
     async def _receive(self, link: _Link, stream: Any) -> None:
         async for frame in stream:
             _count_in(frame)
+            link.received_at = self._clock.monotonic()
+            link.silent = False
             for envelope in frame.envelopes:
                 self._take_answer(link, envelope)
 
@@ -235,9 +286,9 @@
         if isinstance(decoded, Err):
             log_event("peer_message_rejected", peer=link.vm, reason=decoded.err_value)
             return
-        answered = link.pending.pop(envelope.id, None)
-        if answered is not None:
-            answered.send(Ok(decoded.ok_value))
+        pending = link.pending.pop(envelope.id, None)
+        if pending is not None:
+            pending.answered.send(Ok(decoded.ok_value))
         elif isinstance(decoded.ok_value, GrantAnswer):
             late = Inbound(link.vm, decoded.ok_value, lambda message: None)
             self.dispatch(late)
--- /dev/null
+++ b/tests/functional/test_whole_answers.py
@@ -0,0 +1,169 @@
+"""Right version and whole answers, whatever dies or crosses on the way."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import pytest
+from gooseberry_fakes.cluster import Cluster, Reply
+from gooseberry_fakes.engine import CRASH_MARK
+
+from tests.lib.clusters import run_cluster
+from tests.lib.traffic import END_MARK, Completions, expected_text, read_stream
+
+MODELS = [f"a{number}@1" for number in range(8)]
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    """One deployment for the tests of this module."""
+    path: Path = tmp_path_factory.mktemp("answers")
+    limits: dict[str, Any] = {"engine_stall_s": 1.5}
+    with run_cluster(path, {"limits": limits}) as running:
+        yield running
+
+
+def serving_engine(cluster: Cluster, model: str) -> str:
+    rows = cluster.rows(f"show loaded where model = {model}")
+    return str(rows[0]["runner"])
+
+
+def test_version_change_races_requests(cluster: Cluster) -> None:
+    put = {"op": "put", "table": "adapters", "value": {}}
+    versions = [f"racer@{number}" for number in range(1, 6)]
+    replies: list[tuple[str, Reply]] = []
+
+    def ask(number: int) -> None:
+        model = versions[number % len(versions)]
+        vm = cluster.entry_vms()[number % 9]
+        replies.append((model, cluster.complete(vm, model, "race", max_tokens=5)))
+
+    with ThreadPoolExecutor(16) as pool:
+        for number in range(100):
+            pool.submit(ask, number)
+            if number % 20 == 0:
+                cluster.apply([{**put, "key": versions[number // 20]}])
+    answered = 0
+    for model, reply in replies:
+        if reply.status == 404:
+            assert reply.outcome == "not_run"
+            continue
+        assert reply.status == 200
+        assert reply.json()["model"] == model
+        assert reply.json()["choices"][0]["text"] == expected_text(model, "race", 5)
+        answered += 1
+    assert answered > 20
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_answer_naming_another_model_is_never_passed_on(
+    cluster: Cluster, stream: bool
+) -> None:
+    cluster.complete("dakar-1", "a1@1", "warm-up")
+    engine = serving_engine(cluster, "a1@1")
+    cluster.control(engine, wrong_model=1)
+    reply = cluster.complete("dakar-1", "a1@1", "name", stream=stream, max_tokens=6)
+    assert reply.status == 200
+    assert b"other@1" not in reply.body
+    assert cluster.debug(engine)["counts"]["requests"] >= 2
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_frozen_engine_late_answer_is_not_given_to_anybody(
+    cluster: Cluster, stream: bool
+) -> None:
+    """A stalled connection is never used again, so a late answer reaches nobody."""
+    model = "a2@1"
+    cluster.complete("dakar-1", model, "warm-up")
+    engine = serving_engine(cluster, model)
+    cluster.signal(engine, signal.SIGSTOP)
+    replies: dict[str, Reply] = {}
+
+    def ask(prompt: str) -> None:
+        replies[prompt] = cluster.complete("dakar-1", model, prompt, stream=stream)
+
+    threads = [threading.Thread(target=ask, args=(f"late-{n}",)) for n in range(4)]
+    for thread in threads:
+        thread.start()
+    time.sleep(2.5)
+    cluster.signal(engine, signal.SIGCONT)
+    for thread in threads:
+        thread.join()
+    for prompt, reply in replies.items():
+        assert reply.status == 200
+        text = read_stream(reply) if stream else reply.json()["choices"][0]["text"]
+        assert text == expected_text(model, prompt, 16)
+
+
+def test_broken_stream_is_resumed_whole(cluster: Cluster) -> None:
+    for number in range(5):
+        model = MODELS[number]
+        cluster.complete("dakar-1", model, "warm-up")
+        cluster.control(serving_engine(cluster, model), break_after=4, breaks=1)
+        reply = cluster.complete("dakar-1", model, f"broken {number}", stream=True)
+        assert reply.body.endswith(END_MARK)
+        assert read_stream(reply) == expected_text(model, f"broken {number}", 16)
+
+
+def test_engine_crashes_mid_stream(cluster: Cluster) -> None:
+    with Completions(cluster, cluster.entry_vms(), MODELS, tokens=40) as traffic:
+        time.sleep(2)
+        cluster.kill("thies-engine-1")
+        cluster.start_server("thies-engine-1")
+        time.sleep(4)
+    assert traffic.wrong == []
+    assert traffic.failures == []
+
+
+def test_entry_vm_dies_mid_stream(cluster: Cluster) -> None:
+    """The caller of a dead entry VM sees a cut, never a short answer as whole."""
+    vm = "saint-louis-3"
+    replies: list[Reply] = []
+
+    def ask(number: int) -> None:
+        replies.append(
+            cluster.complete(vm, "a3@1", f"cut {number}", stream=True, max_tokens=200)
+        )
+
+    threads = [threading.Thread(target=ask, args=(n,)) for n in range(5)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.8)
+    cluster.kill(vm)
+    for thread in threads:
+        thread.join()
+    assert all(reply.outcome == "cut" for reply in replies)
+    cluster.start_entry_vm(vm)
+    cluster.wait_ready(vm)
+
+
+def test_crashing_request_is_refused_and_neighbours_survive(cluster: Cluster) -> None:
+    crashes_before = sum(
+        cluster.debug(engine)["counts"].get("crashes", 0)
+        for engine in cluster.engines()
+    )
+    refused = 0
+    with Completions(cluster, cluster.entry_vms(), MODELS, workers=6) as traffic:
+        time.sleep(1)
+        for number in range(6):
+            vm = cluster.entry_vms()[number]
+            reply = cluster.complete(vm, "a4@1", f"{CRASH_MARK} please")
+            refused += reply.status == 422
+            if reply.status == 422:
+                assert json.loads(reply.body)["type"].endswith("crashes_runners")
+        time.sleep(3)
+    crashes = sum(
+        cluster.debug(engine)["counts"].get("crashes", 0)
+        for engine in cluster.engines()
+    )
+    assert refused == 6
+    assert crashes - crashes_before <= 2
+    assert traffic.wrong == []
+    assert traffic.failures == []
--- a/tests/lib/clusters.py
+++ b/tests/lib/clusters.py
@@ -28,6 +28,8 @@
     """Run a deployment and check at the end that no invariant broke."""
     shape.setdefault("store_rate", 20.0)
     deployment = replace(PAPILLON, **shape)
+    policy = {"store_loads_per_s": deployment.store_rate}
+    overrides = {"policy": policy, **(overrides or {})}
     cluster = Cluster(deployment, tmp_path, next(_NETS), overrides, relayed)
     with cluster:
         cluster.configure(ADAPTERS)
