Keep pins of silent VMs until the engine drops the request; add proofs and slopes

Behind the first lay a real fault: when an entry VM froze past its use lease, the owner dropped its pins although the engine still ran its requests, and a successor that a frozen VM did not answer trusted time alone. Change: lapsed uses are cancelled at the engine before the pin ends; a successor that lacks a report spares what the engine's own report shows as active; the cut-off owner in the test now has work of its own. Ruled out: trusting the load report in normal running (it lags, so every eviction would wait for the next report).

Failed run on the way: two test runs shared one loopback net and answered each other; scratch runs now have nets of their own.

--- a/fakes/src/gooseberry_fakes/__main__.py
+++ b/fakes/src/gooseberry_fakes/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import warnings
 
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
@@ -33,6 +34,7 @@
 @click.option("--checks-fencing", is_flag=True)
 @click.option("--store-url", required=True)
 @click.option("--restart-s", default=1.0)
+@click.option("--count", default=1, help="Engines on addresses that follow.")
 def engine(
     address: str,
     port: int,
@@ -42,10 +44,17 @@
     checks_fencing: bool,
     store_url: str,
     restart_s: float,
+    count: int,
 ) -> None:
-    """Run an engine."""
+    """Run an engine, or several on addresses that follow each other."""
     options = EngineOptions(slots, batch, token_s, checks_fencing, store_url, restart_s)
-    FakeEngine(address, port, options).run()
+    first = ipaddress.IPv4Address(address)
+    threads = [
+        eventlet.spawn(FakeEngine(str(first + index), port, options).run)
+        for index in range(count)
+    ]
+    for thread in threads:
+        thread.wait()
 
 
 @main.command()
--- a/fakes/src/gooseberry_fakes/cluster.py
+++ b/fakes/src/gooseberry_fakes/cluster.py
@@ -133,7 +133,12 @@
         self.run_dir.mkdir(parents=True, exist_ok=True)
         for name, command in self._platform_commands().items():
             self._spawn(name, command)
-        for vm_id in self.engines() + self.services():
+        if self.deployment.shared_engine_process:
+            self._start_engines_together()
+        else:
+            for vm_id in self.engines():
+                self.start_server(vm_id)
+        for vm_id in self.services():
             self.start_server(vm_id)
         if self._relayed:
             self._start_relay()
@@ -178,19 +183,27 @@
         self.wait_for("vms", self.platform["vms"], SERVER_PORT, "/v1/vms")
         self.control("vms", views=views)
 
-    def start_server(self, vm_id: str) -> None:
-        """Start a backend server."""
+    def start_server(self, vm_id: str, count: int = 1) -> None:
+        """Start a backend server; ``count`` engines may share a process."""
         vm, one = self.vms[vm_id], self.deployment
         command = [vm["kind"], vm["address"], str(SERVER_PORT)]
         if vm["kind"] == "engine":
             command += ["--slots", str(one.slots), "--batch", str(one.batch)]
             command += ["--token-s", str(one.token_s)]
             command += ["--store-url", f"http://{self.platform['store']}:{SERVER_PORT}"]
+            command += ["--count", str(count)]
             command += ["--checks-fencing"] if one.checks_fencing else []
         else:
             command += [f"--{name}" for name, on in one.service_options.items() if on]
         self._spawn(vm_id, command)
 
+    def _start_engines_together(self) -> None:
+        """Start one process for the engines of each domain."""
+        for domain in self.deployment.domains:
+            engines = self.engines(domain)
+            if engines:
+                self.start_server(engines[0], len(engines))
+
     def _spawn(self, name: str, command: list[str]) -> None:
         self._popen(name, [sys.executable, "-m", "gooseberry_fakes", *command])
 
--- a/fakes/src/gooseberry_fakes/engine.py
+++ b/fakes/src/gooseberry_fakes/engine.py
@@ -110,6 +110,7 @@
             "resident": sorted(self._resident),
             "running": len(self._running),
             "leaving": bool(self.faults.get("leaving", False)),
+            "active": {name: n for name, n in self._active.items() if n},
         }
 
     def _is_stale(self, request: FakeRequest) -> bool:
--- a/fakes/src/gooseberry_fakes/measure/__main__.py
+++ b/fakes/src/gooseberry_fakes/measure/__main__.py
@@ -5,6 +5,7 @@
 import click
 
 from .overhead import measure_overhead
+from .slopes import measure_slopes
 
 
 @click.group()
@@ -19,5 +20,13 @@
     measure_overhead(count)
 
 
+@main.command()
+@click.option("--only", default="", help="Word in the name of the series.")
+@click.option("--json", "as_json", is_flag=True)
+def slopes(only: str, as_json: bool) -> None:
+    """Measure the cost of a node against the sizes that will grow."""
+    measure_slopes(only, as_json)
+
+
 if __name__ == "__main__":
     main()
--- a/fakes/src/gooseberry_fakes/topology.py
+++ b/fakes/src/gooseberry_fakes/topology.py
@@ -31,6 +31,7 @@
     appends_per_s: float = 300.0
     retention_s: float = 3600.0
     list_lag_s: float = 0.5
+    shared_engine_process: bool = False
 
 
 PAPILLON = Deployment(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/app.py
@@ -28,6 +28,7 @@
     PeerLinks,
 )
 
+SIGNAL_POLL_S = 0.2
 EXIT_CUT = 75
 """Exit status of a stop that had to cut off requests."""
 
@@ -73,7 +74,7 @@
     signal.signal(signal.SIGINT, on_signal)
     node.operations.request_stop = requested.append
     while not requested:
-        eventlet.sleep(0.05)
+        eventlet.sleep(SIGNAL_POLL_S)
     log_event("stop_requested", by=requested[0])
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
@@ -49,6 +49,7 @@
     LeaseRelease,
     LeaseRequest,
     LeavingNotice,
+    Message,
     OutcomeQuery,
     OutcomeReply,
     OwnerNotice,
@@ -141,7 +142,7 @@
     VmList,
 )
 from ._refresh import DONE_KEPT_S, REFRESH_SHARE, Refresh
-from ._replica import RECENT_RECORDS, Replica, StreamPosition
+from ._replica import LARGE_CHANGE_OPS, RECENT_RECORDS, Replica, StreamPosition
 from ._requests import Answer, CompletionRequest, ServiceRequest, StreamCutError
 from ._retries import RetryBudget
 from ._runner_task import (
@@ -236,6 +237,7 @@
     "KEEPER_TIMEOUT_S",
     "KEPT_RANKS",
     "KEYS",
+    "LARGE_CHANGE_OPS",
     "LEASES",
     "LEDGER_SWEEP_S",
     "LOADS",
@@ -258,6 +260,7 @@
     "MAX_VOTERS",
     "MISMATCHES_TO_ASK",
     "Membership",
+    "Message",
     "NOTICE_S",
     "Node",
     "OUTCOME_APPEND_S",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
@@ -53,6 +53,8 @@
 
     request: CompletionRequest
     attempts: int = 0
+    asks: int = 0
+    engine_request_id: str = ""
     events_sent: int = 0
     dispatched: bool = False
     complete: bool = False
@@ -153,7 +155,7 @@
             span.set_attribute("runner", engine.id)
             span.set_attribute("model", request.model)
             call = EngineCall(
-                request_id=f"{request.request_id}.{run.attempts}",
+                request_id=run.engine_request_id,
                 path=request.path,
                 model=request.model,
                 body=request.body,
@@ -240,6 +242,7 @@
             answer = self._ask_owner(run, engine, deadline)
             if answer is not None and answer.verdict == "granted":
                 run.engine = engine
+                run.engine_request_id = f"{run.request.request_id}.{run.asks}"
                 run.grant_id = answer.grant_id
                 run.incarnation = answer.incarnation
                 return Ok(answer)
@@ -274,8 +277,9 @@
         if owner is None:
             return None
         now = self._clock.monotonic()
+        run.asks += 1
         request = GrantRequest(
-            request_id=f"{run.request.request_id}.{run.attempts}.{engine.id}",
+            request_id=f"{run.request.request_id}.{run.asks}",
             runner=engine.id,
             model=run.request.model,
             vm=self._cfg.vm.id,
@@ -361,8 +365,7 @@
             run.stream.close()
         if run.engine is None:
             return
-        request_id = f"{run.request.request_id}.{run.attempts}"
-        if self._engines.cancel(run.engine, request_id):
+        if self._engines.cancel(run.engine, run.engine_request_id):
             self._grants.end(run.grant_id)
         else:
             # The engine may still be using the adapter, so the pin outlives the call.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
@@ -6,14 +6,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from gooseberryrun._internal.state import FencingNumber
 
 
-@dataclass(frozen=True, slots=True)
-class LeavingNotice:
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Frozen data class that travels as an array, without the names of its fields."""
+
+
+class LeavingNotice(Message, frozen=True, array_like=True):
     """Word that a VM is leaving, good for ``left_s`` more seconds.
 
     Only first-hand sources start the time again, so that a notice dies out once they
@@ -25,16 +29,14 @@
     left_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseRequest:
+class LeaseRequest(Message, frozen=True, array_like=True):
     """Runners that an owner asks a voter to promise; None means as before."""
 
     epoch: int
     fencing: dict[str, FencingNumber] | None
 
 
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(Message, frozen=True, array_like=True):
     """Sign of life of an entry VM to a voter of its failure domain."""
 
     vm: str
@@ -42,11 +44,10 @@
     seq: int
     leaving: bool
     lease: LeaseRequest
-    notices: list[LeavingNotice] = field(default_factory=list)
+    notices: list[LeavingNotice] = msgspec.field(default_factory=list)
 
 
-@dataclass(frozen=True, slots=True)
-class HeartbeatAck:
+class HeartbeatAck(Message, frozen=True, array_like=True):
     """Answer to a heartbeat.
 
     ``refused`` lists runners that were not promised, ``silent`` the VMs of the
@@ -60,11 +61,10 @@
     silent: list[str]
     unknown_epoch: bool = False
     leaving: bool = False
-    notices: list[LeavingNotice] = field(default_factory=list)
+    notices: list[LeavingNotice] = msgspec.field(default_factory=list)
 
 
-@dataclass(frozen=True, slots=True)
-class Gossip:
+class Gossip(Message, frozen=True, array_like=True):
     """Soft state spread between failure domains."""
 
     vm: str
@@ -74,8 +74,7 @@
     next_offsets: dict[str, int]
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseRelease:
+class LeaseRelease(Message, frozen=True, array_like=True):
     """Runners that an owner gives back to the voters before its lease lapses."""
 
     vm: str
@@ -83,8 +82,7 @@
     runners: list[str]
 
 
-@dataclass(frozen=True, slots=True)
-class OwnerNotice:
+class OwnerNotice(Message, frozen=True, array_like=True):
     """Best known owner of a runner."""
 
     runner: str
@@ -93,8 +91,7 @@
     fencing: FencingNumber
 
 
-@dataclass(frozen=True, slots=True)
-class GrantRequest:
+class GrantRequest(Message, frozen=True, array_like=True):
     """Asks the owner of a runner for leave to send one request to it."""
 
     request_id: str
@@ -109,8 +106,7 @@
     traceparent: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class GrantAnswer:
+class GrantAnswer(Message, frozen=True, array_like=True):
     """Verdict of an owner on a grant request.
 
     ``verdict`` is ``granted``, ``refused`` or ``not_owner``; ``lease_s``
@@ -133,16 +129,14 @@
     owner: OwnerNotice | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class GrantEnd:
+class GrantEnd(Message, frozen=True, array_like=True):
     """Grants that are no longer in use."""
 
     runner: str
     grant_ids: list[str]
 
 
-@dataclass(frozen=True, slots=True)
-class GrantUse:
+class GrantUse(Message, frozen=True, array_like=True):
     """One grant that an entry VM is using."""
 
     runner: str
@@ -156,8 +150,7 @@
     suspect: bool
 
 
-@dataclass(frozen=True, slots=True)
-class UseRenewal:
+class UseRenewal(Message, frozen=True, array_like=True):
     """Extends all grants of a VM; ``counts`` gives their number by runner.
 
     The cost does not grow with the grants. A count that differs from the owner's
@@ -169,8 +162,7 @@
     counts: dict[str, int]
 
 
-@dataclass(frozen=True, slots=True)
-class UseRenewed:
+class UseRenewed(Message, frozen=True, array_like=True):
     """Acknowledges a renewal for the runners on which the lease is in force."""
 
     vm: str
@@ -178,16 +170,14 @@
     runners: list[str]
 
 
-@dataclass(frozen=True, slots=True)
-class UseQuery:
+class UseQuery(Message, frozen=True, array_like=True):
     """New owner's question for the grants in use on its runners."""
 
     runners: list[str]
     notices: list[OwnerNotice]
 
 
-@dataclass(frozen=True, slots=True)
-class UseReport:
+class UseReport(Message, frozen=True, array_like=True):
     """Every grant that ``vm`` uses on ``runners``."""
 
     vm: str
@@ -196,16 +186,14 @@
     uses: list[GrantUse]
 
 
-@dataclass(frozen=True, slots=True)
-class Handover:
+class Handover(Message, frozen=True, array_like=True):
     """Book of a runner, sent by an owner that resigns to its successor."""
 
     runner: str
     uses: list[GrantUse]
 
 
-@dataclass(frozen=True, slots=True)
-class StorePermitRequest:
+class StorePermitRequest(Message, frozen=True, array_like=True):
     """Asks a keeper of the store budget for leave to load one adapter.
 
     ``floor`` asks the domain's own keeper, for the domain's share of the rate.
@@ -215,31 +203,27 @@
     floor: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class StorePermit:
+class StorePermit(Message, frozen=True, array_like=True):
     """Permit for one load, or the seconds to wait before asking again."""
 
     granted: bool
     retry_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class StorePermitEnd:
+class StorePermitEnd(Message, frozen=True, array_like=True):
     """Reports that a permitted load has ended."""
 
     runner: str
 
 
-@dataclass(frozen=True, slots=True)
-class RecordsRequest:
+class RecordsRequest(Message, frozen=True, array_like=True):
     """Asks a peer for the records of a stream from an offset on."""
 
     stream: str
     next_offset: int
 
 
-@dataclass(frozen=True, slots=True)
-class PlainRecord:
+class PlainRecord(Message, frozen=True, array_like=True):
     """Log record between peers."""
 
     offset: int
@@ -248,8 +232,7 @@
     data: dict[str, Any]
 
 
-@dataclass(frozen=True, slots=True)
-class RecordsReply:
+class RecordsReply(Message, frozen=True, array_like=True):
     """Records of a stream, or a snapshot where they are no longer kept."""
 
     stream: str
@@ -258,8 +241,7 @@
     snapshot: dict[str, Any] | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class CrashNotice:
+class CrashNotice(Message, frozen=True, array_like=True):
     """Requests in flight on a runner that crashed."""
 
     runner: str
@@ -267,15 +249,13 @@
     fingerprints: list[str]
 
 
-@dataclass(frozen=True, slots=True)
-class OutcomeQuery:
+class OutcomeQuery(Message, frozen=True, array_like=True):
     """Asks the holder of a key for what it knows of the outcome."""
 
     key: str
 
 
-@dataclass(frozen=True, slots=True)
-class OutcomeReply:
+class OutcomeReply(Message, frozen=True, array_like=True):
     """Outcome of a key at its holder; empty while the request is running."""
 
     key: str
@@ -285,37 +265,32 @@
     content_type: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class StatusQuery:
+class StatusQuery(Message, frozen=True, array_like=True):
     """Asks a VM for a section of its operator view."""
 
     section: str
 
 
-@dataclass(frozen=True, slots=True)
-class StatusReply:
+class StatusReply(Message, frozen=True, array_like=True):
     """Rows of a section of the operator view."""
 
     vm: str
     rows: list[dict[str, Any]]
 
 
-@dataclass(frozen=True, slots=True)
-class StopNotice:
+class StopNotice(Message, frozen=True, array_like=True):
     """Operator's order to a VM to shut down gracefully."""
 
     by: str
 
 
-@dataclass(frozen=True, slots=True)
-class Confirm:
+class Confirm(Message, frozen=True, array_like=True):
     """Asks whether a configuration revision is in force."""
 
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Confirmed:
+class Confirmed(Message, frozen=True, array_like=True):
     """Revision in force at a VM and the age of its knowledge in seconds."""
 
     vm: str
@@ -323,8 +298,7 @@
     age_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Ping:
+class Ping(Message, frozen=True, array_like=True):
     """Asks for a sign of life on a link on which answers are overdue."""
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
@@ -50,10 +50,10 @@
 from ._store_budget import StorePermits
 from ._tasks import run_protected, spawn_periodic
 
-OWNER_TICK_S = 0.1
-JOB_SWEEP_S = 0.1
-LEDGER_SWEEP_S = 0.5
-REPORT_INTERVAL_S = 1.0
+OWNER_TICK_S = 0.25
+JOB_SWEEP_S = 0.25
+LEDGER_SWEEP_S = 1.0
+REPORT_INTERVAL_S = 2.0
 STOP_POLL_S = 0.05
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_policy.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_policy.py
@@ -45,6 +45,10 @@
     def pins(self, model: str) -> int:
         """Return the number of grants that use an adapter version."""
 
+    @abstractmethod
+    def is_in_use(self, model: str) -> bool:
+        """Tell whether a request may be using an adapter version."""
+
     @abstractmethod
     def last_used(self, model: str) -> float:
         """Return when an adapter version was last granted or loaded."""
@@ -112,7 +116,7 @@
 
     def pick_victim(self, view: RunnerView, model: str, now: float) -> str | None:
         """Return the unpinned adapter that was used least recently."""
-        unpinned = [name for name in view.resident() if not view.pins(name)]
+        unpinned = [name for name in view.resident() if not view.is_in_use(name)]
         return min(unpinned, key=view.last_used, default=None)
 
 
@@ -181,7 +185,7 @@
         best, best_value = None, float("inf")
         gain = self._load_value(view, view.queue_of(model), now)
         for name in view.resident():
-            if view.pins(name):
+            if view.is_in_use(name):
                 continue
             waiting = view.queue_of(name)
             if len(waiting) and self._load_value(view, waiting, now) >= gain:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_ports.py
@@ -54,12 +54,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineReport:
-    """State that an engine reports; ``running`` may lag, ``resident`` does not."""
+    """State that an engine reports.
+
+    ``running`` and ``active``, the requests by adapter version, may lag; ``resident``
+    does not.
+    """
 
     incarnation: str
     resident: list[str]
     running: int
     leaving: bool
+    active: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_replica.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_replica.py
@@ -49,6 +49,9 @@
 RECENT_RECORDS = 4096
 """Records of each stream kept for peers that lost the log."""
 
+LARGE_CHANGE_OPS = 64
+"""Operations in a change above which its record is not kept."""
+
 
 @dataclass(slots=True)
 class StreamPosition:
@@ -168,7 +171,7 @@
         if record.offset < position.next_offset:
             return
         position.next_offset = record.offset + 1
-        position.recent.append(record)
+        self._keep_recent(position, record)
         if position.writers.get(record.writer, NO_OFFSET) >= record.seq:
             return
         position.writers[record.writer] = record.seq
@@ -178,6 +181,13 @@
             return
         self._apply_typed(decoded.ok_value, record.offset)
 
+    def _keep_recent(self, position: StreamPosition, record: LogRecord) -> None:
+        """Keep small records for peers; after a large one they get a snapshot."""
+        if len(record.data.get("body", {}).get("ops", ())) > LARGE_CHANGE_OPS:
+            position.recent.clear()
+        else:
+            position.recent.append(record)
+
     def _apply_typed(self, record: Record, offset: int) -> None:
         if isinstance(record, ConfigChange | ConfigSnapshot):
             self._apply_config(record, offset)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -4,9 +4,10 @@
 
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import eventlet
+import msgspec
 from opentelemetry import trace
 from result import Err, Result
 
@@ -133,12 +134,15 @@
         self._permits = permits
         self._unaccounted = set(report_by)
         self._extend_use = extend_use
+        self._lapsed: dict[str, str] = {}
+        self._cancelling = False
         self._active_since: float | None = None
         self._replies: dict[str, tuple[Ask, float]] = {}
         self._synced = False
         self._reporting = False
         self._resigned: OwnerNotice | None = None
         self._incarnation = ""
+        self._reported_at = float("-inf")
         vm = membership.get(runner)
         self.book = RunnerScheduler(
             runner,
@@ -176,6 +180,7 @@
             self._resign(message)
         elif isinstance(message, Tick):
             self._expire()
+            self._cancel_lapsed()
 
     # Requests.
 
@@ -242,14 +247,31 @@
             self._refuse(ask, reason)
 
     def _end_vm(self, message: EndVm) -> None:
-        ended = [
-            grant.grant_id
-            for grant in self.book.grants.values()
-            if (grant.vm, grant.boot) == (message.vm, message.boot)
-        ]
-        for grant_id in ended:
-            log_event("use_lease_lapsed", runner=self.runner, grant=grant_id)
-            self.book.release(grant_id)
+        """Cancel at the engine what a silent VM left; the pins last until then."""
+        for grant in self.book.grants.values():
+            if (grant.vm, grant.boot) == (message.vm, message.boot):
+                log_event("use_lease_lapsed", runner=self.runner, grant=grant.grant_id)
+                self._lapsed[grant.grant_id] = grant.request_id
+        self._cancel_lapsed()
+
+    def _cancel_lapsed(self) -> None:
+        engine = self._vm()
+        if not self._lapsed or self._cancelling or engine is None:
+            return
+        self._cancelling = True
+        lapsed, self._lapsed = self._lapsed, {}
+        spawn("cancel", lambda: self._cancel_at(engine, lapsed))
+
+    def _cancel_at(self, engine: Vm, lapsed: dict[str, str]) -> None:
+        ended, left = [], {}
+        for grant_id, request_id in lapsed.items():
+            if self._engines.cancel(engine, request_id):
+                ended.append(grant_id)
+            else:
+                left[grant_id] = request_id
+        self._cancelling = False
+        self._lapsed.update(left)
+        self.post(End(ended))
 
     def _take_use_report(self, report: UseReport) -> None:
         """Adopt what a VM uses; end what it does not know and must have received."""
@@ -304,7 +326,7 @@
                 span.set_attribute("load_wait_s", grant.load_wait_s)
             self._extend_use(grant.vm, grant.boot)
             answer = self._answer("granted", grant=grant, fencing=fencing)
-            ask.reply(replace(answer, waited_s=now - asked_at))
+            ask.reply(msgspec.structs.replace(answer, waited_s=now - asked_at))
 
     def _order_next(self) -> None:
         order = self.book.next_order(self._clock.monotonic(), self._may_evict())
@@ -325,7 +347,7 @@
         # Grants of the previous owner end at the latest one grant lease after its
         # own lease lapsed, which was before this one came into force.
         hold_s = self._cfg.lease.grant_s + self._cfg.lease.margin_s
-        return self._clock.monotonic() >= self._active_since + hold_s
+        return self._reported_at >= self._active_since + hold_s
 
     def _carry_out(self, engine: Vm, order: LoadOrder, fencing: FencingNumber) -> None:
         """Take a permit, evict, then load; runs outside the task."""
@@ -419,6 +441,10 @@
             log_event("runner_incarnation", runner=self.runner, id=self._incarnation)
         self.book.sync_resident(report.ok_value.resident, self._clock.monotonic())
         self._synced = True
+        self._reported_at = self._clock.monotonic()
+        # A VM that did not report may still have requests on the engine.
+        active = report.ok_value.active if self._unaccounted else {}
+        self.book.unaccounted_use = frozenset(name for name, n in active.items() if n)
 
 
 def _to_waiting(request: GrantRequest, now: float) -> Waiting:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_scheduler.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_scheduler.py
@@ -82,6 +82,7 @@
         self._grants: dict[str, Grant] = {}
         self._pins: Counter[str] = Counter()
         self._patient_running = 0
+        self.unaccounted_use: frozenset[str] = frozenset()
 
     # Views for policies.
 
@@ -101,6 +102,10 @@
         """Return the number of grants that use an adapter version."""
         return self._pins[model]
 
+    def is_in_use(self, model: str) -> bool:
+        """Tell whether a grant, or a use of unknown origin, needs the adapter."""
+        return self._pins[model] > 0 or model in self.unaccounted_use
+
     def last_used(self, model: str) -> float:
         """Return when an adapter version was last granted or loaded."""
         return self._resident.get(model, 0.0)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_configuration.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_configuration.py
@@ -39,6 +39,8 @@
 
 
 DEFAULT_JOB_DEADLINE_S = 3600.0
+_EMPTY: dict[str, Any] = {}
+"""Shared by the many adapters without options."""
 
 
 def validate_op(op: ConfigOp) -> Result[None, str]:
@@ -129,7 +131,7 @@
     def _apply_ops(self, ops: list[ConfigOp]) -> None:
         for op in ops:
             if op.op == "put":
-                self.tables[op.table][op.key] = op.value
+                self.tables[op.table][op.key] = op.value or _EMPTY
             else:
                 self.tables[op.table].pop(op.key, None)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
@@ -46,8 +46,8 @@
 
     port: int = Field(default=7000, ge=1, le=65535)
     secret: SecretStr
-    heartbeat_interval_s: float = Field(default=0.5, gt=0)
-    dead_after_s: float = Field(default=2.0, gt=0)
+    heartbeat_interval_s: float = Field(default=1.0, gt=0)
+    dead_after_s: float = Field(default=2.5, gt=0)
     connect_timeout_s: float = Field(default=1.0, gt=0)
     gossip_fanout: int = Field(default=2, ge=0)
 
@@ -67,7 +67,7 @@
 
     append_interval_s: float = Field(default=0.02, ge=0)
     max_batch: int = Field(default=256, ge=1)
-    poll_wait_s: float = Field(default=1.0, gt=0)
+    poll_wait_s: float = Field(default=2.0, gt=0)
     retry_interval_s: float = Field(default=0.2, gt=0)
     retention_s: float = Field(default=3600.0, gt=0)
     catch_up_interval_s: float = Field(default=1.0, gt=0)
--- a/tests/functional/test_eviction.py
+++ b/tests/functional/test_eviction.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import signal
+import threading
 import time
 from pathlib import Path
 from typing import Any
 
 import pytest
+from gooseberry_fakes.cluster import Cluster
 
 from tests.lib.clusters import run_cluster
 from tests.lib.traffic import Completions, wait_until
@@ -80,23 +82,75 @@
 
 @pytest.mark.parametrize("checks_fencing", [True, False])
 def test_owner_cut_off(tmp_path: Path, checks_fencing: bool) -> None:
+    """The old owner still reaches the engine and has work of its own for it."""
     shape = {**ONE_RUNNER, "checks_fencing": checks_fencing}
     with run_cluster(tmp_path, FAST, relayed=True, **shape) as cluster:
         owner = cluster.owner(RUNNER)
         others = [vm for vm in cluster.entry_vms() if vm != owner]
-        with Completions(cluster, others, MODELS, workers=6) as traffic:
+        with (
+            Completions(cluster, others, MODELS[:4], workers=4) as traffic,
+            Completions(cluster, [owner], MODELS[4:], workers=2) as behind_the_cut,
+        ):
             time.sleep(2)
             cluster.cut([[owner], others])
-            wait_until(
-                lambda: any(
-                    row["owner"] in others and row["left_s"] > 0
-                    for row in cluster.rows("show leases", others[0])
-                ),
-                15,
-                "new owner",
-            )
+            probe = f"show leases where runner = {RUNNER} and left_s > 0"
+            wait_until(lambda: cluster.rows(probe, others[0]), 15, "new owner")
             time.sleep(8)
             cluster.heal()
             time.sleep(3)
+        assert traffic.wrong + behind_the_cut.wrong == []
+        assert traffic.failures == []
+
+
+def pause_with_a_long_stream(cluster: Cluster, vm: str) -> None:
+    """Freeze an entry VM while one of its requests runs on the engine."""
+    thread = threading.Thread(
+        target=lambda: cluster.complete(
+            vm, MODELS[0], "long", stream=True, max_tokens=1500, timeout_s=60
+        ),
+        daemon=True,
+    )
+    thread.start()
+    wait_until(lambda: cluster.debug(RUNNER)["running"] == 1, 10, "stream runs")
+    cluster.signal(vm, signal.SIGSTOP)
+
+
+def test_silent_user_of_a_living_owner(tmp_path: Path) -> None:
+    """The pin of a frozen VM's request lasts until the engine has dropped it."""
+    with run_cluster(tmp_path, FAST, **ONE_RUNNER) as cluster:
+        owner = cluster.owner(RUNNER)
+        user, other = [vm for vm in cluster.entry_vms() if vm != owner]
+        pause_with_a_long_stream(cluster, user)
+        with Completions(cluster, [owner, other], MODELS[1:], workers=4) as traffic:
+            time.sleep(11)
         assert traffic.wrong == []
         assert traffic.failures == []
+        assert cluster.violations() == []
+
+
+def test_silent_user_of_a_dead_owner(tmp_path: Path) -> None:
+    """A successor that a frozen VM does not answer evicts nothing that is in use."""
+    with run_cluster(tmp_path, FAST, **ONE_RUNNER) as cluster:
+        owner = cluster.owner(RUNNER)
+        user = next(vm for vm in cluster.entry_vms() if vm != owner)
+        other = next(vm for vm in cluster.entry_vms() if vm not in (owner, user))
+        # The frozen VM votes too, so its successor is found while it still can.
+        thread = threading.Thread(
+            target=lambda: cluster.complete(
+                user, MODELS[0], "long", stream=True, max_tokens=2500, timeout_s=60
+            ),
+            daemon=True,
+        )
+        thread.start()
+        wait_until(lambda: cluster.debug(RUNNER)["running"] == 1, 10, "stream runs")
+        cluster.kill(owner)
+        probe = f"show leases where runner = {RUNNER} and left_s > 0"
+        wait_until(lambda: cluster.rows(probe, other), 15, "new owner")
+        successor = cluster.rows(probe, other)[0]["owner"]
+        silent = user if successor == other else other
+        cluster.signal(silent, signal.SIGSTOP)
+        vms = [successor]
+        with Completions(cluster, vms, MODELS[1:], workers=4) as traffic:
+            time.sleep(12)
+        assert traffic.wrong == []
+        assert cluster.violations() == []
--- a/tests/lib/clusters.py
+++ b/tests/lib/clusters.py
@@ -14,7 +14,8 @@
 from gooseberry_fakes.topology import PAPILLON
 
 _WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
-_NETS = itertools.count(60 + 30 * _WORKER)
+_FIRST_NET = int(os.environ.get("GOOSEBERRY_TEST_NET", "60"))
+_NETS = itertools.count(_FIRST_NET + 20 * _WORKER)
 ADAPTERS = 40
 
 
