--- a/fakes/src/gooseberry_fakes/demo.py
+++ b/fakes/src/gooseberry_fakes/demo.py
@@ -71,6 +71,14 @@
         self._dead.add(vm_id)
         self.cluster.kill(vm_id)
 
+    def retire(self, vm_id: str) -> None:
+        """Send an entry VM no more requests."""
+        self._dead.add(vm_id)
+
+    def revive(self, vm_id: str) -> None:
+        """Send requests to an entry VM again."""
+        self._dead.discard(vm_id)
+
     def lookup(self, number: int) -> None:
         """Send a quick lookup."""
         path = f"/services/{self.cluster.deployment.service}/stock"
