Let quick work go first and keep an adapter slot for it

Cause: quick requests for adapters that were not resident waited behind the backlog (p99 684 s and 535 s): loads were chosen by summed age, and patient work pinned every adapter slot. Change: a quick request outweighs 100 patient ones when a load is chosen; loads count waiting requests first and age little; patient work leaves one slot free.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
@@ -118,6 +118,9 @@
 )
 from ._plain import Plain
 from ._policy import (
+    MIN_SLOTS_TO_RESERVE,
+    QUICK_LOAD_WEIGHT,
+    STARVATION_WEIGHT,
     FifoLruPolicy,
     Policy,
     RunnerView,
@@ -258,6 +261,7 @@
     "MAX_PENDING_HEARTBEATS",
     "MAX_VALUE_LENGTH",
     "MAX_VOTERS",
+    "MIN_SLOTS_TO_RESERVE",
     "MISMATCHES_TO_ASK",
     "Membership",
     "Message",
@@ -288,6 +292,7 @@
     "PlainRecord",
     "PlatformError",
     "Policy",
+    "QUICK_LOAD_WEIGHT",
     "RECENT_RECORDS",
     "REFRESH_SHARE",
     "REFUSALS",
@@ -312,6 +317,7 @@
     "RunnerView",
     "SECTIONS",
     "SETTLE_GRACE_S",
+    "STARVATION_WEIGHT",
     "STOP_POLL_S",
     "STORE_PERMITS",
     "ServiceAnswer",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_policy.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_policy.py
@@ -12,6 +12,13 @@
 if TYPE_CHECKING:
     from ._scheduler import Waiting
 
+QUICK_LOAD_WEIGHT = 100.0
+"""Patient requests that one quick request outweighs when a load is chosen."""
+STARVATION_WEIGHT = 0.05
+"""Requests that one ``starvation_s`` of age outweighs when a load is chosen."""
+MIN_SLOTS_TO_RESERVE = 3
+"""Adapter slots from which on one is kept free of patient work."""
+
 
 @dataclass(frozen=True, slots=True)
 class WaitingView:
@@ -163,20 +170,36 @@
     def pick_load(self, view: RunnerView, now: float) -> str | None:
         """Return the waiting adapter whose load is worth most."""
         resident = set(view.resident())
+        spare = self._has_spare_slot(view)
         best, best_value = None, 0.0
         for model, queue in view.queues():
-            if model in resident:
+            if model in resident or not (spare or _has_quick(queue)):
                 continue
             value = self._load_value(view, queue, now)
             if value > best_value:
                 best, best_value = model, value
         return best
 
+    def _has_spare_slot(self, view: RunnerView) -> bool:
+        """Tell whether patient work may take a slot and leave one for quick work."""
+        in_use = sum(view.is_in_use(name) for name in view.resident())
+        return view.slots < MIN_SLOTS_TO_RESERVE or in_use < view.slots - 1
+
     def _load_value(self, view: RunnerView, queue: WaitingView, now: float) -> float:
-        stall = sum(self._urgency(waiting, now) + 0.1 for waiting in queue.requests)
+        """Weigh the stalls that a load ends against the batch places it fills.
+
+        The number of waiting requests counts most, so that each load ends as many
+        stalls as it can; age only keeps a lonely request from starving.
+        """
+        stall = float(len(queue))
+        stall += QUICK_LOAD_WEIGHT * sum(
+            waiting.work_class is not WorkClass.PATIENT for waiting in queue.requests
+        )
+        oldest = queue.requests[0] if len(queue) else None
+        age = (now - oldest.enqueued_at) / self._cfg.starvation_s if oldest else 0.0
         fill = min(len(queue), view.batch) / view.batch
         return (
-            self._cfg.load_stall_weight * stall
+            self._cfg.load_stall_weight * (stall + STARVATION_WEIGHT * age)
             + self._cfg.batch_efficiency_weight * fill
         )
 
@@ -196,6 +219,10 @@
         return best
 
 
+def _has_quick(queue: WaitingView) -> bool:
+    return any(one.work_class is not WorkClass.PATIENT for one in queue.requests)
+
+
 def make_policy(cfg: PolicySettings) -> Policy:
     """Return the policy that the settings name."""
     if cfg.name == "fifo-lru":
