Let go of slow senders once they are refused

Cause: after the 408 the WSGI server read the rest of the body, up to the socket's time-out of 60 s, and kept the connection. Ruled out: the 408 itself, which was sent in time. Change: the read side of the socket is shut down before the refusal.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
@@ -195,6 +195,9 @@
         except (OSError, ValueError) as exc:
             return Err(bad_request(f"the body could not be read: {exc}"))
         if body is None:
+            # The server reads the rest of a body before it closes the connection; a
+            # slow sender would hold it until the socket's timeout.
+            environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RD)
             return Err(bad_request("the body came too slowly", "slow_sender", 408))
         if length.isdigit() and len(body) < int(length):
             return Err(bad_request("the body is shorter than its Content-Length"))
