--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
@@ -148,11 +148,7 @@
 from ._replica import LARGE_CHANGE_OPS, RECENT_RECORDS, Replica, StreamPosition
 from ._requests import Answer, CompletionRequest, ServiceRequest, StreamCutError
 from ._retries import RetryBudget
-from ._runner_task import (
-    DEFAULT_BATCH,
-    DEFAULT_SLOTS,
-    DELIVERY_S,
-    LOAD_RETRY_S,
+from ._runner_messages import (
     Ask,
     End,
     EndVm,
@@ -160,9 +156,18 @@
     Reply,
     ReportTaken,
     Resign,
-    RunnerTask,
     TaskMessage,
     Tick,
+    to_grant,
+    to_use,
+    to_waiting,
+)
+from ._runner_task import (
+    DEFAULT_BATCH,
+    DEFAULT_SLOTS,
+    DELIVERY_S,
+    LOAD_RETRY_S,
+    RunnerTask,
 )
 from ._scheduler import Grant, LoadOrder, RunnerScheduler, Waiting
 from ._store_budget import (
@@ -363,4 +368,7 @@
     "spawn",
     "spawn_periodic",
     "start_span",
+    "to_grant",
+    "to_use",
+    "to_waiting",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_owner.py
@@ -23,7 +23,8 @@
 from ._metrics import BATCH_FILL
 from ._ports import Engines, Peers
 from ._replica import Replica
-from ._runner_task import Ask, End, EndVm, Resign, RunnerTask, Tick
+from ._runner_messages import Ask, End, EndVm, Resign, Tick
+from ._runner_task import RunnerTask
 from ._store_budget import StorePermits
 
 MISMATCHES_TO_ASK = 2
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_messages.py
@@ -0,0 +1,127 @@
+"""Messages in the mailbox of a runner's task, and what they turn into."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Result
+
+from gooseberryrun._internal.state import WorkClass
+
+from ._errors import EngineError
+from ._messages import (
+    GrantAnswer,
+    GrantRequest,
+    GrantUse,
+    Handover,
+    OwnerNotice,
+    UseReport,
+)
+from ._ports import EngineReport
+from ._scheduler import Grant, LoadOrder, Waiting
+
+Reply = Callable[[GrantAnswer], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Grant request of an entry VM with the way to answer it."""
+
+    request: GrantRequest
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """Grants that are no longer in use."""
+
+    grant_ids: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class EndVm:
+    """All grants of a VM's boot, whose use lease has lapsed."""
+
+    vm: str
+    boot: str
+
+
+@dataclass(frozen=True, slots=True)
+class OrderDone:
+    """Results of an order; None where the step was not taken."""
+
+    order: LoadOrder
+    evicted: bool | None
+    loaded: bool | None
+    permit_late: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReportTaken:
+    """Report of the engine, or why there is none."""
+
+    report: Result[EngineReport, EngineError]
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Passage of time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Resign:
+    """Another VM owns the runner now."""
+
+    notice: OwnerNotice
+    send: Callable[[Handover], None]
+
+
+TaskMessage = (
+    Ask | End | EndVm | OrderDone | ReportTaken | Tick | Resign | UseReport | Handover
+)
+
+
+def to_waiting(request: GrantRequest, now: float) -> Waiting:
+    """Return the queue entry of a request that arrived ``now``."""
+    return Waiting(
+        request_id=request.request_id,
+        model=request.model,
+        vm=request.vm,
+        boot=request.boot,
+        work_class=WorkClass(request.work_class),
+        fingerprint=request.fingerprint,
+        suspect=request.suspect,
+        enqueued_at=now,
+        deadline=now + request.wait_s,
+    )
+
+
+def to_grant(use: GrantUse) -> Grant:
+    """Return the book entry of a use that another VM reported."""
+    return Grant(
+        grant_id=use.grant_id,
+        request_id=use.request_id,
+        model=use.model,
+        vm=use.vm,
+        boot=use.boot,
+        work_class=WorkClass(use.work_class),
+        fingerprint=use.fingerprint,
+        suspect=use.suspect,
+        granted_at=0.0,
+    )
+
+
+def to_use(runner: str, grant: Grant) -> GrantUse:
+    """Return a book entry in the form in which it is handed over."""
+    return GrantUse(
+        runner=runner,
+        grant_id=grant.grant_id,
+        request_id=grant.request_id,
+        model=grant.model,
+        vm=grant.vm,
+        boot=grant.boot,
+        work_class=str(grant.work_class),
+        fingerprint=grant.fingerprint,
+        suspect=grant.suspect,
+    )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -4,7 +4,6 @@
 
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import eventlet
 import msgspec
@@ -16,7 +15,6 @@
     FencingNumber,
     Settings,
     Vm,
-    WorkClass,
     check,
 )
 
@@ -26,7 +24,6 @@
 from ._membership import Membership
 from ._messages import (
     GrantAnswer,
-    GrantRequest,
     GrantUse,
     Handover,
     OwnerNotice,
@@ -35,7 +32,20 @@
 from ._metrics import EVICTIONS, GRANT_WAIT, LOAD_STALL, LOADS
 from ._policy import make_policy
 from ._ports import EngineReport, Engines
-from ._scheduler import Grant, LoadOrder, RunnerScheduler, Waiting
+from ._runner_messages import (
+    Ask,
+    End,
+    EndVm,
+    OrderDone,
+    ReportTaken,
+    Resign,
+    TaskMessage,
+    Tick,
+    to_grant,
+    to_use,
+    to_waiting,
+)
+from ._scheduler import Grant, LoadOrder, RunnerScheduler
 from ._store_budget import StorePermits
 from ._tasks import Task, spawn
 from ._tracing import start_span
@@ -48,66 +58,6 @@
 DELIVERY_S = 5.0
 """Age at which a grant must have reached the VM that asked for it."""
 
-Reply = Callable[[GrantAnswer], None]
-
-
-@dataclass(frozen=True, slots=True)
-class Ask:
-    """Grant request of an entry VM with the way to answer it."""
-
-    request: GrantRequest
-    reply: Reply
-
-
-@dataclass(frozen=True, slots=True)
-class End:
-    """Grants that are no longer in use."""
-
-    grant_ids: list[str]
-
-
-@dataclass(frozen=True, slots=True)
-class EndVm:
-    """All grants of a VM's boot, whose use lease has lapsed."""
-
-    vm: str
-    boot: str
-
-
-@dataclass(frozen=True, slots=True)
-class OrderDone:
-    """Results of an order; None where the step was not taken."""
-
-    order: LoadOrder
-    evicted: bool | None
-    loaded: bool | None
-    permit_late: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class ReportTaken:
-    """Report of the engine, or why there is none."""
-
-    report: Result[EngineReport, EngineError]
-
-
-@dataclass(frozen=True, slots=True)
-class Tick:
-    """Passage of time."""
-
-
-@dataclass(frozen=True, slots=True)
-class Resign:
-    """Another VM owns the runner now."""
-
-    notice: OwnerNotice
-    send: Callable[[Handover], None]
-
-
-TaskMessage = (
-    Ask | End | EndVm | OrderDone | ReportTaken | Tick | Resign | UseReport | Handover
-)
-
 
 class RunnerTask(Task[TaskMessage]):
     """Owner's side of one runner under one fencing number."""
@@ -200,7 +150,7 @@
             return
         now = self._clock.monotonic()
         self._replies[request.request_id] = (ask, now)
-        self.book.enqueue(_to_waiting(request, now))
+        self.book.enqueue(to_waiting(request, now))
 
     def _vm(self) -> Vm | None:
         return self._membership.get(self.runner)
@@ -287,11 +237,11 @@
 
     def _adopt(self, uses: list[GrantUse]) -> None:
         for use in uses:
-            self.book.adopt(_to_grant(use))
+            self.book.adopt(to_grant(use))
 
     def _resign(self, message: Resign) -> None:
         self._resigned = message.notice
-        uses = [_to_use(self.runner, grant) for grant in self.book.grants.values()]
+        uses = [to_use(self.runner, grant) for grant in self.book.grants.values()]
         message.send(Handover(self.runner, uses))
         for waiting in self.book.drop_all():
             ask, _ = self._replies.pop(waiting.request_id)
@@ -445,45 +395,3 @@
         # A VM that did not report may still have requests on the engine.
         active = report.ok_value.active if self._unaccounted else {}
         self.book.unaccounted_use = frozenset(name for name, n in active.items() if n)
-
-
-def _to_waiting(request: GrantRequest, now: float) -> Waiting:
-    return Waiting(
-        request_id=request.request_id,
-        model=request.model,
-        vm=request.vm,
-        boot=request.boot,
-        work_class=WorkClass(request.work_class),
-        fingerprint=request.fingerprint,
-        suspect=request.suspect,
-        enqueued_at=now,
-        deadline=now + request.wait_s,
-    )
-
-
-def _to_grant(use: GrantUse) -> Grant:
-    return Grant(
-        grant_id=use.grant_id,
-        request_id=use.request_id,
-        model=use.model,
-        vm=use.vm,
-        boot=use.boot,
-        work_class=WorkClass(use.work_class),
-        fingerprint=use.fingerprint,
-        suspect=use.suspect,
-        granted_at=0.0,
-    )
-
-
-def _to_use(runner: str, grant: Grant) -> GrantUse:
-    return GrantUse(
-        runner=runner,
-        grant_id=grant.grant_id,
-        request_id=grant.request_id,
-        model=grant.model,
-        vm=grant.vm,
-        boot=grant.boot,
-        work_class=str(grant.work_class),
-        fingerprint=grant.fingerprint,
-        suspect=grant.suspect,
-    )
