Keep the streamed part of an answer in its request's trace

Cause: the span of the stream began after the request's span had ended and so had a trace of its own. Change: it is started under the request's context; a path that did nothing but refuse is gone from the operators' interface.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
@@ -320,14 +320,13 @@
         return Answer(
             status=200,
             content_type=stream.content_type,
-            chunks=self._relay(run),
+            chunks=self._relay(run, current_traceparent()),
             close=lambda: self._finish(run),
         )
 
-    def _relay(self, run: _Run) -> Iterator[bytes]:
+    def _relay(self, run: _Run, traceparent: str) -> Iterator[bytes]:
         """Yield blocks of the stream; resumes on another attempt if it breaks."""
-        span = start_span("engine.stream")
-        with span:
+        with start_span("engine.stream", traceparent):
             while True:
                 block = self._read(run)
                 if not isinstance(block, Err):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
@@ -387,8 +387,6 @@
             except msgspec.ValidationError as exc:
                 return Err(bad_request(f"ops: {exc}", "bad_change"))
             return Ok(Change(ops, expected))
-        if path == "/operator/v1/tables":
-            return Err(bad_request("use GET /operator/v1/command", "bad_path", 404))
         return Err(Refusal(404, "no_such_path", "there is no such path"))
 
 
