Let membership alone say who the other entry VMs are and who comes first

"Every entry VM but this one" stood in six places and the choice of one VM by rendezvous in two; on_gain carried an argument that was always None and OrderDone a field that nobody read. Change: Membership.other_entry_vms and Membership.first_for, called instead; the dead argument and field are gone. No change of behaviour, no test touched.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
@@ -87,9 +87,8 @@
             if refused:
                 POISONED.inc()
         if own and fresh:
-            for vm in self._membership.entry_vms():
-                if vm != self._cfg.vm.id:
-                    self._peers.tell(vm, notice)
+            for vm in self._membership.other_entry_vms():
+                self._peers.tell(vm, notice)
             spawn("crash-report", lambda: self._append(notice))
 
     def _append(self, notice: CrashNotice) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_leases.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_leases.py
@@ -82,8 +82,8 @@
         self._peer_epochs: dict[tuple[str, str], tuple[int, dict[str, FencingNumber]]]
         self._peer_epochs = {}
         self._claiming = False
-        self.on_gain: Callable[[str, FencingNumber, Ownership | None], None]
-        self.on_gain = lambda runner, fencing, previous: None
+        self.on_gain: Callable[[str, FencingNumber], None]
+        self.on_gain = lambda runner, fencing: None
         self.on_lose: Callable[[str, Ownership], None] = lambda runner, owner: None
 
     # Views.
@@ -208,14 +208,13 @@
         known = self._owned.get(runner)
         check(known is None or known <= owner.fencing, "fencing-monotonic", runner)
         self._owned[runner] = owner.fencing
+        self._bump_epoch()
         if known is not None:
-            self._bump_epoch()
             return
-        self._bump_epoch()
         self._since_epoch[runner] = self._epoch
         TAKEOVERS.labels(cause="claim").inc()
         log_event("runner_gained", runner=runner, fencing=owner.fencing)
-        self.on_gain(runner, owner.fencing, None)
+        self.on_gain(runner, owner.fencing)
 
     def _lose(self, runner: str, owner: Ownership) -> None:
         del self._owned[runner]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
@@ -268,8 +268,16 @@
 
     def is_first_for(self, key: str) -> bool:
         """Tell whether this VM should do a piece of work that any VM may do."""
+        return self.first_for(key) == self.me
+
+    def first_for(self, key: str) -> str | None:
+        """Return the entry VM, by rendezvous, for work that any VM may do."""
         leaving = set(self.leaving_ids())
-        return top_node(key, set(self.entry_vms()) - leaving) == self.me
+        return top_node(key, set(self.entry_vms()) - leaving)
+
+    def other_entry_vms(self) -> list[str]:
+        """Return the ids of the listed entry VMs without this one, sorted."""
+        return [vm for vm in self.entry_vms() if vm != self.me]
 
     def voters(self, domain: str | None = None) -> list[str]:
         """Return the VMs of a domain that promise leases."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
@@ -190,12 +190,12 @@
         self.replica.suspects.expire(self._clock.monotonic())
 
     def _random_peer(self) -> str | None:
-        others = [vm for vm in self.membership.entry_vms() if vm != self._cfg.vm.id]
+        others = self.membership.other_entry_vms()
         return self._random.choice(others) if others else None
 
     def _gossip(self) -> None:
         """Tell a few VMs anywhere what this VM knows of leaving VMs."""
-        others = [vm for vm in self.membership.entry_vms() if vm != self._cfg.vm.id]
+        others = self.membership.other_entry_vms()
         count = min(self._cfg.peer.gossip_fanout, len(others))
         notices = self.membership.leaving_notices()
         offsets = {
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_operations.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_operations.py
@@ -117,7 +117,7 @@
 
     def _remote_rows(self, section: str) -> tuple[list[Row], list[str]]:
         """Ask every other VM at once; name those that did not answer."""
-        others = [vm for vm in self._membership.entry_vms() if vm != self._cfg.vm.id]
+        others = self._membership.other_entry_vms()
         deadline = self._clock.monotonic() + CONFIRM_S
         pool = eventlet.GreenPool()
         replies = pool.imap(
@@ -293,7 +293,7 @@
 
     def _confirm(self, verdict: ChangeVerdict) -> CommandResult:
         """Ask every VM whether the accepted revision is in force there."""
-        others = [vm for vm in self._membership.entry_vms() if vm != self._cfg.vm.id]
+        others = self._membership.other_entry_vms()
         deadline = self._clock.monotonic() + CONFIRM_S
         pool = eventlet.GreenPool()
         replies = pool.imap(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_owner.py
@@ -66,10 +66,8 @@
         """Return the tasks of the owned runners."""
         return list(self._tasks.values())
 
-    def _gain(
-        self, runner: str, fencing: FencingNumber, previous: Ownership | None
-    ) -> None:
-        others = set(self._membership.entry_vms()) - {self._cfg.vm.id}
+    def _gain(self, runner: str, fencing: FencingNumber) -> None:
+        others = set(self._membership.other_entry_vms())
         task = RunnerTask(
             self._cfg,
             self._clock,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_messages.py
@@ -54,7 +54,6 @@
     order: LoadOrder
     evicted: bool | None
     loaded: bool | None
-    permit_late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -312,7 +312,7 @@
     ) -> OrderDone:
         deadline = self._clock.monotonic() + self._cfg.policy.load_timeout_s
         if not self._permits.acquire(self.runner, eventlet.sleep, deadline):
-            return OrderDone(order, None, None, permit_late=True)
+            return OrderDone(order, None, None)
         try:
             with trace.get_tracer(__name__).start_as_current_span(
                 "engine.load"
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_store_budget.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_store_budget.py
@@ -89,11 +89,9 @@
 
     def _keepers(self) -> list[str]:
         """Return the keeper of the system and the one of this domain."""
-        leaving = set(self._membership.leaving_ids())
-        vms = [vm for vm in self._membership.entry_vms() if vm not in leaving]
         domain_vms = self._membership.live_domain_vms()
         return [
-            top_node(KEEPER_KEY, vms) or self._cfg.vm.id,
+            self._membership.first_for(KEEPER_KEY) or self._cfg.vm.id,
             top_node(KEEPER_KEY, domain_vms) or self._cfg.vm.id,
         ]
 
