--- a/fakes/src/gooseberry_fakes/engine.py
+++ b/fakes/src/gooseberry_fakes/engine.py
@@ -5,8 +5,9 @@
 import hashlib
 import http.client
 import json
+import time
 import uuid
-from collections import Counter
+from collections import Counter, OrderedDict, deque
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -20,6 +21,14 @@
 
 CRASH_MARK = "CRASH-RUNNER"
 DEFAULT_TOKENS = 16
+REPORT_LAG_S = 0.5
+"""Age of the load that an engine reports."""
+CACHE_PREFIXES = 64
+"""Prefixes that an engine keeps; the one used least recently gives way."""
+EVENT_LAG_S = 0.5
+LOST_EVENT = 7
+"""Every so many cache events one is lost."""
+KEPT_EVENTS = 512
 
 
 def make_token(model: str, prompt: str, index: int) -> str:
@@ -58,6 +67,11 @@
         self._fence: tuple[int, ...] = (-1,)
         self._boot = uuid.uuid4().hex[:12]
         self._crash = Event()
+        self._shown_load: dict[str, Any] = {"running": 0, "active": {}}
+        self._next_load = (0.0, self._shown_load)
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[tuple[float, dict[str, Any]]] = deque(maxlen=KEPT_EVENTS)
+        self._event_seq = 0
         self._counts: Counter[str] = Counter()
         self._violations: list[str] = []
 
@@ -71,13 +85,16 @@
         """Restart cold after a while."""
         self._boot = uuid.uuid4().hex[:12]
         self._resident.clear()
+        self._cache.clear()
+        self._events.clear()
+        self._event_seq = 0
         self._fence = (-1,)
         eventlet.sleep(self._options.restart_s)
         self._crash = Event()
 
     def _die(self) -> None:
-        self._counts["crashes"] += 1
         if not self._crash.ready():
+            self._counts["crashes"] += 1
             self._crash.send()
 
     # Requests.
@@ -88,6 +105,8 @@
             return FakeResponse(self._state())
         if request.path == "/load":
             return FakeResponse(self._report())
+        if request.path == "/v1/cache_events":
+            return self._cache_events(int(request.query.get("after", 0)))
         if request.path == "/v1/load_lora_adapter":
             return self._load(request)
         if request.path == "/v1/unload_lora_adapter":
@@ -108,11 +127,46 @@
         return {
             "incarnation": self._boot,
             "resident": sorted(self._resident),
-            "running": len(self._running),
             "leaving": bool(self.faults.get("leaving", False)),
-            "active": {name: n for name, n in self._active.items() if n},
+            **self._lagging_load(),
         }
 
+    def _lagging_load(self) -> dict[str, Any]:
+        """Return the requests in flight as they were a while ago."""
+        taken_at, load = self._next_load
+        if time.monotonic() - taken_at >= REPORT_LAG_S:
+            self._shown_load = load
+            active = {name: n for name, n in self._active.items() if n}
+            current = {"running": len(self._running), "active": active}
+            self._next_load = (time.monotonic(), current)
+        return self._shown_load
+
+    # Prefix cache.
+
+    def _use_prefix(self, prefix: str) -> None:
+        self._counts["prefix_hits" if prefix in self._cache else "prefix_misses"] += 1
+        if prefix not in self._cache:
+            self._note_event(prefix, True)
+        self._cache[prefix] = None
+        self._cache.move_to_end(prefix)
+        if len(self._cache) > CACHE_PREFIXES:
+            oldest, _ = self._cache.popitem(last=False)
+            self._note_event(oldest, False)
+
+    def _note_event(self, prefix: str, cached: bool) -> None:
+        self._event_seq += 1
+        if self._event_seq % LOST_EVENT:
+            event = {"seq": self._event_seq, "prefix": prefix, "cached": cached}
+            self._events.append((time.monotonic(), event))
+
+    def _cache_events(self, after: int) -> FakeResponse:
+        before = time.monotonic() - EVENT_LAG_S
+        self._counts["cache_reads"] += 1
+        events = [
+            event for at, event in self._events if at <= before and event["seq"] > after
+        ]
+        return FakeResponse({"events": events})
+
     def _is_stale(self, request: FakeRequest) -> bool:
         number = request.headers.get("fencing-number", "0")
         fence = tuple(int(part) for part in number.split("."))
@@ -176,6 +230,7 @@
         if model not in self._resident:
             return FakeResponse({"error": f"{model} is not loaded"}, 404)
         self._counts["requests"] += 1
+        self._use_prefix(str(body.get("prefix_id", "")))
         named = "other@1" if self.take_fault("wrong_model") else model
         chat = request.path.endswith("chat/completions")
         headers = {"X-Engine-Boot": self._boot}
@@ -210,9 +265,10 @@
                 start = int(body.get("resume_at", 0))
                 for index in range(start, int(body.get("max_tokens", DEFAULT_TOKENS))):
                     eventlet.sleep(self._options.token_s)
+                    self._check_alive(boot, request_id)
                     if CRASH_MARK in prompt and index >= 1:
                         self._die()
-                    self._check_alive(boot, request_id)
+                        raise DropConnectionError
                     if model not in self._resident:
                         self._violations.append(f"{model} vanished while in use")
                     yield make_token(model, prompt, index)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
@@ -14,7 +14,7 @@
     select_rows,
 )
 from ._completions import MAX_PAUSE_S, PRIORITIES, RETRY_PAUSE_S, Completions
-from ._crashes import CRASH_PROBE_S, CRASH_PROBES, Crashes
+from ._crashes import CRASH_PROBE_S, CRASH_PROBES, DYING_S, Crashes
 from ._errors import (
     EngineError,
     EngineFault,
@@ -150,6 +150,7 @@
 from ._retries import RetryBudget
 from ._runner_messages import (
     Ask,
+    CacheRead,
     End,
     EndVm,
     OrderDone,
@@ -163,10 +164,12 @@
     to_waiting,
 )
 from ._runner_task import (
+    CACHE_READS,
     DEFAULT_BATCH,
     DEFAULT_SLOTS,
     DELIVERY_S,
     LOAD_RETRY_S,
+    REPORT_RETRY_S,
     RunnerTask,
 )
 from ._scheduler import Grant, LoadOrder, RunnerScheduler, Waiting
@@ -191,9 +194,11 @@
     "BATCH_FILL",
     "BUCKETS",
     "CACHED_RANKINGS",
+    "CACHE_READS",
     "CONFIRM_S",
     "CRASH_PROBES",
     "CRASH_PROBE_S",
+    "CacheRead",
     "Change",
     "Command",
     "CommandError",
@@ -210,6 +215,7 @@
     "DELIVERY_S",
     "DOMAIN_SILENT_S",
     "DONE_KEPT_S",
+    "DYING_S",
     "END_BATCH_S",
     "EVICTIONS",
     "EXIT_BROKEN_INVARIANT",
@@ -304,6 +310,7 @@
     "RENEWALS_PER_LEASE",
     "REPLICATED_SECTIONS",
     "REPORT_INTERVAL_S",
+    "REPORT_RETRY_S",
     "REQUESTS",
     "RETRIES",
     "RETRY_PAUSE_S",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
@@ -19,7 +19,7 @@
     check,
 )
 
-from ._crashes import Crashes
+from ._crashes import CRASH_PROBES, Crashes
 from ._errors import EngineError, EngineFault, Refusal
 from ._events import log_event
 from ._grants import Grants
@@ -41,7 +41,14 @@
     EngineFault.UNREACHABLE,
     EngineFault.NOT_RESIDENT,
 )
+_NO_WORK = (EngineFault.NOT_SENT, EngineFault.NOT_RESIDENT)
 _AVOIDED = (EngineFault.NOT_SENT, EngineFault.UNREACHABLE, EngineFault.BROKEN)
+_CRASH_PROBES = {
+    EngineFault.BROKEN: CRASH_PROBES,
+    EngineFault.TIMEOUT: 1,
+    EngineFault.LEASE_LAPSED: 1,
+}
+"""How often a runner is asked whether it crashed, by the fault of an attempt."""
 _OVERLOAD = {"queue_full", "queue_timeout"}
 _UNAVAILABLE_STATUS = 503
 PRIORITIES = {WorkClass.QUICK: 0, WorkClass.ONCE: 0, WorkClass.PATIENT: 10}
@@ -134,6 +141,9 @@
             granted = self._acquire(run)
             if isinstance(granted, Err):
                 return granted
+            poisonous = self._refuse_granted(run)
+            if poisonous is not None:
+                return Err(poisonous)
             opened = self._open(run, granted.ok_value)
             if not isinstance(opened, Err):
                 run.stream = opened.ok_value
@@ -141,11 +151,21 @@
                 return opened
             if not _never_ran(opened.err_value):
                 run.dispatched = True
+            if opened.err_value.fault is EngineFault.NOT_RESIDENT:
+                self._grants.note_not_resident(run.grant_id)
             self._drop_stream(run)
             refusal = self._after_failure(run, opened.err_value)
             if refusal is not None:
                 return Err(refusal)
 
+    def _refuse_granted(self, run: _Run) -> Refusal | None:
+        """Refuse if copies of the request crashed runners while this one waited."""
+        poisonous = self._refuse_poisonous(run.request)
+        if poisonous is None:
+            return None
+        self._grants.end(run.grant_id)
+        return replace(poisonous, outcome=self._outcome(run))
+
     def _open(self, run: _Run, grant: GrantAnswer) -> Result[EngineStream, EngineError]:
         engine = run.engine
         check(engine is not None, "granted-engine-known")
@@ -163,6 +183,7 @@
                 priority=PRIORITIES[request.work_class],
                 deadline=self._read_deadline(run),
                 resume_at=run.events_sent,
+                prefix=request.prefix,
                 headers={"traceparent": current_traceparent()},
             )
             return self._engines.complete(engine, call)
@@ -198,14 +219,15 @@
         if error.fault in _AVOIDED:
             self._placement.avoid(engine.id)
             run.exclude = {engine.id}
-        if error.fault is EngineFault.BROKEN:
+        probes = _CRASH_PROBES.get(error.fault)
+        if probes is not None:
             fingerprint = run.request.fingerprint
-            self._crashes.suspect(engine, run.incarnation, fingerprint)
+            self._crashes.suspect(engine, run.incarnation, fingerprint, probes)
 
     def _pause_or_refuse(self, run: _Run, error: EngineError) -> Refusal | None:
-        patient = run.request.work_class is WorkClass.PATIENT
-        too_many = run.attempts >= self._cfg.limits.max_attempts
-        if too_many or not (patient or self._budget.spend()):
+        if run.attempts >= self._cfg.limits.max_attempts or not self._may_repeat(
+            run, error
+        ):
             detail = f"the engine failed: {error.fault} {error.detail}".strip()
             return Refusal(502, "engine_failed", detail, self._outcome(run))
         pause_s = min(MAX_PAUSE_S, RETRY_PAUSE_S * 2 ** (run.attempts - 1))
@@ -216,6 +238,16 @@
         eventlet.sleep(pause_s)
         return None
 
+    def _may_repeat(self, run: _Run, error: EngineError) -> bool:
+        """Tell whether a repeat fits the retry budget.
+
+        The budget keeps repeats from multiplying the engines' work. An attempt that no
+        engine took has cost none, and patient work must be finished.
+        """
+        if run.request.work_class is WorkClass.PATIENT or error.fault in _NO_WORK:
+            return True
+        return self._budget.spend()
+
     def _outcome(self, run: _Run) -> RunOutcome:
         """Say "not run" only if no attempt reached an engine that accepted it."""
         return RunOutcome.UNKNOWN if run.dispatched else RunOutcome.NOT_RUN
@@ -230,7 +262,9 @@
         pause_s = RETRY_PAUSE_S
         exclude = set(run.exclude)
         while self._clock.monotonic() < deadline:
-            engine = self._placement.choose(run.request.model, exclude)
+            engine = self._placement.choose(
+                run.request.model, run.request.prefix, exclude
+            )
             if engine is None:
                 if reasons and reasons <= _OVERLOAD:
                     break
@@ -244,6 +278,8 @@
                 run.engine = engine
                 run.engine_request_id = f"{run.request.request_id}.{run.asks}"
                 run.grant_id = answer.grant_id
+                prefix = run.request.prefix
+                self._placement.learn_prefix(prefix, engine.id, answer.cached)
                 run.incarnation = answer.incarnation
                 return Ok(answer)
             reasons.add(self._pass_over(engine, answer, exclude))
@@ -289,6 +325,7 @@
             suspect=self._crashes.is_suspect(run.request.fingerprint),
             wait_s=self._owner_wait_s(engine, deadline - now),
             traceparent=current_traceparent(),
+            prefix=run.request.prefix,
         )
         answered = self._grants.ask(request, owner, now + request.wait_s)
         if isinstance(answered, Err):
@@ -382,6 +419,8 @@
         run.stream.close()
         run.stream = None
         self._grants.end(run.grant_id)
+        if run.engine is not None:
+            self._placement.learn_prefix(run.request.prefix, run.engine.id, True)
 
     def _whole_answer(self, run: _Run) -> Result[Answer, Refusal]:
         """Read a whole answer before the first byte goes to the caller."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
@@ -20,6 +20,8 @@
 CRASH_PROBES = 5
 CRASH_PROBE_S = 0.2
 """Pause between the questions that tell a crash from a broken connection."""
+DYING_S = (0.5, 2.0)
+"""Pauses before a runner that still answered is asked again: it may have been dying."""
 
 
 class Crashes:
@@ -53,25 +55,40 @@
         now = self._clock.monotonic()
         return self._replica.suspects.is_suspect(fingerprint, now)
 
-    def suspect(self, engine: Vm, incarnation: str, fingerprint: str) -> None:
-        """Report a request whose connection broke, if its runner really crashed.
+    def suspect(
+        self, engine: Vm, incarnation: str, fingerprint: str, probes: int = CRASH_PROBES
+    ) -> None:
+        """Report a request whose attempt failed, if its runner really crashed.
 
         A runner has crashed if it refuses connections or has another incarnation. One
-        that cannot be reached may only be cut off.
+        that cannot be reached may only be cut off. One that still answers may be dying
+        and is asked again later, while the request goes on elsewhere.
         """
-        if not incarnation or not self._has_crashed(engine, incarnation):
+        if not incarnation:
             return
-        self.take_notice(CrashNotice(engine.id, incarnation, [fingerprint]), True)
+        notice = CrashNotice(engine.id, incarnation, [fingerprint])
+        if self._has_crashed(engine, incarnation, probes):
+            self.take_notice(notice, True)
+        else:
+            spawn("crash-watch", lambda: self._watch(engine, notice))
+
+    def _watch(self, engine: Vm, notice: CrashNotice) -> None:
+        for pause_s in DYING_S:
+            eventlet.sleep(pause_s)
+            if self._has_crashed(engine, notice.incarnation, 1):
+                self.take_notice(notice, True)
+                return
 
-    def _has_crashed(self, engine: Vm, incarnation: str) -> bool:
+    def _has_crashed(self, engine: Vm, incarnation: str, probes: int) -> bool:
         """Ask until the answer is clear; a dying engine may still accept and reset."""
-        for _ in range(CRASH_PROBES):
+        for probe in range(probes):
+            if probe:
+                eventlet.sleep(CRASH_PROBE_S)
             report = self._engines.report(engine)
             if not isinstance(report, Err):
                 return report.ok_value.incarnation != incarnation
             if report.err_value.fault is EngineFault.NOT_SENT:
                 return True
-            eventlet.sleep(CRASH_PROBE_S)
         return False
 
     def take_notice(self, notice: CrashNotice, own: bool = False) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_grants.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_grants.py
@@ -46,6 +46,7 @@
     fencing: FencingNumber
     deadline: float
     load_wait_s: float
+    not_resident: bool = False
 
 
 class Grants:
@@ -72,6 +73,7 @@
         self._boot = boot
         self._held: dict[str, HeldGrant] = {}
         self._ends: dict[tuple[str, str], list[str]] = defaultdict(list)
+        self._stale_books: set[tuple[str, str]] = set()
         owner.on_query = self.take_query
 
     def held(self) -> list[HeldGrant]:
@@ -174,12 +176,22 @@
         """End a grant; its owner learns of it within milliseconds."""
         held = self._held.pop(grant_id, None)
         if held is not None:
-            self._send_end(held.owner, held.runner, grant_id)
+            self._send_end(held.owner, held.runner, grant_id, held.not_resident)
 
-    def _send_end(self, owner: str, runner: str, grant_id: str) -> None:
+    def note_not_resident(self, grant_id: str) -> None:
+        """Let the end of a grant say that the engine lacked its adapter."""
+        held = self._held.get(grant_id)
+        if held is not None:
+            held.not_resident = True
+
+    def _send_end(
+        self, owner: str, runner: str, grant_id: str, not_resident: bool = False
+    ) -> None:
         if owner == self._cfg.vm.id:
-            self._owner.take_end(GrantEnd(runner, [grant_id]))
+            self._owner.take_end(GrantEnd(runner, [grant_id], not_resident))
             return
+        if not_resident:
+            self._stale_books.add((owner, runner))
         waiting = self._ends[(owner, runner)]
         waiting.append(grant_id)
         if len(waiting) == 1:
@@ -187,8 +199,10 @@
 
     def _flush_ends(self, owner: str, runner: str) -> None:
         grant_ids = self._ends.pop((owner, runner), [])
+        not_resident = (owner, runner) in self._stale_books
+        self._stale_books.discard((owner, runner))
         if grant_ids:
-            self._peers.tell(owner, GrantEnd(runner, grant_ids))
+            self._peers.tell(owner, GrantEnd(runner, grant_ids, not_resident))
 
     # Renewing.
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
@@ -104,6 +104,7 @@
     suspect: bool
     wait_s: float
     traceparent: str = ""
+    prefix: str = ""
 
 
 class GrantAnswer(Message, frozen=True, array_like=True):
@@ -112,7 +113,8 @@
     ``verdict`` is ``granted``, ``refused`` or ``not_owner``; ``lease_s``
     counts from the grant, which came ``waited_s`` after the request arrived.
     ``queued`` and ``running`` describe the runner for later choices, ``incarnation``
-    changes with each restart of it.
+    changes with each restart of it. ``cached`` tells whether the runner holds the
+    request's prefix, if that is known.
     """
 
     verdict: str
@@ -127,13 +129,18 @@
     load_wait_s: float = 0.0
     incarnation: str = ""
     owner: OwnerNotice | None = None
+    cached: bool | None = None
 
 
 class GrantEnd(Message, frozen=True, array_like=True):
-    """Grants that are no longer in use."""
+    """Grants that are no longer in use.
+
+    ``not_resident`` tells that the engine lacked the adapter of one of them.
+    """
 
     runner: str
     grant_ids: list[str]
+    not_resident: bool = False
 
 
 class GrantUse(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_owner.py
@@ -126,7 +126,7 @@
         """End grants."""
         task = self._tasks.get(end.runner)
         if task is not None:
-            task.post(End(end.grant_ids))
+            task.post(End(end.grant_ids, end.not_resident))
 
     def take_renewal(self, renewal: UseRenewal) -> UseRenewed:
         """Extend every grant of a VM."""
@@ -189,6 +189,7 @@
         BATCH_FILL.set(running / places if places else 0.0)
 
     def request_reports(self) -> None:
-        """Fetch the reports of the owned runners."""
+        """Fetch the reports and the cache events of the owned runners."""
         for task in self._tasks.values():
             task.request_report()
+            task.request_cache_events()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_placement.py
@@ -8,6 +8,7 @@
 from gooseberryrun._internal.state import (
     Clock,
     DemandTracker,
+    PrefixTable,
     Settings,
     Vm,
     hash_score,
@@ -45,9 +46,14 @@
         self._version = -1
         self._avoid: dict[str, float] = {}
         self._hints: dict[str, _Hint] = {}
+        self._prefixes = PrefixTable()
 
-    def choose(self, model: str, exclude: set[str]) -> Vm | None:
-        """Return the runner to ask for ``model``, or None if there is none."""
+    def choose(self, model: str, prefix: str, exclude: set[str]) -> Vm | None:
+        """Return the runner to ask for ``model``, or None if there is none.
+
+        Among the runners that share a popular adapter, one that is believed to hold
+        the prompt's prefix counts as less loaded by ``policy.prefix_bonus``.
+        """
         now = self._clock.monotonic()
         self._demand.count(model, now)
         ranking = self._usable(model, exclude, now)
@@ -56,7 +62,7 @@
         spread = self._spread(model, ranking, now)
         position, _ = min(
             enumerate(ranking[:spread]),
-            key=lambda item: self._cost(item[0], item[1], now),
+            key=lambda item: self._cost(item[0], item[1], prefix, now),
         )
         return self._membership.get(ranking[position])
 
@@ -72,11 +78,14 @@
         per_runner = batch * self._cfg.policy.demand_half_life_s / 4
         return 1 + int(self._demand.demand(model, now) / per_runner)
 
-    def _cost(self, rank: int, runner: str, now: float) -> float:
+    def _cost(self, rank: int, runner: str, prefix: str, now: float) -> float:
+        cost = float(rank)
+        if self._prefixes.runner(prefix) == runner:
+            cost = -self._cfg.policy.prefix_bonus
         hint = self._hints.get(runner)
-        if hint is None or now - hint.at > HINT_AGE_S:
-            return float(rank)
-        return rank + hint.load
+        if hint is not None and now - hint.at <= HINT_AGE_S:
+            cost += hint.load
+        return cost
 
     def _ranking(self, model: str) -> list[str]:
         if self._version != self._membership.version:
@@ -100,3 +109,8 @@
         """Take the load that an owner reported with an answer."""
         load = (queued + running) / max(1, batch)
         self._hints[runner] = _Hint(load, self._clock.monotonic())
+
+    def learn_prefix(self, prefix: str, runner: str, cached: bool | None) -> None:
+        """Take what an owner said of a prefix, or that a request has just used it."""
+        if cached is not None:
+            self._prefixes.learn(prefix, runner, cached)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_ports.py
@@ -9,7 +9,7 @@
 
 from result import Result
 
-from gooseberryrun._internal.state import FencingNumber, LogRecord, Vm
+from gooseberryrun._internal.state import CacheEvent, FencingNumber, LogRecord, Vm
 
 from ._errors import EngineError, LogError, PeerError, PlatformError, ServiceError
 from ._messages import PeerMessage
@@ -82,6 +82,7 @@
     priority: int
     deadline: float
     resume_at: int = 0
+    prefix: str = ""
     headers: dict[str, str] = field(default_factory=dict)
 
 
@@ -134,6 +135,12 @@
     def report(self, engine: Vm) -> Result[EngineReport, EngineError]:
         """Return the engine's report."""
 
+    @abstractmethod
+    def cache_events(
+        self, engine: Vm, after: int
+    ) -> Result[list[CacheEvent], EngineError]:
+        """Return the events of the prefix cache after a number; some may be missing."""
+
     @abstractmethod
     def cancel(self, engine: Vm, request_id: str) -> bool:
         """Stop a request; return whether the engine no longer runs it."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_requests.py
@@ -13,7 +13,8 @@
 class CompletionRequest:
     """Completion that names an adapter and its version.
 
-    ``body`` is the caller's JSON object; ``deadline`` is monotonic.
+    ``body`` is the caller's JSON object; ``deadline`` is monotonic. ``prefix`` names
+    the beginning of the prompt, which engines may have cached.
     """
 
     request_id: str
@@ -24,6 +25,7 @@
     work_class: WorkClass
     fingerprint: str
     deadline: float
+    prefix: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_messages.py
@@ -7,7 +7,7 @@
 
 from result import Result
 
-from gooseberryrun._internal.state import WorkClass
+from gooseberryrun._internal.state import CacheEvent, WorkClass
 
 from ._errors import EngineError
 from ._messages import (
@@ -37,6 +37,7 @@
     """Grants that are no longer in use."""
 
     grant_ids: list[str]
+    not_resident: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,11 +59,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportTaken:
-    """Report of the engine, or why there is none."""
+    """Report of the engine, or why there is none.
 
+    ``orders_done`` is the number of orders that had ended when it was asked for.
+    """
+
+    orders_done: int
     report: Result[EngineReport, EngineError]
 
 
+@dataclass(frozen=True, slots=True)
+class CacheRead:
+    """Events of the engine's prefix cache."""
+
+    events: list[CacheEvent]
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Passage of time."""
@@ -77,7 +89,16 @@
 
 
 TaskMessage = (
-    Ask | End | EndVm | OrderDone | ReportTaken | Tick | Resign | UseReport | Handover
+    Ask
+    | End
+    | EndVm
+    | OrderDone
+    | ReportTaken
+    | CacheRead
+    | Tick
+    | Resign
+    | UseReport
+    | Handover
 )
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -13,6 +13,7 @@
 from gooseberryrun._internal.state import (
     Clock,
     FencingNumber,
+    PrefixCache,
     Settings,
     Vm,
     check,
@@ -31,9 +32,10 @@
 )
 from ._metrics import EVICTIONS, GRANT_WAIT, LOAD_STALL, LOADS
 from ._policy import make_policy
-from ._ports import EngineReport, Engines
+from ._ports import Engines
 from ._runner_messages import (
     Ask,
+    CacheRead,
     End,
     EndVm,
     OrderDone,
@@ -52,6 +54,10 @@
 
 LOAD_RETRY_S = 0.5
 """Pause before a failed load of the same adapter is tried again."""
+REPORT_RETRY_S = 0.1
+"""Pause before an engine that gave no report is asked again."""
+CACHE_READS = 3
+"""Readings of the cache events after the last grant."""
 DEFAULT_SLOTS = 4
 DEFAULT_BATCH = 8
 
@@ -90,6 +96,10 @@
         self._replies: dict[str, tuple[Ask, float]] = {}
         self._synced = False
         self._reporting = False
+        self._orders_done = 0
+        self._prefixes = PrefixCache()
+        self._cache_reads = 0
+        self._unreported = float("-inf")
         self._resigned: OwnerNotice | None = None
         self._incarnation = ""
         self._reported_at = float("-inf")
@@ -108,8 +118,7 @@
         if isinstance(message, Ask):
             self._take_ask(message)
         elif isinstance(message, End):
-            for grant_id in message.grant_ids:
-                self.book.release(grant_id)
+            self._end(message)
         elif isinstance(message, EndVm):
             self._end_vm(message)
         elif isinstance(message, OrderDone):
@@ -120,7 +129,9 @@
 
     def _handle_rare(self, message: TaskMessage) -> None:
         if isinstance(message, ReportTaken):
-            self._take_report(message.report)
+            self._take_report(message)
+        elif isinstance(message, CacheRead):
+            self._prefixes.take(message.events)
         elif isinstance(message, UseReport):
             self._take_use_report(message)
         elif isinstance(message, Handover):
@@ -183,6 +194,15 @@
             owner=owner,
         )
 
+    def _answer_granted(self, ask: Ask, grant: Grant, waited_s: float) -> GrantAnswer:
+        self._cache_reads = CACHE_READS
+        fencing = self._leases.owned().get(self.runner)
+        return msgspec.structs.replace(
+            self._answer("granted", grant=grant, fencing=fencing),
+            waited_s=waited_s,
+            cached=self._prefixes.holds(ask.request.prefix),
+        )
+
     def _expire(self) -> None:
         for waiting in self.book.drop_expired(self._clock.monotonic()):
             ask, _ = self._replies.pop(waiting.request_id)
@@ -196,6 +216,13 @@
             ask, _ = self._replies.pop(waiting.request_id)
             self._refuse(ask, reason)
 
+    def _end(self, message: End) -> None:
+        for grant_id in message.grant_ids:
+            self.book.release(grant_id)
+        if message.not_resident and not self.book.is_busy_loading():
+            log_event("book_stale", runner=self.runner)
+            self._synced = False
+
     def _end_vm(self, message: EndVm) -> None:
         """Cancel at the engine what a silent VM left; the pins last until then."""
         for grant in self.book.grants.values():
@@ -255,11 +282,18 @@
         if self._active_since is None:
             self._active_since = self._clock.monotonic()
         if not self._synced:
-            self.request_report()
+            if self._may_sync():
+                self.request_report()
             return
         self._grant_all()
         self._order_next()
 
+    def _may_sync(self) -> bool:
+        """Tell whether to ask for a report: no order is out, no failure is fresh."""
+        if self.book.is_busy_loading():
+            return False
+        return self._clock.monotonic() >= self._unreported + REPORT_RETRY_S
+
     def _grant_all(self) -> None:
         now = self._clock.monotonic()
         while True:
@@ -269,14 +303,12 @@
             ask, asked_at = self._replies.pop(grant.request_id)
             GRANT_WAIT.observe(now - asked_at)
             LOAD_STALL.observe(grant.load_wait_s)
-            fencing = self._leases.owned().get(self.runner)
             with start_span("owner.decide", ask.request.traceparent) as span:
                 span.set_attribute("runner", self.runner)
                 span.set_attribute("queue_wait_s", now - asked_at)
                 span.set_attribute("load_wait_s", grant.load_wait_s)
             self._extend_use(grant.vm, grant.boot)
-            answer = self._answer("granted", grant=grant, fencing=fencing)
-            ask.reply(msgspec.structs.replace(answer, waited_s=now - asked_at))
+            ask.reply(self._answer_granted(ask, grant, now - asked_at))
 
     def _order_next(self) -> None:
         order = self.book.next_order(self._clock.monotonic(), self._may_evict())
@@ -364,8 +396,10 @@
         if done.order.victim is not None:
             self.book.finish_evict(done.evicted is True, now)
         self.book.finish_load(done.loaded is True, now, LOAD_RETRY_S)
-        if done.evicted is False or done.loaded is False:
-            self._synced = False
+        # The engine may have restarted meanwhile: what is resident, and under which
+        # incarnation, is known from the next report only.
+        self._orders_done += 1
+        self._synced = False
 
     # Reports.
 
@@ -375,19 +409,38 @@
         if engine is None or self._reporting:
             return
         self._reporting = True
-        spawn("report", lambda: self.post(ReportTaken(self._engines.report(engine))))
+        spawn("report", lambda: self._fetch_report(engine, self._orders_done))
+
+    def request_cache_events(self) -> None:
+        """Read the engine's cache events, which come late, while it has work."""
+        engine = self._vm()
+        if engine is None or not self._cache_reads:
+            return
+        self._cache_reads -= 1
+        spawn("cache-events", lambda: self._fetch_cache_events(engine))
+
+    def _fetch_cache_events(self, engine: Vm) -> None:
+        events = self._engines.cache_events(engine, self._prefixes.seq)
+        if not isinstance(events, Err):
+            self.post(CacheRead(events.ok_value))
 
-    def _take_report(self, report: Result[EngineReport, EngineError]) -> None:
+    def _fetch_report(self, engine: Vm, orders_done: int) -> None:
+        self.post(ReportTaken(orders_done, self._engines.report(engine)))
+
+    def _take_report(self, message: ReportTaken) -> None:
         self._reporting = False
+        report = message.report
         if isinstance(report, Err):
+            self._unreported = self._clock.monotonic()
             if report.err_value.fault is EngineFault.NOT_SENT:
                 self._synced = False
             return
         self._membership.take_engine_word(self.runner, report.ok_value.leaving)
-        if self.book.is_busy_loading():
+        if self.book.is_busy_loading() or message.orders_done != self._orders_done:
             return
         if report.ok_value.incarnation != self._incarnation:
             self._incarnation = report.ok_value.incarnation
+            self._prefixes.restart()
             log_event("runner_incarnation", runner=self.runner, id=self._incarnation)
         self.book.sync_resident(report.ok_value.resident, self._clock.monotonic())
         self._synced = True
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/__init__.py
@@ -4,8 +4,11 @@
 from ._http_requests import (
     COMPLETION_PATHS,
     MAX_KEY_LENGTH,
+    PREFIX_CHARS,
+    PREFIX_DIGITS,
     bad_request,
     find_model_rule,
+    make_prefix,
     parse_completion,
     parse_json_object,
     parse_key,
@@ -17,13 +20,13 @@
 from ._sse import END_MARK, MAX_EVENT_BYTES, SEPARATOR, EventChecker, check_whole_answer
 
 __all__ = [
-    "peer_grpc",
-    "peer_pb2",
     "COMPLETION_PATHS",
     "END_MARK",
     "EventChecker",
     "MAX_EVENT_BYTES",
     "MAX_KEY_LENGTH",
+    "PREFIX_CHARS",
+    "PREFIX_DIGITS",
     "PROBLEM_CONTENT_TYPE",
     "SEPARATOR",
     "SyntaxFault",
@@ -34,9 +37,12 @@
     "encode_message",
     "encode_problem",
     "find_model_rule",
+    "make_prefix",
     "parse_command",
     "parse_completion",
     "parse_json_object",
     "parse_key",
     "parse_service_request",
+    "peer_grpc",
+    "peer_pb2",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/_http_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/_http_requests.py
@@ -23,6 +23,9 @@
 
 COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 MAX_KEY_LENGTH = 255
+PREFIX_CHARS = 256
+"""Characters of a prompt by which cached prefixes are told apart."""
+PREFIX_DIGITS = 16
 _DEFAULT_MODEL_RULE = Rule(WorkClass.QUICK, DEFAULT_JOB_DEADLINE_S)
 _VOLATILE_FIELDS = ("stream", "background", "user", "request_id")
 """Fields of a body that do not change what the engine executes."""
@@ -84,10 +87,17 @@
             work_class=WorkClass.QUICK,
             fingerprint=fingerprint(path, content),
             deadline=deadline,
+            prefix=make_prefix(model, body[needed]),
         )
     )
 
 
+def make_prefix(model: str, prompt: object) -> str:
+    """Return the name of a prompt's beginning: its first message or characters."""
+    start = prompt[:1] if isinstance(prompt, list) else str(prompt)[:PREFIX_CHARS]
+    return fingerprint(model, start)[:PREFIX_DIGITS]
+
+
 def parse_service_request(
     config: ConfigState,
     service: str,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.py
@@ -29,6 +29,7 @@
     parse_model_name,
 )
 from ._owners import Ownership, OwnerState
+from ._prefixes import MAX_PREFIXES, CacheEvent, PrefixCache, PrefixTable
 from ._promises import Promise, PromiseState
 from ._records import (
     CONFIG_STREAM,
@@ -70,6 +71,7 @@
 
 __all__ = [
     "CONFIG_STREAM",
+    "CacheEvent",
     "ChangeVerdict",
     "Clock",
     "ConfigChange",
@@ -96,6 +98,7 @@
     "LogRecord",
     "LogSettings",
     "MAX_NAME_LENGTH",
+    "MAX_PREFIXES",
     "MAX_REMEMBERED_CHANGES",
     "MIN_DEMAND",
     "ManualClock",
@@ -111,6 +114,8 @@
     "PeerSettings",
     "PlatformSettings",
     "PolicySettings",
+    "PrefixCache",
+    "PrefixTable",
     "Promise",
     "PromiseState",
     "Record",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
@@ -112,6 +112,7 @@
     demand_half_life_s: float = Field(default=120.0, gt=0)
     quick_reserve: float = Field(default=0.125, ge=0, lt=1)
     starvation_s: float = Field(default=60.0, gt=0)
+    prefix_bonus: float = Field(default=0.5, ge=0)
     store_loads_per_s: float = Field(default=2.0, gt=0)
     store_in_flight: int = Field(default=8, ge=1)
     load_timeout_s: float = Field(default=10.0, gt=0)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_engine_client.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_engine_client.py
@@ -22,7 +22,7 @@
     StreamBlock,
 )
 from gooseberryrun._internal.protocol import EventChecker, check_whole_answer
-from gooseberryrun._internal.state import FencingNumber, Settings, Vm
+from gooseberryrun._internal.state import CacheEvent, FencingNumber, Settings, Vm
 
 from ._http_client import HttpClient, HttpFailure, describe_error
 
@@ -33,6 +33,10 @@
 _JSON = {"Content-Type": "application/json"}
 
 
+class _CacheEvents(msgspec.Struct):
+    events: list[CacheEvent]
+
+
 class HttpEngineStream(EngineStream):
     """Answer of an engine, streamed or whole."""
 
@@ -106,6 +110,8 @@
             "request_id": call.request_id,
         }
         body.pop("background", None)
+        if call.prefix:
+            body["prefix_id"] = call.prefix
         if call.resume_at:
             body["resume_at"] = call.resume_at
         done = self._http.request(
@@ -179,6 +185,24 @@
         except msgspec.MsgspecError as exc:
             return Err(EngineError(EngineFault.BROKEN, str(exc)))
 
+    def cache_events(
+        self, engine: Vm, after: int
+    ) -> Result[list[CacheEvent], EngineError]:
+        """Return the events of the prefix cache after a number."""
+        path = f"/v1/cache_events?after={after}"
+        done = self._http.request(
+            engine.address, engine.port, "GET", path, timeout_s=REPORT_TIMEOUT_S
+        )
+        if isinstance(done, Err):
+            return Err(_to_error(done.err_value))
+        if done.ok_value.status != HTTPStatus.OK:
+            return Err(_read_error(done.ok_value))
+        try:
+            events = msgspec.json.decode(done.ok_value.data, type=_CacheEvents)
+        except msgspec.MsgspecError as exc:
+            return Err(EngineError(EngineFault.BROKEN, str(exc)))
+        return Ok(events.events)
+
     def cancel(self, engine: Vm, request_id: str) -> bool:
         """Cancel a request; true if the engine is gone or confirms it."""
         done = self._http.request(
--- a/tests/functional/test_whole_answers.py
+++ b/tests/functional/test_whole_answers.py
@@ -144,26 +144,64 @@
     cluster.wait_ready(vm)
 
 
-def test_crashing_request_is_refused_and_neighbours_survive(cluster: Cluster) -> None:
-    crashes_before = sum(
+def count_crashes(cluster: Cluster) -> int:
+    return sum(
         cluster.debug(engine)["counts"].get("crashes", 0)
         for engine in cluster.engines()
     )
+
+
+def is_crash_refusal(reply: Reply) -> bool:
+    if reply.status != 422:
+        return False
+    return str(json.loads(reply.body)["type"]).endswith("crashes_runners")
+
+
+def test_crashing_request_is_refused_and_neighbours_survive(cluster: Cluster) -> None:
+    crashes_before = count_crashes(cluster)
     refused = 0
     with Completions(cluster, cluster.entry_vms(), MODELS, workers=6) as traffic:
         time.sleep(1)
         for number in range(6):
             vm = cluster.entry_vms()[number]
             reply = cluster.complete(vm, "a4@1", f"{CRASH_MARK} please")
-            refused += reply.status == 422
-            if reply.status == 422:
-                assert json.loads(reply.body)["type"].endswith("crashes_runners")
+            refused += is_crash_refusal(reply)
         time.sleep(3)
-    crashes = sum(
-        cluster.debug(engine)["counts"].get("crashes", 0)
-        for engine in cluster.engines()
-    )
     assert refused == 6
-    assert crashes - crashes_before <= 2
+    assert count_crashes(cluster) - crashes_before <= 2
+    assert traffic.wrong == []
+    assert traffic.failures == []
+
+
+def test_copies_of_a_crashing_request_sent_at_once(cluster: Cluster) -> None:
+    """Copies that wait for a runner are refused as soon as the verdict is known."""
+    crashes_before = count_crashes(cluster)
+    with Completions(cluster, cluster.entry_vms(), MODELS, workers=4) as traffic:
+        time.sleep(1)
+        with ThreadPoolExecutor(9) as pool:
+            asked = [
+                pool.submit(cluster.complete, vm, "a5@1", f"{CRASH_MARK} at once")
+                for vm in cluster.entry_vms()
+            ]
+        time.sleep(3)
+    assert all(is_crash_refusal(one.result()) for one in asked)
+    assert count_crashes(cluster) - crashes_before <= 2
+    assert traffic.wrong == []
+    assert traffic.failures == []
+
+
+def test_two_crashing_requests_at_once_are_told_apart(cluster: Cluster) -> None:
+    """Each content costs at most two runners; the neighbours of both are answered."""
+    crashes_before = count_crashes(cluster)
+    with Completions(cluster, cluster.entry_vms(), MODELS, workers=4) as traffic:
+        time.sleep(1)
+        with ThreadPoolExecutor(2) as pool:
+            asked = [
+                pool.submit(cluster.complete, vm, "a6@1", f"{CRASH_MARK} {vm}")
+                for vm in cluster.entry_vms()[:2]
+            ]
+        time.sleep(3)
+    assert all(is_crash_refusal(one.result()) for one in asked)
+    assert count_crashes(cluster) - crashes_before <= 4
     assert traffic.wrong == []
     assert traffic.failures == []
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -42,6 +42,27 @@
     assert "".join(texts) == expected_text("a2@1", "fold")
 
 
+def test_cache_events_of_a_busy_engine_are_read(cluster: Cluster) -> None:
+    """Events come late and one in seven is missing; requests go on regardless."""
+    before = count_engines(cluster, "cache_reads")
+    for number in range(20):
+        reply = cluster.complete("dakar-1", "a4@1", f"{number} fold")
+        assert reply.status == 200
+    until = time.monotonic() + 10
+    while count_engines(cluster, "cache_reads") <= before and time.monotonic() < until:
+        time.sleep(0.1)
+    assert count_engines(cluster, "cache_reads") > before
+    hits = count_engines(cluster, "prefix_hits")
+    cluster.complete("thies-1", "a4@1", "0 fold")
+    assert count_engines(cluster, "prefix_hits") == hits + 1
+
+
+def count_engines(cluster: Cluster, name: str) -> int:
+    return sum(
+        cluster.debug(engine)["counts"].get(name, 0) for engine in cluster.engines()
+    )
+
+
 def test_job_is_finished_and_visible_everywhere(cluster: Cluster) -> None:
     reply = cluster.complete("thies-1", "a3@1", "plan", background=True)
     assert (reply.status, reply.outcome) == (202, "ran")
--- /dev/null
+++ b/tests/unit/test_completions.py
@@ -0,0 +1,158 @@
+"""Attempts of one completion, against engines that follow a script."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+import gooseberryrun._internal.coordination as coordination
+import gooseberryrun._internal.state as state
+import pytest
+from gooseberryrun._internal.coordination import _completions
+from result import Err, Ok, Result
+
+from tests.lib.nodes import CFG, ENGINE
+
+Fault = coordination.EngineFault
+
+
+class Stream(coordination.EngineStream):
+    """Answer of one block."""
+
+    content_type = "application/json"
+    incarnation = "boot"
+
+    def read(self) -> Result[coordination.StreamBlock, coordination.EngineError]:
+        return Ok(coordination.StreamBlock(b"{}", 1, True))
+
+    def close(self) -> None:
+        """Nothing is held."""
+
+
+class Fixture:
+    """Everything that a completion meets; ``script`` holds the faults to come."""
+
+    def __init__(self, script: list[coordination.EngineFault]) -> None:
+        self.script = script
+        self.attempts = 0
+        self.refused = False
+        self.ended: list[str] = []
+        limits = CFG.limits.model_copy(
+            update={"retry_budget_floor": 0, "retry_budget_ratio": 0.0}
+        )
+        double = cast(Any, self)
+        self.config = self.owners = double
+        self.completions = coordination.Completions(
+            CFG.model_copy(update={"limits": limits}),
+            state.ManualClock(100.0),
+            double,
+            double,
+            double,
+            double,
+            double,
+            double,
+            "boot",
+        )
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *_args: None
+
+    def has_model(self, model: str) -> bool:
+        return True
+
+    def is_refused(self, fingerprint: str) -> bool:
+        return self.refused
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        return False
+
+    def is_boot_gone(self, vm: str, boot: str) -> bool:
+        return False
+
+    def voters(self, domain: str) -> list[str]:
+        return ["a"]
+
+    def choose(self, *_args: object) -> state.Vm:
+        return ENGINE
+
+    def ask(
+        self, *_args: object
+    ) -> Result[coordination.GrantAnswer, coordination.PeerError]:
+        return Ok(coordination.GrantAnswer("granted", ENGINE.id, "grant", lease_s=9.0))
+
+    def left_s(self, grant_id: str) -> float:
+        return 9.0
+
+    def end(self, grant_id: str) -> None:
+        self.ended.append(grant_id)
+
+    def cancel(self, *_args: object) -> bool:
+        return True
+
+    def complete(
+        self, *_args: object
+    ) -> Result[coordination.EngineStream, coordination.EngineError]:
+        self.attempts += 1
+        if self.script:
+            return Err(coordination.EngineError(self.script.pop(0)))
+        return Ok(Stream())
+
+    def run(self) -> Result[coordination.Answer, coordination.Refusal]:
+        request = coordination.CompletionRequest(
+            request_id="r",
+            path="/v1/completions",
+            model="m@1",
+            body={},
+            stream=False,
+            work_class=state.WorkClass.QUICK,
+            fingerprint="content",
+            deadline=130.0,
+        )
+        return self.completions.run(request)
+
+
+@pytest.fixture(autouse=True)
+def _no_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(_completions, "RETRY_PAUSE_S", 0.0)
+
+
+@pytest.mark.parametrize("fault", [Fault.NOT_SENT, Fault.NOT_RESIDENT])
+def test_attempt_that_cost_no_work_needs_no_retry_budget(
+    fault: coordination.EngineFault,
+) -> None:
+    fixture = Fixture([fault, fault])
+    assert isinstance(fixture.run(), Ok)
+    assert fixture.attempts == 3
+
+
+def test_attempt_that_cost_work_is_not_repeated_without_budget() -> None:
+    fixture = Fixture([Fault.BROKEN])
+    refusal = fixture.run()
+    assert isinstance(refusal, Err)
+    assert refusal.err_value.code == "engine_failed"
+    assert refusal.err_value.outcome is state.RunOutcome.UNKNOWN
+    assert fixture.attempts == 1
+
+
+def test_attempts_are_bounded_even_without_budget() -> None:
+    fixture = Fixture([Fault.NOT_SENT] * 100)
+    refusal = fixture.run()
+    assert isinstance(refusal, Err)
+    assert refusal.err_value.outcome is state.RunOutcome.NOT_RUN
+    assert fixture.attempts == CFG.limits.max_attempts
+
+
+def test_verdict_that_comes_while_a_copy_waits_for_its_place_holds() -> None:
+    fixture = Fixture([])
+
+    def ask_and_learn(
+        *_args: object,
+    ) -> Result[coordination.GrantAnswer, coordination.PeerError]:
+        fixture.refused = True
+        return Fixture.ask(fixture)
+
+    cast(Any, fixture).ask = ask_and_learn
+    refusal = fixture.run()
+    assert isinstance(refusal, Err)
+    assert refusal.err_value.code == "crashes_runners"
+    assert refusal.err_value.outcome is state.RunOutcome.NOT_RUN
+    assert (fixture.attempts, fixture.ended) == (0, ["grant"])
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -8,16 +8,10 @@
 import gooseberryrun._internal.state as state
 from result import Err, Result
 
+from tests.lib.nodes import CFG, ENTRY_VMS
+
 RUNNER = "engine-1"
 FENCING = state.FencingNumber(7)
-CFG = state.Settings.model_validate(
-    {
-        "vm": {"id": "a", "domain": "d", "address": "127.0.0.1"},
-        "peer": {"secret": "s"},
-        "operator": {"token": "t"},
-        "platform": {"log_url": "u", "store_url": "u", "vm_list_url": "u"},
-    }
-)
 
 
 class SilentLog(coordination.Log):
@@ -63,12 +57,7 @@
         self.clock = state.ManualClock(100.0)
         self.peers = RecordingPeers()
         members = coordination.Membership(CFG, self.clock, SilentVmList(), "boot-a")
-        members.take_list(
-            [
-                state.Vm(vm, state.VmKind.ENTRY, "d", f"127.0.0.{number}", 1, 2)
-                for number, vm in enumerate("abc", 1)
-            ]
-        )
+        members.take_list(ENTRY_VMS)
         log = SilentLog()
         replica = coordination.Replica(CFG, self.clock, log, self.peers, "boot-a")
         appender = coordination.Appender(CFG, self.clock, log, "boot-a")
--- /dev/null
+++ b/tests/unit/test_prefixes.py
@@ -0,0 +1,119 @@
+"""Beliefs about prefix caches, from events that are late and have gaps."""
+
+from __future__ import annotations
+
+import gooseberryrun._internal.coordination as coordination
+import gooseberryrun._internal.state as state
+from gooseberryrun._internal.protocol import make_prefix
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Ok, Result
+
+from tests.lib.nodes import CFG
+
+Step = tuple[int, bool, bool]
+STEPS = st.lists(st.tuples(st.integers(0, 3), st.booleans(), st.booleans()))
+
+
+@given(STEPS)
+def test_no_belief_survives_a_gap_that_may_have_undone_it(steps: list[Step]) -> None:
+    """After each event seen, every belief agrees with the cache of that moment."""
+    cache = state.PrefixCache()
+    held: dict[str, bool] = {}
+    for seq, (number, cached, lost) in enumerate(steps, 1):
+        held[f"p{number}"] = cached
+        if lost:
+            continue
+        cache.take([state.CacheEvent(seq, f"p{number}", cached)])
+        for prefix, truth in held.items():
+            assert cache.holds(prefix) in (truth, None)
+
+
+def test_restarted_runner_holds_nothing() -> None:
+    cache = state.PrefixCache()
+    cache.take([state.CacheEvent(5, "p", True)])
+    assert cache.holds("p")
+    cache.restart()
+    assert cache.holds("p") is None
+    cache.take([state.CacheEvent(1, "p", True)])
+    assert cache.holds("p")
+
+
+def test_prompts_with_one_beginning_share_a_prefix() -> None:
+    system = {"role": "system", "content": "Fold guides."}
+    chats = [[system, {"role": "user", "content": text}] for text in ("a", "b")]
+    assert make_prefix("m@1", chats[0]) == make_prefix("m@1", chats[1])
+    assert make_prefix("m@1", chats[0]) != make_prefix("m@2", chats[0])
+    assert make_prefix("m@1", "x" * 300 + "a") == make_prefix("m@1", "x" * 300 + "b")
+
+
+class FixedVmList(coordination.VmList):
+    """Five engines of one domain."""
+
+    def fetch(self) -> Result[list[state.Vm], coordination.PlatformError]:
+        return Ok(
+            [
+                state.Vm(
+                    f"engine-{n}",
+                    state.VmKind.ENGINE,
+                    "d",
+                    f"127.0.0.{n}",
+                    1,
+                    slots=4,
+                    batch=8,
+                )
+                for n in range(5)
+            ]
+        )
+
+
+class Fixture:
+    """Placement over five runners."""
+
+    def __init__(self) -> None:
+        clock = state.ManualClock(100.0)
+        vms = FixedVmList()
+        members = coordination.Membership(CFG, clock, vms, "boot")
+        members.take_list(vms.fetch().unwrap())
+        self.placement = coordination.Placement(CFG, clock, members)
+
+    def choose(self, prefix: str) -> str:
+        engine = self.placement.choose("m@1", prefix, set())
+        assert engine is not None
+        return engine.id
+
+
+def test_adapter_of_one_runner_is_not_moved_by_a_prefix() -> None:
+    fixture = Fixture()
+    first = fixture.choose("p")
+    fixture.placement.learn_prefix("p", "engine-x", True)
+    assert fixture.choose("p") == first
+
+
+def test_popular_adapter_goes_where_its_prefix_is() -> None:
+    fixture = Fixture()
+    first = fixture.choose("p")
+    for _ in range(600):
+        fixture.choose("p")
+    shared = {fixture.choose("p")}
+    for engine in [f"engine-{n}" for n in range(5)]:
+        fixture.placement.learn_prefix("q", engine, True)
+        shared.add(fixture.choose("q"))
+    assert len(shared) == 3
+    second = (shared - {first}).pop()
+    fixture.placement.learn_prefix("q", second, True)
+    assert fixture.choose("q") == second
+    fixture.placement.learn_prefix("q", second, None)
+    assert fixture.choose("q") == second
+    fixture.placement.learn_prefix("q", second, False)
+    assert fixture.choose("q") == first
+
+
+def test_full_runner_is_passed_over_for_all_its_prefix() -> None:
+    fixture = Fixture()
+    first = fixture.choose("p")
+    for _ in range(600):
+        fixture.choose("p")
+    fixture.placement.learn_prefix("p", first, True)
+    fixture.placement.learn(first, queued=24, running=8, batch=8)
+    assert fixture.choose("p") != first
--- /dev/null
+++ b/tests/unit/test_runner_task.py
@@ -0,0 +1,166 @@
+"""The owner's task of one runner, against an engine that follows a script."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+import gooseberryrun._internal.coordination as coordination
+import gooseberryrun._internal.state as state
+import pytest
+from gooseberryrun._internal.coordination import _runner_task
+from result import Err, Ok, Result
+
+from tests.lib.nodes import CFG, ENGINE
+
+FENCING = state.FencingNumber(7)
+Report = Result[coordination.EngineReport, coordination.EngineError]
+
+
+class Fixture:
+    """A task whose spawned work runs when the test says so."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.clock = state.ManualClock(100.0)
+        self.incarnation = "first"
+        self.resident: list[str] = []
+        self.reports = 0
+        self.failing = False
+        self.spawned: list[Any] = []
+        self.answers: list[coordination.GrantAnswer] = []
+        monkeypatch.setattr(
+            _runner_task, "spawn", lambda name, work: self.spawned.append(work)
+        )
+        double = cast(Any, self)
+        self.task = coordination.RunnerTask(
+            CFG, self.clock, ENGINE.id, double, double, double, double, set(), self.note
+        )
+        monkeypatch.setattr(self.task, "post", self.task.handle)
+
+    # The parts that the task uses.
+
+    def get(self, vm: str) -> state.Vm:
+        return ENGINE
+
+    def is_leaving(self, vm: state.Vm) -> bool:
+        return False
+
+    def entry_vms(self) -> list[str]:
+        return ["a"]
+
+    def take_engine_word(self, runner: str, leaving: bool) -> None:
+        """Take what the engine says of its leaving."""
+
+    def note(self, vm: str, boot: str) -> None:
+        """Take an extension of a use lease."""
+
+    def is_valid(self, runner: str, fencing: state.FencingNumber = FENCING) -> bool:
+        return True
+
+    def owned(self) -> dict[str, state.FencingNumber]:
+        return {ENGINE.id: FENCING}
+
+    def acquire(self, *_args: object) -> bool:
+        return True
+
+    def release(self, runner: str) -> None:
+        """Give a permit back."""
+
+    def load(
+        self, _engine: state.Vm, model: str, *_rest: object
+    ) -> Result[None, coordination.EngineError]:
+        self.resident.append(model)
+        return Ok(None)
+
+    def report(self, engine: state.Vm) -> Report:
+        self.reports += 1
+        if self.failing:
+            fault = coordination.EngineFault.NOT_SENT
+            return Err(coordination.EngineError(fault))
+        return Ok(
+            coordination.EngineReport(self.incarnation, list(self.resident), 0, False)
+        )
+
+    # What the tests do.
+
+    def run_spawned(self) -> None:
+        work, self.spawned = self.spawned, []
+        for one in work:
+            one()
+
+    def ask(self, number: int, model: str) -> None:
+        request = coordination.GrantRequest(
+            request_id=str(number),
+            runner=ENGINE.id,
+            model=model,
+            vm="a",
+            boot="boot",
+            work_class="quick",
+            fingerprint=str(number),
+            suspect=False,
+            wait_s=5.0,
+            traceparent="",
+        )
+        self.task.handle(coordination.Ask(request, self.answers.append))
+
+
+def test_grant_names_the_incarnation_that_loaded_the_adapter(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An engine that restarted before a load must not be known by its old boot."""
+    fixture = Fixture(monkeypatch)
+    fixture.ask(1, "m@1")
+    fixture.run_spawned()
+    fixture.incarnation = "second"
+    fixture.run_spawned()
+    assert fixture.resident == ["m@1"]
+    fixture.run_spawned()
+    assert [answer.incarnation for answer in fixture.answers] == ["second"]
+
+
+def test_report_asked_for_before_a_load_ended_is_not_believed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fixture = Fixture(monkeypatch)
+    fixture.ask(1, "m@1")
+    fixture.run_spawned()
+    early = coordination.ReportTaken(0, fixture.report(ENGINE))
+    fixture.run_spawned()
+    fixture.task.handle(early)
+    assert fixture.answers == []
+    fixture.run_spawned()
+    assert [answer.verdict for answer in fixture.answers] == ["granted"]
+    assert list(fixture.task.book.resident()) == ["m@1"]
+
+
+def test_engine_without_report_is_asked_again_only_after_a_pause(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fixture = Fixture(monkeypatch)
+    fixture.failing = True
+    fixture.ask(1, "m@1")
+    for _ in range(5):
+        fixture.run_spawned()
+    assert fixture.reports == 1
+    fixture.clock.now += 0.1
+    fixture.task.handle(coordination.Tick())
+    fixture.run_spawned()
+    assert fixture.reports == 2
+
+
+def test_engine_that_lacks_a_granted_adapter_is_asked_what_it_has(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An engine restarted cold: the first caller's word is enough to load again."""
+    fixture = Fixture(monkeypatch)
+    fixture.ask(1, "m@1")
+    for _ in range(3):
+        fixture.run_spawned()
+    fixture.resident.clear()
+    fixture.incarnation = "second"
+    fixture.task.handle(coordination.End([fixture.answers[0].grant_id], True))
+    fixture.ask(2, "m@1")
+    assert len(fixture.answers) == 1
+    for _ in range(3):
+        fixture.run_spawned()
+    assert fixture.resident == ["m@1"]
+    assert fixture.answers[1].incarnation == "second"
