Decide loads when the permit comes; quick work beyond the batch; early refusals

Ruled out: the store's in-flight limit (at most 2 in flight), the half-life of demand, keeping hot adapters from patient loads (2% fewer loads).

Change: the permit first, then the choice of the load; one permit kept for quick work; quick work may exceed the batch, since engines honour priorities; the shortest patient queue runs first; spread by share of demand and by what this VM waits for; the weights choose deep and short queues; quick work that would only wait for its deadline is refused at once; suspects go to one runner by content. RunnerQueues keeps the queues by class.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
@@ -49,7 +49,7 @@
     EngineFault.LEASE_LAPSED: 1,
 }
 """How often a runner is asked whether it crashed, by the fault of an attempt."""
-_OVERLOAD = {"queue_full", "queue_timeout"}
+_OVERLOAD = {"queue_full", "queue_timeout", "overloaded"}
 _UNAVAILABLE_STATUS = 503
 PRIORITIES = {WorkClass.QUICK: 0, WorkClass.ONCE: 0, WorkClass.PATIENT: 10}
 
@@ -262,9 +262,7 @@
         pause_s = RETRY_PAUSE_S
         exclude = set(run.exclude)
         while self._clock.monotonic() < deadline:
-            engine = self._placement.choose(
-                run.request.model, run.request.prefix, exclude
-            )
+            engine = self._choose(run.request, exclude)
             if engine is None:
                 if reasons and reasons <= _OVERLOAD:
                     break
@@ -285,6 +283,15 @@
             reasons.add(self._pass_over(engine, answer, exclude))
         return Err(self._refuse_capacity(run, reasons))
 
+    def _choose(self, request: CompletionRequest, exclude: set[str]) -> Vm | None:
+        if not self._crashes.is_suspect(request.fingerprint):
+            patient = request.work_class is WorkClass.PATIENT
+            return self._placement.choose(
+                request.model, request.prefix, exclude, patient
+            )
+        crashed = self._crashes.crashed_runners(request.fingerprint)
+        return self._placement.choose_apart(request.fingerprint, exclude | crashed)
+
     def _pass_over(
         self, engine: Vm, answer: GrantAnswer | None, exclude: set[str]
     ) -> str:
@@ -327,7 +334,12 @@
             traceparent=current_traceparent(),
             prefix=run.request.prefix,
         )
-        answered = self._grants.ask(request, owner, now + request.wait_s)
+        patient = run.request.work_class is WorkClass.PATIENT
+        self._placement.begin_ask(engine.id, patient)
+        try:
+            answered = self._grants.ask(request, owner, now + request.wait_s)
+        finally:
+            self._placement.end_ask(engine.id, patient)
         if isinstance(answered, Err):
             return None
         answer = answered.ok_value
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
@@ -55,6 +55,10 @@
         now = self._clock.monotonic()
         return self._replica.suspects.is_suspect(fingerprint, now)
 
+    def crashed_runners(self, fingerprint: str) -> set[str]:
+        """Return the runners that crashed while they executed the request."""
+        return self._replica.suspects.crashed_runners(fingerprint)
+
     def suspect(
         self, engine: Vm, incarnation: str, fingerprint: str, probes: int = CRASH_PROBES
     ) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
@@ -208,6 +208,7 @@
 
     runner: str
     floor: bool = False
+    urgent: bool = True
 
 
 class StorePermit(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass
 
 from gooseberryrun._internal.state import (
@@ -13,10 +13,19 @@
     Vm,
     hash_score,
     rank_nodes,
+    top_node,
 )
 
 from ._membership import Membership
 
+DEFAULT_BATCH = 8
+"""Batch places of an engine whose VM record does not tell."""
+RANK_COST = 8.0
+"""Batches by which a runner must be emptier to be preferred to one of lower rank."""
+SPREAD_FACTOR = 4.0
+"""Runners for an adapter, as a multiple of its share of all demand."""
+SPREAD_BATCHES = 2.0
+"""Batches of demand that an adapter must have for each further runner."""
 BUCKETS = 4096
 """Adapters with the same bucket share a ranking, which keeps the cache small."""
 CACHED_RANKINGS = 4096
@@ -27,6 +36,8 @@
 HINT_AGE_S = 2.0
 """Age at which a runner's last reported queue is no longer believed."""
 
+_ALL = ""
+
 
 @dataclass(frozen=True, slots=True)
 class _Hint:
@@ -47,60 +58,114 @@
         self._avoid: dict[str, float] = {}
         self._hints: dict[str, _Hint] = {}
         self._prefixes = PrefixTable()
-
-    def choose(self, model: str, prefix: str, exclude: set[str]) -> Vm | None:
+        self._total = DemandTracker(cfg.policy.demand_half_life_s)
+        self._asking: Counter[tuple[str, bool]] = Counter()
+        self._engine_ids: list[str] = []
+        self._vm_count = 1
+
+    def choose(
+        self, model: str, prefix: str, exclude: set[str], patient: bool = False
+    ) -> Vm | None:
         """Return the runner to ask for ``model``, or None if there is none.
 
+        Quick work goes before a runner's queue, so it keeps to the first runner of the
+        ranking, where the adapter is most often loaded, unless quick work queues there.
         Among the runners that share a popular adapter, one that is believed to hold
         the prompt's prefix counts as less loaded by ``policy.prefix_bonus``.
         """
         now = self._clock.monotonic()
         self._demand.count(model, now)
+        self._total.count(_ALL, now)
         ranking = self._usable(model, exclude, now)
         if not ranking:
             return None
         spread = self._spread(model, ranking, now)
         position, _ = min(
             enumerate(ranking[:spread]),
-            key=lambda item: self._cost(item[0], item[1], prefix, now),
+            key=lambda item: self._cost(item[0], item[1], prefix, patient, now),
         )
         return self._membership.get(ranking[position])
 
+    def choose_apart(self, fingerprint: str, exclude: set[str]) -> Vm | None:
+        """Return the runner for a request that may crash it.
+
+        Every VM with the same knowledge chooses the same one, whatever the load, so
+        that copies of the request meet at one owner, which runs them one at a time.
+        """
+        self._follow_membership()
+        runners = [runner for runner in self._engine_ids if runner not in exclude]
+        runner = top_node(fingerprint, runners)
+        return self._membership.get(runner) if runner is not None else None
+
     def _usable(self, model: str, exclude: set[str], now: float) -> list[str]:
         ranking = [runner for runner in self._ranking(model) if runner not in exclude]
         fresh = [runner for runner in ranking if self._avoid.get(runner, 0.0) <= now]
         return fresh or ranking
 
     def _spread(self, model: str, ranking: list[str], now: float) -> int:
-        """Return how many runners share the adapter: one per batch of demand."""
-        first = self._membership.get(ranking[0])
-        batch = first.batch if first is not None and first.batch else 8
-        per_runner = batch * self._cfg.policy.demand_half_life_s / 4
-        return 1 + int(self._demand.demand(model, now) / per_runner)
-
-    def _cost(self, rank: int, runner: str, prefix: str, now: float) -> float:
-        cost = float(rank)
+        """Return how many runners share the adapter, by its share of all demand.
+
+        The balancer deals requests evenly, so each VM sees its part of the demand.
+        """
+        demand = self._demand.demand(model, now)
+        total = max(demand, self._total.demand(_ALL, now))
+        by_share = demand / total * len(self._engine_ids) * SPREAD_FACTOR
+        by_amount = demand * self._vm_count / self._batch(ranking[0]) / SPREAD_BATCHES
+        return 1 + int(min(by_share, by_amount))
+
+    def _batch(self, runner: str) -> int:
+        vm = self._membership.get(runner)
+        return vm.batch if vm is not None and vm.batch else DEFAULT_BATCH
+
+    def _cost(
+        self, rank: int, runner: str, prefix: str, patient: bool, now: float
+    ) -> float:
+        cost = RANK_COST * rank
         if self._prefixes.runner(prefix) == runner:
             cost = -self._cfg.policy.prefix_bonus
+        if not patient:
+            return cost + self._asked_load(runner, patient)
+        return cost + max(self._told_load(runner, now), self._asked_load(runner, True))
+
+    def _told_load(self, runner: str, now: float) -> float:
+        """Return the batches of work that the owner last told of, if that is fresh."""
         hint = self._hints.get(runner)
-        if hint is not None and now - hint.at <= HINT_AGE_S:
-            cost += hint.load
-        return cost
+        return hint.load if hint is not None and now - hint.at <= HINT_AGE_S else 0.0
+
+    def _asked_load(self, runner: str, patient: bool) -> float:
+        """Return the batches that all VMs wait for, if they are like this one."""
+        asking = self._asking[(runner, patient)]
+        return asking * self._vm_count / self._batch(runner)
+
+    def begin_ask(self, runner: str, patient: bool) -> None:
+        """Count a request that this VM has begun to wait for at a runner."""
+        self._asking[(runner, patient)] += 1
+
+    def end_ask(self, runner: str, patient: bool) -> None:
+        """Count the end of such a wait."""
+        self._asking[(runner, patient)] -= 1
+        if not self._asking[(runner, patient)]:
+            del self._asking[(runner, patient)]
 
     def _ranking(self, model: str) -> list[str]:
-        if self._version != self._membership.version:
-            self._rankings.clear()
-            self._version = self._membership.version
+        self._follow_membership()
         bucket = hash_score(model, "") % BUCKETS
         ranking = self._rankings.get(bucket)
         if ranking is None:
-            engines = [engine.id for engine in self._membership.engines()]
-            ranking = rank_nodes(str(bucket), engines)[:KEPT_RANKS]
+            ranking = rank_nodes(str(bucket), self._engine_ids)[:KEPT_RANKS]
             self._rankings[bucket] = ranking
             if len(self._rankings) > CACHED_RANKINGS:
                 self._rankings.popitem(last=False)
         return ranking
 
+    def _follow_membership(self) -> None:
+        if self._version == self._membership.version:
+            return
+        self._rankings.clear()
+        self._version = self._membership.version
+        self._engine_ids = [engine.id for engine in self._membership.engines()]
+        self._vm_count = max(1, len(self._membership.entry_vms()))
+
     def avoid(self, runner: str) -> None:
         """Pass a runner over for a while."""
         self._avoid[runner] = self._clock.monotonic() + AVOID_S
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_policy.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_policy.py
@@ -3,31 +3,20 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from collections.abc import Iterable, Iterator
 
-from gooseberryrun._internal.state import PolicySettings, WorkClass
+from gooseberryrun._internal.state import PolicySettings
 
-if TYPE_CHECKING:
-    from ._scheduler import Waiting
+from ._queues import ModelQueue, Waiting
 
-QUICK_LOAD_WEIGHT = 100.0
-"""Patient requests that one quick request outweighs when a load is chosen."""
-STARVATION_WEIGHT = 0.05
-"""Requests that one ``starvation_s`` of age outweighs when a load is chosen."""
-MIN_SLOTS_TO_RESERVE = 3
-"""Adapter slots from which on one is kept free of patient work."""
+STARVATION_FACTOR = 20.0
+"""Multiples of ``starvation_s`` after which age goes before everything else."""
 
-
-@dataclass(frozen=True, slots=True)
-class WaitingView:
-    """Waiting requests for one adapter version, oldest first."""
-
-    requests: tuple[Waiting, ...]
-
-    def __len__(self) -> int:
-        return len(self.requests)
+SHALLOW_REQUESTS = 1
+"""Waiting requests up to which an adapter's queue counts as short."""
+DEEP_SLOTS_FOR_STALLS = 2
+MIN_SLOTS_TO_RESERVE = 2
+"""Adapter slots above which one may be kept for quick work."""
 
 
 class RunnerView(ABC):
@@ -44,10 +33,6 @@
     def running(self) -> int:
         """Return the number of grants in use."""
 
-    @abstractmethod
-    def patient_running(self) -> int:
-        """Return the number of grants of patient work."""
-
     @abstractmethod
     def pins(self, model: str) -> int:
         """Return the number of grants that use an adapter version."""
@@ -65,11 +50,11 @@
         """Return the decayed demand for an adapter version."""
 
     @abstractmethod
-    def queues(self) -> Iterable[tuple[str, WaitingView]]:
-        """Return the waiting work by adapter version, oldest queue first."""
+    def queues(self) -> Iterable[tuple[str, ModelQueue]]:
+        """Return the waiting work by adapter version."""
 
     @abstractmethod
-    def queue_of(self, model: str) -> WaitingView:
+    def queue_of(self, model: str) -> ModelQueue:
         """Return the waiting work for one adapter version."""
 
     @abstractmethod
@@ -80,6 +65,10 @@
 class Policy(ABC):
     """Behaviour that differs between deployments and rivals."""
 
+    def places(self, batch: int) -> int:
+        """Return how many requests may run at once, those of patient work included."""
+        return batch
+
     @abstractmethod
     def pick_waiting(self, view: RunnerView, now: float) -> Waiting | None:
         """Return the request to grant next, or None."""
@@ -93,8 +82,20 @@
         """Return the adapter version to evict for ``model``, or None."""
 
 
-def _may_run(view: RunnerView, waiting: Waiting) -> bool:
-    return not (waiting.suspect and view.suspects_running())
+def first_allowed(view: RunnerView, requests: Iterable[Waiting]) -> Waiting | None:
+    """Return the first request that may run: suspects run one at a time."""
+    apart = view.suspects_running()
+    return next((one for one in requests if not (apart and one.suspect)), None)
+
+
+def _absent(view: RunnerView) -> Iterator[tuple[str, ModelQueue]]:
+    resident = set(view.resident())
+    return (pair for pair in view.queues() if pair[0] not in resident)
+
+
+def _length_and_age(queue: ModelQueue) -> tuple[int, float]:
+    oldest = queue.oldest()
+    return (len(queue), -oldest.enqueued_at if oldest is not None else 0.0)
 
 
 class FifoLruPolicy(Policy):
@@ -102,23 +103,16 @@
 
     def pick_waiting(self, view: RunnerView, now: float) -> Waiting | None:
         """Return the oldest request whose adapter is resident."""
-        heads = [
-            waiting
-            for model in view.resident()
-            for waiting in view.queue_of(model).requests[:1]
-            if _may_run(view, waiting)
-        ]
-        return min(heads, key=lambda waiting: waiting.enqueued_at, default=None)
+        heads = []
+        for model in view.resident():
+            queue = view.queue_of(model)
+            heads.append(first_allowed(view, queue.quick))
+            heads.append(first_allowed(view, queue.patient))
+        return _oldest(heads)
 
     def pick_load(self, view: RunnerView, now: float) -> str | None:
         """Return the adapter of the oldest request that waits for one."""
-        resident = set(view.resident())
-        heads = [
-            queue.requests[0]
-            for model, queue in view.queues()
-            if model not in resident and len(queue)
-        ]
-        oldest = min(heads, key=lambda waiting: waiting.enqueued_at, default=None)
+        oldest = _oldest(queue.oldest() for _, queue in _absent(view))
         return oldest.model if oldest is not None else None
 
     def pick_victim(self, view: RunnerView, model: str, now: float) -> str | None:
@@ -127,91 +121,116 @@
         return min(unpinned, key=view.last_used, default=None)
 
 
+def _oldest(requests: Iterable[Waiting | None]) -> Waiting | None:
+    known = [one for one in requests if one is not None]
+    return min(known, key=lambda one: one.enqueued_at, default=None)
+
+
 class WeightedPolicy(Policy):
     """Weighs load stalls against batch efficiency.
 
-    A load is worth the stall that it ends and the batch places that it can fill; a
-    victim is the unpinned adapter with the least waiting work and expected demand.
+    Quick work goes first and may exceed the batch, since engines honour priorities.
+    Among patient work the shortest queue goes first, so that its slot is soon free for
+    another adapter, while the places left over go to a deep queue. Where load stalls
+    weigh more, more slots hold deep queues, whose loads end the most stalls, and one is
+    kept free of patient work; where batch efficiency weighs more, one deep queue fills
+    the places beside as many short ones as there are slots.
     """
 
     def __init__(self, cfg: PolicySettings) -> None:
         self._cfg = cfg
+        stalls_count = cfg.load_stall_weight >= cfg.batch_efficiency_weight
+        self._deep_slots = DEEP_SLOTS_FOR_STALLS if stalls_count else 1
+        self._quick_slots = 1 if stalls_count else 0
 
-    def pick_waiting(self, view: RunnerView, now: float) -> Waiting | None:
-        """Return the most urgent request whose adapter is resident."""
-        best: Waiting | None = None
-        for model in view.resident():
-            for waiting in self._heads(view.queue_of(model)):
-                if not self._has_room(view, waiting) or not _may_run(view, waiting):
-                    continue
-                if best is None or self._urgency(waiting, now) > self._urgency(
-                    best, now
-                ):
-                    best = waiting
-        return best
+    def places(self, batch: int) -> int:
+        """Return the batch and the places that only quick work may take."""
+        return batch + max(1, int(batch * self._cfg.quick_overcommit))
 
-    def _heads(self, queue: WaitingView) -> list[Waiting]:
-        """Return the oldest request of each class, without suspects twice."""
-        heads: dict[tuple[WorkClass, bool], Waiting] = {}
-        for waiting in queue.requests:
-            heads.setdefault((waiting.work_class, waiting.suspect), waiting)
-        return list(heads.values())
+    def pick_waiting(self, view: RunnerView, now: float) -> Waiting | None:
+        """Return the oldest quick request, or one of the shortest patient queue."""
+        queues = [view.queue_of(model) for model in view.resident()]
+        quick = _oldest(first_allowed(view, queue.quick) for queue in queues)
+        if view.running() >= view.batch:
+            return quick
+        patient = self._pick_patient(view, queues, now)
+        if quick is None or patient is None:
+            return quick or patient
+        overdue = self._age(patient, now) > 1.0 + self._age(quick, now)
+        return patient if overdue else quick
+
+    def _pick_patient(
+        self, view: RunnerView, queues: list[ModelQueue], now: float
+    ) -> Waiting | None:
+        heads = [
+            (view.pins(head.model) + len(queue), head.enqueued_at, head)
+            for queue in queues
+            if (head := first_allowed(view, queue.patient)) is not None
+        ]
+        oldest = _oldest(head for _, _, head in heads)
+        if oldest is None or self._is_starving(oldest, now):
+            return oldest
+        return min(heads, key=lambda entry: entry[:2])[2]
 
-    def _has_room(self, view: RunnerView, waiting: Waiting) -> bool:
-        if waiting.work_class is not WorkClass.PATIENT:
-            return True
-        reserved = int(view.batch * self._cfg.quick_reserve)
-        return view.running() < view.batch - reserved
+    def _age(self, waiting: Waiting, now: float) -> float:
+        return (now - waiting.enqueued_at) / self._cfg.starvation_s
 
-    def _urgency(self, waiting: Waiting, now: float) -> float:
-        age = (now - waiting.enqueued_at) / self._cfg.starvation_s
-        return age if waiting.work_class is WorkClass.PATIENT else 1.0 + age
+    def _is_starving(self, waiting: Waiting, now: float) -> bool:
+        return self._age(waiting, now) > STARVATION_FACTOR
 
     def pick_load(self, view: RunnerView, now: float) -> str | None:
-        """Return the waiting adapter whose load is worth most."""
-        resident = set(view.resident())
-        spare = self._has_spare_slot(view)
-        best, best_value = None, 0.0
-        for model, queue in view.queues():
-            if model in resident or not (spare or _has_quick(queue)):
-                continue
-            value = self._load_value(view, queue, now)
-            if value > best_value:
-                best, best_value = model, value
-        return best
-
-    def _has_spare_slot(self, view: RunnerView) -> bool:
-        """Tell whether patient work may take a slot and leave one for quick work."""
-        in_use = sum(view.is_in_use(name) for name in view.resident())
-        return view.slots < MIN_SLOTS_TO_RESERVE or in_use < view.slots - 1
+        """Return the adapter with the oldest quick work, or a patient one."""
+        absent = list(_absent(view))
+        quick = _oldest(queue.quick[0] for _, queue in absent if queue.quick)
+        if quick is not None:
+            return quick.model
+        reserved = self._quick_slots if view.slots > MIN_SLOTS_TO_RESERVE else 0
+        if self._wanted_slots(view) >= view.slots - reserved:
+            return None
+        oldest = _oldest(queue.oldest() for _, queue in absent)
+        if oldest is not None and self._is_starving(oldest, now):
+            return oldest.model
+        return self._pick_by_depth(view, absent)
+
+    def _wanted_slots(self, view: RunnerView) -> int:
+        """Return how many resident adapters are in use or waited for."""
+        return sum(
+            view.is_in_use(name) or len(view.queue_of(name)) > 0
+            for name in view.resident()
+        )
 
-    def _load_value(self, view: RunnerView, queue: WaitingView, now: float) -> float:
-        """Weigh the stalls that a load ends against the batch places it fills.
+    def _pick_by_depth(
+        self, view: RunnerView, absent: list[tuple[str, ModelQueue]]
+    ) -> str | None:
+        """Return the longest queue, among the short ones if enough deep are resident.
 
-        The number of waiting requests counts most, so that each load ends as many
-        stalls as it can; age only keeps a lonely request from starving.
+        A load ends the stalls of all that wait for it, so the longest comes first. Few
+        loads are needed to fill the batch from deep queues; the rest of the store's
+        rate goes to the short ones meanwhile.
         """
-        stall = float(len(queue))
-        stall += QUICK_LOAD_WEIGHT * sum(
-            waiting.work_class is not WorkClass.PATIENT for waiting in queue.requests
+        deep = sum(
+            len(view.queue_of(name)) + view.pins(name) > SHALLOW_REQUESTS
+            for name in view.resident()
         )
-        oldest = queue.requests[0] if len(queue) else None
-        age = (now - oldest.enqueued_at) / self._cfg.starvation_s if oldest else 0.0
-        fill = min(len(queue), view.batch) / view.batch
-        return (
-            self._cfg.load_stall_weight * (stall + STARVATION_WEIGHT * age)
-            + self._cfg.batch_efficiency_weight * fill
+        short = [pair for pair in absent if len(pair[1]) <= SHALLOW_REQUESTS]
+        candidates = short if short and deep >= self._deep_slots else absent
+        longest = max(
+            candidates, key=lambda pair: _length_and_age(pair[1]), default=None
         )
+        return longest[0] if longest is not None else None
 
     def pick_victim(self, view: RunnerView, model: str, now: float) -> str | None:
-        """Return the unpinned adapter with the least work waiting and expected."""
+        """Return the unpinned adapter with the least work waiting and expected.
+
+        One that work waits for is given up only for quick work.
+        """
+        quick = bool(view.queue_of(model).quick)
         best, best_value = None, float("inf")
-        gain = self._load_value(view, view.queue_of(model), now)
         for name in view.resident():
             if view.is_in_use(name):
                 continue
             waiting = view.queue_of(name)
-            if len(waiting) and self._load_value(view, waiting, now) >= gain:
+            if len(waiting) and (waiting.quick or not quick):
                 continue
             value = len(waiting) * view.batch + view.demand(name, now)
             if value < best_value:
@@ -219,10 +238,6 @@
         return best
 
 
-def _has_quick(queue: WaitingView) -> bool:
-    return any(one.work_class is not WorkClass.PATIENT for one in queue.requests)
-
-
 def make_policy(cfg: PolicySettings) -> Policy:
     """Return the policy that the settings name."""
     if cfg.name == "fifo-lru":
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_messages.py
@@ -19,7 +19,8 @@
     UseReport,
 )
 from ._ports import EngineReport
-from ._scheduler import Grant, LoadOrder, Waiting
+from ._queues import Waiting
+from ._scheduler import Grant, LoadOrder
 
 Reply = Callable[[GrantAnswer], None]
 
@@ -57,6 +58,13 @@
     loaded: bool | None
 
 
+@dataclass(frozen=True, slots=True)
+class PermitTaken:
+    """Leave of the store's keeper to load, or its refusal."""
+
+    granted: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ReportTaken:
     """Report of the engine, or why there is none.
@@ -93,6 +101,7 @@
     | End
     | EndVm
     | OrderDone
+    | PermitTaken
     | ReportTaken
     | CacheRead
     | Tick
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -31,14 +31,17 @@
     UseReport,
 )
 from ._metrics import EVICTIONS, GRANT_WAIT, LOAD_STALL, LOADS
+from ._placement import DEFAULT_BATCH
 from ._policy import make_policy
 from ._ports import Engines
+from ._queues import Waiting
 from ._runner_messages import (
     Ask,
     CacheRead,
     End,
     EndVm,
     OrderDone,
+    PermitTaken,
     ReportTaken,
     Resign,
     TaskMessage,
@@ -59,7 +62,6 @@
 CACHE_READS = 3
 """Readings of the cache events after the last grant."""
 DEFAULT_SLOTS = 4
-DEFAULT_BATCH = 8
 
 DELIVERY_S = 5.0
 """Age at which a grant must have reached the VM that asked for it."""
@@ -96,6 +98,7 @@
         self._replies: dict[str, tuple[Ask, float]] = {}
         self._synced = False
         self._reporting = False
+        self._awaiting_permit = False
         self._orders_done = 0
         self._prefixes = PrefixCache()
         self._cache_reads = 0
@@ -128,7 +131,9 @@
         self._advance()
 
     def _handle_rare(self, message: TaskMessage) -> None:
-        if isinstance(message, ReportTaken):
+        if isinstance(message, PermitTaken):
+            self._use_permit(message)
+        elif isinstance(message, ReportTaken):
             self._take_report(message)
         elif isinstance(message, CacheRead):
             self._prefixes.take(message.events)
@@ -160,8 +165,20 @@
             self._refuse(ask, "queue_full")
             return
         now = self._clock.monotonic()
+        waiting = to_waiting(request, now)
+        if self._is_hopeless(waiting):
+            self._refuse(ask, "overloaded")
+            return
         self._replies[request.request_id] = (ask, now)
-        self.book.enqueue(to_waiting(request, now))
+        self.book.enqueue(waiting)
+
+    def _is_hopeless(self, waiting: Waiting) -> bool:
+        """Tell whether quick work would only wait for its time to be over."""
+        left_s = waiting.deadline - waiting.enqueued_at
+        return (
+            not waiting.is_patient()
+            and self.book.expected_wait_s(waiting.model) > left_s
+        )
 
     def _vm(self) -> Vm | None:
         return self._membership.get(self.runner)
@@ -311,10 +328,41 @@
             ask.reply(self._answer_granted(ask, grant, now - asked_at))
 
     def _order_next(self) -> None:
-        order = self.book.next_order(self._clock.monotonic(), self._may_evict())
+        """Ask for a permit as soon as a load is possible.
+
+        Which adapter it is for is decided when the permit comes, so that a permit which
+        patient work waited for serves quick work that has come meanwhile.
+        """
+        if self._awaiting_permit or self._next_order() is None:
+            return
+        self._awaiting_permit = True
+        spawn("permit", self._take_permit)
+
+    def _next_order(self) -> LoadOrder | None:
+        return self.book.next_order(self._clock.monotonic(), self._may_evict())
+
+    def _take_permit(self) -> None:
+        """Wait for a permit; runs outside the task."""
+        deadline = self._clock.monotonic() + self._cfg.policy.load_timeout_s
+        granted = False
+        try:
+            granted = self._permits.acquire(
+                self.runner, eventlet.sleep, deadline, self.book.has_quick_waiting
+            )
+        finally:
+            self.post(PermitTaken(granted))
+
+    def _use_permit(self, permit: PermitTaken) -> None:
+        """Order the load that is worth most now, or give the permit back."""
+        self._awaiting_permit = False
+        if not permit.granted:
+            return
+        usable = self._resigned is None and self._leases.is_valid(self.runner)
+        order = self._next_order() if usable and self._synced else None
         fencing = self._leases.owned().get(self.runner)
         engine = self._vm()
         if order is None or fencing is None or engine is None:
+            spawn("permit-end", lambda: self._permits.release(self.runner))
             return
         self.book.start_order(order)
         spawn("order", lambda: self._carry_out(engine, order, fencing))
@@ -332,27 +380,16 @@
         return self._reported_at >= self._active_since + hold_s
 
     def _carry_out(self, engine: Vm, order: LoadOrder, fencing: FencingNumber) -> None:
-        """Take a permit, evict, then load; runs outside the task."""
+        """Evict, then load, under a permit; runs outside the task."""
         done = OrderDone(order, None, None)
+        tracer = trace.get_tracer(__name__)
         try:
-            done = self._evict_and_load(engine, order, fencing)
-        finally:
-            self.post(done)
-
-    def _evict_and_load(
-        self, engine: Vm, order: LoadOrder, fencing: FencingNumber
-    ) -> OrderDone:
-        deadline = self._clock.monotonic() + self._cfg.policy.load_timeout_s
-        if not self._permits.acquire(self.runner, eventlet.sleep, deadline):
-            return OrderDone(order, None, None)
-        try:
-            with trace.get_tracer(__name__).start_as_current_span(
-                "engine.load"
-            ) as span:
+            with tracer.start_as_current_span("engine.load") as span:
                 span.set_attribute("model", order.model)
-                return self._order_engine(engine, order, fencing)
+                done = self._order_engine(engine, order, fencing)
         finally:
             self._permits.release(self.runner)
+            self.post(done)
 
     def _order_engine(
         self, engine: Vm, order: LoadOrder, fencing: FencingNumber
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_scheduler.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_scheduler.py
@@ -6,28 +6,17 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict, deque
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from gooseberryrun._internal.state import DemandTracker, WorkClass, check
 
-from ._policy import Policy, RunnerView, WaitingView
+from ._policy import Policy, RunnerView
+from ._queues import ModelQueue, RunnerQueues, Waiting
 
-
-@dataclass(frozen=True, slots=True)
-class Waiting:
-    """Request that waits at the owner; times are monotonic seconds."""
-
-    request_id: str
-    model: str
-    vm: str
-    boot: str
-    work_class: WorkClass
-    fingerprint: str
-    suspect: bool
-    enqueued_at: float
-    deadline: float
+LOAD_INTERVAL_GAIN = 0.1
+"""Weight of the last load in the average time between loads."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,16 +61,18 @@
         self._policy = policy
         self._queue_limit = queue_limit
         self._demand = DemandTracker(demand_half_life_s)
-        self._queues: OrderedDict[str, deque[Waiting]] = OrderedDict()
-        self._queued = 0
+        self._queues = RunnerQueues()
         self._resident: dict[str, float] = {}
         self._loading: str | None = None
         self._evicting: str | None = None
         self._load_started_at: dict[str, float] = {}
         self._failed_until: dict[str, float] = {}
+        self._loaded_at = 0.0
+        self._load_interval_s = 0.0
         self._grants: dict[str, Grant] = {}
         self._pins: Counter[str] = Counter()
         self._patient_running = 0
+        self._suspects_running = 0
         self.unaccounted_use: frozenset[str] = frozenset()
 
     # Views for policies.
@@ -94,10 +85,6 @@
         """Return the number of grants in use."""
         return len(self._grants)
 
-    def patient_running(self) -> int:
-        """Return the number of grants of patient work."""
-        return self._patient_running
-
     def pins(self, model: str) -> int:
         """Return the number of grants that use an adapter version."""
         return self._pins[model]
@@ -114,22 +101,43 @@
         """Return the decayed demand for an adapter version."""
         return self._demand.demand(model, now)
 
-    def queues(self) -> Iterable[tuple[str, WaitingView]]:
-        """Return the waiting work by adapter version, oldest queue first."""
-        return (
-            (model, WaitingView(tuple(queue))) for model, queue in self._queues.items()
-        )
+    def queues(self) -> Iterable[tuple[str, ModelQueue]]:
+        """Return the waiting work by adapter version."""
+        return self._queues.models()
 
-    def queue_of(self, model: str) -> WaitingView:
+    def queue_of(self, model: str) -> ModelQueue:
         """Return the waiting work for one adapter version."""
-        return WaitingView(tuple(self._queues.get(model, ())))
+        return self._queues.queue_of(model)
+
+    def expected_wait_s(self, model: str) -> float:
+        """Return how long quick work will wait for an adapter, by the last loads."""
+        if model in self._resident or self.queue_of(model).quick:
+            return 0.0
+        ahead = sum(
+            1
+            for name, queue in self._queues.models()
+            if queue.quick and name not in self._resident
+        )
+        return (ahead + 1) * self._load_interval_s
+
+    def has_quick_waiting(self) -> bool:
+        """Tell whether quick work waits for an adapter that is not resident."""
+        return any(
+            queue.quick
+            for model, queue in self._queues.models()
+            if model not in self._resident
+        )
+
+    def suspects_running(self) -> bool:
+        """Tell whether a suspect request is in flight."""
+        return self._suspects_running > 0
 
     # Changes.
 
     @property
     def queued(self) -> int:
         """Number of waiting requests."""
-        return self._queued
+        return len(self._queues)
 
     @property
     def grants(self) -> dict[str, Grant]:
@@ -146,54 +154,33 @@
 
     def is_full(self) -> bool:
         """Tell whether the queue takes no more work."""
-        return self._queued >= self._queue_limit
+        return len(self._queues) >= self._queue_limit
 
     def enqueue(self, waiting: Waiting) -> None:
         """Add a request to the queue."""
-        self._queues.setdefault(waiting.model, deque()).append(waiting)
-        self._queued += 1
+        self._queues.add(waiting)
         self._demand.count(waiting.model, waiting.enqueued_at)
 
-    def drop_waiting(self, request_id: str) -> Waiting | None:
-        """Remove a request from the queue."""
-        for model, queue in self._queues.items():
-            for waiting in queue:
-                if waiting.request_id == request_id:
-                    queue.remove(waiting)
-                    self._forget_queue(model)
-                    self._queued -= 1
-                    return waiting
-        return None
-
     def drop_expired(self, now: float) -> list[Waiting]:
         """Remove and return the requests whose deadline has passed."""
-        expired = [
-            waiting
-            for queue in self._queues.values()
-            for waiting in queue
-            if waiting.deadline <= now
-        ]
-        for waiting in expired:
-            self.drop_waiting(waiting.request_id)
-        return expired
+        return self._queues.pop_expired(now)
 
     def drop_all(self) -> list[Waiting]:
         """Empty the queue and return what was in it."""
-        dropped = [waiting for queue in self._queues.values() for waiting in queue]
-        self._queues.clear()
-        self._queued = 0
-        return dropped
+        return self._queues.pop_all()
 
     def next_grant(self, grant_id: str, now: float) -> Grant | None:
         """Grant the waiting request that the policy picks, if one may run now."""
-        if len(self._grants) >= self.batch:
+        if len(self._grants) >= self._policy.places(self.batch):
             return None
         waiting = self._policy.pick_waiting(self, now)
         if waiting is None:
             return None
         check(waiting.model in self._resident, "grant-is-resident", waiting.model)
         check(waiting.model != self._evicting, "no-grant-while-evicting")
-        self.drop_waiting(waiting.request_id)
+        full = self._patient_running >= self.batch
+        check(not (waiting.is_patient() and full), "patient-work-within-batch")
+        self._queues.pop(waiting.request_id)
         grant = Grant(
             grant_id=grant_id,
             request_id=waiting.request_id,
@@ -222,6 +209,7 @@
         self._grants[grant.grant_id] = grant
         self._pins[grant.model] += 1
         self._patient_running += grant.work_class is WorkClass.PATIENT
+        self._suspects_running += grant.suspect
         return True
 
     def release(self, grant_id: str) -> Grant | None:
@@ -234,6 +222,7 @@
         if not self._pins[grant.model]:
             del self._pins[grant.model]
         self._patient_running -= grant.work_class is WorkClass.PATIENT
+        self._suspects_running -= grant.suspect
         return grant
 
     def next_order(self, now: float, may_evict: bool) -> LoadOrder | None:
@@ -278,11 +267,23 @@
         if model is None:
             return
         if loaded:
+            self._note_load_interval(model, now)
             self._resident[model] = now
             self._load_started_at[model] = now
         else:
             self._failed_until[model] = now + retry_s
 
+    def _note_load_interval(self, model: str, now: float) -> None:
+        """Average the time for which the last loads made their requests wait."""
+        oldest = self.queue_of(model).oldest()
+        if oldest is None:
+            return
+        interval_s = now - max(self._loaded_at, oldest.enqueued_at)
+        self._loaded_at = now
+        self._load_interval_s += LOAD_INTERVAL_GAIN * (
+            interval_s - self._load_interval_s
+        )
+
     def sync_resident(self, models: list[str], now: float) -> None:
         """Adopt the engine's own list of what is resident."""
         listed = set(models) - {self._evicting}
@@ -293,15 +294,3 @@
         stale = set(self._load_started_at) - listed
         for model in stale:
             del self._load_started_at[model]
-
-    def suspects_running(self) -> bool:
-        """Tell whether a suspect request is in flight."""
-        return any(grant.suspect for grant in self._grants.values())
-
-    def is_in_flight(self, fingerprint: str) -> bool:
-        """Tell whether a request with the same content is in flight."""
-        return any(grant.fingerprint == fingerprint for grant in self._grants.values())
-
-    def _forget_queue(self, model: str) -> None:
-        if not self._queues[model]:
-            del self._queues[model]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_store_budget.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_store_budget.py
@@ -19,6 +19,8 @@
 
 KEEPER_KEY = "store-budget"
 KEEPER_TIMEOUT_S = 0.5
+MAX_PERMIT_PAUSE_S = 0.2
+"""Longest pause between two questions: the load may have become urgent meanwhile."""
 
 
 class StoreBudget:
@@ -33,17 +35,22 @@
         self.share = 1.0
         self._limit = in_flight
         self._timeout_s = timeout_s
-        self._tokens = 1.0
+        self._tokens = 2.0
         self._updated_at: float | None = None
         self._deadlines: dict[str, float] = {}
 
-    def take(self, holder: str, now: float) -> float:
-        """Return 0 and start a load, or the seconds to wait before asking again."""
+    def take(self, holder: str, now: float, urgent: bool = True) -> float:
+        """Return 0 and start a load, or the seconds to wait before asking again.
+
+        One permit is left for loads that quick work waits for.
+        """
         self._refill(now)
-        if len(self._deadlines) >= self._limit:
+        kept = 0 if urgent else 1
+        if len(self._deadlines) >= self._limit - kept:
             return 0.1
-        if self._tokens < 1.0:
-            return (1.0 - self._tokens) / max(self._rate * self.share, 1e-6)
+        if self._tokens < 1.0 + kept:
+            missing = 1.0 + kept - self._tokens
+            return missing / max(self._rate * self.share, 1e-6)
         self._tokens -= 1.0
         self._deadlines[holder] = now + self._timeout_s
         return 0.0
@@ -55,7 +62,7 @@
     def _refill(self, now: float) -> None:
         if self._updated_at is not None:
             gained = (now - self._updated_at) * self._rate * self.share
-            self._tokens = min(max(1.0, self._rate), self._tokens + gained)
+            self._tokens = min(max(2.0, self._rate), self._tokens + gained)
         self._updated_at = now
         self._deadlines = {
             holder: deadline
@@ -96,21 +103,28 @@
         ]
 
     def acquire(
-        self, runner: str, wait: Callable[[float], None], deadline: float
+        self,
+        runner: str,
+        wait: Callable[[float], None],
+        deadline: float,
+        is_urgent: Callable[[], bool],
     ) -> bool:
-        """Wait for a permit to load on ``runner``; return False at the deadline."""
+        """Wait for a permit to load on ``runner``; return False at the deadline.
+
+        ``is_urgent`` tells at each try whether quick work waits for the load.
+        """
         while self._clock.monotonic() < deadline:
-            permit = self._ask(runner)
+            permit = self._ask(runner, is_urgent())
             if permit.granted:
                 STORE_PERMITS.labels(result="granted").inc()
                 return True
-            wait(max(permit.retry_s, 0.005))
+            wait(min(MAX_PERMIT_PAUSE_S, max(permit.retry_s, 0.005)))
         STORE_PERMITS.labels(result="timeout").inc()
         return False
 
-    def _ask(self, runner: str) -> StorePermit:
+    def _ask(self, runner: str, urgent: bool) -> StorePermit:
         for floor, keeper in enumerate(self._keepers()):
-            request = StorePermitRequest(runner, bool(floor))
+            request = StorePermitRequest(runner, bool(floor), urgent)
             if keeper == self._cfg.vm.id:
                 return self.answer(request)
             deadline = self._clock.monotonic() + KEEPER_TIMEOUT_S
@@ -124,7 +138,8 @@
         """Decide on a permit as a keeper."""
         budget = self._floor if request.floor else self._budget
         budget.share = self._share(request.floor)
-        wait_s = budget.take(request.runner, self._clock.monotonic())
+        now = self._clock.monotonic()
+        wait_s = budget.take(request.runner, now, request.urgent)
         return StorePermit(wait_s == 0.0, wait_s)
 
     def _share(self, floor: bool) -> float:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_suspects.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_suspects.py
@@ -37,6 +37,13 @@
             return 0
         return sum(now - at < self._ttl_s for at in suspicion.crashes.values())
 
+    def crashed_runners(self, fingerprint: str) -> set[str]:
+        """Return the runners that crashed while they executed the request."""
+        suspicion = self._by_fingerprint.get(fingerprint)
+        if suspicion is None:
+            return set()
+        return {runner for runner, _ in suspicion.crashes}
+
     def is_suspect(self, fingerprint: str, now: float) -> bool:
         """Tell whether the request must run apart from other suspects."""
         return self.crash_count(fingerprint, now) > 0
