Put load spans and request ids where they belong; run the pages' commands

Cause: reading the operators' page as a newcomer and typing what it says: the shell took "> 0" of the first query for a redirection, so the command failed. No test had run the commands. Log lines named the trace but not the request; a load was a trace of its own; the stand-in engine ignored priorities that the policy now relies on.

Ruled out: a span link from each waiting request to its load; the request that has waited longest pays for the load, and its trace is where an operator looks.

--- a/fakes/src/gooseberry_fakes/engine.py
+++ b/fakes/src/gooseberry_fakes/engine.py
@@ -15,8 +15,8 @@
 
 import eventlet
 from eventlet.event import Event
-from eventlet.semaphore import Semaphore
 
+from .places import Places
 from .server import DropConnectionError, FakeRequest, FakeResponse, FakeServer
 
 CRASH_MARK = "CRASH-RUNNER"
@@ -59,7 +59,7 @@
     def __init__(self, address: str, port: int, options: EngineOptions) -> None:
         super().__init__(address, port)
         self._options = options
-        self._places = Semaphore(options.batch)
+        self._places = Places(options.batch)
         self._resident: set[str] = set()
         self._active: Counter[str] = Counter()
         self._cancelled: set[str] = set()
@@ -258,21 +258,29 @@
         """Yield the tokens of an answer; holds a place in the batch meanwhile."""
         model, request_id, boot = body["model"], body["request_id"], self._boot
         prompt = json.dumps(body.get("prompt", body.get("messages")))
+        priority = int(body.get("priority", 0))
+        start = int(body.get("resume_at", 0))
         self._active[model] += 1
         self._running[request_id] = model
+        held = False
         try:
-            with self._places:
-                start = int(body.get("resume_at", 0))
-                for index in range(start, int(body.get("max_tokens", DEFAULT_TOKENS))):
-                    eventlet.sleep(self._options.token_s)
-                    self._check_alive(boot, request_id)
-                    if CRASH_MARK in prompt and index >= 1:
-                        self._die()
-                        raise DropConnectionError
-                    if model not in self._resident:
-                        self._violations.append(f"{model} vanished while in use")
-                    yield make_token(model, prompt, index)
+            self._places.acquire(priority)
+            held = True
+            for index in range(start, int(body.get("max_tokens", DEFAULT_TOKENS))):
+                held = False
+                self._places.give_way(priority)
+                held = True
+                eventlet.sleep(self._options.token_s)
+                self._check_alive(boot, request_id)
+                if CRASH_MARK in prompt and index >= 1:
+                    self._die()
+                    raise DropConnectionError
+                if model not in self._resident:
+                    self._violations.append(f"{model} vanished while in use")
+                yield make_token(model, prompt, index)
         finally:
+            if held:
+                self._places.release()
             self._active[model] -= 1
             self._running.pop(request_id, None)
             self._cancelled.discard(request_id)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
@@ -24,7 +24,7 @@
     Refusal,
     ServiceError,
 )
-from ._events import MAX_VALUE_LENGTH, log_event
+from ._events import MAX_VALUE_LENGTH, bind_request, log_event
 from ._grants import END_BATCH_S, RENEWALS_PER_LEASE, Grants, HeldGrant
 from ._leases import MAX_PENDING_HEARTBEATS, Leases
 from ._membership import (
@@ -178,7 +178,7 @@
     REPORT_RETRY_S,
     RunnerTask,
 )
-from ._scheduler import Grant, LoadOrder, RunnerScheduler
+from ._scheduler import LOAD_INTERVAL_GAIN, Grant, LoadOrder, RunnerScheduler
 from ._store_budget import (
     KEEPER_KEY,
     KEEPER_TIMEOUT_S,
@@ -264,6 +264,7 @@
     "LEASES",
     "LEDGER_SWEEP_S",
     "LOADS",
+    "LOAD_INTERVAL_GAIN",
     "LOAD_RETRY_S",
     "LOAD_STALL",
     "LOCAL_SECTIONS",
@@ -380,6 +381,7 @@
     "Waiters",
     "Waiting",
     "WeightedPolicy",
+    "bind_request",
     "current_traceparent",
     "first_allowed",
     "log_event",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_events.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from contextvars import ContextVar
 
 from absl import logging
 from opentelemetry import trace
@@ -11,8 +12,22 @@
 """Longest value that is logged, in characters."""
 
 
+_bound_request: ContextVar[str] = ContextVar("request_id", default="")
+
+
+def bind_request(request_id: str) -> None:
+    """Name the request in the lines that this green thread logs from now on."""
+    _bound_request.set(request_id)
+
+
 def log_event(event: str, level: str = "info", **fields: object) -> None:
-    """Log one event; values with spaces or quotes are escaped as JSON strings."""
+    """Log one event; values with spaces or quotes are escaped as JSON strings.
+
+    The trace and the request that the green thread works for are added.
+    """
+    request_id = _bound_request.get()
+    if request_id:
+        fields.setdefault("request", request_id)
     parts = [f"event={event}"]
     context = trace.get_current_span().get_span_context()
     if context.is_valid:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_patient.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_patient.py
@@ -23,7 +23,7 @@
 from ._appender import Appender
 from ._completions import Completions
 from ._errors import Refusal
-from ._events import log_event
+from ._events import bind_request, log_event
 from ._membership import Membership
 from ._metrics import JOBS
 from ._replica import Replica
@@ -145,8 +145,10 @@
 
     def _execute(self, job: Job) -> None:
         job_id = job.accepted.job_id
+        request = self._to_request(job)
+        bind_request(request.request_id)
         try:
-            result = self._completions.run(self._to_request(job))
+            result = self._completions.run(request)
             done = self._to_done(job, result)
             if done is None:
                 self._not_before[job_id] = self._clock.monotonic() + 1.0
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -7,7 +7,6 @@
 
 import eventlet
 import msgspec
-from opentelemetry import trace
 from result import Err, Result
 
 from gooseberryrun._internal.state import (
@@ -244,7 +243,9 @@
         """Cancel at the engine what a silent VM left; the pins last until then."""
         for grant in self.book.grants.values():
             if (grant.vm, grant.boot) == (message.vm, message.boot):
-                log_event("use_lease_lapsed", runner=self.runner, grant=grant.grant_id)
+                log_event(
+                    "use_lease_lapsed", runner=self.runner, request=grant.request_id
+                )
                 self._lapsed[grant.grant_id] = grant.request_id
         self._cancel_lapsed()
 
@@ -276,7 +277,7 @@
         for grant in list(self.book.grants.values()):
             theirs = (grant.vm, grant.boot) == (report.vm, report.boot)
             if theirs and grant.grant_id not in used and grant.granted_at < before:
-                log_event("grant_lost", runner=self.runner, grant=grant.grant_id)
+                log_event("grant_lost", runner=self.runner, request=grant.request_id)
                 self.book.release(grant.grant_id)
 
     def _adopt(self, uses: list[GrantUse]) -> None:
@@ -365,7 +366,15 @@
             spawn("permit-end", lambda: self._permits.release(self.runner))
             return
         self.book.start_order(order)
-        spawn("order", lambda: self._carry_out(engine, order, fencing))
+        parent = self._find_traceparent(order.model)
+        spawn("order", lambda: self._carry_out(engine, order, fencing, parent))
+
+    def _find_traceparent(self, model: str) -> str:
+        """Return the trace context of the request that has waited longest."""
+        oldest = self.book.queue_of(model).oldest()
+        if oldest is None or oldest.request_id not in self._replies:
+            return ""
+        return self._replies[oldest.request_id][0].request.traceparent
 
     def _may_evict(self) -> bool:
         """Tell whether every use of the runner is known here."""
@@ -379,12 +388,14 @@
         hold_s = self._cfg.lease.grant_s + self._cfg.lease.margin_s
         return self._reported_at >= self._active_since + hold_s
 
-    def _carry_out(self, engine: Vm, order: LoadOrder, fencing: FencingNumber) -> None:
+    def _carry_out(
+        self, engine: Vm, order: LoadOrder, fencing: FencingNumber, parent: str
+    ) -> None:
         """Evict, then load, under a permit; runs outside the task."""
         done = OrderDone(order, None, None)
-        tracer = trace.get_tracer(__name__)
         try:
-            with tracer.start_as_current_span("engine.load") as span:
+            with start_span("engine.load", parent) as span:
+                span.set_attribute("runner", self.runner)
                 span.set_attribute("model", order.model)
                 done = self._order_engine(engine, order, fencing)
         finally:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
@@ -30,6 +30,7 @@
     Node,
     Refusal,
     StreamCutError,
+    bind_request,
     current_traceparent,
     log_event,
     start_span,
@@ -122,6 +123,7 @@
         environ["eventlet.minimum_write_chunk_size"] = 0
         request = self._to_request(environ)
         started_at = time.monotonic()
+        bind_request(request.request_id)
         self._node.open_requests += 1
         with start_span("entry.request", request.headers.get("traceparent", "")):
             traceparent = current_traceparent()
@@ -151,7 +153,7 @@
             return
         log_event(
             "request",
-            id=request.request_id,
+            request=request.request_id,
             method=request.method,
             path=request.path,
             status=answer.status,
--- a/tests/functional/test_docs.py
+++ b/tests/functional/test_docs.py
@@ -12,7 +12,7 @@
 PAGE = (ROOT / "docs" / "operators.md").read_text(encoding="utf-8")
 VERBS = "set|remove|drain|undrain|stop|settle"
 SENTENCES = re.findall(rf"(?m)(?:^    |  )((?:{VERBS}) \S.*?)(?=  |$)", PAGE)
-SHOWS = re.findall(r"(?m)ask (show .*)$", PAGE)
+SHOWS = re.findall(r"(?m)ask '?(show .*?)'?$", PAGE)
 
 
 @pytest.mark.parametrize("sentence", SENTENCES + SHOWS)
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -18,7 +18,8 @@
 def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
     """One deployment for the tests of this module."""
     path: Path = tmp_path_factory.mktemp("whole_path")
-    with run_cluster(path) as running:
+    spans = path / "spans.jsonl"
+    with run_cluster(path / "run", {"trace": {"path": str(spans)}}) as running:
         yield running
 
 
@@ -42,6 +43,26 @@
     assert "".join(texts) == expected_text("a2@1", "fold")
 
 
+def test_one_trace_has_a_span_for_each_hop(cluster: Cluster) -> None:
+    reply = cluster.complete("dakar-1", "a30@1", "traced", stream=True)
+    assert reply.status == 200
+    trace_id = reply.headers["traceparent"].split("-")[1]
+    hops = {"entry.request", "owner.decide", "engine.load", "engine.open"}
+    hops.add("engine.stream")
+    until = time.monotonic() + 10
+    while not hops <= read_hops(cluster, trace_id) and time.monotonic() < until:
+        time.sleep(0.1)
+    assert read_hops(cluster, trace_id) >= hops
+
+
+def read_hops(cluster: Cluster, trace_id: str) -> set[str]:
+    path = cluster.run_dir.parent / "spans.jsonl"
+    spans = [json.loads(line) for line in path.read_text().splitlines()]
+    return {
+        span["name"] for span in spans if span["context"]["trace_id"] == f"0x{trace_id}"
+    }
+
+
 def test_cache_events_of_a_busy_engine_are_read(cluster: Cluster) -> None:
     """Events come late and one in seven is missing; requests go on regardless."""
     before = count_engines(cluster, "cache_reads")
