Keep the VM list arranged, ask idle runners less, and read lists only when new

Cause: reading membership as a newcomer: every view scanned the whole VM list, and the view of the live VMs of a domain asked the votes and ranked the voters once for each VM, O(VMs x domain) several times a second. The list was fetched whole each second. Idle runners were asked for a report every 2 s.

--- a/fakes/src/gooseberry_fakes/measure/__main__.py
+++ b/fakes/src/gooseberry_fakes/measure/__main__.py
@@ -4,6 +4,7 @@
 
 import click
 
+from .confirm import measure_confirm
 from .disturbances import measure_faults, measure_overload, measure_quick_rates
 from .overhead import measure_overhead
 from .policy import measure_policy
@@ -57,5 +58,12 @@
         measure_policy(seed, as_json)
 
 
+@main.command()
+@click.option("--seed", default=1)
+def confirm(seed: int) -> None:
+    """Run a short Monday through real processes, to confirm the order of results."""
+    measure_confirm(seed)
+
+
 if __name__ == "__main__":
     main()
--- a/fakes/src/gooseberry_fakes/measure/recovery.py
+++ b/fakes/src/gooseberry_fakes/measure/recovery.py
@@ -11,7 +11,10 @@
 from gooseberry_fakes.cluster import Cluster
 from gooseberry_fakes.topology import PAPILLON
 
+from .peer_traffic import PeerTraffic, read_peer_traffic
+
 RUNS = 3
+IDLE_S = 4.0
 LIMIT_S = 60.0
 
 
@@ -97,7 +100,7 @@
 
 
 def measure_recovery() -> None:
-    """Print the times of each case and the log appends that they cost."""
+    """Print the times of each case and what it cost in appends and messages."""
     shape = replace(
         PAPILLON, domains=("dakar",), engines=(1,), services=(1,), store_rate=20.0
     )
@@ -106,8 +109,39 @@
         cluster.configure(3000)
         cluster.wait_owned()
         for name, case in CASES.items():
-            before = _appends(cluster)
-            times = [case(cluster, number) for number in range(RUNS)]
-            appends = (_appends(cluster) - before) / RUNS
-            shown = ", ".join(f"{seconds:.2f}" for seconds in times)
-            print(f"{name}: {shown} s; {appends:.1f} appends each", flush=True)
+            print(f"{name}: {_measure_case(cluster, case)}", flush=True)
+
+
+def _measure_case(cluster: Cluster, case: Callable[[Cluster, int], float]) -> str:
+    """Run a case; its traffic is what it took beyond that of an idle while."""
+    idle = _traffic_during(cluster, lambda: time.sleep(IDLE_S))
+    appends = _appends(cluster)
+    times: list[float] = []
+    started = time.monotonic()
+
+    def run() -> None:
+        times.extend(case(cluster, number) for number in range(RUNS))
+
+    busy = _traffic_during(cluster, run)
+    idle_shares = (time.monotonic() - started) / IDLE_S
+    messages = (busy.messages - idle.messages * idle_shares) / RUNS
+    size = (busy.bytes - idle.bytes * idle_shares) / RUNS
+    shown = ", ".join(f"{seconds:.2f}" for seconds in times)
+    return (
+        f"{shown} s; each {(_appends(cluster) - appends) / RUNS:.1f} appends, "
+        f"{messages:.0f} messages and {size:.0f} bytes beyond idle"
+    )
+
+
+def _traffic_during(cluster: Cluster, work: Callable[[], None]) -> PeerTraffic:
+    """Return the traffic of the VMs that lived throughout, scaled to all of them."""
+    vms = cluster.entry_vms()
+    before = {vm: read_peer_traffic(cluster, vm) for vm in vms}
+    work()
+    after = {vm: read_peer_traffic(cluster, vm) for vm in vms}
+    stayed = [vm for vm in vms if after[vm].bytes >= before[vm].bytes]
+    scale = len(vms) / len(stayed)
+    return PeerTraffic(
+        scale * sum(after[vm].messages - before[vm].messages for vm in stayed),
+        scale * sum(after[vm].bytes - before[vm].bytes for vm in stayed),
+    )
--- a/fakes/src/gooseberry_fakes/measure/slopes.py
+++ b/fakes/src/gooseberry_fakes/measure/slopes.py
@@ -11,10 +11,11 @@
 from pathlib import Path
 from typing import Any
 
-from gooseberry_fakes.cluster import Cluster, send
+from gooseberry_fakes.cluster import Cluster
 from gooseberry_fakes.topology import ENTRY_PORT, PAPILLON, Deployment
 
 from .load import make_request, read_cpu_s, read_memory_mb, run_load
+from .peer_traffic import read_peer_traffic
 
 SETTLE_S = 4.0
 OBSERVE_S = 8.0
@@ -54,22 +55,12 @@
     return Fit(slope, base, error)
 
 
-def _read_peer_bytes(cluster: Cluster, vm: str) -> float:
-    """Return the bytes that a VM sent and received, by way of its metrics."""
-    text = send(cluster.vms[vm]["address"], ENTRY_PORT, "GET", "/metrics").body.decode()
-    return sum(
-        float(line.rsplit(" ", 1)[1])
-        for line in text.splitlines()
-        if line.startswith("gooseberryrun_peer_bytes_total")
-    )
-
-
 def observe(cluster: Cluster, vms: list[str], size: float) -> Point:
     """Return the mean cost of some nodes over a while."""
     time.sleep(SETTLE_S)
     pids = [cluster.processes[vm].pid for vm in vms]
     cpu = sum(read_cpu_s(pid) for pid in pids)
-    sent = sum(_read_peer_bytes(cluster, vm) for vm in vms)
+    sent = sum(read_peer_traffic(cluster, vm).bytes for vm in vms)
     appends = cluster.debug("log")["appends"]
     started = time.monotonic()
     time.sleep(OBSERVE_S)
@@ -79,7 +70,9 @@
         size,
         (sum(read_cpu_s(pid) for pid in pids) - cpu) / seconds / nodes,
         sum(read_memory_mb(pid) for pid in pids) / nodes,
-        (sum(_read_peer_bytes(cluster, vm) for vm in vms) - sent) / seconds / nodes,
+        (sum(read_peer_traffic(cluster, vm).bytes for vm in vms) - sent)
+        / seconds
+        / nodes,
         (cluster.debug("log")["appends"] - appends) / seconds,
     )
 
--- a/fakes/src/gooseberry_fakes/server.py
+++ b/fakes/src/gooseberry_fakes/server.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 import eventlet
@@ -111,6 +112,9 @@
         if response.chunks is not None:
             start_response(f"{response.status} Status", list(headers.items()))
             return response.chunks
+        if response.status == HTTPStatus.NOT_MODIFIED:
+            start_response("304 Not Modified", list(headers.items()))
+            return iter([])
         headers.setdefault("Content-Type", "application/json")
         start_response(f"{response.status} Status", list(headers.items()))
         return iter([json.dumps(response.value).encode()])
--- a/fakes/src/gooseberry_fakes/vms.py
+++ b/fakes/src/gooseberry_fakes/vms.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+import json
 import time
 from typing import Any
 
@@ -29,4 +31,8 @@
         now = time.monotonic()
         shown = [vms for at, vms in self._history if at <= now][-1]
         view = self.faults.get("views", {}).get(request.client, {})
-        return FakeResponse({"vms": [{**vm, **view.get(vm["id"], {})} for vm in shown]})
+        vms = [{**vm, **view.get(vm["id"], {})} for vm in shown]
+        etag = hashlib.blake2b(json.dumps(vms).encode(), digest_size=8).hexdigest()
+        if request.headers.get("if-none-match") == etag:
+            return FakeResponse(status=304)
+        return FakeResponse({"vms": vms}, headers={"ETag": etag})
--- a/packages/gooseberryrun/src/gooseberryrun/__main__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/__main__.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import warnings
 
+# VMs are known by IP numbers, so the resolver of eventlet would only cost memory.
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+
 # docs/design.md records why eventlet is used although it is in maintenance mode.
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
@@ -27,13 +27,7 @@
 from ._events import MAX_VALUE_LENGTH, bind_request, log_event
 from ._grants import END_BATCH_S, RENEWALS_PER_LEASE, Grants, HeldGrant
 from ._leases import MAX_PENDING_HEARTBEATS, Leases
-from ._membership import (
-    ABSENT_READS_TO_DROP,
-    DOMAIN_SILENT_S,
-    MAX_VOTERS,
-    NOTICE_S,
-    Membership,
-)
+from ._membership import ABSENT_READS_TO_DROP, DOMAIN_SILENT_S, NOTICE_S, Membership
 from ._messages import (
     Confirm,
     Confirmed,
@@ -106,7 +100,7 @@
     SECTIONS,
     Operations,
 )
-from ._owner import MISMATCHES_TO_ASK, Owner
+from ._owner import IDLE_ROUNDS, MISMATCHES_TO_ASK, Owner
 from ._patient import ATTEMPT_S, FINAL_STATUS, Patient
 from ._placement import (
     AVOID_S,
@@ -175,6 +169,7 @@
     DEFAULT_SLOTS,
     DELIVERY_S,
     LOAD_RETRY_S,
+    REPORT_AGE_S,
     REPORT_RETRY_S,
     RunnerTask,
 )
@@ -189,6 +184,7 @@
 )
 from ._tasks import EXIT_BROKEN_INVARIANT, M, Task, run_protected, spawn, spawn_periodic
 from ._tracing import current_traceparent, start_span
+from ._vm_index import MAX_VOTERS, VmIndex
 from ._waiters import T, Waiters
 
 __all__ = [
@@ -252,6 +248,7 @@
     "Heartbeat",
     "HeartbeatAck",
     "HeldGrant",
+    "IDLE_ROUNDS",
     "INTERNAL_ERRORS",
     "Inbound",
     "JOBS",
@@ -322,6 +319,7 @@
     "REFUSALS",
     "RENEWALS_PER_LEASE",
     "REPLICATED_SECTIONS",
+    "REPORT_AGE_S",
     "REPORT_INTERVAL_S",
     "REPORT_RETRY_S",
     "REQUESTS",
@@ -377,6 +375,7 @@
     "UseRenewal",
     "UseRenewed",
     "UseReport",
+    "VmIndex",
     "VmList",
     "Waiters",
     "Waiting",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 
 from result import Err
@@ -10,18 +11,15 @@
     Clock,
     Settings,
     Vm,
-    VmKind,
     VmState,
-    rank_nodes,
     top_node,
 )
 
 from ._events import log_event
 from ._messages import LeavingNotice
 from ._ports import VmList
+from ._vm_index import VmIndex
 
-MAX_VOTERS = 5
-"""VMs of a failure domain that promise leases; keeps heartbeats O(1) a VM."""
 NOTICE_S = 8.0
 """Time for which a notice that a VM is leaving is believed."""
 DOMAIN_SILENT_S = 5.0
@@ -63,6 +61,8 @@
         self.me = cfg.vm.id
         self.domain = cfg.vm.domain
         self._vms: dict[str, Vm] = {}
+        self._index = VmIndex(())
+        self._last_list: list[Vm] | None = None
         self._absent: dict[str, int] = {}
         self._heard: dict[str, _Heard] = {}
         self._votes: dict[str, _SilentVote] = {}
@@ -86,7 +86,13 @@
         self.take_list(fetched.ok_value)
 
     def take_list(self, vms: list[Vm]) -> None:
-        """Adopt a list; a VM is dropped only after it was absent repeatedly."""
+        """Adopt a list; a VM is dropped only after it was absent repeatedly.
+
+        A list that has not changed is known by its identity and costs nothing.
+        """
+        if vms is self._last_list and not self._absent:
+            return
+        self._last_list = vms
         listed = {vm.id: vm for vm in vms}
         changed = False
         for vm in vms:
@@ -100,6 +106,7 @@
                 changed = True
         if changed:
             self.version += 1
+            self._index = VmIndex(self._vms.values())
 
     def _drop(self, vm_id: str) -> None:
         log_event("vm_dropped", vm=vm_id)
@@ -138,9 +145,8 @@
         }
         for vm_id in self._leaving_engines:
             notices[vm_id] = LeavingNotice(vm_id, "", NOTICE_S)
-        for vm in self._vms.values():
-            if _is_listed_leaving(vm):
-                notices[vm.id] = LeavingNotice(vm.id, "", NOTICE_S)
+        for vm_id in self._index.listed_leaving:
+            notices[vm_id] = LeavingNotice(vm_id, "", NOTICE_S)
         if self.leaving:
             notices[self.me] = LeavingNotice(self.me, self._boot, NOTICE_S)
         return list(notices.values())
@@ -195,7 +201,11 @@
 
     def leaving_ids(self) -> list[str]:
         """Return the VMs that are known or said to leave."""
-        return [vm.id for vm in self._vms.values() if self.is_leaving(vm)]
+        said = {*self._index.listed_leaving, *self._leaving_engines, *self._drains}
+        said |= {vm_id for vm_id in self._rumours if self._is_rumoured(vm_id)}
+        if self.leaving:
+            said.add(self.me)
+        return sorted(said & self._vms.keys())
 
     def is_leaving(self, vm: Vm) -> bool:
         """Tell whether a VM must get no new work."""
@@ -214,45 +224,27 @@
 
     def entry_vms(self, domain: str | None = None) -> list[str]:
         """Return the ids of the listed entry VMs, sorted."""
-        return sorted(
-            vm.id
-            for vm in self._vms.values()
-            if vm.kind is VmKind.ENTRY and domain in (None, vm.domain)
-        )
+        if domain is None:
+            return list(self._index.entry_vms)
+        return list(self._index.entry_vms_of(domain))
 
     def engines(self) -> list[Vm]:
         """Return the engines that may get new work."""
-        return [
-            vm
-            for vm in self._vms.values()
-            if vm.kind is VmKind.ENGINE and not self.is_leaving(vm)
-        ]
+        leaving = set(self.leaving_ids())
+        return [vm for vm in self._index.engines if vm.id not in leaving]
 
     def domain_engines(self) -> list[Vm]:
         """Return every listed engine of this failure domain, leaving ones too."""
-        return [
-            vm
-            for vm in self._vms.values()
-            if vm.kind is VmKind.ENGINE and vm.domain == self.domain
-        ]
+        return list(self._index.engines_of(self.domain))
 
     def services(self, name: str) -> list[Vm]:
         """Return the servers of a plain service, those of this domain first."""
-        servers = [
-            vm
-            for vm in self._vms.values()
-            if vm.kind is VmKind.SERVICE
-            and vm.service == name
-            and not self.is_leaving(vm)
-        ]
+        servers = [vm for vm in self._index.services(name) if not self.is_leaving(vm)]
         return sorted(servers, key=lambda vm: (vm.domain != self.domain, vm.id))
 
     def has_service(self, name: str) -> bool:
         """Tell whether any server of a plain service is listed."""
-        return any(
-            vm.kind is VmKind.SERVICE and vm.service == name
-            for vm in self._vms.values()
-        )
+        return bool(self._index.services(name))
 
     def vms_of_heard_domains(self) -> list[str]:
         """Return the entry VMs of every domain from which some VM was heard lately."""
@@ -281,8 +273,7 @@
 
     def voters(self, domain: str | None = None) -> list[str]:
         """Return the VMs of a domain that promise leases."""
-        domain = domain or self.domain
-        return rank_nodes(domain, self.entry_vms(domain))[:MAX_VOTERS]
+        return list(self._index.voters(domain or self.domain))
 
     def silent(self) -> list[str]:
         """Return the VMs of this domain that this VM does not hear."""
@@ -307,24 +298,28 @@
 
     def is_dead(self, vm_id: str) -> bool:
         """Tell whether a majority of the domain's voters miss a VM of this domain."""
+        return vm_id in self._dead()
+
+    def _dead(self) -> set[str]:
         now = self._clock.monotonic()
-        voters = self.voters()
-        count = 0
+        voters = self._index.voters(self.domain)
+        counts: Counter[str] = Counter()
         for voter in voters:
             if voter == self.me:
-                count += vm_id in self.silent()
+                counts.update(self.silent())
                 continue
             vote = self._votes.get(voter)
-            fresh = vote is not None and now - vote.at < self._cfg.peer.dead_after_s
-            count += fresh and vote is not None and vm_id in vote.silent
-        return count > len(voters) // 2
+            if vote is not None and now - vote.at < self._cfg.peer.dead_after_s:
+                counts.update(vote.silent)
+        return {vm_id for vm_id, count in counts.items() if count > len(voters) // 2}
 
     def live_domain_vms(self) -> list[str]:
         """Return the VMs of this domain that may own runners."""
+        dead = self._dead()
         return [
             vm_id
-            for vm_id in self.entry_vms(self.domain)
-            if not self.is_leaving(self._vms[vm_id]) and not self.is_dead(vm_id)
+            for vm_id in self._index.entry_vms_of(self.domain)
+            if vm_id not in dead and not self.is_leaving(self._vms[vm_id])
         ]
 
     def is_boot_gone(self, vm_id: str, boot: str) -> bool:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_owner.py
@@ -27,6 +27,8 @@
 from ._runner_task import RunnerTask
 from ._store_budget import StorePermits
 
+IDLE_ROUNDS = 4
+"""Rounds of reports in which an idle runner is asked once."""
 MISMATCHES_TO_ASK = 2
 """Renewals in a row with a wrong count before a full report is asked for."""
 
@@ -56,6 +58,7 @@
         self._peers = peers
         self._boot = boot
         self._tasks: dict[str, RunnerTask] = {}
+        self._rounds = 0
         self._mismatches: dict[tuple[str, str], int] = {}
         self._use_deadlines: dict[tuple[str, str], float] = {}
         self.on_query: Callable[[UseQuery], None] = lambda query: None
@@ -189,7 +192,12 @@
         BATCH_FILL.set(running / places if places else 0.0)
 
     def request_reports(self) -> None:
-        """Fetch the reports and the cache events of the owned runners."""
+        """Fetch the reports and the cache events of the owned runners.
+
+        Idle runners are asked less often; new work for one asks for a report first.
+        """
+        self._rounds += 1
         for task in self._tasks.values():
-            task.request_report()
+            if not task.is_idle() or self._rounds % IDLE_ROUNDS == 0:
+                task.request_report()
             task.request_cache_events()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -56,6 +56,8 @@
 
 LOAD_RETRY_S = 0.5
 """Pause before a failed load of the same adapter is tried again."""
+REPORT_AGE_S = 4.0
+"""Age of a report above which an engine is asked again before it gets new work."""
 REPORT_RETRY_S = 0.1
 """Pause before an engine that gave no report is asked again."""
 CACHE_READS = 3
@@ -164,6 +166,8 @@
             self._refuse(ask, "queue_full")
             return
         now = self._clock.monotonic()
+        if now - self._reported_at > REPORT_AGE_S:
+            self._synced = self._synced and self.book.is_busy_loading()
         waiting = to_waiting(request, now)
         if self._is_hopeless(waiting):
             self._refuse(ask, "overloaded")
@@ -459,6 +463,10 @@
         self._reporting = True
         spawn("report", lambda: self._fetch_report(engine, self._orders_done))
 
+    def is_idle(self) -> bool:
+        """Tell whether the runner has no work and its report may be older."""
+        return self._synced and not self.book.queued and not self.book.running()
+
     def request_cache_events(self) -> None:
         """Read the engine's cache events, which come late, while it has work."""
         engine = self._vm()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
@@ -97,7 +97,7 @@
     suspect_ttl_s: float = Field(default=600.0, gt=0)
     crashes_to_refuse: int = Field(default=2, ge=1)
     key_ttl_s: float = Field(default=86400.0, gt=0)
-    concurrent_jobs: int = Field(default=16, ge=1)
+    concurrent_jobs: int = Field(default=128, ge=1)
 
 
 class PolicySettings(_Section):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_platform_client.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_platform_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from http import HTTPStatus
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -20,7 +21,7 @@
 
 from ._http_client import HttpClient
 
-READ_LIMIT = 10000
+READ_LIMIT = 500
 """Records asked for in one read."""
 _JSON = {"Content-Type": "application/json"}
 
@@ -91,18 +92,30 @@
         self._http = http
         url = urlsplit(cfg.platform.vm_list_url)
         self._host, self._port = url.hostname or "", url.port or 80
+        self._etag = ""
+        self._vms: list[Vm] = []
 
     def fetch(self) -> Result[list[Vm], PlatformError]:
-        """Return the VMs that are listed now."""
+        """Return the VMs that are listed now; the same object if nothing changed."""
+        headers = {"If-None-Match": self._etag} if self._etag else {}
         done = self._http.request(
-            self._host, self._port, "GET", "/v1/vms", timeout_s=self._timeout_s
+            self._host,
+            self._port,
+            "GET",
+            "/v1/vms",
+            headers=headers,
+            timeout_s=self._timeout_s,
         )
         if isinstance(done, Err):
             return Err(PlatformError(done.err_value.detail))
-        if done.ok_value.status != 200:
+        if done.ok_value.status == HTTPStatus.NOT_MODIFIED:
+            return Ok(self._vms)
+        if done.ok_value.status != HTTPStatus.OK:
             return Err(PlatformError(f"VM list answered {done.ok_value.status}"))
         try:
             listed = msgspec.json.decode(done.ok_value.data, type=dict[str, list[Vm]])
         except msgspec.MsgspecError as exc:
             return Err(PlatformError(f"VM list not understood: {exc}"))
-        return Ok(listed.get("vms", []))
+        self._vms = listed.get("vms", [])
+        self._etag = done.ok_value.headers.get("ETag", "")
+        return Ok(self._vms)
--- a/tests/functional/test_leaving.py
+++ b/tests/functional/test_leaving.py
@@ -86,3 +86,43 @@
         process = cluster.processes["thies-2"]
         wait_until(lambda: process.poll() is not None, 20, "graceful shutdown")
         assert process.returncode == 0
+
+
+def test_entry_vm_stopped_while_the_log_is_away(tmp_path: Path) -> None:
+    """Runners are handed over without the log, and streams are finished."""
+    with run_cluster(tmp_path) as cluster:
+        vms = cluster.entry_vms()
+        leaving = cluster.owner("dakar-engine-1")
+        cluster.control("log", down=True)
+        with Completions(cluster, vms, MODELS, workers=6) as traffic:
+            time.sleep(1.0)
+            traffic.vms = [vm for vm in vms if vm != leaving]
+            cluster.signal(leaving, signal.SIGTERM)
+            status = cluster.processes[leaving].wait(timeout=30)
+            time.sleep(2.0)
+        cluster.control("log", down=False)
+        assert status == 0
+        assert traffic.wrong == []
+        assert traffic.failures == []
+        assert traffic.counts["whole"] > 0
+
+
+@pytest.mark.parametrize("source", ["list", "operator"])
+def test_leaving_service_gets_no_new_work(tmp_path: Path, source: str) -> None:
+    with run_cluster(tmp_path, list_lag_s=1.0) as cluster:
+        server = cluster.services()[0]
+
+        def book_everywhere(name: str) -> int:
+            for number, vm in enumerate(cluster.entry_vms()):
+                assert cluster.book(vm, f"{name}-{number}").outcome == "ran"
+            return len(cluster.debug(server, "/debug/effects"))
+
+        assert book_everywhere("before") > 0
+        if source == "list":
+            cluster.vms[server]["state"] = "leaving"
+            cluster.publish_list()
+        else:
+            assert cluster.operate(f"drain {server}").status == 200
+        time.sleep(LIMIT_S)
+        before = len(cluster.debug(server, "/debug/effects"))
+        assert book_everywhere("after") == before
