--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
@@ -15,6 +15,7 @@
 )
 from ._completions import MAX_PAUSE_S, PRIORITIES, RETRY_PAUSE_S, Completions
 from ._crashes import CRASH_PROBE_S, CRASH_PROBES, DYING_S, Crashes
+from ._engine_orders import EngineOrders
 from ._errors import (
     EngineError,
     EngineFault,
@@ -229,6 +230,7 @@
     "EngineCall",
     "EngineError",
     "EngineFault",
+    "EngineOrders",
     "EngineReport",
     "EngineStream",
     "Engines",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -7,7 +7,7 @@
 
 import eventlet
 import msgspec
-from result import Err, Result
+from result import Err
 
 from gooseberryrun._internal.state import (
     Clock,
@@ -15,10 +15,10 @@
     PrefixCache,
     Settings,
     Vm,
-    check,
 )
 
-from ._errors import EngineError, EngineFault
+from ._engine_orders import EngineOrders
+from ._errors import EngineFault
 from ._events import log_event
 from ._leases import Leases
 from ._membership import Membership
@@ -29,7 +29,7 @@
     OwnerNotice,
     UseReport,
 )
-from ._metrics import EVICTIONS, GRANT_WAIT, LOAD_STALL, LOADS
+from ._metrics import GRANT_WAIT, LOAD_STALL
 from ._placement import DEFAULT_BATCH
 from ._policy import make_policy
 from ._ports import Engines
@@ -116,6 +116,7 @@
             cfg.limits.queue_per_runner,
             cfg.policy.demand_half_life_s,
         )
+        self._orders = EngineOrders(runner, leases, engines, self.book.pins)
 
     def handle(self, message: TaskMessage) -> None:
         """Handle one message, then grant and order what has become possible."""
@@ -393,56 +394,16 @@
         return self._reported_at >= self._active_since + hold_s
 
     def _carry_out(
-        self, engine: Vm, order: LoadOrder, fencing: FencingNumber, parent: str
+        self, engine: Vm, order: LoadOrder, fencing: FencingNumber, traceparent: str
     ) -> None:
-        """Evict, then load, under a permit; runs outside the task."""
+        """Carry out an order and give its permit back; runs outside the task."""
         done = OrderDone(order, None, None)
         try:
-            with start_span("engine.load", parent) as span:
-                span.set_attribute("runner", self.runner)
-                span.set_attribute("model", order.model)
-                done = self._order_engine(engine, order, fencing)
+            done = self._orders.carry_out(engine, order, fencing, traceparent)
         finally:
             self._permits.release(self.runner)
             self.post(done)
 
-    def _order_engine(
-        self, engine: Vm, order: LoadOrder, fencing: FencingNumber
-    ) -> OrderDone:
-        def guard() -> bool:
-            return self._leases.is_valid(self.runner, fencing)
-
-        evicted = None
-        if order.victim is not None:
-            check(self.book.pins(order.victim) == 0, "no-eviction-in-use", order.victim)
-            unload = self._engines.unload(engine, order.victim, fencing, guard)
-            evicted = self._note(EVICTIONS, "evict", order.victim, unload)
-            if not evicted:
-                return OrderDone(order, False, None)
-        load = self._engines.load(engine, order.model, fencing, guard)
-        return OrderDone(order, evicted, self._note(LOADS, "load", order.model, load))
-
-    def _note(
-        self,
-        counter: object,
-        name: str,
-        model: str,
-        result: Result[None, EngineError],
-    ) -> bool:
-        fault = result.err_value.fault if isinstance(result, Err) else None
-        labelled = LOADS if counter is LOADS else EVICTIONS
-        labelled.labels(result=str(fault or "ok")).inc()
-        if fault is not None:
-            log_event(
-                f"{name}_failed",
-                level="warning",
-                runner=self.runner,
-                model=model,
-                fault=fault,
-                detail=result.unwrap_err().detail,
-            )
-        return fault is None
-
     def _finish_order(self, done: OrderDone) -> None:
         now = self._clock.monotonic()
         if done.order.victim is not None:
