Split the HTTP interface by who calls; prove outcomes under random failures

A Hypothesis run of 300 scripts drives a completion through random failures: the outcome is true, every grant ends, only whole answers come back.

No behaviour is meant to change.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
@@ -11,7 +11,6 @@
     Clock,
     Settings,
     Vm,
-    VmState,
     top_node,
 )
 
@@ -46,10 +45,6 @@
     silent: frozenset[str]
 
 
-def _is_listed_leaving(vm: Vm) -> bool:
-    return vm.state is VmState.LEAVING
-
-
 class Membership:
     """Soft state about the VMs; nothing that must always hold rests on it."""
 
@@ -212,7 +207,7 @@
         if vm.id == self.me and self.leaving:
             return True
         return (
-            _is_listed_leaving(vm)
+            vm.id in self._index.listed_leaving
             or vm.id in self._leaving_engines
             or vm.id in self._drains
             or self._is_rumoured(vm.id)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_vm_index.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_vm_index.py
@@ -17,7 +17,7 @@
     def __init__(self, vms: Iterable[Vm]) -> None:
         self.entry_vms: list[str] = []
         self.engines: list[Vm] = []
-        self.listed_leaving: list[str] = []
+        self.listed_leaving: set[str] = set()
         self._entry_by_domain: dict[str, list[str]] = defaultdict(list)
         self._engines_by_domain: dict[str, list[Vm]] = defaultdict(list)
         self._services: dict[str, list[Vm]] = defaultdict(list)
@@ -27,7 +27,7 @@
 
     def _add(self, vm: Vm) -> None:
         if vm.state is VmState.LEAVING:
-            self.listed_leaving.append(vm.id)
+            self.listed_leaving.add(vm.id)
         if vm.kind is VmKind.ENTRY:
             self.entry_vms.append(vm.id)
             self._entry_by_domain[vm.domain].append(vm.id)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/__init__.py
@@ -1,5 +1,6 @@
 """Transport layer: sockets of callers, backend servers, platform and peers."""
 
+from ._caller_routes import CallerRoutes
 from ._engine_client import (
     BOOT_HEADER,
     FENCING_HEADER,
@@ -8,6 +9,7 @@
     HttpEngines,
     HttpEngineStream,
 )
+from ._exchange import JSON_CONTENT_TYPE, HttpRequest, Reply, json_answer
 from ._http_client import (
     CONNECT_TIMEOUT_S,
     CONNECTIONS_PER_HOST,
@@ -17,7 +19,8 @@
     HttpFailure,
     describe_error,
 )
-from ._http_server import HttpServer, Reply
+from ._http_server import HttpServer
+from ._operator_routes import OperatorRoutes
 from ._peer_links import (
     KEEPALIVE_S,
     KEEPALIVE_TIMEOUT_S,
@@ -33,6 +36,7 @@
     "BOOT_HEADER",
     "CONNECTIONS_PER_HOST",
     "CONNECT_TIMEOUT_S",
+    "CallerRoutes",
     "FENCING_HEADER",
     "GuardFailedError",
     "HttpClient",
@@ -40,13 +44,16 @@
     "HttpEngines",
     "HttpFailure",
     "HttpLog",
+    "HttpRequest",
     "HttpServer",
     "HttpServices",
     "HttpVmList",
+    "JSON_CONTENT_TYPE",
     "KEEPALIVE_S",
     "KEEPALIVE_TIMEOUT_S",
     "KEY_HEADER",
     "MAX_QUEUED",
+    "OperatorRoutes",
     "PeerLinks",
     "READ_BYTES",
     "READ_LIMIT",
@@ -56,4 +63,5 @@
     "USER_TIMEOUT_MS",
     "WATCH_S",
     "describe_error",
+    "json_answer",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import hmac
 import logging as stdlib_logging
 import re
 import socket
 import time
 import uuid
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import asdict, dataclass, replace
 from http import HTTPStatus
 from typing import Any
 
@@ -24,9 +22,6 @@
     REFUSALS,
     REQUESTS,
     Answer,
-    Change,
-    Command,
-    CommandError,
     Node,
     Refusal,
     StreamCutError,
@@ -40,50 +35,17 @@
     PROBLEM_CONTENT_TYPE,
     bad_request,
     encode_problem,
-    find_model_rule,
-    parse_command,
-    parse_completion,
-    parse_json_object,
-    parse_key,
-    parse_service_request,
-)
-from gooseberryrun._internal.state import (
-    ConfigOp,
-    InvariantError,
-    Job,
-    Rule,
-    RunOutcome,
-    Settings,
-    WorkClass,
-    parse_model_name,
 )
+from gooseberryrun._internal.state import InvariantError, RunOutcome, Settings
+
+from ._caller_routes import CallerRoutes
+from ._exchange import HttpRequest, Reply, json_answer
+from ._operator_routes import OperatorRoutes
 
-_JSON = "application/json"
 _SERVICE_PATH = re.compile(r"^/services/([A-Za-z0-9_-]{1,64})(/.*)?$")
 _JOB_PATH = re.compile(r"^/v1/jobs/([A-Za-z0-9-]{1,64})$")
 _REQUEST_ID = re.compile(r"^[A-Za-z0-9_.:-]{1,128}$")
 
-Reply = Result[Answer, Refusal]
-
-
-@dataclass(frozen=True, slots=True)
-class _Request:
-    """HTTP request as this server sees it."""
-
-    request_id: str
-    method: str
-    path: str
-    query: str
-    headers: dict[str, str]
-    read_body: Callable[[], Result[bytes, Refusal]]
-    deadline: float
-
-
-def _json_answer(
-    status: int, value: object, outcome: RunOutcome = RunOutcome.RAN
-) -> Answer:
-    return Answer(status, _JSON, iter([msgspec.json.encode(value)]), outcome)
-
 
 class HttpServer:
     """Routes requests to the node; errors are problem details with an outcome."""
@@ -91,6 +53,8 @@
     def __init__(self, cfg: Settings, node: Node) -> None:
         self._cfg = cfg
         self._node = node
+        self._callers = CallerRoutes(node)
+        self._operators = OperatorRoutes(cfg, node)
 
     def serve(self) -> None:
         """Listen in a green thread of its own."""
@@ -144,7 +108,7 @@
         return _Body(answer, lambda cut: self._end(request, answer, started_at, cut))
 
     def _end(
-        self, request: _Request, answer: Answer, started_at: float, cut: str
+        self, request: HttpRequest, answer: Answer, started_at: float, cut: str
     ) -> None:
         self._node.open_requests -= 1
         route = _route_of(request.path)
@@ -162,7 +126,7 @@
             cut=cut or "no",
         )
 
-    def _to_request(self, environ: dict[str, Any]) -> _Request:
+    def _to_request(self, environ: dict[str, Any]) -> HttpRequest:
         headers = {
             name[5:].replace("_", "-").lower(): value
             for name, value in environ.items()
@@ -172,7 +136,7 @@
         given = headers.get("x-request-id", "")
         request_id = given if _REQUEST_ID.match(given) else uuid.uuid4().hex
         deadline = time.monotonic() + self._cfg.limits.request_timeout_s
-        return _Request(
+        return HttpRequest(
             request_id=request_id,
             method=environ["REQUEST_METHOD"],
             path=environ.get("PATH_INFO", "/"),
@@ -205,7 +169,7 @@
             return Err(bad_request("the body is shorter than its Content-Length"))
         return Err(too_large) if len(body) > limit else Ok(body)
 
-    def _reply(self, request: _Request) -> Reply:
+    def _reply(self, request: HttpRequest) -> Reply:
         try:
             return self._route(request)
         except InvariantError:
@@ -221,7 +185,7 @@
             detail = "internal error"
             return Err(Refusal(500, "internal", detail, RunOutcome.UNKNOWN))
 
-    def _to_answer(self, request: _Request, reply: Reply) -> Answer:
+    def _to_answer(self, request: HttpRequest, reply: Reply) -> Answer:
         if not isinstance(reply, Err):
             return reply.ok_value
         refusal = reply.err_value
@@ -236,161 +200,40 @@
 
     # Routes.
 
-    def _route(self, request: _Request) -> Reply:
+    def _route(self, request: HttpRequest) -> Reply:
         if request.method == "GET" and request.path in _PROBES:
             return _PROBES[request.path](self)
         if not self._node.replica.is_ready():
             detail = "this entry VM has not read the configuration yet"
             return Err(Refusal(503, "not_ready", detail, retry_after_s=1.0))
         if request.path in COMPLETION_PATHS and request.method == "POST":
-            return self._complete(request)
+            return self._callers.complete(request)
         job = _JOB_PATH.match(request.path)
         if job is not None and request.method == "GET":
-            return self._get_job(job.group(1))
+            return self._callers.get_job(job.group(1))
         service = _SERVICE_PATH.match(request.path)
         if service is not None:
-            return self._call_service(request, service.group(1), service.group(2))
+            return self._callers.call_service(
+                request, service.group(1), service.group(2)
+            )
         if request.path.startswith("/operator/v1/"):
-            return self._operate(request)
+            return self._operators.operate(request)
         if request.path == "/v1/models" and request.method == "GET":
-            return self._list_models()
+            return self._callers.list_models()
         return Err(Refusal(404, "no_such_path", "there is no such path"))
 
     def _healthy(self) -> Reply:
-        return Ok(_json_answer(200, {"status": "alive", "boot": self._node.boot}))
+        return Ok(json_answer(200, {"status": "alive", "boot": self._node.boot}))
 
     def _ready(self) -> Reply:
         if self._node.is_ready():
-            return Ok(_json_answer(200, {"status": "ready"}))
+            return Ok(json_answer(200, {"status": "ready"}))
         status = "stopping" if self._node.stopping else "starting"
-        return Ok(_json_answer(503, {"status": status}))
+        return Ok(json_answer(503, {"status": status}))
 
     def _metrics(self) -> Reply:
         return Ok(Answer(200, "text/plain; version=0.0.4", iter([generate_latest()])))
 
-    def _list_models(self) -> Reply:
-        models = sorted(self._node.replica.config.tables["adapters"])
-        data = [{"id": model, "object": "model"} for model in models]
-        return Ok(_json_answer(200, {"object": "list", "data": data}))
-
-    def _complete(self, request: _Request) -> Reply:
-        body = request.read_body()
-        if isinstance(body, Err):
-            return body
-        parsed = parse_json_object(body.ok_value)
-        if isinstance(parsed, Err):
-            return parsed
-        completion = parse_completion(
-            request.path, parsed.ok_value, request.request_id, request.deadline
-        )
-        if isinstance(completion, Err):
-            return completion
-        model = parse_model_name(completion.ok_value.model).unwrap()
-        rule = find_model_rule(self._node.replica.config, model.adapter)
-        if parsed.ok_value.get("background", False):
-            return self._submit_job(request, parsed.ok_value, rule)
-        work_class = rule.work_class
-        if work_class is WorkClass.ONCE:
-            detail = "generation can be repeated; rule class once is for services"
-            return Err(bad_request(detail, "bad_rule", 409))
-        return self._node.completions.run(
-            replace(completion.ok_value, work_class=work_class)
-        )
-
-    def _submit_job(self, request: _Request, body: dict[str, Any], rule: Rule) -> Reply:
-        if not self._node.replica.config.has_model(str(body["model"])):
-            detail = f"adapter version {body['model']} is not configured"
-            return Err(Refusal(404, "unknown_model", detail))
-        key = parse_key(request.headers.get("idempotency-key", ""))
-        if isinstance(key, Err):
-            return key
-        job = self._node.patient.submit(
-            request.path, body, rule.deadline_s, key.ok_value
-        )
-        if isinstance(job, Err):
-            return job
-        if job.ok_value.accepted.request != body:
-            detail = "this Idempotency-Key was used with another request"
-            return Err(Refusal(422, "key_reused", detail))
-        answer = _json_answer(202, _describe_job(job.ok_value))
-        location = f"/v1/jobs/{job.ok_value.accepted.job_id}"
-        return Ok(replace(answer, headers={"Location": location}))
-
-    def _get_job(self, job_id: str) -> Reply:
-        job = self._node.patient.get(job_id)
-        if job is None:
-            return Err(Refusal(404, "unknown_job", f"no job {job_id} is known here"))
-        return Ok(_json_answer(200, _describe_job(job)))
-
-    def _call_service(self, request: _Request, service: str, path: str | None) -> Reply:
-        if not self._node.membership.has_service(service):
-            detail = f"there is no service {service!r}"
-            return Err(Refusal(404, "unknown_service", detail))
-        body = request.read_body()
-        if isinstance(body, Err):
-            return body
-        key = parse_key(request.headers.get("idempotency-key", ""))
-        if isinstance(key, Err):
-            return key
-        target = (path or "/") + (f"?{request.query}" if request.query else "")
-        parsed = parse_service_request(
-            self._node.replica.config,
-            service,
-            request.method,
-            target,
-            body.ok_value,
-            request.headers["content-type"],
-            key.ok_value,
-            request.request_id,
-            request.deadline,
-        )
-        if isinstance(parsed, Err):
-            return parsed
-        if parsed.ok_value.work_class is WorkClass.ONCE:
-            return self._node.once.run(parsed.ok_value)
-        return self._node.plain.run(parsed.ok_value)
-
-    # Operators.
-
-    def _operate(self, request: _Request) -> Reply:
-        given = request.headers.get("authorization", "").removeprefix("Bearer ")
-        token = self._cfg.operator.token.get_secret_value()
-        if not hmac.compare_digest(given.encode(), token.encode()):
-            return Err(Refusal(401, "wrong_token", "the operator token is wrong"))
-        body = request.read_body()
-        if isinstance(body, Err):
-            return body
-        parsed = parse_json_object(body.ok_value)
-        if isinstance(parsed, Err):
-            return parsed
-        operator = str(parsed.ok_value.get("operator", "operator"))
-        command = self._parse_operation(request.path, parsed.ok_value)
-        if isinstance(command, Err):
-            return command
-        done = self._node.operations.execute(command.ok_value, operator)
-        if isinstance(done, Err):
-            return Err(_to_refusal(done.err_value))
-        return Ok(_json_answer(200, asdict(done.ok_value)))
-
-    def _parse_operation(
-        self, path: str, body: dict[str, Any]
-    ) -> Result[Command, Refusal]:
-        if path == "/operator/v1/command":
-            text = str(body.get("command", ""))
-            parsed = parse_command(text)
-            if isinstance(parsed, Err):
-                detail = parsed.err_value.render(text)
-                return Err(bad_request(detail, "bad_command"))
-            return Ok(parsed.ok_value)
-        if path == "/operator/v1/apply":
-            try:
-                ops = msgspec.convert(body.get("ops"), list[ConfigOp])
-                expected = msgspec.convert(body.get("expected"), int | None)
-            except msgspec.ValidationError as exc:
-                return Err(bad_request(f"ops: {exc}", "bad_change"))
-            return Ok(Change(ops, expected))
-        return Err(Refusal(404, "no_such_path", "there is no such path"))
-
 
 _PROBES: dict[str, Callable[[HttpServer], Reply]] = {
     "/healthz": HttpServer._healthy,
@@ -422,36 +265,6 @@
         self._on_end(self._cut)
 
 
-def _describe_job(job: Job) -> dict[str, Any]:
-    described: dict[str, Any] = {
-        "id": job.accepted.job_id,
-        "object": "job",
-        "model": job.accepted.request.get("model"),
-        "status": "queued" if job.done is None else "done",
-        "accepted_at": job.accepted.at,
-        "deadline_at": job.accepted.deadline_at,
-    }
-    if job.done is not None:
-        described["result_status"] = job.done.status
-        described["result"] = job.done.body
-        described["finished_at"] = job.done.at
-    return described
-
-
-_COMMAND_STATUS = {
-    "change_rejected": 409,
-    "not_settled": 409,
-    "log_unavailable": 503,
-    "not_read_back": 504,
-    "vm_unreachable": 504,
-}
-
-
-def _to_refusal(error: CommandError) -> Refusal:
-    status = _COMMAND_STATUS.get(error.code, 400)
-    return Refusal(status, error.code, error.detail, error.outcome)
-
-
 def _route_of(path: str) -> str:
     """Return a label with few values for a path."""
     for prefix in ("/v1/completions", "/v1/chat", "/v1/jobs", "/services", "/operator"):
--- a/tests/unit/test_completions.py
+++ b/tests/unit/test_completions.py
@@ -8,6 +8,8 @@
 import gooseberryrun._internal.state as state
 import pytest
 from gooseberryrun._internal.coordination import _completions
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from result import Err, Ok, Result
 
 from tests.lib.nodes import CFG, ENGINE
@@ -156,3 +158,69 @@
     assert refusal.err_value.code == "crashes_runners"
     assert refusal.err_value.outcome is state.RunOutcome.NOT_RUN
     assert (fixture.attempts, fixture.ended) == (0, ["grant"])
+
+
+NEVER_RAN = {Fault.NOT_SENT, Fault.UNREACHABLE, Fault.NOT_RESIDENT}
+AMBIGUOUS = [fault for fault in Fault if fault is not Fault.REJECTED]
+
+
+class BreakingStream(Stream):
+    """Answer that breaks while it is read, unless its fault is None."""
+
+    def __init__(self, fault: coordination.EngineFault | None) -> None:
+        self._fault = fault
+
+    def read(self) -> Result[coordination.StreamBlock, coordination.EngineError]:
+        if self._fault is not None:
+            return Err(coordination.EngineError(self._fault))
+        return super().read()
+
+
+class RandomFixture(Fixture):
+    """Engines that fail to open or break while they are read, by a script."""
+
+    def __init__(
+        self, script: list[tuple[coordination.EngineFault | None, bool]]
+    ) -> None:
+        super().__init__([])
+        self.steps = script
+        self.granted = 0
+        self.dispatched = False
+
+    def ask(
+        self, *_args: object
+    ) -> Result[coordination.GrantAnswer, coordination.PeerError]:
+        self.granted += 1
+        grant_id = f"grant-{self.granted}"
+        return Ok(coordination.GrantAnswer("granted", ENGINE.id, grant_id, lease_s=9.0))
+
+    def complete(
+        self, *_args: object
+    ) -> Result[coordination.EngineStream, coordination.EngineError]:
+        self.attempts += 1
+        fault, opens = self.steps.pop(0) if self.steps else (None, True)
+        if opens or fault is None:
+            self.dispatched = True
+            return Ok(BreakingStream(fault))
+        self.dispatched = self.dispatched or fault not in NEVER_RAN
+        return Err(coordination.EngineError(fault))
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(AMBIGUOUS), st.booleans()), max_size=6))
+def test_outcome_is_true_and_every_grant_ends_whatever_fails(
+    script: list[tuple[coordination.EngineFault | None, bool]],
+) -> None:
+    """Whole answers only; "not run" exactly when no engine took an attempt."""
+    fixture = RandomFixture(list(script))
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(_completions, "RETRY_PAUSE_S", 0.0)
+        answer = fixture.run()
+    assert fixture.attempts <= CFG.limits.max_attempts
+    assert len(set(fixture.ended)) == len(fixture.ended) == fixture.granted
+    if isinstance(answer, Ok):
+        assert b"".join(answer.ok_value.chunks) == b"{}"
+        return
+    outcome = answer.err_value.outcome
+    expected = state.RunOutcome.UNKNOWN if fixture.dispatched else None
+    assert outcome is (expected or state.RunOutcome.NOT_RUN)
