Ask an engine whose report is older than two seconds before it gets work

Cause: the whole suite failed in test_leaving_engine_gets_no_new_work[engine]: one request reached an engine between four and seven seconds after it had said that it was leaving. Idle runners are asked every fourth round since the VM list was arranged, and a report of up to four seconds was believed for new work.

Ruled out: the notices (the owner itself had not heard the word yet).

Change: a report older than 2 s is fetched anew before a grant.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
@@ -1,6 +1,16 @@
 """Coordination layer: decisions and the tasks that carry them out."""
 
+from ._acquisition import Acquisition
 from ._appender import Appender
+from ._attempts import (
+    AVOIDED,
+    MAX_PAUSE_S,
+    NO_WORK,
+    PROBES_BY_FAULT,
+    RETRY_PAUSE_S,
+    Run,
+    never_ran,
+)
 from ._commands import (
     Change,
     Command,
@@ -13,7 +23,7 @@
     Stop,
     select_rows,
 )
-from ._completions import MAX_PAUSE_S, PRIORITIES, RETRY_PAUSE_S, Completions
+from ._completions import PRIORITIES, Completions
 from ._crashes import CRASH_PROBE_S, CRASH_PROBES, DYING_S, Crashes
 from ._engine_orders import EngineOrders
 from ._errors import (
@@ -191,7 +201,9 @@
 __all__ = [
     "ABSENT_READS_TO_DROP",
     "ATTEMPT_S",
+    "AVOIDED",
     "AVOID_S",
+    "Acquisition",
     "Answer",
     "Appender",
     "Ask",
@@ -288,6 +300,7 @@
     "Message",
     "ModelQueue",
     "NOTICE_S",
+    "NO_WORK",
     "Node",
     "OUTCOME_APPEND_S",
     "OWNER_TICK_S",
@@ -304,6 +317,7 @@
     "POLL_S",
     "PREFIX",
     "PRIORITIES",
+    "PROBES_BY_FAULT",
     "Patient",
     "PeerError",
     "PeerMessage",
@@ -337,6 +351,7 @@
     "Resign",
     "RetryBudget",
     "Row",
+    "Run",
     "RunnerQueues",
     "RunnerScheduler",
     "RunnerTask",
@@ -388,6 +403,7 @@
     "log_event",
     "make_budget",
     "make_policy",
+    "never_ran",
     "refuse_unknown",
     "run_protected",
     "select_rows",
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_acquisition.py
@@ -0,0 +1,155 @@
+"""Places on runners: which owner is asked for one, and what its answer means."""
+
+from __future__ import annotations
+
+import eventlet
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.state import Clock, Settings, Vm, WorkClass
+
+from ._attempts import MAX_PAUSE_S, RETRY_PAUSE_S, Run
+from ._crashes import Crashes
+from ._errors import Refusal
+from ._grants import Grants
+from ._membership import Membership
+from ._messages import GrantAnswer, GrantRequest
+from ._placement import Placement
+from ._replica import Replica
+from ._requests import CompletionRequest
+from ._tracing import current_traceparent
+
+_OVERLOAD = {"queue_full", "queue_timeout", "overloaded"}
+"""Reasons of owners that will not change within the time of one request."""
+
+
+class Acquisition:
+    """Asks owners until one grants a place on a runner."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        membership: Membership,
+        replica: Replica,
+        grants: Grants,
+        placement: Placement,
+        crashes: Crashes,
+        boot: str,
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._membership = membership
+        self._replica = replica
+        self._grants = grants
+        self._placement = placement
+        self._crashes = crashes
+        self._boot = boot
+
+    def acquire(self, run: Run) -> Result[GrantAnswer, Refusal]:
+        """Ask owners until one grants a place on a runner."""
+        limit = self._clock.monotonic() + self._cfg.limits.grant_wait_s
+        deadline = min(run.request.deadline, limit)
+        reasons: set[str] = set()
+        pause_s = RETRY_PAUSE_S
+        exclude = set(run.exclude)
+        while self._clock.monotonic() < deadline:
+            engine = self._choose(run.request, exclude)
+            if engine is None:
+                if reasons and reasons <= _OVERLOAD:
+                    break
+                exclude.clear()
+                reasons.clear()
+                eventlet.sleep(pause_s)
+                pause_s = min(MAX_PAUSE_S, pause_s * 2)
+                continue
+            answer = self._ask_owner(run, engine, deadline)
+            if answer is not None and answer.verdict == "granted":
+                run.engine = engine
+                run.engine_request_id = f"{run.request.request_id}.{run.asks}"
+                run.grant_id = answer.grant_id
+                prefix = run.request.prefix
+                self._placement.learn_prefix(prefix, engine.id, answer.cached)
+                run.incarnation = answer.incarnation
+                return Ok(answer)
+            reasons.add(self._pass_over(engine, answer, exclude))
+        return Err(self._refuse_capacity(run, reasons))
+
+    def _choose(self, request: CompletionRequest, exclude: set[str]) -> Vm | None:
+        if not self._crashes.is_suspect(request.fingerprint):
+            patient = request.work_class is WorkClass.PATIENT
+            return self._placement.choose(
+                request.model, request.prefix, exclude, patient
+            )
+        crashed = self._crashes.crashed_runners(request.fingerprint)
+        return self._placement.choose_apart(request.fingerprint, exclude | crashed)
+
+    def _pass_over(
+        self, engine: Vm, answer: GrantAnswer | None, exclude: set[str]
+    ) -> str:
+        """Note why a runner gave no place and whether to ask another one."""
+        if answer is None:
+            self._placement.avoid(engine.id)
+            exclude.add(engine.id)
+            return "owner unreachable"
+        if answer.verdict == "not_owner":
+            owner = answer.owner
+            if owner is None or self._membership.is_boot_gone(owner.vm, owner.boot):
+                exclude.add(engine.id)
+            else:
+                eventlet.sleep(RETRY_PAUSE_S)
+            return "ownership is changing"
+        exclude.add(engine.id)
+        return answer.reason
+
+    def _refuse_capacity(self, run: Run, reasons: set[str]) -> Refusal:
+        why = ", ".join(sorted(reasons)) or "no runner is reachable"
+        detail = f"no runner could take the request: {why}"
+        return Refusal(503, "no_capacity", detail, run.outcome(), 1.0)
+
+    def _ask_owner(self, run: Run, engine: Vm, deadline: float) -> GrantAnswer | None:
+        owner = self._owner_to_ask(engine, run.attempts)
+        if owner is None:
+            return None
+        now = self._clock.monotonic()
+        run.asks += 1
+        request = GrantRequest(
+            request_id=f"{run.request.request_id}.{run.asks}",
+            runner=engine.id,
+            model=run.request.model,
+            vm=self._cfg.vm.id,
+            boot=self._boot,
+            work_class=str(run.request.work_class),
+            fingerprint=run.request.fingerprint,
+            suspect=self._crashes.is_suspect(run.request.fingerprint),
+            wait_s=self._owner_wait_s(engine, deadline - now),
+            traceparent=current_traceparent(),
+            prefix=run.request.prefix,
+        )
+        patient = run.request.work_class is WorkClass.PATIENT
+        self._placement.begin_ask(engine.id, patient)
+        try:
+            answered = self._grants.ask(request, owner, now + request.wait_s)
+        finally:
+            self._placement.end_ask(engine.id, patient)
+        if isinstance(answered, Err):
+            return None
+        answer = answered.ok_value
+        self._placement.learn(engine.id, answer.queued, answer.running, engine.batch)
+        return answer
+
+    def _owner_wait_s(self, engine: Vm, left_s: float) -> float:
+        """Return how long to wait at one owner before another way is tried."""
+        if self._membership.is_boot_gone(*self._owner_key(engine)):
+            return min(left_s, self._cfg.peer.connect_timeout_s)
+        return left_s
+
+    def _owner_key(self, engine: Vm) -> tuple[str, str]:
+        owner = self._replica.owners.get(engine.id)
+        return (owner.vm, owner.boot) if owner is not None else ("", "")
+
+    def _owner_to_ask(self, engine: Vm, attempt: int) -> str | None:
+        owner = self._replica.owners.get(engine.id)
+        if owner is not None and self._membership.get(owner.vm) is not None:
+            return owner.vm
+        voters = self._membership.voters(engine.domain)
+        return voters[attempt % len(voters)] if voters else None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import eventlet
 from eventlet.timeout import Timeout
@@ -12,19 +12,28 @@
 
 from gooseberryrun._internal.state import (
     Clock,
-    RunOutcome,
     Settings,
     Vm,
     WorkClass,
     check,
 )
 
-from ._crashes import CRASH_PROBES, Crashes
+from ._acquisition import Acquisition
+from ._attempts import (
+    AVOIDED,
+    MAX_PAUSE_S,
+    NO_WORK,
+    PROBES_BY_FAULT,
+    RETRY_PAUSE_S,
+    Run,
+    never_ran,
+)
+from ._crashes import Crashes
 from ._errors import EngineError, EngineFault, Refusal
 from ._events import log_event
 from ._grants import Grants
 from ._membership import Membership
-from ._messages import GrantAnswer, GrantRequest
+from ._messages import GrantAnswer
 from ._metrics import RETRIES
 from ._placement import Placement
 from ._ports import EngineCall, Engines, EngineStream, StreamBlock
@@ -33,52 +42,9 @@
 from ._retries import RetryBudget
 from ._tracing import current_traceparent, start_span
 
-RETRY_PAUSE_S = 0.05
-"""First pause before a repeated attempt; doubles with each one."""
-MAX_PAUSE_S = 1.0
-_NEVER_RAN = (
-    EngineFault.NOT_SENT,
-    EngineFault.UNREACHABLE,
-    EngineFault.NOT_RESIDENT,
-)
-_NO_WORK = (EngineFault.NOT_SENT, EngineFault.NOT_RESIDENT)
-_AVOIDED = (EngineFault.NOT_SENT, EngineFault.UNREACHABLE, EngineFault.BROKEN)
-_CRASH_PROBES = {
-    EngineFault.BROKEN: CRASH_PROBES,
-    EngineFault.TIMEOUT: 1,
-    EngineFault.LEASE_LAPSED: 1,
-}
-"""How often a runner is asked whether it crashed, by the fault of an attempt."""
-_OVERLOAD = {"queue_full", "queue_timeout", "overloaded"}
-_UNAVAILABLE_STATUS = 503
 PRIORITIES = {WorkClass.QUICK: 0, WorkClass.ONCE: 0, WorkClass.PATIENT: 10}
 
 
-@dataclass(slots=True)
-class _Run:
-    """Progress of one request over its attempts."""
-
-    request: CompletionRequest
-    attempts: int = 0
-    asks: int = 0
-    engine_request_id: str = ""
-    events_sent: int = 0
-    dispatched: bool = False
-    complete: bool = False
-    exclude: set[str] = field(default_factory=set)
-    engine: Vm | None = None
-    grant_id: str = ""
-    incarnation: str = ""
-    stream: EngineStream | None = None
-
-
-def _never_ran(error: EngineError) -> bool:
-    """Tell whether an engine surely executed nothing of a failed attempt."""
-    if error.fault is EngineFault.REJECTED:
-        return error.status < 500 or error.status == _UNAVAILABLE_STATUS
-    return error.fault in _NEVER_RAN
-
-
 class Completions:
     """Runs completions on engines."""
 
@@ -102,7 +68,9 @@
         self._placement = placement
         self._engines = engines
         self._crashes = crashes
-        self._boot = boot
+        self._acquisition = Acquisition(
+            cfg, clock, membership, replica, grants, placement, crashes, boot
+        )
         self._budget = RetryBudget(cfg.limits)
 
     def run(self, request: CompletionRequest) -> Result[Answer, Refusal]:
@@ -111,7 +79,7 @@
         if refusal is not None:
             return Err(refusal)
         self._budget.earn()
-        run = _Run(request)
+        run = Run(request)
         started = self._start(run)
         if isinstance(started, Err):
             return started
@@ -134,11 +102,11 @@
 
     # Attempts.
 
-    def _start(self, run: _Run) -> Result[EngineStream, Refusal]:
+    def _start(self, run: Run) -> Result[EngineStream, Refusal]:
         """Get a grant and open a stream, repeating within the request's limits."""
         while True:
             run.attempts += 1
-            granted = self._acquire(run)
+            granted = self._acquisition.acquire(run)
             if isinstance(granted, Err):
                 return granted
             poisonous = self._refuse_granted(run)
@@ -149,7 +117,7 @@
                 run.stream = opened.ok_value
                 run.dispatched = True
                 return opened
-            if not _never_ran(opened.err_value):
+            if not never_ran(opened.err_value):
                 run.dispatched = True
             if opened.err_value.fault is EngineFault.NOT_RESIDENT:
                 self._grants.note_not_resident(run.grant_id)
@@ -158,15 +126,15 @@
             if refusal is not None:
                 return Err(refusal)
 
-    def _refuse_granted(self, run: _Run) -> Refusal | None:
+    def _refuse_granted(self, run: Run) -> Refusal | None:
         """Refuse if copies of the request crashed runners while this one waited."""
         poisonous = self._refuse_poisonous(run.request)
         if poisonous is None:
             return None
         self._grants.end(run.grant_id)
-        return replace(poisonous, outcome=self._outcome(run))
+        return replace(poisonous, outcome=run.outcome())
 
-    def _open(self, run: _Run, grant: GrantAnswer) -> Result[EngineStream, EngineError]:
+    def _open(self, run: Run, grant: GrantAnswer) -> Result[EngineStream, EngineError]:
         engine = run.engine
         check(engine is not None, "granted-engine-known")
         assert engine is not None
@@ -188,13 +156,13 @@
             )
             return self._engines.complete(engine, call)
 
-    def _read_deadline(self, run: _Run) -> float:
+    def _read_deadline(self, run: Run) -> float:
         """Return when the next read must end: the grant must still be in force."""
         now = self._clock.monotonic()
         left_s = min(self._cfg.limits.engine_stall_s, self._grants.left_s(run.grant_id))
         return min(run.request.deadline, now + left_s)
 
-    def _after_failure(self, run: _Run, error: EngineError) -> Refusal | None:
+    def _after_failure(self, run: Run, error: EngineError) -> Refusal | None:
         """Decide whether to repeat after a failed attempt; pauses if so."""
         engine = run.engine
         assert engine is not None
@@ -212,160 +180,43 @@
         self._note_fault(run, engine, error)
         poisonous = self._refuse_poisonous(run.request)
         if poisonous is not None:
-            return replace(poisonous, outcome=self._outcome(run))
+            return replace(poisonous, outcome=run.outcome())
         return self._pause_or_refuse(run, error)
 
-    def _note_fault(self, run: _Run, engine: Vm, error: EngineError) -> None:
-        if error.fault in _AVOIDED:
+    def _note_fault(self, run: Run, engine: Vm, error: EngineError) -> None:
+        if error.fault in AVOIDED:
             self._placement.avoid(engine.id)
             run.exclude = {engine.id}
-        probes = _CRASH_PROBES.get(error.fault)
+        probes = PROBES_BY_FAULT.get(error.fault)
         if probes is not None:
             fingerprint = run.request.fingerprint
             self._crashes.suspect(engine, run.incarnation, fingerprint, probes)
 
-    def _pause_or_refuse(self, run: _Run, error: EngineError) -> Refusal | None:
+    def _pause_or_refuse(self, run: Run, error: EngineError) -> Refusal | None:
         if run.attempts >= self._cfg.limits.max_attempts or not self._may_repeat(
             run, error
         ):
             detail = f"the engine failed: {error.fault} {error.detail}".strip()
-            return Refusal(502, "engine_failed", detail, self._outcome(run))
+            return Refusal(502, "engine_failed", detail, run.outcome())
         pause_s = min(MAX_PAUSE_S, RETRY_PAUSE_S * 2 ** (run.attempts - 1))
         if self._clock.monotonic() + pause_s >= run.request.deadline:
-            return Refusal(
-                504, "deadline", "the request's time is over", self._outcome(run)
-            )
+            return Refusal(504, "deadline", "the request's time is over", run.outcome())
         eventlet.sleep(pause_s)
         return None
 
-    def _may_repeat(self, run: _Run, error: EngineError) -> bool:
+    def _may_repeat(self, run: Run, error: EngineError) -> bool:
         """Tell whether a repeat fits the retry budget.
 
         The budget keeps repeats from multiplying the engines' work. An attempt that no
         engine took has cost none, and patient work must be finished.
         """
-        if run.request.work_class is WorkClass.PATIENT or error.fault in _NO_WORK:
+        if run.request.work_class is WorkClass.PATIENT or error.fault in NO_WORK:
             return True
         return self._budget.spend()
 
-    def _outcome(self, run: _Run) -> RunOutcome:
-        """Say "not run" only if no attempt reached an engine that accepted it."""
-        return RunOutcome.UNKNOWN if run.dispatched else RunOutcome.NOT_RUN
-
-    # Grants.
-
-    def _acquire(self, run: _Run) -> Result[GrantAnswer, Refusal]:
-        """Ask owners until one grants a place on a runner."""
-        limit = self._clock.monotonic() + self._cfg.limits.grant_wait_s
-        deadline = min(run.request.deadline, limit)
-        reasons: set[str] = set()
-        pause_s = RETRY_PAUSE_S
-        exclude = set(run.exclude)
-        while self._clock.monotonic() < deadline:
-            engine = self._choose(run.request, exclude)
-            if engine is None:
-                if reasons and reasons <= _OVERLOAD:
-                    break
-                exclude.clear()
-                reasons.clear()
-                eventlet.sleep(pause_s)
-                pause_s = min(MAX_PAUSE_S, pause_s * 2)
-                continue
-            answer = self._ask_owner(run, engine, deadline)
-            if answer is not None and answer.verdict == "granted":
-                run.engine = engine
-                run.engine_request_id = f"{run.request.request_id}.{run.asks}"
-                run.grant_id = answer.grant_id
-                prefix = run.request.prefix
-                self._placement.learn_prefix(prefix, engine.id, answer.cached)
-                run.incarnation = answer.incarnation
-                return Ok(answer)
-            reasons.add(self._pass_over(engine, answer, exclude))
-        return Err(self._refuse_capacity(run, reasons))
-
-    def _choose(self, request: CompletionRequest, exclude: set[str]) -> Vm | None:
-        if not self._crashes.is_suspect(request.fingerprint):
-            patient = request.work_class is WorkClass.PATIENT
-            return self._placement.choose(
-                request.model, request.prefix, exclude, patient
-            )
-        crashed = self._crashes.crashed_runners(request.fingerprint)
-        return self._placement.choose_apart(request.fingerprint, exclude | crashed)
-
-    def _pass_over(
-        self, engine: Vm, answer: GrantAnswer | None, exclude: set[str]
-    ) -> str:
-        """Note why a runner gave no place and whether to ask another one."""
-        if answer is None:
-            self._placement.avoid(engine.id)
-            exclude.add(engine.id)
-            return "owner unreachable"
-        if answer.verdict == "not_owner":
-            owner = answer.owner
-            if owner is None or self._membership.is_boot_gone(owner.vm, owner.boot):
-                exclude.add(engine.id)
-            else:
-                eventlet.sleep(RETRY_PAUSE_S)
-            return "ownership is changing"
-        exclude.add(engine.id)
-        return answer.reason
-
-    def _refuse_capacity(self, run: _Run, reasons: set[str]) -> Refusal:
-        why = ", ".join(sorted(reasons)) or "no runner is reachable"
-        detail = f"no runner could take the request: {why}"
-        return Refusal(503, "no_capacity", detail, self._outcome(run), 1.0)
-
-    def _ask_owner(self, run: _Run, engine: Vm, deadline: float) -> GrantAnswer | None:
-        owner = self._owner_to_ask(engine, run.attempts)
-        if owner is None:
-            return None
-        now = self._clock.monotonic()
-        run.asks += 1
-        request = GrantRequest(
-            request_id=f"{run.request.request_id}.{run.asks}",
-            runner=engine.id,
-            model=run.request.model,
-            vm=self._cfg.vm.id,
-            boot=self._boot,
-            work_class=str(run.request.work_class),
-            fingerprint=run.request.fingerprint,
-            suspect=self._crashes.is_suspect(run.request.fingerprint),
-            wait_s=self._owner_wait_s(engine, deadline - now),
-            traceparent=current_traceparent(),
-            prefix=run.request.prefix,
-        )
-        patient = run.request.work_class is WorkClass.PATIENT
-        self._placement.begin_ask(engine.id, patient)
-        try:
-            answered = self._grants.ask(request, owner, now + request.wait_s)
-        finally:
-            self._placement.end_ask(engine.id, patient)
-        if isinstance(answered, Err):
-            return None
-        answer = answered.ok_value
-        self._placement.learn(engine.id, answer.queued, answer.running, engine.batch)
-        return answer
-
-    def _owner_wait_s(self, engine: Vm, left_s: float) -> float:
-        """Return how long to wait at one owner before another way is tried."""
-        if self._membership.is_boot_gone(*self._owner_key(engine)):
-            return min(left_s, self._cfg.peer.connect_timeout_s)
-        return left_s
-
-    def _owner_key(self, engine: Vm) -> tuple[str, str]:
-        owner = self._replica.owners.get(engine.id)
-        return (owner.vm, owner.boot) if owner is not None else ("", "")
-
-    def _owner_to_ask(self, engine: Vm, attempt: int) -> str | None:
-        owner = self._replica.owners.get(engine.id)
-        if owner is not None and self._membership.get(owner.vm) is not None:
-            return owner.vm
-        voters = self._membership.voters(engine.domain)
-        return voters[attempt % len(voters)] if voters else None
-
     # Answers.
 
-    def _stream_answer(self, run: _Run, stream: EngineStream) -> Answer:
+    def _stream_answer(self, run: Run, stream: EngineStream) -> Answer:
         return Answer(
             status=200,
             content_type=stream.content_type,
@@ -373,7 +224,7 @@
             close=lambda: self._finish(run),
         )
 
-    def _relay(self, run: _Run, traceparent: str) -> Iterator[bytes]:
+    def _relay(self, run: Run, traceparent: str) -> Iterator[bytes]:
         """Yield blocks of the stream; resumes on another attempt if it breaks."""
         with start_span("engine.stream", traceparent):
             while True:
@@ -388,7 +239,7 @@
                     continue
                 self._resume(run, block.err_value)
 
-    def _read(self, run: _Run) -> Result[StreamBlock, EngineError]:
+    def _read(self, run: Run) -> Result[StreamBlock, EngineError]:
         assert run.stream is not None
         left_s = self._read_deadline(run) - self._clock.monotonic()
         if left_s <= 0:
@@ -397,7 +248,7 @@
             return run.stream.read()
         return Err(EngineError(EngineFault.TIMEOUT, "the stream stalled"))
 
-    def _resume(self, run: _Run, error: EngineError) -> None:
+    def _resume(self, run: Run, error: EngineError) -> None:
         """Continue a broken stream elsewhere, or cut it visibly."""
         self._drop_stream(run)
         refusal = self._after_failure(run, error)
@@ -407,7 +258,7 @@
         if refusal is not None:
             raise StreamCutError(refusal.detail)
 
-    def _drop_stream(self, run: _Run) -> None:
+    def _drop_stream(self, run: Run) -> None:
         """Stop using a runner: the grant ends only after the request has."""
         if run.stream is not None:
             run.stream.close()
@@ -420,7 +271,7 @@
             pause_s = self._cfg.lease.grant_s
             eventlet.spawn_after(pause_s, self._grants.end, run.grant_id)
 
-    def _finish(self, run: _Run) -> None:
+    def _finish(self, run: Run) -> None:
         """End the request; called once more when the caller has left early."""
         if run.stream is None:
             return
@@ -434,7 +285,7 @@
         if run.engine is not None:
             self._placement.learn_prefix(run.request.prefix, run.engine.id, True)
 
-    def _whole_answer(self, run: _Run) -> Result[Answer, Refusal]:
+    def _whole_answer(self, run: Run) -> Result[Answer, Refusal]:
         """Read a whole answer before the first byte goes to the caller."""
         parts: list[bytes] = []
         with start_span("engine.read"):
@@ -456,7 +307,7 @@
         trace.get_current_span().set_attribute("attempts", run.attempts)
         return Ok(Answer(200, content_type, iter([b"".join(parts)])))
 
-    def _restart(self, run: _Run, error: EngineError) -> Refusal | None:
+    def _restart(self, run: Run, error: EngineError) -> Refusal | None:
         self._drop_stream(run)
         refusal = self._after_failure(run, error)
         if refusal is not None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -56,7 +56,7 @@
 
 LOAD_RETRY_S = 0.5
 """Pause before a failed load of the same adapter is tried again."""
-REPORT_AGE_S = 4.0
+REPORT_AGE_S = 2.0
 """Age of a report above which an engine is asked again before it gets new work."""
 REPORT_RETRY_S = 0.1
 """Pause before an engine that gave no report is asked again."""
--- a/tests/unit/test_runner_task.py
+++ b/tests/unit/test_runner_task.py
@@ -195,3 +195,21 @@
         fixture.run_spawned()
     assert fixture.resident == []
     assert fixture.released == 1
+
+
+def test_idle_engine_is_asked_before_it_gets_new_work(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Idle engines report seldom, but one that is leaving must get no new work."""
+    fixture = Fixture(monkeypatch)
+    fixture.resident.append("m@1")
+    fixture.ask(1, "m@1")
+    fixture.run_spawned()
+    assert len(fixture.answers) == 1
+    fixture.task.handle(coordination.End([fixture.answers[0].grant_id]))
+    assert fixture.task.is_idle()
+    fixture.clock.now += _runner_task.REPORT_AGE_S + 0.1
+    fixture.ask(2, "m@1")
+    assert len(fixture.answers) == 1
+    fixture.run_spawned()
+    assert len(fixture.answers) == 2
