Look words of leaving up in one place

Cause: the mutant "drains are ignored", run alone again, was not noticed: since the VM list is arranged, drains were looked up in two places, as the list's mark was.

Change: leaving_ids and is_leaving ask the same question.

After: unit tests passed; the mutant is noticed.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_membership.py
@@ -196,21 +196,26 @@
 
     def leaving_ids(self) -> list[str]:
         """Return the VMs that are known or said to leave."""
-        said = {*self._index.listed_leaving, *self._leaving_engines, *self._drains}
-        said |= {vm_id for vm_id in self._rumours if self._is_rumoured(vm_id)}
-        if self.leaving:
-            said.add(self.me)
-        return sorted(said & self._vms.keys())
+        candidates = {self.me, *self._index.listed_leaving, *self._leaving_engines}
+        candidates |= self._drains | self._rumours.keys()
+        return sorted(
+            vm_id
+            for vm_id in candidates & self._vms.keys()
+            if self._is_leaving_id(vm_id)
+        )
 
     def is_leaving(self, vm: Vm) -> bool:
         """Tell whether a VM must get no new work."""
-        if vm.id == self.me and self.leaving:
+        return self._is_leaving_id(vm.id)
+
+    def _is_leaving_id(self, vm_id: str) -> bool:
+        if vm_id == self.me and self.leaving:
             return True
         return (
-            vm.id in self._index.listed_leaving
-            or vm.id in self._leaving_engines
-            or vm.id in self._drains
-            or self._is_rumoured(vm.id)
+            vm_id in self._index.listed_leaving
+            or vm_id in self._leaving_engines
+            or vm_id in self._drains
+            or self._is_rumoured(vm_id)
         )
 
     def _is_rumoured(self, vm_id: str) -> bool:
