Do not take the missing prefix of jobs for a shared one

Background jobs name no prefix, and the empty name was learned like any other, so all jobs of a popular adapter followed the last one that had ended, past the load. The count of absent adapters with quick work also stood twice, in expected_wait_s and has_quick_waiting.

Ruled out: a prefix for jobs; their bodies would have to be parsed below the protocol layer.

Change: PrefixTable learns nothing of an empty name; both callers ask _quick_loads.

Before: the new unit test fails without the change.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_scheduler.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_scheduler.py
@@ -113,19 +113,17 @@
         """Return how long quick work will wait for an adapter, by the last loads."""
         if model in self._resident or self.queue_of(model).quick:
             return 0.0
-        ahead = sum(
-            1
-            for name, queue in self._queues.models()
-            if queue.quick and name not in self._resident
-        )
-        return (ahead + 1) * self._load_interval_s
+        return (self._quick_loads() + 1) * self._load_interval_s
 
     def has_quick_waiting(self) -> bool:
         """Tell whether quick work waits for an adapter that is not resident."""
-        return any(
-            queue.quick
+        return self._quick_loads() > 0
+
+    def _quick_loads(self) -> int:
+        """Return how many adapters quick work waits for that are not resident."""
+        return sum(
+            model not in self._resident and len(queue.quick) > 0
             for model, queue in self._queues.models()
-            if model not in self._resident
         )
 
     def suspects_running(self) -> bool:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_prefixes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_prefixes.py
@@ -33,7 +33,9 @@
         return self._runners.get(prefix)
 
     def learn(self, prefix: str, runner: str, cached: bool) -> None:
-        """Take one statement about a runner."""
+        """Take one statement about a runner; an empty name is no prefix."""
+        if not prefix:
+            return
         if cached:
             self._runners[prefix] = runner
             self._runners.move_to_end(prefix)
--- a/tests/unit/test_prefixes.py
+++ b/tests/unit/test_prefixes.py
@@ -128,3 +128,14 @@
     assert busy.placement.choose_apart("content", {"engine-0"}) == chosen
     assert idle.placement.choose_apart("content", {"engine-0"}) == chosen
     assert idle.placement.choose_apart("content", {"engine-0", chosen.id}) != chosen
+
+
+def test_requests_without_a_prefix_do_not_follow_each_other() -> None:
+    """Background jobs name no prefix; they must not look as if they shared one."""
+    fixture = Fixture()
+    first = fixture.choose("")
+    for _ in range(600):
+        fixture.choose("")
+    for engine in [f"engine-{n}" for n in range(5)]:
+        fixture.placement.learn_prefix("", engine, True)
+        assert fixture.choose("") == first
