--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.py
@@ -39,6 +39,7 @@
 from ._grants import END_BATCH_S, RENEWALS_PER_LEASE, Grants, HeldGrant
 from ._leases import MAX_PENDING_HEARTBEATS, Leases
 from ._membership import ABSENT_READS_TO_DROP, DOMAIN_SILENT_S, NOTICE_S, Membership
+from ._message_base import Message
 from ._messages import (
     Confirm,
     Confirmed,
@@ -54,7 +55,6 @@
     LeaseRelease,
     LeaseRequest,
     LeavingNotice,
-    Message,
     OutcomeQuery,
     OutcomeReply,
     OwnerNotice,
@@ -85,6 +85,7 @@
     LOAD_STALL,
     LOADS,
     LOG_LAG,
+    LOG_LINES_DROPPED,
     PEER_BYTES,
     PEER_MESSAGES,
     POISONED,
@@ -280,6 +281,7 @@
     "LOAD_STALL",
     "LOCAL_SECTIONS",
     "LOG_LAG",
+    "LOG_LINES_DROPPED",
     "LeaseRelease",
     "LeaseRequest",
     "Leases",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
@@ -12,9 +12,8 @@
 
 from gooseberryrun._internal.state import FencingNumber
 
-
-class Message(msgspec.Struct, frozen=True, array_like=True):
-    """Frozen data class that travels as an array, without the names of its fields."""
+from ._message_base import Message
+from ._serving_messages import ServingMessage
 
 
 class LeavingNotice(Message, frozen=True, array_like=True):
@@ -338,4 +337,5 @@
     | StopNotice
     | Confirm
     | Confirmed
+    | ServingMessage
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -39,3 +39,6 @@
 PEER_BYTES = Counter(PREFIX + "peer_bytes", "Bytes to peers", ["direction"])
 PEER_MESSAGES = Counter(PREFIX + "peer_messages", "Messages to peers", ["direction"])
 INTERNAL_ERRORS = Counter(PREFIX + "internal_errors", "Bugs caught", ["task"])
+LOG_LINES_DROPPED = Counter(
+    PREFIX + "log_lines_dropped", "Log lines dropped for want of a reader"
+)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -0,0 +1,90 @@
+"""Messages between entry VMs that serve by routes."""
+
+from __future__ import annotations
+
+from gooseberryrun._internal.state.serving import DirectoryRecord, RunnerView, Topic
+
+from ._message_base import Message
+
+
+class AcquireRequest(Message, frozen=True, array_like=True):
+    """Asks the owner of a runner to have an adapter ready there.
+
+    ``adapter`` is ``model/adapter``; version 0 takes any.
+    """
+
+    runner: str
+    adapter: str
+    version: int
+    left_s: float
+    priority: int
+    request_id: str
+
+
+class AcquireAnswer(Message, frozen=True, array_like=True):
+    """Answer of the owner: the version held, or why there is none."""
+
+    version: int
+    reason: str = ""
+    retry_in_s: float = 0.0
+
+
+class UseNotice(Message, frozen=True, array_like=True):
+    """How many requests of the sender are on an adapter of a runner now."""
+
+    runner: str
+    adapter: str
+    count: int
+
+
+class ResidencyNotice(Message, frozen=True, array_like=True):
+    """Adapters that a runner holds, as its owner knows them."""
+
+    runner: str
+    born_ms: int
+    fencing_token: int
+    held: dict[str, int]
+
+
+class CrashReport(Message, frozen=True, array_like=True):
+    """A runner crashed while it worked on a request with this content."""
+
+    content: str
+    runner: str
+    born_ms: int
+
+
+class ServingGossip(Message, frozen=True, array_like=True):
+    """What an entry VM tells the others at intervals."""
+
+    vm: str
+    ends: dict[Topic, int]
+    views: dict[str, RunnerView]
+    residency: list[ResidencyNotice]
+    crashes: list[CrashReport]
+
+
+class DirectoryRequest(Message, frozen=True, array_like=True):
+    """Asks a peer for the records of a topic from an offset on."""
+
+    topic: Topic
+    offset: int
+
+
+class DirectoryReply(Message, frozen=True, array_like=True):
+    """Records that a peer has read, and where its reading ended."""
+
+    topic: Topic
+    end: int
+    records: list[DirectoryRecord]
+
+
+ServingMessage = (
+    AcquireRequest
+    | AcquireAnswer
+    | UseNotice
+    | ResidencyNotice
+    | ServingGossip
+    | DirectoryRequest
+    | DirectoryReply
+)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -0,0 +1,134 @@
+"""Where adapters are held, who uses them, and how one is asked for."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.state.serving import Runner
+
+from .._events import log_event
+from .._serving_messages import (
+    AcquireAnswer,
+    AcquireRequest,
+    ResidencyNotice,
+    UseNotice,
+)
+from ._context import Context
+from ._membership import Membership
+from ._owner import Owners
+from ._runner_owner import Refused, adapter_key
+
+
+class Adapters:
+    """Beliefs on adapters at runners, and questions to the runners' owners."""
+
+    def __init__(self, ctx: Context, owners: Owners, membership: Membership) -> None:
+        self._ctx = ctx
+        self._owners = owners
+        self._membership = membership
+        self._uses: Counter[tuple[str, str]] = Counter()
+
+    def held(self, runner: Runner) -> dict[str, int]:
+        """Return the adapters that a runner is believed to hold, with versions."""
+        notice = self._ctx.residency.get(runner.id)
+        if notice is not None and notice.born_ms == runner.born_ms:
+            return notice.held
+        return {
+            adapter_key(model.name, name): version
+            for model in runner.models
+            for name, version in model.adapters.items()
+        }
+
+    def note_held(self, runner: Runner, adapter: str, version: int) -> None:
+        """Believe that a runner holds an adapter."""
+        self._believe(runner, {**self.held(runner), adapter: version})
+
+    def forget(self, runner: Runner, adapter: str) -> None:
+        """Believe that a runner does not hold an adapter."""
+        held = {key: v for key, v in self.held(runner).items() if key != adapter}
+        self._believe(runner, held)
+
+    def _believe(self, runner: Runner, held: dict[str, int]) -> None:
+        known = self._ctx.residency.get(runner.id)
+        is_same = known is not None and known.born_ms == runner.born_ms
+        token = known.fencing_token if known is not None and is_same else 0
+        notice = ResidencyNotice(runner.id, runner.born_ms, token, held)
+        self._ctx.residency[runner.id] = notice
+
+    def begin_use(self, runner: Runner, adapter: str) -> None:
+        """Tell the owner that one more request is on an adapter."""
+        self._uses[(runner.id, adapter)] += 1
+        self._tell_use(runner, adapter)
+
+    def end_use(self, runner: Runner, adapter: str) -> None:
+        """Tell the owner that a request on an adapter is over."""
+        self._uses[(runner.id, adapter)] -= 1
+        self._tell_use(runner, adapter)
+        if not self._uses[(runner.id, adapter)]:
+            del self._uses[(runner.id, adapter)]
+
+    def _tell_use(self, runner: Runner, adapter: str) -> None:
+        owner = self._ctx.owner_of(runner.id)
+        notice = UseNotice(runner.id, adapter, self._uses[(runner.id, adapter)])
+        if owner is None:
+            return
+        if owner.vm == self._ctx.vm:
+            self._owners.hear_use(owner.vm, notice)
+        else:
+            self._ctx.peers.tell(owner.vm, notice)
+
+    def acquire(
+        self,
+        runner: Runner,
+        adapter: str,
+        version: int,
+        priority: int,
+        deadline: float,
+        request_id: str,
+    ) -> Result[int, Refused]:
+        """Have the owner of a runner make an adapter ready; return its version."""
+        owner = self._ctx.owner_of(runner.id)
+        if owner is None:
+            self._membership.reread_owners()
+            return Err(Refused("no_owner", 0.5))
+        if owner.vm == self._ctx.vm:
+            acquired = self._owners.acquire(
+                runner.id, adapter, version, priority, deadline
+            )
+        else:
+            left_s = deadline - self._ctx.clock.monotonic()
+            question = AcquireRequest(
+                runner.id, adapter, version, left_s, priority, request_id
+            )
+            acquired = self._ask(owner.vm, question, deadline)
+        self._note(runner, adapter, acquired)
+        return acquired
+
+    def _ask(
+        self, vm: str, question: AcquireRequest, deadline: float
+    ) -> Result[int, Refused]:
+        answer = self._ctx.peers.ask(vm, question, deadline)
+        if isinstance(answer, Err):
+            log_event(
+                "owner_unreachable",
+                request=question.request_id,
+                owner=vm,
+                why=answer.err_value.detail,
+            )
+            return Err(Refused("owner_unreachable", 0.5))
+        reply = answer.ok_value
+        if not isinstance(reply, AcquireAnswer):
+            return Err(Refused("unexpected_answer", 0.5))
+        if reply.reason:
+            return Err(Refused(reply.reason, reply.retry_in_s))
+        return Ok(reply.version)
+
+    def _note(
+        self, runner: Runner, adapter: str, acquired: Result[int, Refused]
+    ) -> None:
+        if isinstance(acquired, Ok):
+            self.note_held(runner, adapter, acquired.ok_value)
+        elif acquired.err_value.reason in ("not_owner", "owner_unreachable"):
+            self._membership.reread_owners()
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_answers.py
@@ -0,0 +1,94 @@
+"""Answers to callers, and the rules for what a runner's answer is worth."""
+
+from __future__ import annotations
+
+import random
+
+from .._events import log_event
+from .._metrics import REFUSALS
+from ._context import Context
+from ._job import Job, OwnAnswer
+from ._ports import Headers, RunnerAnswer
+
+RETRY_SPREAD = 0.5
+"""Share by which times to come back are spread, so that callers do not return at
+one moment."""
+
+_CONNECTION_HEADERS = {
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+}
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that do not concern a single connection only."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    dropped = _CONNECTION_HEADERS | named
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+def is_genuine(answer: RunnerAnswer) -> bool:
+    """Tell whether an answer can be the runner's own, whole and unchanged."""
+    if answer.facts.is_encoded:
+        return False
+    return answer.facts.is_signed or not 200 <= answer.status < 300
+
+
+def no_answer(job: Job, reason: str, retry_in_s: float | None = None) -> OwnAnswer:
+    """Return the true answer to a request that no runner has answered."""
+    if job.may_have_run:
+        return OwnAnswer(504 if reason == "deadline" else 502, reason)
+    return OwnAnswer(503, reason, retry_in_s)
+
+
+class Answers:
+    """Sends final answers and logs each with what decided it."""
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+
+    def give_own(self, job: Job, own: OwnAnswer) -> None:
+        """Answer in the system's own name."""
+        retry_in_s = own.retry_in_s
+        if retry_in_s is not None:
+            retry_in_s *= random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+        codec = self._ctx.ports.codec
+        headers = codec.encode_refusal(job.facts.request_id, retry_in_s)
+        REFUSALS.labels(code=own.reason).inc()
+        self.log(job, own.status, own.reason)
+        job.caller.answer(own.status, headers, b"")
+
+    def relay(self, job: Job, answer: RunnerAnswer, body: bytes) -> None:
+        """Pass a runner's whole answer on."""
+        self.log(job, answer.status, "relayed")
+        job.caller.answer(answer.status, end_to_end(answer.headers), body)
+
+    def log(self, job: Job, status: int, reason: str) -> None:
+        """Log the end of a request."""
+        now = self._ctx.clock.monotonic()
+        log_event(
+            "request",
+            request=job.facts.request_id,
+            route=job.route.name,
+            service=job.service,
+            adapter=job.facts.adapter,
+            status=status,
+            reason=reason,
+            took_s=now - job.request.read_at,
+            left_s=job.deadline - now,
+            sends=job.sends,
+            attempts=job.attempts,
+        )
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -0,0 +1,178 @@
+"""Keeps the configuration and the runners' registry up to date."""
+
+from __future__ import annotations
+
+import eventlet
+from result import Err
+
+from gooseberryrun._internal.state.serving import DirectoryRecord, Topic
+
+from .._events import log_event
+from .._ports import Inbound
+from .._serving_messages import DirectoryReply, DirectoryRequest
+from ._context import Context
+from ._ports import StoreFault, StoreFaultKind
+
+RETRY_S = 0.25
+"""Pause after a failed read, doubled up to ``MAX_RETRY_S``."""
+MAX_RETRY_S = 1.0
+OUTAGE_S = 0.8
+"""Time without the store after which entries may have lapsed meanwhile."""
+PEER_LEAD_S = 0.15
+"""Time for the store's own word before records are fetched from a peer."""
+FETCH_TIMEOUT_S = 1.0
+SWEEP_S = 0.2
+
+
+class DirectoryFollower:
+    """Follows both topics, through the store or, without it, through peers."""
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        self._lost_at: dict[Topic, float] = {}
+        self._fetching: set[Topic] = set()
+
+    def start(self) -> None:
+        """Follow each topic in a green thread of its own."""
+        for topic in Topic:
+            eventlet.spawn(self._follow, topic)
+        eventlet.spawn(self._sweep)
+
+    def is_ready(self) -> bool:
+        """Tell whether a configuration is known."""
+        return self._ctx.directory.table is not None
+
+    # Reading from the store.
+
+    def _follow(self, topic: Topic) -> None:
+        needs_snapshot = True
+        pause_s = RETRY_S
+        while True:
+            fault = self._read(topic, needs_snapshot)
+            if fault is None:
+                self._note_regained(topic)
+                needs_snapshot = False
+                pause_s = RETRY_S
+                continue
+            if fault.kind is StoreFaultKind.EXPIRED:
+                log_event("records_expired", topic=topic, detail=fault.detail)
+                needs_snapshot = True
+                continue
+            self._note_lost(topic, fault)
+            eventlet.sleep(pause_s)
+            pause_s = min(MAX_RETRY_S, pause_s * 2)
+
+    def _read(self, topic: Topic, needs_snapshot: bool) -> StoreFault | None:
+        directory = self._ctx.directory
+        store = self._ctx.ports.store
+        if needs_snapshot:
+            read = store.read_snapshot(topic)
+        else:
+            wait_s = self._ctx.cfg.store.poll_wait_s
+            read = store.read_changes(topic, directory.ends[topic], wait_s)
+        if isinstance(read, Err):
+            return read.err_value
+        self._note_regained(topic)
+        records = read.ok_value
+        now = self._ctx.clock.monotonic()
+        if needs_snapshot:
+            news = directory.replace(topic, records.records, records.end, now)
+        else:
+            news = [r for r in records.records if directory.apply(r, now)]
+            directory.ends[topic] = max(directory.ends[topic], records.end)
+        self._log_news(news, "store")
+        return None
+
+    def _note_lost(self, topic: Topic, fault: StoreFault) -> None:
+        if topic in self._lost_at:
+            return
+        self._lost_at[topic] = self._ctx.clock.monotonic()
+        log_event(
+            "store_lost",
+            level="warning",
+            topic=topic,
+            kind=fault.kind,
+            why=fault.detail,
+        )
+
+    def _note_regained(self, topic: Topic) -> None:
+        lost_at = self._lost_at.pop(topic, None)
+        if lost_at is None:
+            return
+        now = self._ctx.clock.monotonic()
+        if now - lost_at >= OUTAGE_S:
+            self._ctx.directory.regained_at = now
+        log_event("store_regained", topic=topic, lost_s=now - lost_at)
+
+    # Reading from peers.
+
+    def hear_ends(self, peer: str, ends: dict[Topic, int]) -> None:
+        """Fetch what a peer has read beyond this VM."""
+        for topic, end in ends.items():
+            if end > self._ctx.directory.ends[topic] and topic not in self._fetching:
+                self._fetching.add(topic)
+                eventlet.spawn(self._fetch, peer, topic, end)
+
+    def _fetch(self, peer: str, topic: Topic, end: int) -> None:
+        try:
+            eventlet.sleep(PEER_LEAD_S)
+            known_end = self._ctx.directory.ends[topic]
+            if known_end >= end:
+                return
+            deadline = self._ctx.clock.monotonic() + FETCH_TIMEOUT_S
+            question = DirectoryRequest(topic, known_end)
+            answer = self._ctx.peers.ask(peer, question, deadline)
+            if isinstance(answer, Err):
+                log_event("peer_read_failed", peer=peer, why=answer.err_value.detail)
+                return
+            if isinstance(answer.ok_value, DirectoryReply):
+                self._take_reply(peer, answer.ok_value)
+        finally:
+            self._fetching.discard(topic)
+
+    def _take_reply(self, peer: str, reply: DirectoryReply) -> None:
+        directory = self._ctx.directory
+        now = self._ctx.clock.monotonic()
+        news = [record for record in reply.records if directory.apply(record, now)]
+        directory.ends[reply.topic] = max(directory.ends[reply.topic], reply.end)
+        self._log_news(news, f"peer:{peer}")
+
+    def answer(self, inbound: Inbound, question: DirectoryRequest) -> None:
+        """Give a peer the records that it lacks."""
+        directory = self._ctx.directory
+        records = directory.records_since(question.topic, question.offset)
+        end = directory.ends[question.topic]
+        inbound.reply(DirectoryReply(question.topic, end, records))
+
+    # Beliefs.
+
+    def _sweep(self) -> None:
+        while True:
+            eventlet.sleep(SWEEP_S)
+            now = self._ctx.clock.monotonic()
+            for runner in self._ctx.directory.expire(now):
+                log_event("runner_gone", runner=runner, why="entry did not come back")
+
+    def _log_news(self, news: list[DirectoryRecord], source: str) -> None:
+        for record in news:
+            log_event(
+                "record_applied",
+                topic=record.topic,
+                key=record.key,
+                offset=record.offset,
+                source=source,
+                says=_describe(record),
+            )
+
+
+def _describe(record: DirectoryRecord) -> str:
+    """Return what a record changes, in a few words."""
+    if record.unreadable:
+        return f"unreadable:{record.unreadable}"
+    if record.configuration is not None:
+        return f"configuration:{record.configuration.version}"
+    if record.adapter_version is not None:
+        return f"adapter_version:{record.adapter_version.version}"
+    if record.runner is not None:
+        return "draining" if record.runner.draining else "serving"
+    return "removed"
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -0,0 +1,111 @@
+"""Entrance of requests: route, checks, and the way by kind."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.state.serving import Route, RouteTable
+
+from .._events import bind_request, log_event
+from .._metrics import REFUSALS
+from ._answers import Answers, no_answer
+from ._attempts import Attempts
+from ._context import Context
+from ._job import Job, OwnAnswer
+from ._model_requests import ModelRequests
+from ._plain_requests import PlainRequests
+from ._ports import (
+    Caller,
+    CallerLeftError,
+    InboundRequest,
+    RequestFacts,
+    RequestHandler,
+)
+
+NOT_READY_RETRY_S = 0.5
+"""Time to come back to a VM that knows no configuration yet."""
+
+
+class Gateway(RequestHandler):
+    """Finds the route of a request and serves it by its kind."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        attempts: Attempts,
+        answers: Answers,
+        plain: PlainRequests,
+        models: ModelRequests,
+    ) -> None:
+        self._ctx = ctx
+        self._attempts = attempts
+        self._answers = answers
+        self._plain = plain
+        self._models = models
+
+    def handle(self, request: InboundRequest, caller: Caller) -> None:
+        """Answer a request."""
+        decoded = self._ctx.ports.codec.decode_request(request.headers)
+        if isinstance(decoded, Err):
+            self._reject(request, caller, OwnAnswer(400, decoded.err_value), "")
+            return
+        facts = decoded.ok_value
+        bind_request(facts.request_id)
+        found = self._find_route(request)
+        if isinstance(found, Err):
+            self._reject(request, caller, found.err_value, facts.request_id)
+            return
+        self._serve(self._make_job(request, facts, caller, found.ok_value))
+
+    def _find_route(self, request: InboundRequest) -> Result[Route, OwnAnswer]:
+        table: RouteTable | None = self._ctx.directory.table
+        if table is None:
+            return Err(OwnAnswer(503, "no_configuration", NOT_READY_RETRY_S))
+        route = table.find(request.host, request.path)
+        if route is None:
+            return Err(OwnAnswer(404, f"no_route_in_{table.configuration.version}"))
+        return Ok(route)
+
+    def _make_job(
+        self, request: InboundRequest, facts: RequestFacts, caller: Caller, route: Route
+    ) -> Job:
+        wait_s = min(facts.wait_s, route.timeout_s)
+        return Job(
+            request,
+            facts,
+            caller,
+            route,
+            route.pick_service(facts.request_id),
+            request.read_at + wait_s,
+        )
+
+    def _serve(self, job: Job) -> None:
+        self._attempts.count_request(job.service)
+        now = self._ctx.clock.monotonic()
+        if self._ctx.suspects.is_refused(job.content, now):
+            self._answers.give_own(job, no_answer(job, "crashes_runners"))
+            return
+        try:
+            if job.facts.model:
+                self._models.serve(job)
+            else:
+                self._plain.serve(job)
+        except CallerLeftError:
+            self._answers.log(job, 0, "caller_left")
+            raise
+
+    def _reject(
+        self, request: InboundRequest, caller: Caller, own: OwnAnswer, request_id: str
+    ) -> None:
+        REFUSALS.labels(code=own.reason.partition("_in_")[0]).inc()
+        log_event(
+            "request",
+            request=request_id,
+            host=request.host,
+            path=request.path,
+            status=own.status,
+            reason=own.reason,
+        )
+        codec = self._ctx.ports.codec
+        headers = codec.encode_refusal(request_id, own.retry_in_s)
+        caller.answer(own.status, headers, b"")
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -0,0 +1,60 @@
+"""Figures that entry VMs tell each other at intervals."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import eventlet
+
+from .._serving_messages import ResidencyNotice, ServingGossip
+from ._context import Context
+
+INTERVAL_S = 0.5
+FANOUT = 8
+"""Peers told at a time; fixed, so that the cost does not grow with the VMs."""
+CRASH_TOLD_S = 5.0
+"""Time for which a crash is told."""
+
+
+class Gossip:
+    """Tells random peers what this VM has read, sent and seen."""
+
+    def __init__(
+        self, ctx: Context, own_residency: Callable[[], list[ResidencyNotice]]
+    ) -> None:
+        self._ctx = ctx
+        self._own_residency = own_residency
+
+    def start(self) -> None:
+        """Tell in a green thread of its own."""
+        eventlet.spawn(self._tell_all)
+
+    def _tell_all(self) -> None:
+        while True:
+            eventlet.sleep(INTERVAL_S * random.uniform(0.8, 1.2))
+            peers = self._ctx.peer_ids()
+            gossip = self._gossip()
+            for peer in random.sample(peers, min(FANOUT, len(peers))):
+                self._ctx.peers.tell(peer, gossip)
+
+    def _gossip(self) -> ServingGossip:
+        ctx = self._ctx
+        now = ctx.clock.monotonic()
+        ctx.crashes = [item for item in ctx.crashes if now - item[0] < CRASH_TOLD_S]
+        return ServingGossip(
+            vm=ctx.vm,
+            ends=dict(ctx.directory.ends),
+            views=ctx.loads.own_views(now),
+            residency=self._own_residency(),
+            crashes=[report for _, report in ctx.crashes],
+        )
+
+    def hear(self, gossip: ServingGossip) -> None:
+        """Take in what a peer tells."""
+        ctx = self._ctx
+        ctx.loads.hear(gossip.vm, gossip.views, ctx.clock.monotonic())
+        for notice in gossip.residency:
+            ctx.hear_residency(notice)
+        for report in gossip.crashes:
+            ctx.record_crash(report)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_job.py
@@ -0,0 +1,58 @@
+"""One request on its way through this VM."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import xxhash
+
+from gooseberryrun._internal.state.serving import Route
+
+from ._ports import Caller, InboundRequest, RequestFacts
+
+
+@dataclass(slots=True)
+class Job:
+    """Request with its route and what has happened to it so far.
+
+    ``deadline`` is when the final answer is due; ``may_have_run`` is set once a
+    runner may have begun to work and nothing proves that it did not.
+    """
+
+    request: InboundRequest
+    facts: RequestFacts
+    caller: Caller
+    route: Route
+    service: str
+    deadline: float
+    attempts: int = 0
+    sends: int = 0
+    may_have_run: bool = False
+    tried: set[str] = field(default_factory=set)
+    unloadable: set[str] = field(default_factory=set)
+
+    @property
+    def content(self) -> str:
+        """Return a hash of what a runner would work on."""
+        text = f"{self.request.method} {self.request.target}\n"
+        text += f"{self.facts.model}/{self.facts.adapter}\n"
+        return xxhash.xxh3_128_hexdigest(text.encode() + self.request.body)
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether another attempt is allowed after one that may have run."""
+        if not self.may_have_run:
+            return True
+        return self.route.is_repeatable and self.attempts < self.route.max_attempts
+
+
+@dataclass(frozen=True, slots=True)
+class OwnAnswer:
+    """Answer that this VM gives itself, for want of a runner's.
+
+    With ``retry_in_s`` it says when to come back.
+    """
+
+    status: int
+    reason: str
+    retry_in_s: float | None = None
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -0,0 +1,95 @@
+"""Membership of the group of entry VMs and the shares that come with it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import eventlet
+from result import Err
+
+from .._events import log_event
+from ._context import Context
+
+SETTLE_S = (0.0, 0.4, 1.5)
+"""Times after a change at which the owners are read: shares move in steps."""
+OWNERS_REREAD_S = 1.0
+"""Shortest time between readings asked for by tasks."""
+
+
+class Membership:
+    """Renews the lease and learns who owns which runners."""
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        self._is_lost = False
+        self._is_left = False
+        self._owners_read_at = float("-inf")
+        self.on_change: Callable[[], None] = lambda: None
+
+    def start(self) -> None:
+        """Renew in a green thread of its own."""
+        eventlet.spawn(self._renew_all)
+
+    def leave(self) -> None:
+        """Give up every share and leave the group."""
+        self._is_left = True
+        self._ctx.ownership.lose()
+        left = self._ctx.ports.store.leave()
+        why = left.err_value.detail if isinstance(left, Err) else ""
+        log_event("group_left", error=why)
+
+    def reread_owners(self) -> None:
+        """Read the owners again, unless that was done just now."""
+        now = self._ctx.clock.monotonic()
+        if now - self._owners_read_at >= OWNERS_REREAD_S:
+            self._owners_read_at = now
+            eventlet.spawn(self._read_owners)
+
+    def _renew_all(self) -> None:
+        while not self._is_left:
+            self._renew()
+            eventlet.sleep(self._ctx.cfg.membership.renew_interval_s)
+
+    def _renew(self) -> None:
+        ctx = self._ctx
+        asked_at = ctx.clock.boottime()
+        renewed = ctx.ports.store.renew(ctx.ownership.generation)
+        now = ctx.clock.boottime()
+        if self._is_left:
+            return
+        if isinstance(renewed, Err):
+            self._note_lost(renewed.err_value.detail)
+            return
+        if self._is_lost:
+            self._is_lost = False
+            log_event(
+                "membership_regained", lease_left_s=ctx.ownership.lease_left_s(now)
+            )
+        assignment = renewed.ok_value
+        if ctx.ownership.renew(assignment, asked_at, now):
+            log_event(
+                "shares_changed",
+                generation=assignment.generation,
+                shares=len(assignment.shares),
+            )
+            for after_s in SETTLE_S:
+                eventlet.spawn_after(after_s, self._read_owners)
+            self.on_change()
+
+    def _note_lost(self, why: str) -> None:
+        if self._is_lost:
+            return
+        self._is_lost = True
+        left_s = self._ctx.ownership.lease_left_s(self._ctx.clock.boottime())
+        log_event("membership_lost", level="warning", why=why, lease_left_s=left_s)
+
+    def _read_owners(self) -> None:
+        self._owners_read_at = self._ctx.clock.monotonic()
+        read = self._ctx.ports.store.owners()
+        if isinstance(read, Err):
+            log_event("owners_unread", level="warning", why=read.err_value.detail)
+            return
+        if read.ok_value != self._ctx.owners:
+            members = {owner.vm for owner in read.ok_value.values()}
+            log_event("owners_changed", members=len(members))
+        self._ctx.owners = read.ok_value
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -0,0 +1,322 @@
+"""Requests to model runners, answered by streams of events."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from result import Err
+
+from gooseberryrun._internal.state.serving import (
+    Candidate,
+    Choice,
+    Runner,
+    choose_model_runner,
+    expected_first_event_s,
+)
+
+from .._events import log_event
+from .._metrics import LOAD_STALL
+from ._adapters import Adapters
+from ._answers import Answers, end_to_end, is_genuine, no_answer
+from ._attempts import Attempts
+from ._context import Context
+from ._event_stream import EventBuffer
+from ._job import Job, OwnAnswer
+from ._ports import AttemptFailure, AttemptFault, Forwarding, RunnerAnswer
+from ._runner_owner import adapter_key
+
+MAX_ROUNDS = 6
+"""Choices of a runner for one request."""
+MAX_WAIT_SHARE = 0.6
+"""Share of the time left that may pass before the first event; a request that would
+wait longer is refused at once."""
+MIN_SLOWNESS_SAMPLE_S = 0.03
+"""Shortest expected time that an observed one is compared with."""
+URGENCY_STEP = 2
+"""Ranks of the engines' urgency between two priorities of routes."""
+MAX_URGENCY = 9
+BUSY_RETRY_S = 1.0
+"""Time to come back after a refusal for want of room."""
+
+_AGAIN = OwnAnswer(0, "again")
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What the caller has of its stream."""
+
+    events: EventBuffer = field(default_factory=EventBuffer)
+    is_started: bool = False
+
+
+class ModelRequests:
+    """Serves requests that name a model or one of its adapters."""
+
+    def __init__(
+        self, ctx: Context, adapters: Adapters, attempts: Attempts, answers: Answers
+    ) -> None:
+        self._ctx = ctx
+        self._adapters = adapters
+        self._attempts = attempts
+        self._answers = answers
+
+    def serve(self, job: Job) -> None:
+        """Answer a request."""
+        progress = _Progress()
+        for _ in range(MAX_ROUNDS):
+            own = self._try_once(job, progress)
+            if own is None:
+                return
+            if own.reason != "again":
+                self._end(job, progress, own)
+                return
+        self._end(job, progress, no_answer(job, "attempts", BUSY_RETRY_S))
+
+    def _end(self, job: Job, progress: _Progress, own: OwnAnswer) -> None:
+        """Answer, or break off what has begun."""
+        if not progress.is_started:
+            self._answers.give_own(job, own)
+            return
+        self._answers.log(job, 0, f"cut: {own.reason}")
+        job.caller.cut()
+
+    def _try_once(self, job: Job, progress: _Progress) -> OwnAnswer | None:
+        now = self._ctx.clock.monotonic()
+        if now >= job.deadline:
+            return no_answer(job, "deadline")
+        choice = self._choose(job, now)
+        if choice is None:
+            return no_answer(job, "no_runner", BUSY_RETRY_S)
+        if choice.expected_s > MAX_WAIT_SHARE * (job.deadline - now):
+            return no_answer(job, "overload", BUSY_RETRY_S)
+        runner = choice.candidate.runner
+        if not choice.candidate.has_adapter and not self._acquire(job, runner):
+            return _AGAIN
+        if not self._attempts.may_send(job):
+            return no_answer(job, "repeat_budget", BUSY_RETRY_S)
+        return self._attempt(job, runner, choice, progress)
+
+    # Choosing and loading.
+
+    def _choose(self, job: Job, now: float) -> Choice | None:
+        adapter = self._key(job)
+        candidates = []
+        for runner in self._ctx.directory.runners(job.service, now):
+            if runner.id in job.tried or self._ctx.loads.is_down(runner.id, now):
+                continue
+            if all(model.name != job.facts.model for model in runner.models):
+                continue
+            candidates.append(self._candidate(job, runner, adapter, now))
+        return choose_model_runner(candidates, adapter, job.facts.prompt_tokens)
+
+    def _candidate(
+        self, job: Job, runner: Runner, adapter: str, now: float
+    ) -> Candidate:
+        has_adapter = not job.facts.adapter
+        if job.facts.adapter:
+            held = self._adapters.held(runner).get(adapter, -1)
+            has_adapter = held >= self._wanted_version(job)
+        return Candidate(
+            runner,
+            self._ctx.loads.total(runner.id, now),
+            runner.domain == self._ctx.cfg.vm.domain,
+            has_adapter,
+            runner.id not in job.unloadable,
+        )
+
+    def _key(self, job: Job) -> str:
+        return adapter_key(job.facts.model, job.facts.adapter)
+
+    def _wanted_version(self, job: Job) -> int:
+        return self._ctx.directory.version_of(job.facts.model, job.facts.adapter)
+
+    def _acquire(self, job: Job, runner: Runner) -> bool:
+        """Wait until the runner has the adapter; return False to look elsewhere."""
+        asked_at = self._ctx.clock.monotonic()
+        deadline = asked_at + MAX_WAIT_SHARE * (job.deadline - asked_at)
+        acquired = self._adapters.acquire(
+            runner,
+            self._key(job),
+            self._wanted_version(job),
+            job.route.priority,
+            deadline,
+            job.facts.request_id,
+        )
+        stalled_s = self._ctx.clock.monotonic() - asked_at
+        LOAD_STALL.observe(stalled_s)
+        reason = acquired.err_value.reason if isinstance(acquired, Err) else "ready"
+        log_event(
+            "adapter_wait",
+            request=job.facts.request_id,
+            runner=runner.id,
+            adapter=job.facts.adapter,
+            took_s=stalled_s,
+            outcome=reason,
+        )
+        if isinstance(acquired, Err):
+            job.unloadable.add(runner.id)
+            return False
+        return True
+
+    # One attempt.
+
+    def _attempt(
+        self, job: Job, runner: Runner, choice: Choice, progress: _Progress
+    ) -> OwnAnswer | None:
+        reading = _Reading(self._ctx, runner, job.facts.prompt_tokens, choice)
+        adapter = self._key(job)
+        self._adapters.begin_use(runner, adapter)
+        try:
+            return self._ask(job, runner, progress, reading)
+        finally:
+            reading.end()
+            self._adapters.end_use(runner, adapter)
+
+    def _ask(
+        self, job: Job, runner: Runner, progress: _Progress, reading: _Reading
+    ) -> OwnAnswer | None:
+        forwarding = self._forwarding(job, runner, progress)
+        sent = self._attempts.send(job, runner, forwarding, job.deadline)
+        if isinstance(sent, Err):
+            return self._after_fault(job, sent.err_value)
+        answer = sent.ok_value
+        try:
+            if answer.facts.is_not_run:
+                return self._after_not_run(job, runner, answer)
+            return self._take(job, runner, answer, progress, reading)
+        finally:
+            answer.close()
+
+    def _forwarding(self, job: Job, runner: Runner, progress: _Progress) -> Forwarding:
+        version = 0
+        if job.facts.adapter and self._wanted_version(job):
+            version = self._adapters.held(runner).get(self._key(job), 0)
+        return Forwarding(
+            runner.id,
+            job.deadline - self._ctx.clock.monotonic(),
+            min(MAX_URGENCY, 1 + URGENCY_STEP * job.route.priority),
+            version,
+            progress.events.last_id or job.facts.last_event_id,
+        )
+
+    def _after_not_run(
+        self, job: Job, runner: Runner, answer: RunnerAnswer
+    ) -> OwnAnswer:
+        if answer.facts.is_misdirected:
+            self._adapters.forget(runner, self._key(job))
+            job.tried.discard(runner.id)
+        return _AGAIN
+
+    def _after_fault(self, job: Job, fault: AttemptFault) -> OwnAnswer:
+        if fault.failure is AttemptFailure.NOT_SENT or job.may_repeat:
+            return _AGAIN
+        is_late = fault.failure is AttemptFailure.LATE
+        return no_answer(job, "deadline" if is_late else "runner_failed")
+
+    # The answer.
+
+    def _take(
+        self,
+        job: Job,
+        runner: Runner,
+        answer: RunnerAnswer,
+        progress: _Progress,
+        reading: _Reading,
+    ) -> OwnAnswer | None:
+        if not is_genuine(answer):
+            fault = AttemptFault(AttemptFailure.SPOILED, "not signed")
+            self._attempts.note_cut(job, runner, fault)
+            return self._after_fault(job, fault)
+        if answer.status != 200:
+            return self._take_failure(job, runner, answer, progress)
+        return self._relay(job, runner, answer, progress, reading)
+
+    def _take_failure(
+        self, job: Job, runner: Runner, answer: RunnerAnswer, progress: _Progress
+    ) -> OwnAnswer | None:
+        body = answer.read_all(job.deadline)
+        if isinstance(body, Err):
+            self._attempts.note_cut(job, runner, body.err_value)
+            return self._after_fault(job, body.err_value)
+        is_failure = answer.status >= 500
+        now = self._ctx.clock.monotonic()
+        self._ctx.loads.record_result(runner.id, ok=not is_failure, now=now)
+        if is_failure and job.may_repeat:
+            return _AGAIN
+        if progress.is_started:
+            return no_answer(job, "runner_failed")
+        self._answers.relay(job, answer, body.ok_value)
+        return None
+
+    def _relay(
+        self,
+        job: Job,
+        runner: Runner,
+        answer: RunnerAnswer,
+        progress: _Progress,
+        reading: _Reading,
+    ) -> OwnAnswer | None:
+        for piece in answer.pieces(job.deadline):
+            if isinstance(piece, Err):
+                progress.events.restart()
+                self._attempts.note_cut(job, runner, piece.err_value)
+                return self._after_fault(job, piece.err_value)
+            events = progress.events.take(piece.ok_value)
+            if events:
+                reading.note_first_event()
+                self._pass_on(job, answer, progress, events)
+        self._finish(job, runner, answer, progress)
+        return None
+
+    def _pass_on(
+        self, job: Job, answer: RunnerAnswer, progress: _Progress, events: bytes
+    ) -> None:
+        if not progress.is_started:
+            progress.is_started = True
+            job.caller.start(answer.status, end_to_end(answer.headers))
+        job.caller.send(events)
+
+    def _finish(
+        self, job: Job, runner: Runner, answer: RunnerAnswer, progress: _Progress
+    ) -> None:
+        self._attempts.note_success(runner)
+        rest = progress.events.rest()
+        if rest or not progress.is_started:
+            self._pass_on(job, answer, progress, rest)
+        self._answers.log(job, answer.status, "relayed")
+        job.caller.finish()
+
+
+class _Reading:
+    """Counts a request at a runner until its end, its prompt until it is read."""
+
+    def __init__(
+        self, ctx: Context, runner: Runner, tokens: int, choice: Choice
+    ) -> None:
+        self._ctx = ctx
+        self._runner = runner
+        self._tokens = tokens
+        self._expected_s = expected_first_event_s(choice.candidate, tokens)
+        self._slowness = choice.candidate.view.slowness
+        self._sent_at = ctx.clock.monotonic()
+        self._is_reading = True
+        ctx.loads.begin(runner.id, tokens)
+
+    def note_first_event(self) -> None:
+        """Note that the prompt was read."""
+        if not self._is_reading:
+            return
+        self._is_reading = False
+        now = self._ctx.clock.monotonic()
+        self._ctx.loads.first_event(self._runner.id, self._tokens)
+        plain_s = self._expected_s / max(self._slowness, 0.1)
+        if plain_s >= MIN_SLOWNESS_SAMPLE_S:
+            ratio = (now - self._sent_at) / plain_s
+            self._ctx.loads.record_slowness(self._runner.id, ratio, now)
+
+    def end(self) -> None:
+        """Note that the request is over."""
+        if self._is_reading:
+            self._is_reading = False
+            self._ctx.loads.first_event(self._runner.id, self._tokens)
+        self._ctx.loads.end(self._runner.id)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -0,0 +1,124 @@
+"""Requests to plain services."""
+
+from __future__ import annotations
+
+from result import Err
+
+from gooseberryrun._internal.state.serving import (
+    Candidate,
+    RouteKind,
+    Runner,
+    choose_plain_server,
+)
+
+from ._answers import Answers, is_genuine, no_answer
+from ._attempts import Attempts
+from ._context import Context
+from ._job import Job, OwnAnswer
+from ._ports import AttemptFailure, Forwarding, RunnerAnswer
+
+MAX_SENDS = 5
+"""Connections tried for one request."""
+REPEAT_SHARE = 0.35
+"""Share of the time left after which a silent server's request is repeated."""
+FULL_RETRY_S = 0.4
+"""Time to come back after every server was full."""
+
+
+class PlainRequests:
+    """Serves requests that are answered as a whole."""
+
+    def __init__(self, ctx: Context, attempts: Attempts, answers: Answers) -> None:
+        self._ctx = ctx
+        self._attempts = attempts
+        self._answers = answers
+
+    def serve(self, job: Job) -> None:
+        """Answer a request."""
+        if job.route.kind is RouteKind.UNSAFE:
+            job.caller.keep_when_left()
+        for _ in range(MAX_SENDS):
+            own = self._try_once(job)
+            if own is None:
+                return
+            if own.reason != "again":
+                self._answers.give_own(job, own)
+                return
+        self._answers.give_own(job, no_answer(job, "attempts", FULL_RETRY_S))
+
+    def _try_once(self, job: Job) -> OwnAnswer | None:
+        """Make one attempt; return None if the caller was answered."""
+        now = self._ctx.clock.monotonic()
+        if now >= job.deadline:
+            return no_answer(job, "deadline")
+        runner = self._choose(job, now)
+        if runner is None:
+            return no_answer(job, "no_server", FULL_RETRY_S)
+        if not self._attempts.may_send(job):
+            return no_answer(job, "repeat_budget", FULL_RETRY_S)
+        self._ctx.loads.begin(runner.id, 0)
+        try:
+            return self._ask(job, runner, self._attempt_deadline(job, now))
+        finally:
+            self._ctx.loads.end(runner.id)
+
+    def _ask(self, job: Job, runner: Runner, deadline: float) -> OwnAnswer | None:
+        left_s = job.deadline - self._ctx.clock.monotonic()
+        forwarding = Forwarding(runner.id, left_s)
+        sent = self._attempts.send(job, runner, forwarding, deadline)
+        if isinstance(sent, Err):
+            return self._after_fault(job, sent.err_value.failure)
+        answer = sent.ok_value
+        try:
+            if answer.facts.is_not_run:
+                return OwnAnswer(0, "again")
+            return self._take(job, runner, answer)
+        finally:
+            answer.close()
+
+    def _take(self, job: Job, runner: Runner, answer: RunnerAnswer) -> OwnAnswer | None:
+        body = answer.read_all(job.deadline)
+        if isinstance(body, Err):
+            self._attempts.note_cut(job, runner, body.err_value)
+            return self._after_fault(job, body.err_value.failure)
+        if not is_genuine(answer):
+            return self._after_fault(job, AttemptFailure.SPOILED)
+        now = self._ctx.clock.monotonic()
+        is_failure = answer.status >= 500
+        self._ctx.loads.record_result(runner.id, ok=not is_failure, now=now)
+        if is_failure and self._can_repeat(job, now):
+            return OwnAnswer(0, "again")
+        self._answers.relay(job, answer, body.ok_value)
+        return None
+
+    def _can_repeat(self, job: Job, now: float) -> bool:
+        """Tell whether a failure may be followed by another attempt."""
+        if not job.may_repeat or now >= job.deadline:
+            return False
+        return self._choose(job, now) is not None
+
+    def _after_fault(self, job: Job, failure: AttemptFailure) -> OwnAnswer:
+        if failure is AttemptFailure.NOT_SENT or job.may_repeat:
+            return OwnAnswer(0, "again")
+        late = failure is AttemptFailure.LATE
+        return no_answer(job, "deadline" if late else "server_failed")
+
+    def _attempt_deadline(self, job: Job, now: float) -> float:
+        """Leave time for another attempt where one is allowed."""
+        is_last = job.attempts + 1 >= job.route.max_attempts
+        if job.route.kind is not RouteKind.SAFE or is_last:
+            return job.deadline
+        return now + REPEAT_SHARE * (job.deadline - now)
+
+    def _choose(self, job: Job, now: float) -> Runner | None:
+        ctx = self._ctx
+        candidates = [
+            Candidate(runner, ctx.loads.total(runner.id, now), self._is_near(runner))
+            for runner in ctx.directory.runners(job.service, now)
+            if runner.id not in job.tried and not ctx.loads.is_down(runner.id, now)
+        ]
+        choice = choose_plain_server(candidates, job.facts.request_id)
+        return choice.candidate.runner if choice else None
+
+    def _is_near(self, runner: Runner) -> bool:
+        return runner.domain == self._ctx.cfg.vm.domain
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
@@ -0,0 +1,345 @@
+"""Interfaces of serving by routes to the world outside."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum, StrEnum
+
+from result import Result
+
+from gooseberryrun._internal.state.serving import (
+    Assignment,
+    DirectoryRecord,
+    HeldModel,
+    Owner,
+    Runner,
+    Topic,
+)
+
+Headers = list[tuple[str, str]]
+
+# The operators' store.
+
+
+class StoreFaultKind(StrEnum):
+    """Why a call to the store gave no result."""
+
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    EXPIRED = "expired"
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFault:
+    """Failed call to the store."""
+
+    kind: StoreFaultKind
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Records:
+    """Part of a topic; ``end`` is the offset to read from next."""
+
+    records: list[DirectoryRecord]
+    end: int
+
+
+class ControlStore(ABC):
+    """The operators' store: configuration, runners' registry and membership."""
+
+    @abstractmethod
+    def read_snapshot(self, topic: Topic) -> Result[Records, StoreFault]:
+        """Read the newest record of every key."""
+
+    @abstractmethod
+    def read_changes(
+        self, topic: Topic, offset: int, wait_s: float
+    ) -> Result[Records, StoreFault]:
+        """Wait for records from an offset on; none come if ``wait_s`` passes."""
+
+    @abstractmethod
+    def renew(self, generation: int) -> Result[Assignment, StoreFault]:
+        """Join the group of entry VMs or stay in it."""
+
+    @abstractmethod
+    def leave(self) -> Result[None, StoreFault]:
+        """Leave the group, giving up every share."""
+
+    @abstractmethod
+    def owners(self) -> Result[dict[int, Owner], StoreFault]:
+        """Read which member holds each share."""
+
+
+# Requests of callers.
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """Part of a prompt that other requests may share."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What the headers of a request say, decoded.
+
+    ``wait_s`` is how long the caller waits. ``adapter`` is empty for the model itself.
+    """
+
+    request_id: str
+    wait_s: float
+    model: str = ""
+    adapter: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    prompt: tuple[PromptPart, ...] = ()
+    last_event_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class InboundRequest:
+    """Request of a caller, read as a whole."""
+
+    method: str
+    target: str
+    host: str
+    headers: Headers
+    body: bytes
+    read_at: float
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarding:
+    """What the system says to a runner beside the caller's own headers."""
+
+    runner: str
+    left_s: float
+    urgency: int | None = None
+    adapter_version: int = 0
+    last_event_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What the headers of a runner's answer say, decoded.
+
+    ``is_not_run`` states that the runner has not run the request and never will;
+    ``other_instance`` that another runner than the expected one answered.
+    """
+
+    request_id: str
+    is_signed: bool
+    is_not_run: bool
+    is_misdirected: bool
+    is_encoded: bool
+
+
+class HeaderCodec(ABC):
+    """Decodes and encodes the headers that concern the system."""
+
+    @abstractmethod
+    def decode_request(self, headers: Headers) -> Result[RequestFacts, str]:
+        """Return what a request says, or why it is malformed."""
+
+    @abstractmethod
+    def encode_request(self, headers: Headers, forwarding: Forwarding) -> Headers:
+        """Return the headers for a runner."""
+
+    @abstractmethod
+    def decode_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Return what a runner's answer says."""
+
+    @abstractmethod
+    def encode_refusal(self, request_id: str, retry_in_s: float | None) -> Headers:
+        """Return the headers of an answer of the system's own."""
+
+
+class Caller(ABC):
+    """Connection of a caller during one request."""
+
+    @abstractmethod
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+
+    @abstractmethod
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a streamed answer."""
+
+    @abstractmethod
+    def send(self, data: bytes) -> None:
+        """Send a piece of a streamed answer at once."""
+
+    @abstractmethod
+    def finish(self) -> None:
+        """Complete a streamed answer."""
+
+    @abstractmethod
+    def cut(self) -> None:
+        """Break the answer off so that it does not look complete."""
+
+    @abstractmethod
+    def keep_when_left(self) -> None:
+        """Let the request go on although its caller may leave."""
+
+
+class RequestHandler(ABC):
+    """Serves whole requests."""
+
+    @abstractmethod
+    def handle(self, request: InboundRequest, caller: Caller) -> None:
+        """Answer a request; raises CallerLeftError through."""
+
+
+class CallerLeftError(Exception):
+    """Raised in the green thread of a request whose caller closed the connection."""
+
+
+# Runners.
+
+
+class AttemptFailure(Enum):
+    """How far a failed attempt got."""
+
+    NOT_SENT = "not_sent"
+    """Nothing reached the runner."""
+    SENT = "sent"
+    """The runner may have run the request."""
+    SPOILED = "spoiled"
+    """The runner answered with something that is no answer to this request."""
+    LATE = "late"
+    """The deadline of the attempt passed; the runner may have run the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFault:
+    """Failed attempt at a runner."""
+
+    failure: AttemptFailure
+    detail: str
+
+
+class RunnerAnswer(ABC):
+    """Answer of a runner, its head read."""
+
+    status: int
+    headers: Headers
+    facts: AnswerFacts
+
+    @abstractmethod
+    def read_all(self, deadline: float) -> Result[bytes, AttemptFault]:
+        """Read the rest of the body."""
+
+    @abstractmethod
+    def pieces(self, deadline: float) -> Iterator[Result[bytes, AttemptFault]]:
+        """Yield the body as it comes; an error is the last item."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Give the connection back, or close it if the answer was not read whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class OutboundRequest:
+    """Request for a runner."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    request_id: str
+
+
+class RunnerRequests(ABC):
+    """Sends requests to runners."""
+
+    @abstractmethod
+    def send(
+        self, runner: Runner, request: OutboundRequest, deadline: float
+    ) -> Result[RunnerAnswer, AttemptFault]:
+        """Send a request once and wait for the head of its answer."""
+
+    @abstractmethod
+    def is_refusing(self, runner: Runner) -> bool:
+        """Tell whether the runner's address refuses connections now."""
+
+
+# Orders to runners.
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerReport:
+    """A model runner's report on itself, some hundred milliseconds old.
+
+    ``coming`` has the adapters on their way, by ``model/adapter`` with versions.
+    """
+
+    models: tuple[HeldModel, ...]
+    coming: dict[str, int]
+    is_busy: bool
+    order_seq: int
+    in_flight: int
+    queued: int
+
+
+class OrderOp(StrEnum):
+    """Kinds of orders."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerOrder:
+    """Order to a runner, guarded by a fencing token and the expected order count."""
+
+    op: OrderOp
+    model: str
+    adapter: str
+    version: int
+    expected_seq: int
+    fencing_token: int
+
+
+class OrderOutcome(StrEnum):
+    """Answer of a runner to an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    REJECTED = "rejected"
+    MISDIRECTED = "misdirected"
+    UNKNOWN = "unknown"
+
+
+class RunnerControl(ABC):
+    """Reads reports of runners and gives them orders."""
+
+    @abstractmethod
+    def read_report(self, runner: Runner) -> Result[RunnerReport, str]:
+        """Read a runner's report."""
+
+    @abstractmethod
+    def give_order(self, runner: Runner, order: RunnerOrder) -> OrderOutcome:
+        """Give an order once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """Everything that serving needs from outside."""
+
+    store: ControlStore
+    codec: HeaderCodec
+    requests: RunnerRequests
+    control: RunnerControl
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -0,0 +1,315 @@
+"""Owner of one model runner: loads and drops adapters on request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import eventlet
+from eventlet.event import Event
+from eventlet.timeout import Timeout
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.state.serving import AdapterPlaces, Runner, Step
+
+from .._events import log_event
+from .._serving_messages import ResidencyNotice
+from ._context import Context
+from ._ports import OrderOp, OrderOutcome, RunnerOrder, RunnerReport
+
+REPORT_INTERVAL_S = 0.08
+"""Pause between readings of the report while something is on its way."""
+IDLE_CHECK_S = 2.0
+"""Pause of an owner with nothing to do."""
+COMING_TIMEOUT_S = 6.0
+"""Time after which an adapter that did not arrive is taken as lost."""
+MAX_WAITING = 24
+"""Requests that wait for places of one runner."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Why an adapter will not be ready, and when to come back."""
+
+    reason: str
+    retry_in_s: float
+
+
+@dataclass(slots=True)
+class _Waiter:
+    adapter: str
+    version: int
+    priority: int
+    deadline: float
+    answered: Event = field(default_factory=Event)
+
+
+def adapter_key(model: str, adapter: str) -> str:
+    """Return the key of an adapter among all models."""
+    return f"{model}/{adapter}"
+
+
+class RunnerOwner:
+    """Task that gives all orders to one incarnation of a runner.
+
+    A waiter is answered once its adapter is ready; orders are given one after another
+    and each is guarded by the lease, the incarnation and the expected order count.
+    """
+
+    def __init__(
+        self,
+        ctx: Context,
+        runner: Runner,
+        max_adapters: int,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._ctx = ctx
+        self._runner = runner
+        self._on_change = on_change
+        self._places = AdapterPlaces(max_adapters)
+        self._waiters: list[_Waiter] = []
+        self._coming_since: dict[str, float] = {}
+        self._seq: int | None = None
+        self._models: set[str] = set()
+        self._wake: Event = Event()
+        self._is_closed = False
+        self._model_ordered_at = float("-inf")
+
+    @property
+    def runner(self) -> Runner:
+        """Return the runner, as it was when the ownership began."""
+        return self._runner
+
+    def start(self) -> None:
+        """Run in a green thread of its own."""
+        eventlet.spawn(self._run)
+
+    def close(self) -> None:
+        """Stop; waiters are refused."""
+        self._is_closed = True
+        self._refuse_all("owner_left")
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the task look at what has changed."""
+        if not self._wake.ready():
+            self._wake.send(None)
+
+    def note_use(self, vm: str, adapter: str, count: int) -> None:
+        """Note how many requests of a VM are on an adapter."""
+        self._places.note_use(vm, adapter, count, self._ctx.clock.monotonic())
+        if not count and self._waiters:
+            self.wake()
+
+    def residency(self) -> ResidencyNotice | None:
+        """Return what the runner holds; None while that is not known."""
+        token = self._fencing_token()
+        if self._seq is None or token is None:
+            return None
+        runner = self._runner
+        return ResidencyNotice(
+            runner.id, runner.born_ms, token, dict(self._places.held)
+        )
+
+    def acquire(
+        self, adapter: str, version: int, priority: int, deadline: float
+    ) -> Result[int, Refused]:
+        """Wait until the adapter is ready; return its version."""
+        now = self._ctx.clock.monotonic()
+        self._places.note_demand(adapter, now)
+        if self._places.held.get(adapter, -1) >= version:
+            return Ok(self._places.held[adapter])
+        if self._fencing_token() is None:
+            return Err(Refused("no_lease", 1.0))
+        if len(self._waiters) >= MAX_WAITING:
+            return Err(Refused("many_waiting", 1.0))
+        waiter = _Waiter(adapter, version, priority, deadline)
+        self._waiters.append(waiter)
+        self.wake()
+        try:
+            with Timeout(max(0.001, deadline - now), False):
+                answer: Result[int, Refused] = waiter.answered.wait()
+                return answer
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+        return Err(Refused("too_late", 0.5))
+
+    # The task.
+
+    def _run(self) -> None:
+        while not self._is_closed:
+            token = self._fencing_token()
+            if token is None:
+                self._refuse_all("no_lease")
+                self._seq = None
+                self._sleep(0.2)
+                continue
+            if self._seq is None and not self._read_report():
+                self._sleep(0.2)
+                continue
+            self._order_missing_model(token)
+            self._replace_old_versions(token)
+            self._serve_waiters(token)
+            if self._places.coming:
+                self._sleep(REPORT_INTERVAL_S)
+                self._read_report()
+            else:
+                self._sleep(IDLE_CHECK_S if not self._waiters else 0.1)
+
+    def _sleep(self, seconds: float) -> None:
+        """Sleep until the time is over or something has changed."""
+        with Timeout(seconds, False):
+            self._wake.wait()
+        if self._wake.ready():
+            self._wake = Event()
+
+    def _fencing_token(self) -> int | None:
+        now = self._ctx.clock.boottime()
+        return self._ctx.ownership.fencing_token(self._runner.id, now)
+
+    def _refuse_all(self, reason: str) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.answered.send(Err(Refused(reason, 0.5)))
+
+    def _serve_waiters(self, token: int) -> None:
+        """Answer those whose adapter is there and order for the others, in turn."""
+        now = self._ctx.clock.monotonic()
+        for waiter in sorted(self._waiters, key=lambda w: (w.priority, w.deadline)):
+            if waiter not in self._waiters:
+                continue
+            plan = self._places.plan(waiter.adapter, waiter.version, now)
+            if plan.step is Step.EVICT:
+                if not self._unload(plan.victim, token):
+                    continue
+                plan = self._places.plan(waiter.adapter, waiter.version, now)
+            if plan.step is Step.LOAD:
+                self._load(waiter.adapter, waiter.version, token)
+                plan = self._places.plan(waiter.adapter, waiter.version, now)
+            if plan.step is Step.PRESENT:
+                self._answer(waiter)
+
+    def _answer(self, waiter: _Waiter) -> None:
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+            waiter.answered.send(Ok(self._places.held[waiter.adapter]))
+
+    # Orders.
+
+    def _load(self, adapter: str, version: int, token: int) -> None:
+        outcome = self._order(OrderOp.LOAD, adapter, version, token)
+        if outcome is OrderOutcome.HOLDS:
+            self._places.held[adapter] = max(version, self._places.held.get(adapter, 0))
+            self._on_change()
+        elif outcome in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
+            self._places.coming[adapter] = version
+            self._coming_since[adapter] = self._ctx.clock.monotonic()
+
+    def _unload(self, adapter: str, token: int) -> bool:
+        """Drop an adapter; return whether its place is free."""
+        outcome = self._order(OrderOp.UNLOAD, adapter, 0, token)
+        if outcome is OrderOutcome.HOLDS:
+            self._places.held.pop(adapter, None)
+            self._on_change()
+            return True
+        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
+            self._places.leaving.add(adapter)
+            self._places.coming.setdefault(adapter, 0)
+            self._coming_since[adapter] = self._ctx.clock.monotonic()
+        return False
+
+    def _order(
+        self, op: OrderOp, adapter: str, version: int, token: int
+    ) -> OrderOutcome:
+        if self._fencing_token() != token or self._seq is None:
+            return OrderOutcome.REJECTED
+        model, _, name = adapter.partition("/")
+        order = RunnerOrder(op, model, name, version, self._seq, token)
+        outcome = self._ctx.ports.control.give_order(self._runner, order)
+        log_event(
+            "order",
+            runner=self._runner.id,
+            op=op,
+            adapter=adapter,
+            version=version,
+            seq=self._seq,
+            fencing_token=token,
+            outcome=outcome,
+        )
+        self._count(op, outcome)
+        return outcome
+
+    def _count(self, op: OrderOp, outcome: OrderOutcome) -> None:
+        """Follow the runner's order count; unknown after anything unexpected."""
+        if (
+            outcome is OrderOutcome.ACCEPTED
+            and self._seq is not None
+            or outcome is OrderOutcome.HOLDS
+            and op is OrderOp.UNLOAD
+            and self._seq
+        ):
+            self._seq += 1
+        elif outcome is not OrderOutcome.HOLDS:
+            self._seq = None
+
+    def _order_missing_model(self, token: int) -> None:
+        """Have an empty runner load the model of its service."""
+        now = self._ctx.clock.monotonic()
+        table = self._ctx.directory.table
+        if self._models or table is None or now - self._model_ordered_at < 8.0:
+            return
+        service = table.services.get(self._runner.service)
+        if service is None or service.engine is None or not service.engine.models:
+            return
+        self._model_ordered_at = now
+        self._order(OrderOp.LOAD, service.engine.models[0].name + "/", 0, token)
+
+    def _replace_old_versions(self, token: int) -> None:
+        """Load declared versions over older ones, the most wanted adapter first."""
+        now = self._ctx.clock.monotonic()
+        old = []
+        for adapter, version in self._places.held.items():
+            model, _, name = adapter.partition("/")
+            newest = self._ctx.directory.version_of(model, name)
+            if newest > version and adapter not in self._places.coming:
+                old.append((-self._places.demand(adapter, now), adapter, newest))
+        for _, adapter, newest in sorted(old):
+            self._load(adapter, newest, token)
+
+    # The report.
+
+    def _read_report(self) -> bool:
+        read = self._ctx.ports.control.read_report(self._runner)
+        if isinstance(read, Err):
+            log_event("report_unread", runner=self._runner.id, why=read.err_value)
+            return False
+        self._take_report(read.ok_value)
+        return True
+
+    def _take_report(self, report: RunnerReport) -> None:
+        """Correct beliefs; a report that is older than the last order is left out."""
+        if self._seq is not None and report.order_seq < self._seq:
+            return
+        self._seq = report.order_seq
+        self._models = {model.name for model in report.models}
+        held = {
+            adapter_key(model.name, name): version
+            for model in report.models
+            for name, version in model.adapters.items()
+        }
+        coming = dict(report.coming)
+        self._drop_lost(held, coming)
+        changed = held != self._places.held
+        self._places.held = held
+        self._places.coming = coming
+        self._places.leaving &= set(held)
+        if changed:
+            self._on_change()
+
+    def _drop_lost(self, held: dict[str, int], coming: dict[str, int]) -> None:
+        now = self._ctx.clock.monotonic()
+        for adapter in list(self._coming_since):
+            late = now - self._coming_since[adapter] > COMING_TIMEOUT_S
+            if adapter not in coming or late:
+                del self._coming_since[adapter]
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -0,0 +1,81 @@
+"""All tasks of an entry VM that serves by routes, wired together."""
+
+from __future__ import annotations
+
+from .._events import log_event
+from .._ports import Inbound
+from .._serving_messages import (
+    AcquireRequest,
+    DirectoryRequest,
+    ResidencyNotice,
+    ServingGossip,
+    UseNotice,
+)
+from ._adapters import Adapters
+from ._answers import Answers
+from ._attempts import Attempts
+from ._context import Context
+from ._follower import DirectoryFollower
+from ._gateway import Gateway
+from ._gossip import Gossip
+from ._membership import Membership
+from ._model_requests import ModelRequests
+from ._owner import Owners
+from ._plain_requests import PlainRequests
+
+
+class Serving:
+    """Tasks of one entry VM."""
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        self.follower = DirectoryFollower(ctx)
+        self.membership = Membership(ctx)
+        self.owners = Owners(ctx)
+        self._gossip = Gossip(ctx, self.owners.residency)
+        attempts = Attempts(ctx)
+        answers = Answers(ctx)
+        adapters = Adapters(ctx, self.owners, self.membership)
+        self.gateway = Gateway(
+            ctx,
+            attempts,
+            answers,
+            PlainRequests(ctx, attempts, answers),
+            ModelRequests(ctx, adapters, attempts, answers),
+        )
+        self.membership.on_change = self.owners.wake
+        self.is_stopping = False
+
+    def start(self) -> None:
+        """Start every task."""
+        self.follower.start()
+        self.membership.start()
+        self.owners.start()
+        self._gossip.start()
+
+    def is_ready(self) -> bool:
+        """Tell whether this VM should get new connections."""
+        return not self.is_stopping and self.follower.is_ready()
+
+    def release(self) -> None:
+        """Give up every duty, ahead of a stop."""
+        self.owners.close()
+        self.membership.leave()
+
+    def dispatch(self, inbound: Inbound) -> None:
+        """Handle a message of a peer without blocking."""
+        message = inbound.message
+        if isinstance(message, UseNotice):
+            self.owners.hear_use(inbound.sender, message)
+        elif isinstance(message, ResidencyNotice):
+            self._ctx.hear_residency(message)
+        elif isinstance(message, AcquireRequest):
+            self.owners.answer(inbound, message)
+        elif isinstance(message, ServingGossip):
+            self._gossip.hear(message)
+            self.follower.hear_ends(inbound.sender, message.ends)
+        elif isinstance(message, DirectoryRequest):
+            self.follower.answer(inbound, message)
+        else:
+            kind = type(message).__name__
+            log_event("peer_message_ignored", peer=inbound.sender, kind=kind)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.py
@@ -52,11 +52,13 @@
     decode_record,
     encode_record,
 )
+from ._serving_settings import ServingSettings
 from ._settings import (
     HttpSettings,
     LeaseSettings,
     LimitSettings,
     LogSettings,
+    NodeSettings,
     OperatorSettings,
     PeerSettings,
     PlatformSettings,
@@ -65,12 +67,16 @@
     StopSettings,
     TraceSettings,
     VmSettings,
+    load_as,
     load_settings,
 )
 from ._suspects import SuspectState
 
 __all__ = [
     "CONFIG_STREAM",
+    "NodeSettings",
+    "ServingSettings",
+    "load_as",
     "CacheEvent",
     "ChangeVerdict",
     "Clock",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_clock.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_clock.py
@@ -13,6 +13,10 @@
     def monotonic(self) -> float:
         """Return seconds on a clock that never goes back; used for deadlines."""
 
+    @abstractmethod
+    def boottime(self) -> float:
+        """Return monotonic seconds that also count while the VM is suspended."""
+
     @abstractmethod
     def unix(self) -> float:
         """Return seconds since the Unix epoch; used for ageing records only."""
@@ -25,6 +29,10 @@
         """Return ``time.monotonic()``."""
         return time.monotonic()
 
+    def boottime(self) -> float:
+        """Return the time of ``CLOCK_BOOTTIME``."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def unix(self) -> float:
         """Return ``time.time()``."""
         return time.time()
@@ -40,6 +48,10 @@
         """Return the time that was set."""
         return self.now
 
+    def boottime(self) -> float:
+        """Return the time that was set."""
+        return self.now
+
     def unix(self) -> float:
         """Return the time that was set."""
         return self.now
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
@@ -4,7 +4,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Literal
+from typing import Literal, TypeVar
 
 from pydantic import (
     BaseModel,
@@ -16,14 +16,16 @@
 )
 from result import Err, Ok, Result
 
+SettingsT = TypeVar("SettingsT", bound="NodeSettings")
 
-class _Section(BaseModel):
+
+class Section(BaseModel):
     """Base of every settings section: unknown keys are errors."""
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
-class VmSettings(_Section):
+class VmSettings(Section):
     """Identity of this entry VM."""
 
     id: str = Field(min_length=1, max_length=64)
@@ -31,7 +33,7 @@
     address: IPvAnyAddress
 
 
-class HttpSettings(_Section):
+class HttpSettings(Section):
     """Interface towards callers and operators."""
 
     port: int = Field(default=8080, ge=1, le=65535)
@@ -41,7 +43,7 @@
     log_requests: bool = True
 
 
-class PeerSettings(_Section):
+class PeerSettings(Section):
     """Streams between entry VMs."""
 
     port: int = Field(default=7000, ge=1, le=65535)
@@ -52,7 +54,7 @@
     gossip_fanout: int = Field(default=2, ge=0)
 
 
-class PlatformSettings(_Section):
+class PlatformSettings(Section):
     """Addresses of the platform's services."""
 
     log_url: str
@@ -62,7 +64,7 @@
     timeout_s: float = Field(default=2.0, gt=0)
 
 
-class LogSettings(_Section):
+class LogSettings(Section):
     """Use of the append-only log."""
 
     append_interval_s: float = Field(default=0.02, ge=0)
@@ -73,7 +75,7 @@
     catch_up_interval_s: float = Field(default=1.0, gt=0)
 
 
-class LeaseSettings(_Section):
+class LeaseSettings(Section):
     """Ownership of runners."""
 
     duration_s: float = Field(default=3.0, gt=0)
@@ -81,7 +83,7 @@
     grant_s: float = Field(default=15.0, gt=0)
 
 
-class LimitSettings(_Section):
+class LimitSettings(Section):
     """Deadlines, queues and retry budgets of requests."""
 
     request_timeout_s: float = Field(default=60.0, gt=0)
@@ -100,7 +102,7 @@
     concurrent_jobs: int = Field(default=128, ge=1)
 
 
-class PolicySettings(_Section):
+class PolicySettings(Section):
     """Weights between load stalls and batch efficiency.
 
     The two weights are the only settings in which the deployments differ.
@@ -118,29 +120,34 @@
     load_timeout_s: float = Field(default=10.0, gt=0)
 
 
-class OperatorSettings(_Section):
+class OperatorSettings(Section):
     """Access of operators."""
 
     token: SecretStr
 
 
-class TraceSettings(_Section):
+class TraceSettings(Section):
     """Where finished spans go; an empty path disables them."""
 
     path: str = ""
 
 
-class StopSettings(_Section):
+class StopSettings(Section):
     """Graceful shutdown."""
 
     deadline_s: float = Field(default=60.0, gt=0)
 
 
-class Settings(_Section):
-    """Every setting of one entry VM."""
+class NodeSettings(Section):
+    """What every entry VM is told of itself and its peers."""
 
     vm: VmSettings
     peer: PeerSettings
+
+
+class Settings(NodeSettings):
+    """Every setting of one entry VM."""
+
     platform: PlatformSettings
     operator: OperatorSettings
     http: HttpSettings = HttpSettings()
@@ -153,7 +160,12 @@
 
 
 def load_settings(path: Path) -> Result[Settings, list[str]]:
-    """Read and validate a TOML file.
+    """Read and validate the settings of the project's own interface."""
+    return load_as(Settings, path)
+
+
+def load_as(model: type[SettingsT], path: Path) -> Result[SettingsT, list[str]]:
+    """Read a TOML file and validate it as ``model``.
 
     The error holds one line per fault, each with the path of its key.
     """
@@ -164,7 +176,7 @@
     except tomllib.TOMLDecodeError as exc:
         return Err([f"{path}: not valid TOML: {exc}"])
     try:
-        return Ok(Settings.model_validate(raw))
+        return Ok(model.model_validate(raw))
     except ValidationError as exc:
         return Err([_describe_fault(fault) for fault in exc.errors()])
 
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -0,0 +1,68 @@
+"""State of serving by routes: configuration, runners, ownership, loads, decisions."""
+
+from ._budget import RepeatBudget
+from ._directory import AdapterVersion, DirectoryRecord, DirectoryState, Topic
+from ._loads import RunnerLoads, RunnerView
+from ._ownership import SHARES, Assignment, Owner, OwnershipState, share_of
+from ._placement import (
+    LOAD_S,
+    PROMPT_TOKENS_PER_S,
+    STEP_S,
+    Candidate,
+    Choice,
+    choose_model_runner,
+    choose_plain_server,
+    expected_first_event_s,
+    failure_share,
+)
+from ._places import AdapterPlaces, Plan, Step
+from ._routes import (
+    ClientLimits,
+    Configuration,
+    EngineSpec,
+    ModelSpec,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    WeightedService,
+)
+from ._runners import HeldModel, Runner
+
+__all__ = [
+    "LOAD_S",
+    "PROMPT_TOKENS_PER_S",
+    "SHARES",
+    "STEP_S",
+    "AdapterPlaces",
+    "AdapterVersion",
+    "Assignment",
+    "Candidate",
+    "Choice",
+    "ClientLimits",
+    "Configuration",
+    "DirectoryRecord",
+    "DirectoryState",
+    "EngineSpec",
+    "HeldModel",
+    "ModelSpec",
+    "Owner",
+    "OwnershipState",
+    "Plan",
+    "RepeatBudget",
+    "Route",
+    "RouteKind",
+    "RouteTable",
+    "Runner",
+    "RunnerLoads",
+    "RunnerView",
+    "Service",
+    "Step",
+    "Topic",
+    "WeightedService",
+    "choose_model_runner",
+    "choose_plain_server",
+    "expected_first_event_s",
+    "failure_share",
+    "share_of",
+]
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
@@ -0,0 +1,109 @@
+"""Adapter places of one runner: what to load and what to drop.
+
+Answers demand that moves over thousands of adapters with a few places a runner: a
+place is never promised twice, an adapter in use is never dropped, and the adapter
+with the least recent demand makes way.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+HALF_LIFE_S = 8.0
+"""Half-life of an adapter's demand."""
+MAX_COMING = 4
+"""Adapters that a runner fetches at the same time."""
+USE_TTL_S = 30.0
+"""Age up to which a VM's count of requests on an adapter holds."""
+MAX_TRACKED = 400
+"""Adapters whose demand is remembered."""
+
+
+class Step(Enum):
+    """What a runner's owner does next for an adapter."""
+
+    PRESENT = "present"
+    WAIT = "wait"
+    LOAD = "load"
+    EVICT = "evict"
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Next step; ``victim`` names the adapter to drop."""
+
+    step: Step
+    victim: str = ""
+
+
+@dataclass(slots=True)
+class _Demand:
+    score: float
+    at: float
+
+
+@dataclass(slots=True)
+class AdapterPlaces:
+    """Adapters of one runner by ``model/adapter`` key, with versions."""
+
+    limit: int
+    held: dict[str, int] = field(default_factory=dict)
+    coming: dict[str, int] = field(default_factory=dict)
+    leaving: set[str] = field(default_factory=set)
+    _uses: dict[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
+    _demand: dict[str, _Demand] = field(default_factory=dict)
+
+    def note_use(self, vm: str, adapter: str, count: int, now: float) -> None:
+        """Note how many requests of a VM are on an adapter."""
+        before, _ = self._uses.get((vm, adapter), (0, now))
+        if count > before:
+            self.note_demand(adapter, now)
+        if count:
+            self._uses[(vm, adapter)] = (count, now)
+        else:
+            self._uses.pop((vm, adapter), None)
+
+    def note_demand(self, adapter: str, now: float) -> None:
+        """Count one request for an adapter."""
+        self._demand[adapter] = _Demand(self.demand(adapter, now) + 1.0, now)
+        if len(self._demand) > MAX_TRACKED:
+            least = min(self._demand, key=lambda key: self.demand(key, now))
+            del self._demand[least]
+
+    def demand(self, adapter: str, now: float) -> float:
+        """Return the decayed number of requests for an adapter."""
+        known = self._demand.get(adapter)
+        if known is None:
+            return 0.0
+        return known.score * float(0.5 ** ((now - known.at) / HALF_LIFE_S))
+
+    def in_use(self, adapter: str, now: float) -> bool:
+        """Tell whether some VM has a request on the adapter."""
+        return any(
+            key[1] == adapter and now - at < USE_TTL_S
+            for key, (_, at) in self._uses.items()
+        )
+
+    def plan(self, adapter: str, version: int, now: float) -> Plan:
+        """Return the next step towards holding ``adapter`` at ``version`` or newer."""
+        if adapter in self.held and self.held[adapter] >= version:
+            return Plan(Step.PRESENT)
+        if adapter in self.coming or len(self.coming) >= MAX_COMING:
+            return Plan(Step.WAIT)
+        if adapter in self.held:
+            return Plan(Step.LOAD)
+        if len(set(self.held) | set(self.coming)) < self.limit:
+            return Plan(Step.LOAD)
+        victim = self._pick_victim(now)
+        return Plan(Step.EVICT, victim) if victim else Plan(Step.WAIT)
+
+    def _pick_victim(self, now: float) -> str:
+        idle = [
+            key
+            for key in self.held
+            if key not in self.leaving
+            and key not in self.coming
+            and not self.in_use(key, now)
+        ]
+        return min(idle, key=lambda key: self.demand(key, now), default="")
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runners.py
@@ -0,0 +1,38 @@
+"""Backend servers as the platform's registry describes them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class HeldModel:
+    """Model in a runner's memory, with its adapters and their versions."""
+
+    name: str
+    version: int
+    adapters: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Runner:
+    """Entry of one backend server in the registry.
+
+    ``born_ms`` is the Unix time of its start and tells its incarnations apart;
+    ``order_seq`` counts the orders that it has accepted since then.
+    """
+
+    id: str
+    service: str
+    host: str
+    port: int
+    domain: str
+    slots: int
+    draining: bool
+    born_ms: int
+    order_seq: int
+    models: tuple[HeldModel, ...]
+
+    def is_older_than(self, other: Runner) -> bool:
+        """Tell whether this entry was written before ``other``."""
+        return (self.born_ms, self.order_seq) < (other.born_ms, other.order_seq)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
@@ -42,7 +42,7 @@
     peer_grpc,
     peer_pb2,
 )
-from gooseberryrun._internal.state import Clock, Settings, Vm
+from gooseberryrun._internal.state import Clock, NodeSettings, Vm
 
 MAX_QUEUED = 10000
 """Messages queued for a peer; more are dropped, oldest first."""
@@ -141,7 +141,7 @@
 class PeerLinks(Peers):
     """Streams to the other entry VMs, opened when they are first used."""
 
-    def __init__(self, cfg: Settings, clock: Clock) -> None:
+    def __init__(self, cfg: NodeSettings, clock: Clock) -> None:
         self._cfg = cfg
         self._clock = clock
         self._links: dict[str, _Link] = {}
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/__init__.py
@@ -0,0 +1,7 @@
+"""Sockets of serving by routes: callers, probes and runners."""
+
+from ._callers import CallerServer
+from ._probes import ProbeServer
+from ._runners import HttpRunners
+
+__all__ = ["CallerServer", "HttpRunners", "ProbeServer"]
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -0,0 +1,331 @@
+"""HTTP/1.1 towards callers: reads whole requests and sends answers as they come.
+
+The WSGI server cannot tell that a caller left, pass pieces on unbuffered or break an
+answer off, so this path speaks HTTP through h11 on green sockets.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import h11
+from eventlet.hubs import get_hub, trampoline
+from eventlet.timeout import Timeout
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.coordination import log_event
+from gooseberryrun._internal.coordination.serving import (
+    Caller,
+    CallerLeftError,
+    Headers,
+    InboundRequest,
+    RequestHandler,
+)
+from gooseberryrun._internal.state import Clock
+from gooseberryrun._internal.state.serving import ClientLimits
+
+READ_BYTES = 65536
+BACKLOG = 1024
+MAX_BUFFERED_BYTES = 64 << 20
+"""Bodies of requests held in memory at once."""
+SEND_TIMEOUT_S = 20.0
+"""Time after which a caller that does not read is given up."""
+
+
+class _BadRequestError(Exception):
+    """The caller sent something that is not served; ``status`` answers it."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+class _CallerGoneError(Exception):
+    """The connection ended between requests or while one was read."""
+
+
+class CallerServer:
+    """Accepts connections of callers; a green thread each."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        limits: Callable[[], ClientLimits],
+        handler: RequestHandler,
+        max_connections: int,
+    ) -> None:
+        self._clock = clock
+        self._limits = limits
+        self._handler = handler
+        self._max_connections = max_connections
+        self._connections: set[_Connection] = set()
+        self._listener: Any = None
+        self.is_stopping = False
+        self.accepted_at = float("-inf")
+        self.buffered_bytes = 0
+        self.open_requests = 0
+
+    def serve(self, host: str, port: int) -> None:
+        """Listen in a green thread of its own."""
+        self._listener = eventlet.listen((host, port), backlog=BACKLOG)
+        eventlet.spawn(self._accept_all)
+
+    def close(self) -> None:
+        """Stop listening and close every connection."""
+        self._listener.close()
+        for conn in list(self._connections):
+            conn.close()
+
+    def _accept_all(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError as exc:
+                log_event("accept_failed", level="warning", reason=repr(exc))
+                if self._listener.fd.fileno() < 0:
+                    return
+                eventlet.sleep(0.05)
+                continue
+            if len(self._connections) >= self._max_connections:
+                log_event("connection_refused", reason="max_connections")
+                sock.close()
+                continue
+            self.accepted_at = self._clock.monotonic()
+            conn = _Connection(self, sock, self._limits(), self._clock)
+            self._connections.add(conn)
+            eventlet.spawn(self._run, conn)
+
+    def _run(self, conn: _Connection) -> None:
+        try:
+            conn.run(self._handler)
+        except (_CallerGoneError, CallerLeftError, OSError, Timeout) as exc:
+            log_event("connection_ended", level="debug", reason=repr(exc))
+        except h11.ProtocolError as exc:
+            log_event("connection_broken", level="warning", reason=repr(exc))
+        finally:
+            conn.close()
+            self._connections.discard(conn)
+
+
+class _Connection:
+    """One connection of a caller."""
+
+    def __init__(
+        self, server: CallerServer, sock: Any, limits: ClientLimits, clock: Clock
+    ) -> None:
+        self._server = server
+        self._sock = sock
+        self._limits = limits
+        self._clock = clock
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._sock.close()
+
+    def run(self, handler: RequestHandler) -> None:
+        """Serve requests until the connection ends."""
+        while True:
+            read = self._read_request()
+            if isinstance(read, Err):
+                self._reject(read.err_value)
+                return
+            self._serve(handler, read.ok_value)
+            if self.http.our_state is not h11.DONE or (
+                self.http.their_state is not h11.DONE
+            ):
+                return
+            self.http.start_next_cycle()
+
+    def _serve(self, handler: RequestHandler, request: InboundRequest) -> None:
+        caller = _HttpCaller(self, request)
+        self._server.open_requests += 1
+        self._server.buffered_bytes += len(request.body)
+        watch = eventlet.spawn(_watch, self._sock, eventlet.getcurrent(), caller)
+        try:
+            handler.handle(request, caller)
+        finally:
+            watch.kill()
+            self._server.open_requests -= 1
+            self._server.buffered_bytes -= len(request.body)
+
+    # Reading.
+
+    def _read_request(self) -> Result[InboundRequest, _BadRequestError]:
+        try:
+            return Ok(self._read_head_and_body())
+        except _BadRequestError as exc:
+            return Err(exc)
+        except h11.RemoteProtocolError as exc:
+            return Err(_BadRequestError(exc.error_status_hint, str(exc)))
+
+    def _read_head_and_body(self) -> InboundRequest:
+        self._limits = self._server._limits()
+        head = self._read_head()
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers.raw_items()
+        ]
+        _check_framing(headers, head.http_version)
+        hosts = [value for name, value in headers if name.lower() == "host"]
+        body = self._read_body(headers)
+        return InboundRequest(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("latin-1"),
+            host=hosts[0] if hosts else "",
+            headers=headers,
+            body=body,
+            read_at=self._clock.monotonic(),
+        )
+
+    def _read_head(self) -> h11.Request:
+        if not self.http.trailing_data[0]:
+            with Timeout(self._limits.idle_timeout_s, _CallerGoneError("idle")):
+                self._receive()
+        with Timeout(
+            self._limits.header_timeout_s, _BadRequestError(408, "slow headers")
+        ):
+            event = self._next_event()
+        if not isinstance(event, h11.Request):
+            raise _CallerGoneError("closed")
+        return event
+
+    def _read_body(self, headers: Headers) -> bytes:
+        limit = self._limits.max_body_bytes
+        for name, value in headers:
+            if name.lower() == "content-length" and int(value) > limit:
+                raise _BadRequestError(413, "the body is too large")
+        if self._server.buffered_bytes > MAX_BUFFERED_BYTES:
+            raise _BadRequestError(503, "no memory for the body")
+        if self.http.they_are_waiting_for_100_continue:
+            self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
+        pieces = bytearray()
+        with Timeout(self._limits.idle_timeout_s, _BadRequestError(408, "slow body")):
+            while True:
+                event = self._next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    return bytes(pieces)
+                if not isinstance(event, h11.Data):
+                    raise _CallerGoneError("closed within a body")
+                pieces += event.data
+                if len(pieces) > limit:
+                    raise _BadRequestError(413, "the body is too large")
+
+    def _next_event(self) -> Any:
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                self._receive()
+                continue
+            return event
+
+    def _receive(self) -> None:
+        data = self._sock.recv(READ_BYTES)
+        if not data and not self.http.trailing_data[0]:
+            if self.http.their_state is h11.IDLE:
+                raise _CallerGoneError("closed")
+        self.http.receive_data(data)
+
+    # Writing.
+
+    def send_event(self, *events: Any) -> None:
+        """Send the bytes of some events at once."""
+        data = b"".join(self.http.send(event) or b"" for event in events)
+        if data:
+            with Timeout(SEND_TIMEOUT_S):
+                self._sock.sendall(data)
+
+    def _reject(self, exc: _BadRequestError) -> None:
+        """Answer what could not be read, then close."""
+        log_event("request_rejected", status=exc.status, reason=str(exc))
+        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [("content-length", "0"), ("connection", "close")]
+        self.send_event(
+            h11.Response(status_code=exc.status, headers=headers), h11.EndOfMessage()
+        )
+        self._sock.shutdown(socket.SHUT_WR)
+        self._discard_input()
+
+    def _discard_input(self) -> None:
+        """Read on for a moment, so that the answer is not lost in a reset."""
+        with Timeout(0.5, False):
+            while self._sock.recv(READ_BYTES):
+                pass
+
+    def closes_after(self) -> bool:
+        """Tell whether this answer is the last on the connection."""
+        return self._server.is_stopping
+
+
+def _check_framing(headers: Headers, version: bytes) -> None:
+    """Reject requests whose length could be read in two ways."""
+    names = [name.lower() for name, _ in headers]
+    lengths = names.count("content-length")
+    chunked = names.count("transfer-encoding")
+    if lengths > 1 or chunked > 1 or (lengths and chunked):
+        raise _BadRequestError(400, "ambiguous length")
+    if chunked and version < b"1.1":
+        raise _BadRequestError(400, "chunks in an old version")
+    if names.count("host") > 1:
+        raise _BadRequestError(400, "two hosts")
+
+
+def _watch(sock: Any, request: Any, caller: _HttpCaller) -> None:
+    """Interrupt the green thread of a request whose caller leaves."""
+    try:
+        trampoline(sock.fd, read=True)
+        if sock.fd.recv(1, socket.MSG_PEEK):
+            return
+    except OSError:
+        pass
+    caller.has_left = True
+    if caller.is_interruptible:
+        get_hub().schedule_call_global(0, request.throw, CallerLeftError())
+
+
+class _HttpCaller(Caller):
+    """Sends the answer of one request."""
+
+    def __init__(self, conn: _Connection, request: InboundRequest) -> None:
+        self._conn = conn
+        self._request = request
+        self.is_interruptible = True
+        self.has_left = False
+
+    def keep_when_left(self) -> None:
+        self.is_interruptible = False
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        self.is_interruptible = False
+        framed = [*headers, ("content-length", str(len(body)))]
+        events: list[Any] = [self._head(status, framed)]
+        if body and self._request.method != "HEAD":
+            events.append(h11.Data(data=body))
+        self._conn.send_event(*events, h11.EndOfMessage())
+
+    def start(self, status: int, headers: Headers) -> None:
+        self._conn.send_event(self._head(status, headers))
+
+    def send(self, data: bytes) -> None:
+        self._conn.send_event(h11.Data(data=data))
+
+    def finish(self) -> None:
+        self.is_interruptible = False
+        self._conn.send_event(h11.EndOfMessage())
+
+    def cut(self) -> None:
+        self.is_interruptible = False
+        self._conn.close()
+        raise CallerLeftError
+
+    def _head(self, status: int, headers: Headers) -> h11.Response:
+        if self._conn.closes_after():
+            headers = [*headers, ("connection", "close")]
+        return h11.Response(status_code=status, headers=headers)
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_probes.py
@@ -0,0 +1,50 @@
+"""Answers of readiness to the balancer and of metrics to their reader."""
+
+from __future__ import annotations
+
+import logging as stdlib_logging
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import eventlet
+import eventlet.wsgi
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+METRICS_PATH = "/metrics"
+
+
+class ProbeServer:
+    """WSGI application with one readiness path and the metrics."""
+
+    def __init__(self, readiness_path: str, is_ready: Callable[[], bool]) -> None:
+        self._readiness_path = readiness_path
+        self._is_ready = is_ready
+
+    def serve(self, host: str, port: int) -> None:
+        """Listen in a green thread of its own."""
+        quiet = stdlib_logging.getLogger("eventlet.wsgi.quiet")
+        quiet.propagate = False
+        quiet.addHandler(stdlib_logging.NullHandler())
+        eventlet.spawn(
+            eventlet.wsgi.server,
+            eventlet.listen((host, port)),
+            self._application,
+            log=quiet,
+            log_output=False,
+            debug=False,
+        )
+
+    def _application(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        path = environ.get("PATH_INFO", "")
+        if path == self._readiness_path:
+            status = "200 OK" if self._is_ready() else "503 Service Unavailable"
+            start_response(status, [("Content-Length", "0")])
+            return [b""]
+        if path == METRICS_PATH:
+            body = generate_latest()
+            start_response("200 OK", [("Content-Type", CONTENT_TYPE_LATEST)])
+            return [body]
+        start_response("404 Not Found", [("Content-Length", "0")])
+        return [b""]
