Confirm loads by repeating the order; keep adapters where they were held

Ruled out: reading the report more often (probes cost 6 times an order and lag all the same). Change: the owner repeats the order when the adapter is due; a runner that held an adapter lately is preferred by what its reload saves; owners that cannot order are not asked again for a while; a runner's 421 corrects its owner; the registry is read at most each 0.8 s.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -10,7 +10,8 @@
 class AcquireRequest(Message, frozen=True, array_like=True):
     """Asks the owner of a runner to have an adapter ready there.
 
-    ``adapter`` is ``model/adapter``; version 0 takes any.
+    ``adapter`` is ``model/adapter``; version 0 takes any. ``is_missing`` says that
+    the runner has just answered that it lacks the adapter.
     """
 
     runner: str
@@ -19,6 +20,7 @@
     left_s: float
     priority: int
     request_id: str
+    is_missing: bool
 
 
 class AcquireAnswer(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
@@ -20,6 +21,22 @@
 from ._owner import Owners
 from ._runner_owner import Refused, adapter_key
 
+_OWNER_FAULTS = {"no_owner", "not_owner", "owner_unreachable", "no_lease", "owner_left"}
+MIN_PAUSE_S = 0.3
+"""Shortest time for which an owner that could not order is not asked again."""
+MAX_PAUSE_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterWant:
+    """Adapter that a request needs, by its key, at a version or a newer one."""
+
+    adapter: str
+    version: int
+    priority: int
+    request_id: str
+    is_missing: bool
+
 
 class Adapters:
     """Beliefs on adapters at runners, and questions to the runners' owners."""
@@ -28,6 +45,7 @@
         self._ctx = ctx
         self._owners = owners
         self._membership = membership
+        self._unorderable: dict[str, float] = {}
         self._uses: Counter[tuple[str, str]] = Counter()
 
     def held(self, runner: Runner) -> dict[str, int]:
@@ -41,6 +59,16 @@
             for name, version in model.adapters.items()
         }
 
+    def was_held(self, runner: Runner, adapter: str) -> bool:
+        """Tell whether a runner held an adapter lately, so that it reloads fast."""
+        memory = self._ctx.memories.get(runner.id)
+        return memory is not None and memory.remembers(runner.born_ms, adapter)
+
+    def can_order(self, runner: Runner) -> bool:
+        """Tell whether the owner of a runner may be able to load an adapter."""
+        now = self._ctx.clock.monotonic()
+        return now >= self._unorderable.get(runner.id, 0.0)
+
     def note_held(self, runner: Runner, adapter: str, version: int) -> None:
         """Believe that a runner holds an adapter."""
         self._believe(runner, {**self.held(runner), adapter: version})
@@ -55,7 +83,7 @@
         is_same = known is not None and known.born_ms == runner.born_ms
         token = known.fencing_token if known is not None and is_same else 0
         notice = ResidencyNotice(runner.id, runner.born_ms, token, held)
-        self._ctx.residency[runner.id] = notice
+        self._ctx.note_residency(notice)
 
     def begin_use(self, runner: Runner, adapter: str) -> None:
         """Tell the owner that one more request is on an adapter."""
@@ -80,30 +108,27 @@
             self._ctx.peers.tell(owner.vm, notice)
 
     def acquire(
-        self,
-        runner: Runner,
-        adapter: str,
-        version: int,
-        priority: int,
-        deadline: float,
-        request_id: str,
+        self, runner: Runner, want: AdapterWant, deadline: float
     ) -> Result[int, Refused]:
         """Have the owner of a runner make an adapter ready; return its version."""
         owner = self._ctx.owner_of(runner.id)
         if owner is None:
             self._membership.reread_owners()
             return Err(Refused("no_owner", 0.5))
+        question = AcquireRequest(
+            runner=runner.id,
+            adapter=want.adapter,
+            version=want.version,
+            left_s=deadline - self._ctx.clock.monotonic(),
+            priority=want.priority,
+            request_id=want.request_id,
+            is_missing=want.is_missing,
+        )
         if owner.vm == self._ctx.vm:
-            acquired = self._owners.acquire(
-                runner.id, adapter, version, priority, deadline
-            )
+            acquired = self._owners.acquire(question, deadline)
         else:
-            left_s = deadline - self._ctx.clock.monotonic()
-            question = AcquireRequest(
-                runner.id, adapter, version, left_s, priority, request_id
-            )
             acquired = self._ask(owner.vm, question, deadline)
-        self._note(runner, adapter, acquired)
+        self._note(runner, want.adapter, acquired)
         return acquired
 
     def _ask(
@@ -130,5 +155,10 @@
     ) -> None:
         if isinstance(acquired, Ok):
             self.note_held(runner, adapter, acquired.ok_value)
-        elif acquired.err_value.reason in ("not_owner", "owner_unreachable"):
-            self._membership.reread_owners()
+            return
+        refused = acquired.err_value
+        if refused.reason not in _OWNER_FAULTS:
+            return
+        pause_s = min(MAX_PAUSE_S, max(MIN_PAUSE_S, refused.retry_in_s))
+        self._unorderable[runner.id] = self._ctx.clock.monotonic() + pause_s
+        self._membership.reread_owners()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -47,6 +47,12 @@
             log_event("repeat_denied", request=job.facts.request_id, sends=job.sends)
         return granted
 
+    def has_repeat(self, job: Job) -> bool:
+        """Tell whether the budget has room for a repeat."""
+        members = len(self._ctx.members())
+        now = self._ctx.clock.monotonic()
+        return self._budget(job.service).has_room(now, members)
+
     def _budget(self, service: str) -> RepeatBudget:
         if service not in self._budgets:
             cfg = self._ctx.cfg.repeats
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -12,6 +12,7 @@
     VmKind,
 )
 from gooseberryrun._internal.state.serving import (
+    AdapterMemory,
     DirectoryState,
     Owner,
     OwnershipState,
@@ -43,6 +44,7 @@
     suspects: SuspectState
     owners: dict[int, Owner] = field(default_factory=dict)
     residency: dict[str, ResidencyNotice] = field(default_factory=dict)
+    memories: dict[str, AdapterMemory] = field(default_factory=dict)
     crashes: list[tuple[float, CrashReport]] = field(default_factory=list)
 
     @property
@@ -84,7 +86,13 @@
             notice.fencing_token,
         ):
             return
+        self.note_residency(notice)
+
+    def note_residency(self, notice: ResidencyNotice) -> None:
+        """Believe a notice, and remember the adapters for later loads."""
         self.residency[notice.runner] = notice
+        memory = self.memories.setdefault(notice.runner, AdapterMemory())
+        memory.note(notice.born_ms, notice.held)
 
     def record_crash(self, report: CrashReport) -> None:
         """Count a crash against the content of a request, once."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -18,7 +18,10 @@
 MAX_RETRY_S = 1.0
 OUTAGE_S = 0.8
 """Time without the store after which entries may have lapsed meanwhile."""
-PEER_LEAD_S = 0.15
+BATCH_S = {Topic.CONFIGURATION: 0.0, Topic.RUNNERS: 0.8}
+"""Pause after records came, so that later ones come together: runners write at each
+heartbeat, and a leaving one has to be known within 2 s."""
+PEER_LEAD_S = {Topic.CONFIGURATION: 0.15, Topic.RUNNERS: 1.0}
 """Time for the store's own word before records are fetched from a peer."""
 FETCH_TIMEOUT_S = 1.0
 SWEEP_S = 0.2
@@ -81,6 +84,8 @@
             news = [r for r in records.records if directory.apply(r, now)]
             directory.ends[topic] = max(directory.ends[topic], records.end)
         self._log_news(news, "store")
+        if records.records:
+            eventlet.sleep(BATCH_S[topic])
         return None
 
     def _note_lost(self, topic: Topic, fault: StoreFault) -> None:
@@ -115,7 +120,8 @@
 
     def _fetch(self, peer: str, topic: Topic, end: int) -> None:
         try:
-            eventlet.sleep(PEER_LEAD_S)
+            if topic not in self._lost_at:
+                eventlet.sleep(PEER_LEAD_S[topic])
             known_end = self._ctx.directory.ends[topic]
             if known_end >= end:
                 return
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable
 
@@ -13,6 +14,8 @@
 INTERVAL_S = 0.5
 FANOUT = 8
 """Peers told at a time; fixed, so that the cost does not grow with the VMs."""
+RESIDENCY_ROUNDS = 6
+"""Rounds after which what the owned runners hold is told again."""
 CRASH_TOLD_S = 5.0
 """Time for which a crash is told."""
 
@@ -25,6 +28,7 @@
     ) -> None:
         self._ctx = ctx
         self._own_residency = own_residency
+        self._rounds = itertools.count()
 
     def start(self) -> None:
         """Tell in a green thread of its own."""
@@ -46,10 +50,14 @@
             vm=ctx.vm,
             ends=dict(ctx.directory.ends),
             views=ctx.loads.own_views(now),
-            residency=self._own_residency(),
+            residency=self._residency(),
             crashes=[report for _, report in ctx.crashes],
         )
 
+    def _residency(self) -> list[ResidencyNotice]:
+        """Return all notices now and then; changes are told as they come."""
+        return [] if next(self._rounds) % RESIDENCY_ROUNDS else self._own_residency()
+
     def hear(self, gossip: ServingGossip) -> None:
         """Take in what a peer tells."""
         ctx = self._ctx
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_job.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_job.py
@@ -16,7 +16,8 @@
     """Request with its route and what has happened to it so far.
 
     ``deadline`` is when the final answer is due; ``may_have_run`` is set once a
-    runner may have begun to work and nothing proves that it did not.
+    runner may have begun to work and nothing proves that it did not. ``missing_at``
+    names the runner that last answered that it lacks the adapter.
     """
 
     request: InboundRequest
@@ -29,6 +30,7 @@
     sends: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
+    missing_at: str = ""
     unloadable: set[str] = field(default_factory=set)
 
     @property
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -16,7 +16,7 @@
 
 from .._events import log_event
 from .._metrics import LOAD_STALL
-from ._adapters import Adapters
+from ._adapters import Adapters, AdapterWant
 from ._answers import Answers, end_to_end, is_genuine, no_answer
 from ._attempts import Attempts
 from ._context import Context
@@ -121,7 +121,8 @@
             self._ctx.loads.total(runner.id, now),
             runner.domain == self._ctx.cfg.vm.domain,
             has_adapter,
-            runner.id not in job.unloadable,
+            self._adapters.was_held(runner, adapter),
+            runner.id not in job.unloadable and self._adapters.can_order(runner),
         )
 
     def _key(self, job: Job) -> str:
@@ -134,14 +135,14 @@
         """Wait until the runner has the adapter; return False to look elsewhere."""
         asked_at = self._ctx.clock.monotonic()
         deadline = asked_at + MAX_WAIT_SHARE * (job.deadline - asked_at)
-        acquired = self._adapters.acquire(
-            runner,
+        want = AdapterWant(
             self._key(job),
             self._wanted_version(job),
             job.route.priority,
-            deadline,
             job.facts.request_id,
+            job.missing_at == runner.id,
         )
+        acquired = self._adapters.acquire(runner, want, deadline)
         stalled_s = self._ctx.clock.monotonic() - asked_at
         LOAD_STALL.observe(stalled_s)
         reason = acquired.err_value.reason if isinstance(acquired, Err) else "ready"
@@ -204,6 +205,7 @@
     ) -> OwnAnswer:
         if answer.facts.is_misdirected:
             self._adapters.forget(runner, self._key(job))
+            job.missing_at = runner.id
             job.tried.discard(runner.id)
         return _AGAIN
 
@@ -241,7 +243,7 @@
         is_failure = answer.status >= 500
         now = self._ctx.clock.monotonic()
         self._ctx.loads.record_result(runner.id, ok=not is_failure, now=now)
-        if is_failure and job.may_repeat:
+        if is_failure and job.may_repeat and self._attempts.has_repeat(job):
             return _AGAIN
         if progress.is_started:
             return no_answer(job, "runner_failed")
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -48,13 +48,19 @@
         return [notice for notice in notices if notice is not None]
 
     def acquire(
-        self, runner: str, adapter: str, version: int, priority: int, deadline: float
+        self, question: AcquireRequest, deadline: float
     ) -> Result[int, Refused]:
         """Have an adapter ready on an owned runner."""
-        task = self._tasks.get(runner)
+        task = self._tasks.get(question.runner)
         if task is None:
             return Err(Refused("not_owner", 0.2))
-        return task.acquire(adapter, version, priority, deadline)
+        return task.acquire(
+            question.adapter,
+            question.version,
+            question.priority,
+            deadline,
+            question.is_missing,
+        )
 
     def answer(self, inbound: Inbound, question: AcquireRequest) -> None:
         """Answer a peer's question, in a green thread of its own."""
@@ -62,13 +68,7 @@
 
     def _answer(self, inbound: Inbound, question: AcquireRequest) -> None:
         deadline = self._ctx.clock.monotonic() + question.left_s
-        acquired = self.acquire(
-            question.runner,
-            question.adapter,
-            question.version,
-            question.priority,
-            deadline,
-        )
+        acquired = self.acquire(question, deadline)
         if isinstance(acquired, Ok):
             inbound.reply(AcquireAnswer(acquired.ok_value))
             return
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -95,6 +95,8 @@
         """Tell whether a failure may be followed by another attempt."""
         if not job.may_repeat or now >= job.deadline:
             return False
+        if not self._attempts.has_repeat(job):
+            return False
         return self._choose(job, now) is not None
 
     def _after_fault(self, job: Job, failure: AttemptFailure) -> OwnAnswer:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -17,12 +17,22 @@
 from ._context import Context
 from ._ports import OrderOp, OrderOutcome, RunnerOrder, RunnerReport
 
-REPORT_INTERVAL_S = 0.08
-"""Pause between readings of the report while something is on its way."""
+FAST_LOAD_S = 0.03
+"""Time of a load from the runner's own memory."""
+STORE_LOAD_S = 0.255
+"""Time of a load from the weight store while few are on their way."""
+CHECK_INTERVAL_S = 0.03
+"""Pause between checks of an adapter that is overdue."""
 IDLE_CHECK_S = 2.0
 """Pause of an owner with nothing to do."""
-COMING_TIMEOUT_S = 6.0
+UNREAD_PAUSE_S = 0.1
+"""Pause before a report is read again that failed or was too old."""
+ARRIVAL_TIMEOUT_S = 5.0
 """Time after which an adapter that did not arrive is taken as lost."""
+LEASE_CHECK_S = 0.2
+"""Pause of an owner that may not give orders."""
+LEAVING_S = 3.0
+"""Time for which an adapter that was ordered out is not ordered out again."""
 MAX_WAITING = 24
 """Requests that wait for places of one runner."""
 
@@ -44,6 +54,14 @@
     answered: Event = field(default_factory=Event)
 
 
+@dataclass(slots=True)
+class _Arrival:
+    """Adapter on its way: when it was ordered and when to look for it next."""
+
+    ordered_at: float
+    check_at: float
+
+
 def adapter_key(model: str, adapter: str) -> str:
     """Return the key of an adapter among all models."""
     return f"{model}/{adapter}"
@@ -68,7 +86,7 @@
         self._on_change = on_change
         self._places = AdapterPlaces(max_adapters)
         self._waiters: list[_Waiter] = []
-        self._coming_since: dict[str, float] = {}
+        self._arrivals: dict[str, _Arrival] = {}
         self._seq: int | None = None
         self._models: set[str] = set()
         self._wake: Event = Event()
@@ -107,20 +125,36 @@
         if self._seq is None or token is None:
             return None
         runner = self._runner
-        return ResidencyNotice(
-            runner.id, runner.born_ms, token, dict(self._places.held)
-        )
+        held = {
+            adapter: version
+            for adapter, version in self._places.held.items()
+            if adapter not in self._places.leaving
+        }
+        return ResidencyNotice(runner.id, runner.born_ms, token, held)
 
     def acquire(
-        self, adapter: str, version: int, priority: int, deadline: float
+        self,
+        adapter: str,
+        version: int,
+        priority: int,
+        deadline: float,
+        is_missing: bool = False,
     ) -> Result[int, Refused]:
-        """Wait until the adapter is ready; return its version."""
+        """Wait until the adapter is ready; return its version.
+
+        ``is_missing`` says that the runner has just answered that it lacks it.
+        """
         now = self._ctx.clock.monotonic()
         self._places.note_demand(adapter, now)
+        if self._fencing_token() is None:
+            boottime = self._ctx.clock.boottime()
+            wait_s = self._ctx.ownership.orders_in_s(self._runner.id, boottime)
+            return Err(Refused("no_lease", wait_s))
+        if is_missing and self._places.held.pop(adapter, None) is not None:
+            log_event("belief_wrong", runner=self._runner.id, adapter=adapter)
+            self._seq = None
         if self._places.held.get(adapter, -1) >= version:
             return Ok(self._places.held[adapter])
-        if self._fencing_token() is None:
-            return Err(Refused("no_lease", 1.0))
         if len(self._waiters) >= MAX_WAITING:
             return Err(Refused("many_waiting", 1.0))
         waiter = _Waiter(adapter, version, priority, deadline)
@@ -143,19 +177,65 @@
             if token is None:
                 self._refuse_all("no_lease")
                 self._seq = None
-                self._sleep(0.2)
+                self._sleep(LEASE_CHECK_S)
                 continue
             if self._seq is None and not self._read_report():
-                self._sleep(0.2)
+                self._sleep(UNREAD_PAUSE_S)
                 continue
             self._order_missing_model(token)
+            self._check_arrivals(token)
             self._replace_old_versions(token)
             self._serve_waiters(token)
-            if self._places.coming:
-                self._sleep(REPORT_INTERVAL_S)
-                self._read_report()
-            else:
-                self._sleep(IDLE_CHECK_S if not self._waiters else 0.1)
+            self._sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        """Return the time until there is something to do, unless woken."""
+        if self._seq is None:
+            return UNREAD_PAUSE_S
+        if not self._arrivals:
+            return IDLE_CHECK_S
+        now = self._ctx.clock.monotonic()
+        check_at = min(arrival.check_at for arrival in self._arrivals.values())
+        return max(0.001, check_at - now)
+
+    def _check_arrivals(self, token: int) -> None:
+        """Look for adapters that should be there: the report lags, so repeat the order.
+
+        A repeat is answered "holds" once the adapter is there and changes nothing
+        while it is on its way.
+        """
+        now = self._ctx.clock.monotonic()
+        self._places.forget_leaving(now)
+        for adapter, arrival in list(self._arrivals.items()):
+            if now < arrival.check_at:
+                continue
+            if now - arrival.ordered_at > ARRIVAL_TIMEOUT_S:
+                self._seq = None
+                del self._arrivals[adapter]
+                continue
+            self._check_arrival(adapter, arrival, token)
+
+    def _check_arrival(self, adapter: str, arrival: _Arrival, token: int) -> None:
+        version = self._places.coming.get(adapter, 0)
+        seq = self._seq
+        outcome = self._order(OrderOp.LOAD, adapter, version, token)
+        if outcome is OrderOutcome.HOLDS:
+            self._arrived(adapter, version)
+        elif outcome is OrderOutcome.ACCEPTED:
+            self._seq = seq
+            store_at = arrival.ordered_at + STORE_LOAD_S
+            now = self._ctx.clock.monotonic()
+            arrival.check_at = max(store_at, now + CHECK_INTERVAL_S)
+
+    def _arrived(self, adapter: str, version: int) -> None:
+        """Note that an adapter is there, and answer those who wait for it."""
+        self._arrivals.pop(adapter, None)
+        self._places.coming.pop(adapter, None)
+        self._places.held[adapter] = max(1, version, self._places.held.get(adapter, 0))
+        for waiter in list(self._waiters):
+            if waiter.adapter == adapter and version >= waiter.version:
+                self._answer(waiter)
+        self._on_change()
 
     def _sleep(self, seconds: float) -> None:
         """Sleep until the time is over or something has changed."""
@@ -200,11 +280,11 @@
     def _load(self, adapter: str, version: int, token: int) -> None:
         outcome = self._order(OrderOp.LOAD, adapter, version, token)
         if outcome is OrderOutcome.HOLDS:
-            self._places.held[adapter] = max(version, self._places.held.get(adapter, 0))
-            self._on_change()
-        elif outcome in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
+            self._arrived(adapter, version)
+        elif outcome is OrderOutcome.ACCEPTED:
+            now = self._ctx.clock.monotonic()
             self._places.coming[adapter] = version
-            self._coming_since[adapter] = self._ctx.clock.monotonic()
+            self._arrivals[adapter] = _Arrival(now, now + FAST_LOAD_S)
 
     def _unload(self, adapter: str, token: int) -> bool:
         """Drop an adapter; return whether its place is free."""
@@ -214,9 +294,9 @@
             self._on_change()
             return True
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
-            self._places.leaving.add(adapter)
-            self._places.coming.setdefault(adapter, 0)
-            self._coming_since[adapter] = self._ctx.clock.monotonic()
+            now = self._ctx.clock.monotonic()
+            self._places.leaving[adapter] = now + LEAVING_S
+            self._on_change()
         return False
 
     def _order(
@@ -242,16 +322,14 @@
 
     def _count(self, op: OrderOp, outcome: OrderOutcome) -> None:
         """Follow the runner's order count; unknown after anything unexpected."""
-        if (
-            outcome is OrderOutcome.ACCEPTED
-            and self._seq is not None
-            or outcome is OrderOutcome.HOLDS
-            and op is OrderOp.UNLOAD
-            and self._seq
-        ):
+        if self._seq is None:
+            return
+        if outcome is OrderOutcome.ACCEPTED:
             self._seq += 1
         elif outcome is not OrderOutcome.HOLDS:
             self._seq = None
+        elif op is OrderOp.UNLOAD:
+            self._seq += 1
 
     def _order_missing_model(self, token: int) -> None:
         """Have an empty runner load the model of its service."""
@@ -299,17 +377,11 @@
             for name, version in model.adapters.items()
         }
         coming = dict(report.coming)
-        self._drop_lost(held, coming)
+        now = self._ctx.clock.monotonic()
+        fresh = _Arrival(now, now)
+        self._arrivals = {key: self._arrivals.get(key, fresh) for key in coming}
         changed = held != self._places.held
         self._places.held = held
         self._places.coming = coming
-        self._places.leaving &= set(held)
         if changed:
             self._on_change()
-
-    def _drop_lost(self, held: dict[str, int], coming: dict[str, int]) -> None:
-        now = self._ctx.clock.monotonic()
-        for adapter in list(self._coming_since):
-            late = now - self._coming_since[adapter] > COMING_TIMEOUT_S
-            if adapter not in coming or late:
-                del self._coming_since[adapter]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -15,7 +15,7 @@
     expected_first_event_s,
     failure_share,
 )
-from ._places import AdapterPlaces, Plan, Step
+from ._places import AdapterMemory, AdapterPlaces, Plan, Step
 from ._routes import (
     ClientLimits,
     Configuration,
@@ -34,6 +34,7 @@
     "PROMPT_TOKENS_PER_S",
     "SHARES",
     "STEP_S",
+    "AdapterMemory",
     "AdapterPlaces",
     "AdapterVersion",
     "Assignment",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
@@ -29,13 +29,17 @@
 
     def spend(self, now: float, vms: int) -> bool:
         """Take one repeat; return False if the allowance is used up."""
-        self._expire(now)
-        allowance = self._ratio * len(self._requests) + self._slack / max(1, vms)
-        if len(self._repeats) + 1 > SAFETY * allowance:
+        if not self.has_room(now, vms):
             return False
         self._repeats.append(now)
         return True
 
+    def has_room(self, now: float, vms: int) -> bool:
+        """Tell whether a repeat is left."""
+        self._expire(now)
+        allowance = self._ratio * len(self._requests) + self._slack / max(1, vms)
+        return len(self._repeats) + 1 <= SAFETY * allowance
+
     def _expire(self, now: float) -> None:
         for times in (self._requests, self._repeats):
             while times and times[0] < now - self._window_s:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -79,6 +79,11 @@
             return None
         return self.generation
 
+    def orders_in_s(self, runner_id: str, now: float) -> float:
+        """Return the seconds until orders to a runner are allowed, if renewed."""
+        orders_from = self._orders_from.get(share_of(runner_id), now)
+        return max(0.0, orders_from - now)
+
     def lease_left_s(self, now: float) -> float:
         """Return the seconds until the lease runs out."""
         return self._lease_deadline - now
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -19,9 +19,12 @@
 """Time of a batch's step with its overhead on the way."""
 LOAD_S = 0.3
 """Time of an adapter's load from the weight store."""
-RANK_S = 0.04
-"""Cost of each place further down an adapter's ranking: reloads there are slow."""
-FAR_S = 0.01
+RELOAD_S = 0.04
+"""Time of the load of an adapter that the runner held lately."""
+RANK_S = 0.3
+"""Cost of each place further down an adapter's ranking, so that later loads find
+the adapter in the memory of the same runner."""
+FAR_S = 0.03
 """Cost of a runner in another failure domain."""
 FAILURE_S = 2.0
 """Cost of a runner all of whose recent attempts failed."""
@@ -39,6 +42,7 @@
     view: RunnerView
     is_near: bool
     has_adapter: bool = True
+    had_adapter: bool = False
     can_load: bool = True
     cached_tokens: int = 0
 
@@ -81,9 +85,11 @@
             continue
         expected_s = expected_first_event_s(candidate, prompt_tokens)
         if not candidate.has_adapter:
-            expected_s += LOAD_S + RANK_S * ranking[candidate.runner.id]
+            expected_s += RELOAD_S if candidate.had_adapter else LOAD_S
         cost_s = expected_s + FAILURE_S * failure_share(candidate.view) ** 2
         cost_s += 0.0 if candidate.is_near else FAR_S
+        if not candidate.has_adapter and not candidate.had_adapter:
+            cost_s += RANK_S * ranking[candidate.runner.id]
         if best is None or cost_s < best[0]:
             best = (cost_s, Choice(candidate, expected_s))
     return best[1] if best else None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -16,6 +17,8 @@
 """Adapters that a runner fetches at the same time."""
 USE_TTL_S = 30.0
 """Age up to which a VM's count of requests on an adapter holds."""
+MAX_REMEMBERED = 30
+"""Adapters that a runner is taken to keep in its memory."""
 MAX_TRACKED = 400
 """Adapters whose demand is remembered."""
 
@@ -45,12 +48,16 @@
 
 @dataclass(slots=True)
 class AdapterPlaces:
-    """Adapters of one runner by ``model/adapter`` key, with versions."""
+    """Adapters of one runner by ``model/adapter`` key, with versions.
+
+    ``leaving`` has the adapters that were ordered out, with the time up to which they
+    are not ordered out again.
+    """
 
     limit: int
     held: dict[str, int] = field(default_factory=dict)
     coming: dict[str, int] = field(default_factory=dict)
-    leaving: set[str] = field(default_factory=set)
+    leaving: dict[str, float] = field(default_factory=dict)
     _uses: dict[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
     _demand: dict[str, _Demand] = field(default_factory=dict)
 
@@ -85,6 +92,10 @@
             for key, (_, at) in self._uses.items()
         )
 
+    def forget_leaving(self, now: float) -> None:
+        """Forget the adapters whose dropping was ordered too long ago."""
+        self.leaving = {key: at for key, at in self.leaving.items() if now < at}
+
     def plan(self, adapter: str, version: int, now: float) -> Plan:
         """Return the next step towards holding ``adapter`` at ``version`` or newer."""
         if adapter in self.held and self.held[adapter] >= version:
@@ -107,3 +118,26 @@
             and not self.in_use(key, now)
         ]
         return min(idle, key=lambda key: self.demand(key, now), default="")
+
+
+class AdapterMemory:
+    """Adapters that one runner held lately; it loads these again from its memory."""
+
+    def __init__(self) -> None:
+        self._born_ms = 0
+        self._recent: dict[str, None] = {}
+
+    def note(self, born_ms: int, held: Iterable[str]) -> None:
+        """Note what the runner holds; a restart forgets what was before."""
+        if born_ms != self._born_ms:
+            self._born_ms = born_ms
+            self._recent.clear()
+        for adapter in held:
+            self._recent.pop(adapter, None)
+            self._recent[adapter] = None
+        while len(self._recent) > MAX_REMEMBERED:
+            del self._recent[next(iter(self._recent))]
+
+    def remembers(self, born_ms: int, adapter: str) -> bool:
+        """Tell whether the runner held the adapter lately."""
+        return born_ms == self._born_ms and adapter in self._recent
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -227,9 +227,9 @@
 
     def _receive(self) -> None:
         data = self._sock.recv(READ_BYTES)
-        if not data and not self.http.trailing_data[0]:
-            if self.http.their_state is h11.IDLE:
-                raise _CallerGoneError("closed")
+        is_idle = self.http.their_state is h11.IDLE
+        if not data and is_idle and not self.http.trailing_data[0]:
+            raise _CallerGoneError("closed")
         self.http.receive_data(data)
 
     # Writing.
