Keep an adapter for the request that asked for it; stop in time; tell resets from ends

Idle connections are now closed early, and requests that come after the balancer's rotation are refused. - MIXED: eventlet's recv reports a reset as an end, so an answer without a length looked complete. The socket is read without that wrapper. - 582 answers 421: an adapter was dropped the moment it arrived, before its request reached it, and after a conflict orders went by a report older than the last order. An arrived adapter is now promised for 0.15 s; reports that lag are left out. Ruled out: wrong versions (none of the adapters had a new one).

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -31,6 +31,10 @@
 """Time after which an adapter that did not arrive is taken as lost."""
 LEASE_CHECK_S = 0.2
 """Pause of an owner that may not give orders."""
+PROMISE_S = 0.15
+"""Time for a request to reach its adapter after it was told that it is there."""
+REPORT_LAG_S = 0.25
+"""Age that a runner's report may have."""
 LEAVING_S = 3.0
 """Time for which an adapter that was ordered out is not ordered out again."""
 MAX_WAITING = 24
@@ -88,6 +92,8 @@
         self._waiters: list[_Waiter] = []
         self._arrivals: dict[str, _Arrival] = {}
         self._seq: int | None = None
+        self._least_seq = 0
+        self._report_at = float("-inf")
         self._models: set[str] = set()
         self._wake: Event = Event()
         self._is_closed = False
@@ -152,8 +158,8 @@
             return Err(Refused("no_lease", wait_s))
         if is_missing and self._places.held.pop(adapter, None) is not None:
             log_event("belief_wrong", runner=self._runner.id, adapter=adapter)
-            self._seq = None
         if self._places.held.get(adapter, -1) >= version:
+            self._places.promise(adapter, now + PROMISE_S)
             return Ok(self._places.held[adapter])
         if len(self._waiters) >= MAX_WAITING:
             return Err(Refused("many_waiting", 1.0))
@@ -210,7 +216,7 @@
             if now < arrival.check_at:
                 continue
             if now - arrival.ordered_at > ARRIVAL_TIMEOUT_S:
-                self._seq = None
+                self._lose_count()
                 del self._arrivals[adapter]
                 continue
             self._check_arrival(adapter, arrival, token)
@@ -273,6 +279,8 @@
     def _answer(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
+            now = self._ctx.clock.monotonic()
+            self._places.promise(waiter.adapter, now + PROMISE_S)
             waiter.answered.send(Ok(self._places.held[waiter.adapter]))
 
     # Orders.
@@ -327,10 +335,16 @@
         if outcome is OrderOutcome.ACCEPTED:
             self._seq += 1
         elif outcome is not OrderOutcome.HOLDS:
-            self._seq = None
+            self._lose_count()
         elif op is OrderOp.UNLOAD:
             self._seq += 1
 
+    def _lose_count(self) -> None:
+        """Stop giving orders until a report tells the order count again."""
+        self._least_seq = self._seq or 0
+        self._seq = None
+        self._report_at = self._ctx.clock.monotonic() + REPORT_LAG_S
+
     def _order_missing_model(self, token: int) -> None:
         """Have an empty runner load the model of its service."""
         now = self._ctx.clock.monotonic()
@@ -358,17 +372,20 @@
     # The report.
 
     def _read_report(self) -> bool:
+        """Read the report once it tells of every order given; return whether it did."""
+        if self._ctx.clock.monotonic() < self._report_at:
+            return False
         read = self._ctx.ports.control.read_report(self._runner)
         if isinstance(read, Err):
             log_event("report_unread", runner=self._runner.id, why=read.err_value)
             return False
+        if read.ok_value.order_seq < self._least_seq:
+            return False
         self._take_report(read.ok_value)
         return True
 
     def _take_report(self, report: RunnerReport) -> None:
-        """Correct beliefs; a report that is older than the last order is left out."""
-        if self._seq is not None and report.order_seq < self._seq:
-            return
+        """Correct beliefs."""
         self._seq = report.order_seq
         self._models = {model.name for model in report.models}
         held = {
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -38,6 +38,8 @@
 ROTATION_S = 2.6
 """Time after which the balancer has taken a VM that is not ready out: two probes a
 second apart, with slack."""
+CLOSE_IDLE_S = 0.3
+"""Time after which kept connections without a request are closed."""
 EXIT_MARGIN_S = 0.8
 """Time kept before the platform kills a process that stops."""
 QUIET_S = 0.4
@@ -163,6 +165,7 @@
         self._callers.is_stopping = True
         log_event("stop_requested", open_requests=self._callers.open_requests)
         eventlet.spawn(self._serving.release)
+        eventlet.spawn_after(CLOSE_IDLE_S, self._callers.close_idle)
         self._drain(started_at + ROTATION_S, exit_deadline)
         log_event(
             "stopped",
@@ -172,11 +175,17 @@
         self._callers.close()
 
     def _drain(self, earliest: float, latest: float) -> None:
-        """Serve on until the balancer sends nothing and no request is open."""
+        """Serve on until the balancer sends nothing and no request is open.
+
+        Later requests are refused: they could not be finished before the end.
+        """
         quiet_since = earliest
         while True:
             eventlet.sleep(POLL_S / 4)
             now = self._clock.monotonic()
+            if now >= earliest and not self._callers.refuses_new:
+                self._callers.refuses_new = True
+                self._callers.close_idle()
             if self._callers.open_requests:
                 quiet_since = now
             if now >= latest or (now >= earliest and now - quiet_since >= QUIET_S):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
@@ -58,6 +58,7 @@
     held: dict[str, int] = field(default_factory=dict)
     coming: dict[str, int] = field(default_factory=dict)
     leaving: dict[str, float] = field(default_factory=dict)
+    _promised: dict[str, float] = field(default_factory=dict)
     _uses: dict[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
     _demand: dict[str, _Demand] = field(default_factory=dict)
 
@@ -85,8 +86,14 @@
             return 0.0
         return known.score * float(0.5 ** ((now - known.at) / HALF_LIFE_S))
 
+    def promise(self, adapter: str, deadline: float) -> None:
+        """Keep an adapter for a request that is about to use it."""
+        self._promised[adapter] = deadline
+
     def in_use(self, adapter: str, now: float) -> bool:
-        """Tell whether some VM has a request on the adapter."""
+        """Tell whether some VM has a request on the adapter, or is about to."""
+        if now < self._promised.get(adapter, 0.0):
+            return True
         return any(
             key[1] == adapter and now - at < USE_TTL_S
             for key, (_, at) in self._uses.items()
@@ -95,6 +102,7 @@
     def forget_leaving(self, now: float) -> None:
         """Forget the adapters whose dropping was ordered too long ago."""
         self.leaving = {key: at for key, at in self.leaving.items() if now < at}
+        self._promised = {key: at for key, at in self._promised.items() if now < at}
 
     def plan(self, adapter: str, version: int, now: float) -> Plan:
         """Return the next step towards holding ``adapter`` at ``version`` or newer."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -27,7 +27,8 @@
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import ClientLimits
 
-READ_BYTES = 65536
+from ._sockets import end_connection, receive
+
 BACKLOG = 1024
 MAX_BUFFERED_BYTES = 64 << 20
 """Bodies of requests held in memory at once."""
@@ -64,7 +65,7 @@
         self._connections: set[_Connection] = set()
         self._listener: Any = None
         self.is_stopping = False
-        self.accepted_at = float("-inf")
+        self.refuses_new = False
         self.buffered_bytes = 0
         self.open_requests = 0
 
@@ -77,7 +78,13 @@
         """Stop listening and close every connection."""
         self._listener.close()
         for conn in list(self._connections):
-            conn.close()
+            conn.end()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is open."""
+        for conn in list(self._connections):
+            if conn.is_idle:
+                conn.end()
 
     def _accept_all(self) -> None:
         while True:
@@ -93,7 +100,6 @@
                 log_event("connection_refused", reason="max_connections")
                 sock.close()
                 continue
-            self.accepted_at = self._clock.monotonic()
             conn = _Connection(self, sock, self._limits(), self._clock)
             self._connections.add(conn)
             eventlet.spawn(self._run, conn)
@@ -120,6 +126,7 @@
         self._sock = sock
         self._limits = limits
         self._clock = clock
+        self.is_idle = True
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
@@ -129,6 +136,10 @@
         """Close the socket."""
         self._sock.close()
 
+    def end(self) -> None:
+        """End the connection; its green thread closes the socket."""
+        end_connection(self._sock)
+
     def run(self, handler: RequestHandler) -> None:
         """Serve requests until the connection ends."""
         while True:
@@ -136,7 +147,11 @@
             if isinstance(read, Err):
                 self._reject(read.err_value)
                 return
+            if self._server.refuses_new:
+                self._reject(_BadRequestError(503, "stopping"))
+                return
             self._serve(handler, read.ok_value)
+            self.is_idle = True
             if self.http.our_state is not h11.DONE or (
                 self.http.their_state is not h11.DONE
             ):
@@ -151,6 +166,7 @@
         try:
             handler.handle(request, caller)
         finally:
+            caller.is_interruptible = False
             watch.kill()
             self._server.open_requests -= 1
             self._server.buffered_bytes -= len(request.body)
@@ -188,6 +204,7 @@
         if not self.http.trailing_data[0]:
             with Timeout(self._limits.idle_timeout_s, _CallerGoneError("idle")):
                 self._receive()
+        self.is_idle = False
         with Timeout(
             self._limits.header_timeout_s, _BadRequestError(408, "slow headers")
         ):
@@ -226,7 +243,7 @@
             return event
 
     def _receive(self) -> None:
-        data = self._sock.recv(READ_BYTES)
+        data = receive(self._sock)
         is_idle = self.http.their_state is h11.IDLE
         if not data and is_idle and not self.http.trailing_data[0]:
             raise _CallerGoneError("closed")
@@ -256,7 +273,7 @@
     def _discard_input(self) -> None:
         """Read on for a moment, so that the answer is not lost in a reset."""
         with Timeout(0.5, False):
-            while self._sock.recv(READ_BYTES):
+            while receive(self._sock):
                 pass
 
     def closes_after(self) -> bool:
@@ -286,8 +303,13 @@
     except OSError:
         pass
     caller.has_left = True
-    if caller.is_interruptible:
-        get_hub().schedule_call_global(0, request.throw, CallerLeftError())
+    get_hub().schedule_call_global(0, _interrupt, request, caller)
+
+
+def _interrupt(request: Any, caller: _HttpCaller) -> None:
+    """Raise in the green thread of a request, unless it has answered meanwhile."""
+    if caller.is_interruptible and not request.dead:
+        request.throw(CallerLeftError())
 
 
 class _HttpCaller(Caller):
@@ -322,7 +344,7 @@
 
     def cut(self) -> None:
         self.is_interruptible = False
-        self._conn.close()
+        self._conn.end()
         raise CallerLeftError
 
     def _head(self, status: int, headers: Headers) -> h11.Response:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -32,13 +32,14 @@
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import Runner
 
+from ._sockets import receive
+
 CONNECT_TIMEOUT_S = 0.4
 """Time for a new connection: under the first retransmission of a lost packet."""
 DEFAULT_IDLE_S = 3.0
 """Idle time after which a connection is closed if the runner names no other."""
 MAX_STRAY_ANSWERS = 3
 """Answers to other requests that are skipped on a connection."""
-READ_BYTES = 65536
 PROBE_TIMEOUT_S = 0.25
 
 
@@ -269,7 +270,7 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._http.receive_data(self._sock.recv(READ_BYTES))
+            self._http.receive_data(receive(self._sock))
 
     def is_reusable(self) -> bool:
         """Tell whether another request may be sent on the connection."""
