Hand shares over by word; count waits for places; keep queues short

Change: an owner that stops says so and the next one orders at once; a replaced process takes up its shares; a new owner without that word waits one lease; owners tell idle places and waiting requests; at most 8 wait for a runner; a request expected to be later than 1.5 times its target is refused at once with when to come back.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -39,13 +39,26 @@
     count: int
 
 
+class ReleaseNotice(Message, frozen=True, array_like=True):
+    """The sender gives no more orders for these shares of the runners."""
+
+    shares: list[int]
+    generation: int
+
+
 class ResidencyNotice(Message, frozen=True, array_like=True):
-    """Adapters that a runner holds, as its owner knows them."""
+    """Adapters that a runner holds, as its owner knows them.
+
+    ``idle`` places could take another adapter at once, ``waiting`` requests wait for
+    an adapter.
+    """
 
     runner: str
     born_ms: int
     fencing_token: int
     held: dict[str, int]
+    idle: int
+    waiting: int
 
 
 class CrashReport(Message, frozen=True, array_like=True):
@@ -85,6 +98,7 @@
     AcquireRequest
     | AcquireAnswer
     | UseNotice
+    | ReleaseNotice
     | ResidencyNotice
     | ServingGossip
     | DirectoryRequest
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -21,7 +21,16 @@
 from ._owner import Owners
 from ._runner_owner import Refused, adapter_key
 
-_OWNER_FAULTS = {"no_owner", "not_owner", "owner_unreachable", "no_lease", "owner_left"}
+_OWNER_FAULTS = {
+    "no_owner",
+    "not_owner",
+    "owner_unreachable",
+    "no_lease",
+    "owner_left",
+    "runner_down",
+}
+ANSWER_S = 0.05
+"""Time left for the owner's answer on its way back."""
 MIN_PAUSE_S = 0.3
 """Shortest time for which an owner that could not order is not asked again."""
 MAX_PAUSE_S = 1.5
@@ -59,6 +68,13 @@
             for name, version in model.adapters.items()
         }
 
+    def queue(self, runner: Runner) -> tuple[int, int]:
+        """Return the idle places of a runner and the requests that wait for one."""
+        notice = self._ctx.residency.get(runner.id)
+        if notice is None or notice.born_ms != runner.born_ms:
+            return 1, 0
+        return notice.idle, notice.waiting
+
     def was_held(self, runner: Runner, adapter: str) -> bool:
         """Tell whether a runner held an adapter lately, so that it reloads fast."""
         memory = self._ctx.memories.get(runner.id)
@@ -82,7 +98,8 @@
         known = self._ctx.residency.get(runner.id)
         is_same = known is not None and known.born_ms == runner.born_ms
         token = known.fencing_token if known is not None and is_same else 0
-        notice = ResidencyNotice(runner.id, runner.born_ms, token, held)
+        idle, waiting = self.queue(runner)
+        notice = ResidencyNotice(runner.id, runner.born_ms, token, held, idle, waiting)
         self._ctx.note_residency(notice)
 
     def begin_use(self, runner: Runner, adapter: str) -> None:
@@ -119,7 +136,7 @@
             runner=runner.id,
             adapter=want.adapter,
             version=want.version,
-            left_s=deadline - self._ctx.clock.monotonic(),
+            left_s=deadline - self._ctx.clock.monotonic() - ANSWER_S,
             priority=want.priority,
             request_id=want.request_id,
             is_missing=want.is_missing,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -14,6 +14,7 @@
 from gooseberryrun._internal.state.serving import (
     AdapterMemory,
     DirectoryState,
+    Holder,
     Owner,
     OwnershipState,
     RunnerLoads,
@@ -43,6 +44,7 @@
     loads: RunnerLoads
     suspects: SuspectState
     owners: dict[int, Owner] = field(default_factory=dict)
+    owners_generation: int = 0
     residency: dict[str, ResidencyNotice] = field(default_factory=dict)
     memories: dict[str, AdapterMemory] = field(default_factory=dict)
     crashes: list[tuple[float, CrashReport]] = field(default_factory=list)
@@ -56,6 +58,13 @@
         """Return the member that holds a runner's share."""
         return self.owners.get(share_of(runner_id))
 
+    def holders(self) -> dict[int, Holder]:
+        """Return the last known holder of each share."""
+        generation = self.owners_generation
+        return {
+            share: Holder(owner.vm, generation) for share, owner in self.owners.items()
+        }
+
     def members(self) -> dict[str, Owner]:
         """Return the members known, this VM included, by id."""
         return {owner.vm: owner for owner in self.owners.values()}
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -7,7 +7,10 @@
 import eventlet
 from result import Err
 
+from gooseberryrun._internal.state.serving import Holder
+
 from .._events import log_event
+from .._serving_messages import ReleaseNotice
 from ._context import Context
 
 SETTLE_S = (0.0, 0.4, 1.5)
@@ -33,7 +36,7 @@
     def leave(self) -> None:
         """Give up every share and leave the group."""
         self._is_left = True
-        self._ctx.ownership.lose()
+        self._tell_release(self._ctx.ownership.lose())
         left = self._ctx.ports.store.leave()
         why = left.err_value.detail if isinstance(left, Err) else ""
         log_event("group_left", error=why)
@@ -45,7 +48,34 @@
             self._owners_read_at = now
             eventlet.spawn(self._read_owners)
 
+    def _tell_release(self, shares: frozenset[int]) -> None:
+        """Tell the others that this VM gives no more orders for these shares."""
+        if not shares:
+            return
+        notice = ReleaseNotice(sorted(shares), self._ctx.ownership.generation)
+        for peer in self._ctx.peer_ids():
+            self._ctx.peers.tell(peer, notice)
+
+    def hear_release(self, vm: str, notice: ReleaseNotice) -> None:
+        """Take in the word of another owner."""
+        release = Holder(vm, notice.generation)
+        now = self._ctx.clock.boottime()
+        self._ctx.ownership.hear_release(release, notice.shares, now)
+
+    def _resume(self) -> None:
+        """Find the shares that the process before this one held on this VM."""
+        self._read_owners()
+        held = {
+            share
+            for share, owner in self._ctx.owners.items()
+            if owner.vm == self._ctx.vm
+        }
+        if held:
+            log_event("shares_resumed", shares=len(held))
+            self._ctx.ownership.resume(held, self._ctx.clock.boottime())
+
     def _renew_all(self) -> None:
+        self._resume()
         while not self._is_left:
             self._renew()
             eventlet.sleep(self._ctx.cfg.membership.renew_interval_s)
@@ -66,7 +96,9 @@
                 "membership_regained", lease_left_s=ctx.ownership.lease_left_s(now)
             )
         assignment = renewed.ok_value
-        if ctx.ownership.renew(assignment, asked_at, now):
+        lost = ctx.ownership.renew(assignment, ctx.holders(), asked_at, now)
+        if lost is not None:
+            self._tell_release(lost)
             log_event(
                 "shares_changed",
                 generation=assignment.generation,
@@ -85,6 +117,7 @@
 
     def _read_owners(self) -> None:
         self._owners_read_at = self._ctx.clock.monotonic()
+        generation = self._ctx.ownership.generation
         read = self._ctx.ports.store.owners()
         if isinstance(read, Err):
             log_event("owners_unread", level="warning", why=read.err_value.detail)
@@ -93,3 +126,4 @@
             members = {owner.vm for owner in read.ok_value.values()}
             log_event("owners_changed", members=len(members))
         self._ctx.owners = read.ok_value
+        self._ctx.owners_generation = generation
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -30,6 +30,9 @@
 MAX_WAIT_SHARE = 0.6
 """Share of the time left that may pass before the first event; a request that would
 wait longer is refused at once."""
+MAX_LATENESS = 1.5
+"""Longest expected wait as a multiple of the route's target latency: under overload,
+short queues serve most requests in time where long ones make all of them late."""
 MIN_SLOWNESS_SAMPLE_S = 0.03
 """Shortest expected time that an observed one is compared with."""
 URGENCY_STEP = 2
@@ -87,7 +90,7 @@
         choice = self._choose(job, now)
         if choice is None:
             return no_answer(job, "no_runner", BUSY_RETRY_S)
-        if choice.expected_s > MAX_WAIT_SHARE * (job.deadline - now):
+        if choice.expected_s > self._longest_wait_s(job, now):
             return no_answer(job, "overload", BUSY_RETRY_S)
         runner = choice.candidate.runner
         if not choice.candidate.has_adapter and not self._acquire(job, runner):
@@ -96,6 +99,12 @@
             return no_answer(job, "repeat_budget", BUSY_RETRY_S)
         return self._attempt(job, runner, choice, progress)
 
+    @staticmethod
+    def _longest_wait_s(job: Job, now: float) -> float:
+        """Return the longest wait for a first event that is worth its place."""
+        left_s = MAX_WAIT_SHARE * (job.deadline - now)
+        return min(left_s, MAX_LATENESS * job.route.target_latency_s)
+
     # Choosing and loading.
 
     def _choose(self, job: Job, now: float) -> Choice | None:
@@ -116,15 +125,21 @@
         if job.facts.adapter:
             held = self._adapters.held(runner).get(adapter, -1)
             has_adapter = held >= self._wanted_version(job)
+        idle, waiting = self._adapters.queue(runner)
         return Candidate(
-            runner,
-            self._ctx.loads.total(runner.id, now),
-            runner.domain == self._ctx.cfg.vm.domain,
-            has_adapter,
-            self._adapters.was_held(runner, adapter),
-            runner.id not in job.unloadable and self._adapters.can_order(runner),
+            runner=runner,
+            view=self._ctx.loads.total(runner.id, now),
+            is_near=runner.domain == self._ctx.cfg.vm.domain,
+            has_adapter=has_adapter,
+            can_load=self._can_load(job, runner),
+            had_adapter=self._adapters.was_held(runner, adapter),
+            idle_places=idle,
+            waiting=waiting,
         )
 
+    def _can_load(self, job: Job, runner: Runner) -> bool:
+        return runner.id not in job.unloadable and self._adapters.can_order(runner)
+
     def _key(self, job: Job) -> str:
         return adapter_key(job.facts.model, job.facts.adapter)
 
@@ -134,7 +149,7 @@
     def _acquire(self, job: Job, runner: Runner) -> bool:
         """Wait until the runner has the adapter; return False to look elsewhere."""
         asked_at = self._ctx.clock.monotonic()
-        deadline = asked_at + MAX_WAIT_SHARE * (job.deadline - asked_at)
+        deadline = asked_at + self._longest_wait_s(job, asked_at)
         want = AdapterWant(
             self._key(job),
             self._wanted_version(job),
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -18,6 +18,8 @@
 from ._context import Context
 from ._runner_owner import Refused, RunnerOwner
 
+TELL_S = 0.02
+"""Time for which changes are gathered before they are told."""
 CHECK_S = 0.3
 """Pause between checks of which runners are owned."""
 
@@ -139,7 +141,7 @@
     def _changed(self, runner_id: str) -> None:
         """Tell what a runner holds now; changes of one moment go together."""
         if not self._to_tell:
-            eventlet.spawn_after(0.005, self._tell)
+            eventlet.spawn_after(TELL_S, self._tell)
         self._to_tell.add(runner_id)
 
     def _tell(self) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -37,7 +37,7 @@
 """Age that a runner's report may have."""
 LEAVING_S = 3.0
 """Time for which an adapter that was ordered out is not ordered out again."""
-MAX_WAITING = 24
+MAX_WAITING = 8
 """Requests that wait for places of one runner."""
 
 
@@ -92,7 +92,7 @@
         self._waiters: list[_Waiter] = []
         self._arrivals: dict[str, _Arrival] = {}
         self._seq: int | None = None
-        self._least_seq = 0
+        self._doubted: set[str] = set()
         self._report_at = float("-inf")
         self._models: set[str] = set()
         self._wake: Event = Event()
@@ -136,7 +136,15 @@
             for adapter, version in self._places.held.items()
             if adapter not in self._places.leaving
         }
-        return ResidencyNotice(runner.id, runner.born_ms, token, held)
+        now = self._ctx.clock.monotonic()
+        return ResidencyNotice(
+            runner.id,
+            runner.born_ms,
+            token,
+            held,
+            self._places.idle_count(now),
+            len(self._waiters),
+        )
 
     def acquire(
         self,
@@ -156,15 +164,18 @@
             boottime = self._ctx.clock.boottime()
             wait_s = self._ctx.ownership.orders_in_s(self._runner.id, boottime)
             return Err(Refused("no_lease", wait_s))
-        if is_missing and self._places.held.pop(adapter, None) is not None:
-            log_event("belief_wrong", runner=self._runner.id, adapter=adapter)
-        if self._places.held.get(adapter, -1) >= version:
+        if is_missing and adapter in self._places.held:
+            log_event("belief_doubted", runner=self._runner.id, adapter=adapter)
+            self._doubted.add(adapter)
+        is_held = self._places.held.get(adapter, -1) >= version
+        if is_held and adapter not in self._doubted:
             self._places.promise(adapter, now + PROMISE_S)
             return Ok(self._places.held[adapter])
         if len(self._waiters) >= MAX_WAITING:
             return Err(Refused("many_waiting", 1.0))
         waiter = _Waiter(adapter, version, priority, deadline)
         self._waiters.append(waiter)
+        self._on_change()
         self.wake()
         try:
             with Timeout(max(0.001, deadline - now), False):
@@ -173,6 +184,7 @@
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
+            self._on_change()
         return Err(Refused("too_late", 0.5))
 
     # The task.
@@ -265,6 +277,8 @@
         for waiter in sorted(self._waiters, key=lambda w: (w.priority, w.deadline)):
             if waiter not in self._waiters:
                 continue
+            if waiter.adapter in self._doubted:
+                self._verify(waiter.adapter, token)
             plan = self._places.plan(waiter.adapter, waiter.version, now)
             if plan.step is Step.EVICT:
                 if not self._unload(plan.victim, token):
@@ -276,6 +290,17 @@
             if plan.step is Step.PRESENT:
                 self._answer(waiter)
 
+    def _verify(self, adapter: str, token: int) -> None:
+        """Order an adapter again that a runner says it lacks; its place stays taken."""
+        self._doubted.discard(adapter)
+        if adapter not in self._places.held:
+            return
+        version = self._places.held[adapter]
+        self._load(adapter, version, token)
+        if adapter in self._places.coming:
+            self._places.held.pop(adapter, None)
+            self._on_change()
+
     def _answer(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
@@ -341,7 +366,6 @@
 
     def _lose_count(self) -> None:
         """Stop giving orders until a report tells the order count again."""
-        self._least_seq = self._seq or 0
         self._seq = None
         self._report_at = self._ctx.clock.monotonic() + REPORT_LAG_S
 
@@ -372,14 +396,13 @@
     # The report.
 
     def _read_report(self) -> bool:
-        """Read the report once it tells of every order given; return whether it did."""
+        """Read the report, once it is new enough to tell of every order given."""
         if self._ctx.clock.monotonic() < self._report_at:
             return False
         read = self._ctx.ports.control.read_report(self._runner)
         if isinstance(read, Err):
             log_event("report_unread", runner=self._runner.id, why=read.err_value)
-            return False
-        if read.ok_value.order_seq < self._least_seq:
+            self._refuse_all("runner_down")
             return False
         self._take_report(read.ok_value)
         return True
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -7,6 +7,7 @@
 from .._serving_messages import (
     AcquireRequest,
     DirectoryRequest,
+    ReleaseNotice,
     ResidencyNotice,
     ServingGossip,
     UseNotice,
@@ -67,6 +68,8 @@
         message = inbound.message
         if isinstance(message, UseNotice):
             self.owners.hear_use(inbound.sender, message)
+        elif isinstance(message, ReleaseNotice):
+            self.membership.hear_release(inbound.sender, message)
         elif isinstance(message, ResidencyNotice):
             self._ctx.hear_residency(message)
         elif isinstance(message, AcquireRequest):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -33,7 +33,7 @@
     renew_interval_s: float = Field(default=0.7, gt=0)
     margin_s: float = Field(default=0.5, ge=0)
     turn_ms: int = Field(default=3000, ge=0)
-    """Shortest time between orders of two owners to one runner."""
+    """Time within which two owners of a runner may not take turns."""
 
 
 class RepeatSettings(Section):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -3,7 +3,7 @@
 from ._budget import RepeatBudget
 from ._directory import AdapterVersion, DirectoryRecord, DirectoryState, Topic
 from ._loads import RunnerLoads, RunnerView
-from ._ownership import SHARES, Assignment, Owner, OwnershipState, share_of
+from ._ownership import SHARES, Assignment, Holder, Owner, OwnershipState, share_of
 from ._placement import (
     LOAD_S,
     PROMPT_TOKENS_PER_S,
@@ -46,6 +46,7 @@
     "DirectoryState",
     "EngineSpec",
     "HeldModel",
+    "Holder",
     "ModelSpec",
     "Owner",
     "OwnershipState",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 import xxhash
@@ -32,41 +33,107 @@
     port: int
 
 
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """Member that holds or held a share, at a generation."""
+
+    vm: str
+    generation: int
+
+    def covers(self, held: Holder) -> bool:
+        """Tell whether a release by this holder ends the holding ``held``."""
+        return self.vm == held.vm and self.generation >= held.generation
+
+
 class OwnershipState:
     """Lease on shares of the runners, renewed through the store.
 
     A new owner waits until every earlier lease on its share has surely run out and no
-    order of the earlier owner is recent; its fencing token is the generation.
-    All times are seconds on a clock that also counts while the VM is suspended.
+    order of the earlier owner is recent, or until the earlier owner says that it has
+    stopped; its fencing token is the generation. All times are seconds on a clock that
+    also counts while the VM is suspended.
     """
 
     def __init__(self, ttl_s: float, margin_s: float, turn_s: float) -> None:
+        """Start without shares; two owners may not take turns within ``turn_s``."""
         self._ttl_s = ttl_s
         self._margin_s = margin_s
-        self._wait_s = ttl_s + turn_s
+        self._turn_s = turn_s
+        self._lost_at: dict[int, float] = {}
         self._orders_from: dict[int, float] = {}
+        self._awaited: dict[int, Holder] = {}
+        self._releases: dict[int, Holder] = {}
         self._lease_deadline = float("-inf")
         self.generation = 0
 
-    def renew(self, assignment: Assignment, asked_at: float, now: float) -> bool:
-        """Take in an answer to a renewal; return whether the shares changed."""
+    def resume(self, shares: set[int], now: float) -> None:
+        """Take up shares that this VM held before its process was replaced."""
+        self._orders_from = dict.fromkeys(shares, now)
+        self._lease_deadline = now + self._ttl_s - self._margin_s
+
+    def renew(
+        self,
+        assignment: Assignment,
+        earlier: Mapping[int, Holder],
+        asked_at: float,
+        now: float,
+    ) -> frozenset[int] | None:
+        """Take in an answer to a renewal; return the shares lost, None if as before.
+
+        ``earlier`` has the last known holders of the shares.
+        """
         before = set(self._orders_from)
         if now > self._lease_deadline:
+            self._lost_at.update(dict.fromkeys(self._orders_from, now))
             # Another VM may have held the shares meanwhile.
             self._orders_from.clear()
+            self._awaited.clear()
         changed = assignment.generation != self.generation
         self.generation = max(self.generation, assignment.generation)
-        self._orders_from = {
-            share: self._orders_from.get(share, now + self._wait_s)
-            for share in assignment.shares
-        }
+        for share in assignment.shares - self._orders_from.keys():
+            self._gain(share, earlier.get(share), now)
+        lost = frozenset(self._orders_from.keys() - assignment.shares)
+        for share in lost:
+            del self._orders_from[share]
+            self._lost_at[share] = now
+            self._awaited.pop(share, None)
         self._lease_deadline = asked_at + self._ttl_s - self._margin_s
-        return changed or before != set(assignment.shares)
-
-    def lose(self) -> None:
-        """Give up every share at once."""
+        return lost if changed or before != assignment.shares else None
+
+    def _gain(self, share: int, holder: Holder | None, now: float) -> None:
+        self._orders_from[share] = now + self._ttl_s
+        if holder is None:
+            return
+        release = self._releases.get(share)
+        if release is not None and release.covers(holder):
+            self._orders_from[share] = self._earliest(share, now)
+        else:
+            self._awaited[share] = holder
+
+    def _earliest(self, share: int, now: float) -> float:
+        """Return when orders may begin again if no other owner is left.
+
+        A VM that takes a share back soon would take turns with the owner between.
+        """
+        lost_at = self._lost_at.get(share, float("-inf"))
+        return max(now, lost_at + self._turn_s)
+
+    def hear_release(self, release: Holder, shares: Iterable[int], now: float) -> None:
+        """Take in the word of an earlier owner that it gives no more orders."""
+        for share in shares:
+            self._releases[share] = release
+            awaited = self._awaited.get(share)
+            if awaited is not None and release.covers(awaited):
+                self._orders_from[share] = self._earliest(share, now)
+                del self._awaited[share]
+
+    def lose(self) -> frozenset[int]:
+        """Give up every share at once; return them."""
+        shares = frozenset(self._orders_from)
         self._orders_from.clear()
+        self._awaited.clear()
         self._lease_deadline = float("-inf")
+        return shares
 
     def holds(self, runner_id: str, now: float) -> bool:
         """Tell whether the runner belongs to this VM, orders allowed or not."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -24,6 +24,8 @@
 RANK_S = 0.3
 """Cost of each place further down an adapter's ranking, so that later loads find
 the adapter in the memory of the same runner."""
+PLACE_TURN_S = 0.17
+"""Time after which a place of a runner whose places are all in use becomes idle."""
 FAR_S = 0.03
 """Cost of a runner in another failure domain."""
 FAILURE_S = 2.0
@@ -43,6 +45,8 @@
     is_near: bool
     has_adapter: bool = True
     had_adapter: bool = False
+    idle_places: int = 1
+    waiting: int = 0
     can_load: bool = True
     cached_tokens: int = 0
 
@@ -69,6 +73,15 @@
     return view.slowness * reading_s + overflow * BATCH_OVERFLOW_S
 
 
+def expected_adapter_s(candidate: Candidate) -> float:
+    """Return the expected seconds until the adapter is there, without its place."""
+    if candidate.has_adapter:
+        return 0.0
+    queue = max(0, candidate.waiting + 1 - candidate.idle_places)
+    load_s = RELOAD_S if candidate.had_adapter else LOAD_S
+    return load_s + queue * PLACE_TURN_S
+
+
 def choose_model_runner(
     candidates: list[Candidate], adapter: str, prompt_tokens: int
 ) -> Choice | None:
@@ -84,8 +97,7 @@
         if not candidate.has_adapter and not candidate.can_load:
             continue
         expected_s = expected_first_event_s(candidate, prompt_tokens)
-        if not candidate.has_adapter:
-            expected_s += RELOAD_S if candidate.had_adapter else LOAD_S
+        expected_s += expected_adapter_s(candidate)
         cost_s = expected_s + FAILURE_S * failure_share(candidate.view) ** 2
         cost_s += 0.0 if candidate.is_near else FAR_S
         if not candidate.has_adapter and not candidate.had_adapter:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
@@ -117,15 +117,22 @@
         victim = self._pick_victim(now)
         return Plan(Step.EVICT, victim) if victim else Plan(Step.WAIT)
 
-    def _pick_victim(self, now: float) -> str:
-        idle = [
+    def idle_count(self, now: float) -> int:
+        """Return the number of places that could take another adapter at once."""
+        taken = len(set(self.held) | set(self.coming))
+        return self.limit - taken + len(self._idle(now))
+
+    def _idle(self, now: float) -> list[str]:
+        return [
             key
             for key in self.held
             if key not in self.leaving
             and key not in self.coming
             and not self.in_use(key, now)
         ]
-        return min(idle, key=lambda key: self.demand(key, now), default="")
+
+    def _pick_victim(self, now: float) -> str:
+        return min(self._idle(now), key=lambda key: self.demand(key, now), default="")
 
 
 class AdapterMemory:
