--- /dev/null
+++ b/fakes/src/gooseberry_fakes/platform_store.py
@@ -0,0 +1,172 @@
+"""Stand-in for the platform's store: keyed topics and groups, in memory."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+import threading
+import time
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+PARTS = 16
+
+
+@dataclass
+class _Member:
+    deadline: float
+    topics: list[str]
+
+
+@dataclass
+class PlatformStore:
+    """Records and members; ``refused`` has the members that get 503."""
+
+    topics: dict[str, list[tuple[str, bytes]]] = field(default_factory=dict)
+    members: dict[str, _Member] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    is_down: bool = False
+    generation: int = 0
+    changed: threading.Condition = field(default_factory=threading.Condition)
+
+    def put(self, topic: str, key: str, value: Any) -> None:
+        """Append a record; None removes the key."""
+        data = b"" if value is None else json.dumps(value).encode()
+        with self.changed:
+            self.topics.setdefault(topic, []).append((key, data))
+            self.changed.notify_all()
+
+    def newest(self, topic: str) -> dict[str, Any]:
+        """Return the newest record of each key as one page."""
+        with self.changed:
+            records = list(self.topics.get(topic, []))
+        last = {key: (offset, value) for offset, (key, value) in enumerate(records)}
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in last.items()
+            if value
+        ]
+        return {"items": items, "has_more": False, "end": len(records)}
+
+    def read(self, topic: str, start: int, wait_s: float) -> bytes:
+        """Return the records from an offset on, waiting for the first."""
+        deadline = time.monotonic() + wait_s
+        with self.changed:
+            while len(self.topics.get(topic, [])) <= start:
+                left_s = deadline - time.monotonic()
+                if left_s <= 0 or not self.changed.wait(left_s):
+                    break
+            records = self.topics.get(topic, [])
+            body = struct.pack(">QQ", len(records), 0)
+            for key, value in records[start:]:
+                content = bytes([len(key)]) + key.encode() + value
+                body += struct.pack(">I", len(content)) + content
+        return body
+
+    def join(self, member: str, topics: list[str], ttl_s: float) -> dict[str, Any]:
+        """Keep a member in the group; return its share of the partitions."""
+        with self.changed:
+            self._expire()
+            if member not in self.members:
+                self.generation += 1
+            self.members[member] = _Member(time.monotonic() + ttl_s, topics)
+            parts = [row[:2] + [0] for row in self._rows() if row[2] == member]
+            return {"generation": self.generation, "parts": parts}
+
+    def leave(self, member: str) -> None:
+        """Remove a member."""
+        with self.changed:
+            if self.members.pop(member, None):
+                self.generation += 1
+
+    def owners(self) -> dict[str, Any]:
+        """Return who holds each partition."""
+        with self.changed:
+            self._expire()
+            return {"parts": [[*row, 0] for row in self._rows()]}
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for name in [n for n, m in self.members.items() if now >= m.deadline]:
+            del self.members[name]
+            self.generation += 1
+
+    def _rows(self) -> list[list[Any]]:
+        names = sorted(self.members)
+        topics = self.members[names[0]].topics if names else []
+        rows = [[topic, part] for topic in topics for part in range(PARTS)]
+        return [
+            [*row, names[index % len(names)]] for index, row in enumerate(rows) if names
+        ]
+
+
+class _Server(ThreadingHTTPServer):
+    """Server that keeps the state for its handlers."""
+
+    daemon_threads = True
+    store: PlatformStore
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Keep quiet about callers that left."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    server: _Server
+
+    @property
+    def store(self) -> PlatformStore:
+        """Return the state behind this server."""
+        return self.server.store
+
+    def log_message(self, *args: object) -> None:
+        """Keep quiet."""
+
+    def do_GET(self) -> None:  # noqa: N802
+        self._handle({})
+
+    def do_POST(self) -> None:  # noqa: N802
+        length = int(self.headers.get("Content-Length") or 0)
+        self._handle(json.loads(self.rfile.read(length) or b"{}"))
+
+    def _handle(self, body: dict[str, Any]) -> None:
+        url = urlsplit(self.path)
+        query = dict(parse_qsl(url.query))
+        if self.store.is_down or body.get("member") in self.store.refused:
+            self._send(503, b"")
+            return
+        if url.path == "/v1/log-read":
+            wait_s = int(query.get("wait_ms", 0)) / 1000
+            data = self.store.read(query["topic"], int(query["from"]), wait_s)
+            self._send(200, data)
+            return
+        self._send(200, json.dumps(self._reply(url.path, query, body)).encode())
+
+    def _reply(
+        self, path: str, query: dict[str, str], body: dict[str, Any]
+    ) -> dict[str, Any]:
+        if path == "/v1/log-newest":
+            return self.store.newest(query["topic"])
+        if path == "/v1/log-owners":
+            return self.store.owners()
+        if path == "/v1/log-leave":
+            self.store.leave(body["member"])
+            return {}
+        return self.store.join(body["member"], body["topics"], body["ttl_ms"] / 1000)
+
+    def _send(self, status: int, data: bytes) -> None:
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+
+def serve_store(store: PlatformStore) -> ThreadingHTTPServer:
+    """Serve the store on a free port of the loopback address."""
+    server = _Server(("127.0.0.1", 0), _Handler)
+    server.store = store
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
@@ -1,6 +1,7 @@
 """Coordination of serving by routes: tasks and ports."""
 
 from ._context import Context, make_context
+from ._event_stream import EventBuffer
 from ._job import Job, OwnAnswer
 from ._ports import (
     AnswerFacts,
@@ -39,6 +40,7 @@
     "CallerLeftError",
     "Context",
     "ControlStore",
+    "EventBuffer",
     "Forwarding",
     "HeaderCodec",
     "Headers",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -189,6 +189,9 @@
             for name, value in head.headers.raw_items()
         ]
         _check_framing(headers, head.http_version)
+        size = len(head.target) + sum(len(n) + len(v) + 4 for n, v in headers)
+        if size > self._limits.max_header_bytes:
+            raise _BadRequestError(431, "the headers are too large")
         hosts = [value for name, value in headers if name.lower() == "host"]
         body = self._read_body(headers)
         return InboundRequest(
--- /dev/null
+++ b/tests/functional/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of serving by routes through real processes."""
--- /dev/null
+++ b/tests/lib/platform_site.py
@@ -0,0 +1,200 @@
+"""Entry VMs as processes before a stand-in of the platform."""
+
+from __future__ import annotations
+
+import http.client
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from gooseberry_fakes.platform_runner import PlatformRunner, serve_runner
+from gooseberry_fakes.platform_store import PlatformStore, serve_store
+
+ROOT = Path(__file__).parents[2]
+HOST = "h.example"
+MODEL = "m0"
+WAIT_S = 15.0
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+def wait_for(found: Callable[[], Any], what: str, within_s: float = WAIT_S) -> Any:
+    """Return the first true result of ``found``."""
+    deadline = time.monotonic() + within_s
+    while time.monotonic() < deadline:
+        result = found()
+        if result:
+            return result
+        time.sleep(0.02)
+    raise AssertionError(f"not seen within {within_s} s: {what}")
+
+
+def make_config(version: int = 1, **paths: str) -> dict[str, Any]:
+    """Return a configuration with a route of each kind, and more safe routes."""
+    kinds = {
+        "/chat/": ("stream", "models", False),
+        "/plan/": ("stream", "models", True),
+        "/order/": ("unsafe", "plain", False),
+        "/look/": ("safe", "plain", False),
+        **{path: ("safe", service, False) for service, path in paths.items()},
+    }
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": path.strip("/"),
+                "host": HOST,
+                "path_prefix": path,
+                "kind": kind,
+                "timeout_ms": 5000,
+                "target_latency_ms": 1000,
+                "service": service,
+                "max_attempts": 2,
+                "resumable": resumable,
+            }
+            for path, (kind, service, resumable) in kinds.items()
+        ],
+        "services": [
+            {
+                "name": "models",
+                "max_conns": 100,
+                "engine": {
+                    "models": [{"name": MODEL, "weights_mb": 1, "adapters": 9}],
+                    "weights_mb": 10,
+                    "max_adapters": 6,
+                },
+            },
+            {"name": "plain", "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 8192,
+            "max_body_bytes": 20000,
+            "header_timeout_ms": 700,
+            "idle_timeout_ms": 4000,
+        },
+    }
+
+
+class EntryVm:
+    """One entry VM's process and its addresses."""
+
+    def __init__(self, name: str, store_port: int, folder: Path) -> None:
+        self.name = name
+        self.port = free_port()
+        self.ready_port = free_port()
+        self.metrics_port = free_port()
+        peer_port = free_port()
+        settings = folder / f"{name}.toml"
+        settings.write_text(
+            f"""
+[vm]
+id = "{name}"
+domain = "zone-a"
+address = "127.0.0.1"
+[peer]
+port = {peer_port}
+secret = "internal"
+[entry]
+callers = "127.0.0.1:{self.port}"
+readiness = "127.0.0.1:{self.ready_port}"
+metrics_port = {self.metrics_port}
+[store]
+address = "127.0.0.1:{store_port}"
+[membership]
+lease_s = 1.2
+renew_interval_s = 0.2
+""",
+            encoding="utf-8",
+        )
+        self.member = f"{name}@127.0.0.1:{peer_port}"
+        self.log = folder / f"{name}.log"
+        command = [sys.executable, "platform/start.py", "--settings", str(settings)]
+        with self.log.open("w") as out:
+            self.process = subprocess.Popen(command, cwd=ROOT, stdout=out, stderr=out)
+
+    def is_ready(self) -> bool:
+        """Tell whether the readiness address answers 200."""
+        try:
+            conn = http.client.HTTPConnection("127.0.0.1", self.ready_port, timeout=2)
+            conn.request("GET", "/v1/ready")
+            return conn.getresponse().status == 200
+        except OSError:
+            return False
+
+    def connect(self) -> http.client.HTTPConnection:
+        """Return a connection for callers."""
+        return http.client.HTTPConnection("127.0.0.1", self.port, timeout=10)
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        request_id: str,
+        body: bytes | None = None,
+        **headers: str,
+    ) -> tuple[int, bytes, http.client.HTTPMessage]:
+        """Send one request on a connection of its own."""
+        conn = self.connect()
+        conn.request(method, path, body, request_headers(request_id, **headers))
+        response = conn.getresponse()
+        data = response.read()
+        conn.close()
+        return response.status, data, response.headers
+
+    def stop(self) -> int:
+        """Send SIGTERM and return the exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(12)
+
+
+def request_headers(request_id: str, **headers: str) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    own = {
+        "Host": HOST,
+        "X-Gooseberryrun-Request-Id": request_id,
+        "X-Gooseberryrun-Deadline-Ms": "4000",
+    }
+    return own | {name.replace("_", "-"): value for name, value in headers.items()}
+
+
+class Site:
+    """Store, two model runners, two plain servers and entry VMs."""
+
+    def __init__(self, folder: Path, vms: int = 1, configured: bool = True) -> None:
+        self.store = PlatformStore()
+        self._store_server = serve_store(self.store)
+        self.models = [PlatformRunner(f"m-{n}", "models", MODEL) for n in range(2)]
+        self.plain = [PlatformRunner(f"p-{n}", "plain") for n in range(2)]
+        self.addresses: dict[str, str] = {}
+        for runner in [*self.models, *self.plain]:
+            server = serve_runner(runner)
+            self.addresses[runner.id] = f"127.0.0.1:{server.server_address[1]}"
+            self.store.put(
+                "keyed.servers", runner.id, runner.entry(self.addresses[runner.id])
+            )
+        if configured:
+            self.store.put("keyed.op", "config", make_config())
+        port = self._store_server.server_address[1]
+        self.vms = [EntryVm(f"vm-{number}", port, folder) for number in range(vms)]
+        if configured:
+            for vm in self.vms:
+                wait_for(vm.is_ready, f"{vm.name} ready")
+
+    def close(self) -> None:
+        """End the processes that this site started."""
+        for vm in self.vms:
+            if vm.process.poll() is None:
+                vm.process.kill()
+                vm.process.wait()
+        self._store_server.shutdown()
--- /dev/null
+++ b/tests/unit/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Unit tests of serving by routes."""
--- /dev/null
+++ b/tests/unit/serving/test_directory.py
@@ -0,0 +1,141 @@
+"""Configuration and registry: only forward, whoever tells."""
+
+from __future__ import annotations
+
+from gooseberryrun._internal.state.serving import (
+    AdapterVersion,
+    ClientLimits,
+    Configuration,
+    DirectoryRecord,
+    DirectoryState,
+    Route,
+    RouteKind,
+    Runner,
+    Topic,
+    WeightedService,
+)
+
+
+def route(prefix: str, *services: str) -> Route:
+    targets = tuple(WeightedService(name, 1.0) for name in services or ("s",))
+    return Route(
+        prefix, "h.example", prefix, RouteKind.SAFE, 1.0, 0.5, 0, targets, 2, False
+    )
+
+
+def config(offset: int, version: int, *prefixes: str) -> DirectoryRecord:
+    routes = tuple(route(prefix) for prefix in prefixes)
+    configuration = Configuration(version, routes, (), ClientLimits())
+    return DirectoryRecord(
+        Topic.CONFIGURATION, offset, "config", configuration=configuration
+    )
+
+
+def runner(born_ms: int = 1, seq: int = 0, draining: bool = False) -> Runner:
+    return Runner("r1", "s", "10.0.0.1", 1, "d", 6, draining, born_ms, seq, ())
+
+
+def entry(offset: int, found: Runner | None) -> DirectoryRecord:
+    return DirectoryRecord(Topic.RUNNERS, offset, "r1", runner=found)
+
+
+def test_configuration_never_goes_back() -> None:
+    state = DirectoryState()
+    assert state.apply(config(4, 9, "/a/"), 0.0)
+    assert not state.apply(config(3, 8, "/b/"), 1.0)
+    assert state.table is not None
+    assert state.table.find("h.example", "/a/x") is not None
+
+
+def test_longest_prefix_wins_and_ports_and_case_do_not_matter() -> None:
+    state = DirectoryState()
+    state.apply(config(1, 1, "/a/", "/a/b/"), 0.0)
+    assert state.table is not None
+    found = state.table.find("H.example:80", "/a/b/c")
+    assert found is not None
+    assert found.path_prefix == "/a/b/"
+    assert state.table.find("other.example", "/a/b/c") is None
+
+
+def test_split_gives_each_service_its_share() -> None:
+    split = Route(
+        "r",
+        "h",
+        "/",
+        RouteKind.SAFE,
+        1.0,
+        0.5,
+        0,
+        (WeightedService("big", 90), WeightedService("small", 10)),
+        1,
+        False,
+    )
+    picks = [split.pick_service(f"id-{number}") for number in range(2000)]
+    assert 120 < picks.count("small") < 280
+
+
+def test_unreadable_entry_names_no_runner_and_harms_no_other() -> None:
+    state = DirectoryState()
+    state.apply(entry(1, runner()), 0.0)
+    bad = DirectoryRecord(Topic.RUNNERS, 2, "r2", unreadable="not JSON")
+    state.apply(bad, 0.0)
+    assert [found.id for found in state.runners("s", 0.0)] == ["r1"]
+
+
+def test_late_entry_of_an_earlier_incarnation_is_ignored() -> None:
+    state = DirectoryState()
+    state.apply(entry(1, runner(born_ms=2000)), 0.0)
+    state.apply(entry(2, runner(born_ms=1000, draining=True)), 0.0)
+    assert len(state.runners("s", 0.0)) == 1
+
+
+def test_draining_and_removed_runners_get_no_new_work() -> None:
+    state = DirectoryState()
+    state.apply(entry(1, runner(draining=True)), 0.0)
+    assert state.runners("s", 0.0) == []
+    state.apply(entry(2, None), 0.0)
+    assert state.runner("r1") is None
+
+
+def test_entry_that_lapsed_in_an_outage_is_used_until_it_should_be_back() -> None:
+    state = DirectoryState()
+    state.apply(entry(1, runner()), 0.0)
+    state.regained_at = 10.0
+    state.apply(entry(2, None), 10.5)
+    assert len(state.runners("s", 11.0)) == 1
+    assert state.runners("s", 12.5) == []
+    assert state.expire(12.5) == ["r1"]
+
+
+def test_snapshot_removes_what_it_lacks_but_nothing_newer() -> None:
+    state = DirectoryState()
+    state.apply(entry(1, runner()), 0.0)
+    state.replace(Topic.RUNNERS, [], 1, 0.0)
+    assert len(state.runners("s", 0.0)) == 1
+    state.replace(Topic.RUNNERS, [], 7, 0.0)
+    assert state.runners("s", 0.0) == []
+
+
+def test_peers_get_what_they_lack_with_removals() -> None:
+    state = DirectoryState()
+    state.apply(entry(1, runner()), 0.0)
+    state.apply(entry(5, None), 0.0)
+    other = DirectoryState()
+    other.apply(entry(1, runner()), 0.0)
+    for record in state.records_since(Topic.RUNNERS, other.ends[Topic.RUNNERS]):
+        other.apply(record, 0.0)
+    assert other.runners("s", 0.0) == []
+    assert other.ends == state.ends
+
+
+def test_newest_declared_version_counts_in_any_order() -> None:
+    state = DirectoryState()
+    for offset, version in ((1, 2), (2, 4), (3, 3)):
+        told = AdapterVersion("m", "a1", version)
+        state.apply(
+            DirectoryRecord(
+                Topic.CONFIGURATION, offset, f"v{offset}", adapter_version=told
+            ),
+            0.0,
+        )
+    assert state.version_of("m", "a1") == 4
--- /dev/null
+++ b/tests/unit/serving/test_small_parts.py
@@ -0,0 +1,62 @@
+"""Repeat budget, loads by runner and events cut from a body."""
+
+from __future__ import annotations
+
+from gooseberryrun._internal.coordination.serving import EventBuffer
+from gooseberryrun._internal.state.serving import (
+    RepeatBudget,
+    RunnerLoads,
+    RunnerView,
+    failure_share,
+)
+
+
+def test_all_vms_together_stay_within_the_budget_while_everything_fails() -> None:
+    vms = 9
+    budgets = [RepeatBudget(0.2, 58, 10.0) for _ in range(vms)]
+    granted = 0
+    for number in range(900):
+        budget = budgets[number % vms]
+        now = number * 0.01
+        budget.count_request(now)
+        granted += sum(budget.spend(now, vms) for _ in range(3))
+    assert 0 < granted <= 0.2 * 900 + 58
+
+
+def test_budget_comes_back_after_the_window() -> None:
+    budget = RepeatBudget(0.0, 10, 10.0)
+    while budget.spend(0.0, 1):
+        pass
+    assert not budget.has_room(9.0, 1)
+    assert budget.has_room(10.5, 1)
+
+
+def test_figures_of_silent_peers_stop_counting() -> None:
+    loads = RunnerLoads()
+    loads.hear("vm-b", {"r1": RunnerView(5, 900, 3, 1, 1.0)}, 0.0)
+    assert loads.total("r1", 1.0).in_flight == 5
+    assert loads.total("r1", 9.0).in_flight == 0
+
+
+def test_failures_stop_counting_so_that_a_runner_is_tried_again() -> None:
+    loads = RunnerLoads()
+    for _ in range(10):
+        loads.record_result("r1", ok=False, now=0.0)
+    assert failure_share(loads.total("r1", 1.0)) > 0.5
+    assert failure_share(loads.total("r1", 5.0)) == 0.0
+
+
+def test_only_whole_events_are_passed_on() -> None:
+    events = EventBuffer()
+    assert events.take(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+    assert events.last_id == "1"
+    assert events.take(b"ta: b\n\n") == b"id: 2\ndata: b\n\n"
+    assert events.last_id == "2"
+    assert events.rest() == b""
+
+
+def test_half_an_event_of_a_dead_runner_is_dropped() -> None:
+    events = EventBuffer()
+    events.take(b"id: 1\ndata: a\n\nid: 2\nda")
+    events.restart()
+    assert events.take(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
