Repeat an order without an answer at once, under the count it expected

Ruled out: that a repeat could be carried out twice: both name the count they expect. A refusal for overload logs what made the best runner too slow.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -91,6 +91,7 @@
         if choice is None:
             return no_answer(job, "no_runner", BUSY_RETRY_S)
         if choice.expected_s > self._longest_wait_s(job, now):
+            _log_overload(job, choice)
             return no_answer(job, "overload", BUSY_RETRY_S)
         runner = choice.candidate.runner
         if not choice.candidate.has_adapter and not self._acquire(job, runner):
@@ -304,6 +305,23 @@
         job.caller.finish()
 
 
+def _log_overload(job: Job, choice: Choice) -> None:
+    """Log what made the best runner too slow for a request."""
+    candidate = choice.candidate
+    log_event(
+        "overload",
+        request=job.facts.request_id,
+        runner=candidate.runner.id,
+        expected_s=choice.expected_s,
+        unread_tokens=candidate.view.unread_tokens,
+        in_flight=candidate.view.in_flight,
+        slowness=candidate.view.slowness,
+        has_adapter=candidate.has_adapter,
+        idle_places=candidate.idle_places,
+        waiting=candidate.waiting,
+    )
+
+
 class _Reading:
     """Counts a request at a runner until its end, its prompt until it is read."""
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -35,6 +35,8 @@
 """Time for a request to reach its adapter after it was told that it is there."""
 REPORT_LAG_S = 0.25
 """Age that a runner's report may have."""
+MAX_UNANSWERED = 2
+"""Orders without an answer in a row after which the report is asked."""
 LEAVING_S = 3.0
 """Time for which an adapter that was ordered out is not ordered out again."""
 MAX_WAITING = 8
@@ -92,6 +94,7 @@
         self._waiters: list[_Waiter] = []
         self._arrivals: dict[str, _Arrival] = {}
         self._seq: int | None = None
+        self._unanswered = 0
         self._doubted: set[str] = set()
         self._report_at = float("-inf")
         self._models: set[str] = set()
@@ -211,7 +214,7 @@
         if self._seq is None:
             return UNREAD_PAUSE_S
         if not self._arrivals:
-            return IDLE_CHECK_S
+            return CHECK_INTERVAL_S if self._unanswered else IDLE_CHECK_S
         now = self._ctx.clock.monotonic()
         check_at = min(arrival.check_at for arrival in self._arrivals.values())
         return max(0.001, check_at - now)
@@ -326,7 +329,7 @@
             self._places.held.pop(adapter, None)
             self._on_change()
             return True
-        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
+        if outcome is OrderOutcome.ACCEPTED:
             now = self._ctx.clock.monotonic()
             self._places.leaving[adapter] = now + LEAVING_S
             self._on_change()
@@ -357,6 +360,12 @@
         """Follow the runner's order count; unknown after anything unexpected."""
         if self._seq is None:
             return
+        if outcome is OrderOutcome.UNKNOWN and self._unanswered < MAX_UNANSWERED:
+            # It may still be carried out, but not after another one: each names the
+            # count that it expects.
+            self._unanswered += 1
+            return
+        self._unanswered = 0
         if outcome is OrderOutcome.ACCEPTED:
             self._seq += 1
         elif outcome is not OrderOutcome.HOLDS:
