Keep leases in force while the store is away from every member

Ruled out: a longer lease, which delays every takeover. Change: a lease stays in force while each other member says that it lost the store too (then no share can change hands); a lapsed owner whose generation is unchanged goes on at once.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -44,6 +44,7 @@
 
     shares: list[int]
     generation: int
+    is_leaving: bool
 
 
 class ResidencyNotice(Message, frozen=True, array_like=True):
@@ -70,9 +71,13 @@
 
 
 class ServingGossip(Message, frozen=True, array_like=True):
-    """What an entry VM tells the others at intervals."""
+    """What an entry VM tells the others at intervals.
+
+    ``has_store`` says that its last call to renew its membership was answered.
+    """
 
     vm: str
+    has_store: bool
     ends: dict[Topic, int]
     views: dict[str, RunnerView]
     residency: list[ResidencyNotice]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
@@ -1,6 +1,6 @@
 """Coordination of serving by routes: tasks and ports."""
 
-from ._context import Context, make_context
+from ._context import Context, StoreView, make_context
 from ._event_stream import EventBuffer
 from ._job import Job, OwnAnswer
 from ._ports import (
@@ -62,6 +62,7 @@
     "RunnerRequests",
     "Serving",
     "StoreFault",
+    "StoreView",
     "StoreFaultKind",
     "make_context",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -27,10 +27,21 @@
 
 CRASHES_TO_REFUSE = 3
 """Crashes after which the content of a request is refused."""
+STORE_VIEW_S = 1.3
+"""Age up to which a member's word on the store counts: two rounds of gossip."""
 SUSPECT_TTL_S = 120.0
 """Time for which a crash counts against the content of a request."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreView:
+    """What a member last told: whether it reaches the store, or that it is leaving."""
+
+    heard_at: float
+    has_store: bool
+    is_leaving: bool = False
+
+
 @dataclass(slots=True)
 class Context:
     """Settings, ports and state of one entry VM."""
@@ -45,6 +56,8 @@
     suspects: SuspectState
     owners: dict[int, Owner] = field(default_factory=dict)
     owners_generation: int = 0
+    has_store: bool = True
+    store_views: dict[str, StoreView] = field(default_factory=dict)
     residency: dict[str, ResidencyNotice] = field(default_factory=dict)
     memories: dict[str, AdapterMemory] = field(default_factory=dict)
     crashes: list[tuple[float, CrashReport]] = field(default_factory=list)
@@ -87,6 +100,20 @@
             peer_port=owner.port,
         )
 
+    def is_store_lost_to_all(self, now: float) -> bool:
+        """Tell whether every other member has just said that it lost the store too.
+
+        Then no share can change hands. A member that is leaving counts as lost: its
+        successor takes up no share of others without waiting.
+        """
+        for peer in self.peer_ids():
+            view = self.store_views.get(peer)
+            if view is None or view.has_store:
+                return False
+            if not view.is_leaving and now - view.heard_at > STORE_VIEW_S:
+                return False
+        return True
+
     def hear_residency(self, notice: ResidencyNotice) -> None:
         """Take in which adapters a runner holds; the newest owner's word counts."""
         known = self.residency.get(notice.runner)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -9,7 +9,7 @@
 import eventlet
 
 from .._serving_messages import ResidencyNotice, ServingGossip
-from ._context import Context
+from ._context import Context, StoreView
 
 INTERVAL_S = 0.5
 FANOUT = 8
@@ -48,6 +48,7 @@
         ctx.crashes = [item for item in ctx.crashes if now - item[0] < CRASH_TOLD_S]
         return ServingGossip(
             vm=ctx.vm,
+            has_store=ctx.has_store,
             ends=dict(ctx.directory.ends),
             views=ctx.loads.own_views(now),
             residency=self._residency(),
@@ -61,7 +62,9 @@
     def hear(self, gossip: ServingGossip) -> None:
         """Take in what a peer tells."""
         ctx = self._ctx
-        ctx.loads.hear(gossip.vm, gossip.views, ctx.clock.monotonic())
+        now = ctx.clock.monotonic()
+        ctx.loads.hear(gossip.vm, gossip.views, now)
+        ctx.store_views[gossip.vm] = StoreView(now, gossip.has_store)
         for notice in gossip.residency:
             ctx.hear_residency(notice)
         for report in gossip.crashes:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -11,10 +11,12 @@
 
 from .._events import log_event
 from .._serving_messages import ReleaseNotice
-from ._context import Context
+from ._context import Context, StoreView
 
 SETTLE_S = (0.0, 0.4, 1.5)
 """Times after a change at which the owners are read: shares move in steps."""
+EXTEND_S = 0.6
+"""Time for which a lease is kept in force after a look at the other members."""
 OWNERS_REREAD_S = 1.0
 """Shortest time between readings asked for by tasks."""
 
@@ -32,6 +34,17 @@
     def start(self) -> None:
         """Renew in a green thread of its own."""
         eventlet.spawn(self._renew_all)
+        eventlet.spawn(self._extend_all)
+
+    def _extend_all(self) -> None:
+        """Keep the lease in force in an outage of the store for every member."""
+        while not self._is_left:
+            eventlet.sleep(EXTEND_S / 3)
+            ctx = self._ctx
+            if ctx.has_store or not ctx.is_store_lost_to_all(ctx.clock.monotonic()):
+                continue
+            now = ctx.clock.boottime()
+            ctx.ownership.extend(now, now + EXTEND_S)
 
     def leave(self) -> None:
         """Give up every share and leave the group."""
@@ -50,14 +63,18 @@
 
     def _tell_release(self, shares: frozenset[int]) -> None:
         """Tell the others that this VM gives no more orders for these shares."""
-        if not shares:
+        if not shares and not self._is_left:
             return
-        notice = ReleaseNotice(sorted(shares), self._ctx.ownership.generation)
+        generation = self._ctx.ownership.generation
+        notice = ReleaseNotice(sorted(shares), generation, self._is_left)
         for peer in self._ctx.peer_ids():
             self._ctx.peers.tell(peer, notice)
 
     def hear_release(self, vm: str, notice: ReleaseNotice) -> None:
         """Take in the word of another owner."""
+        if notice.is_leaving:
+            heard_at = self._ctx.clock.monotonic()
+            self._ctx.store_views[vm] = StoreView(heard_at, False, is_leaving=True)
         release = Holder(vm, notice.generation)
         now = self._ctx.clock.boottime()
         self._ctx.ownership.hear_release(release, notice.shares, now)
@@ -88,8 +105,10 @@
         if self._is_left:
             return
         if isinstance(renewed, Err):
+            ctx.has_store = False
             self._note_lost(renewed.err_value.detail)
             return
+        ctx.has_store = True
         if self._is_lost:
             self._is_lost = False
             log_event(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -83,7 +83,7 @@
         ``earlier`` has the last known holders of the shares.
         """
         before = set(self._orders_from)
-        if now > self._lease_deadline:
+        if now > self._lease_deadline and assignment.generation != self.generation:
             self._lost_at.update(dict.fromkeys(self._orders_from, now))
             # Another VM may have held the shares meanwhile.
             self._orders_from.clear()
@@ -100,6 +100,11 @@
         self._lease_deadline = asked_at + self._ttl_s - self._margin_s
         return lost if changed or before != assignment.shares else None
 
+    def extend(self, now: float, until: float) -> None:
+        """Keep an unbroken lease in force while no member can reach the store."""
+        if now < self._lease_deadline:
+            self._lease_deadline = max(self._lease_deadline, until)
+
     def _gain(self, share: int, holder: Holder | None, now: float) -> None:
         self._orders_from[share] = now + self._ttl_s
         if holder is None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-HALF_LIFE_S = 8.0
+HALF_LIFE_S = 20.0
 """Half-life of an adapter's demand."""
 MAX_COMING = 4
 """Adapters that a runner fetches at the same time."""
--- a/tests/unit/serving/test_ownership.py
+++ b/tests/unit/serving/test_ownership.py
@@ -84,6 +84,29 @@
     assert state.fencing_token(RUNNER, 0.2) == 5
 
 
+def test_outage_without_any_change_leaves_the_shares_with_their_owner() -> None:
+    state = make_state()
+    state.resume({SHARE}, 0.0)
+    state.renew(holding(5, SHARE), {}, 1.0, 1.0)
+    assert state.fencing_token(RUNNER, 8.0) is None
+    state.renew(holding(5, SHARE), {}, 9.0, 9.0)
+    assert state.fencing_token(RUNNER, 9.1) == 5
+
+
+def test_lease_is_extended_only_while_it_is_unbroken() -> None:
+    """Replays trouble-3: the store was away from every VM for 8 s."""
+    state = make_state()
+    state.resume({SHARE}, 0.0)
+    state.renew(holding(5, SHARE), {}, 1.0, 1.0)
+    for step in range(30):
+        now = 4.0 + step * 0.2
+        state.extend(now, now + 0.6)
+    assert state.fencing_token(RUNNER, 10.0) == 5
+    assert state.fencing_token(RUNNER, 10.9) is None
+    state.extend(11.0, 11.6)
+    assert state.fencing_token(RUNNER, 11.1) is None
+
+
 def test_generation_never_goes_down() -> None:
     state = make_state()
     state.resume({SHARE}, 0.0)
--- a/tests/unit/serving/test_small_parts.py
+++ b/tests/unit/serving/test_small_parts.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
-from gooseberryrun._internal.coordination.serving import EventBuffer
+from typing import Any
+
+from gooseberryrun._internal.coordination.serving import (
+    Context,
+    EventBuffer,
+    StoreView,
+    make_context,
+)
+from gooseberryrun._internal.state import ManualClock, ServingSettings
 from gooseberryrun._internal.state.serving import (
+    Owner,
     RepeatBudget,
     RunnerLoads,
     RunnerView,
@@ -60,3 +69,32 @@
     events.take(b"id: 1\ndata: a\n\nid: 2\nda")
     events.restart()
     assert events.take(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+
+def make_ctx(members: list[str]) -> Context:
+    vm = {"id": members[0], "domain": "d", "address": "127.0.0.1"}
+    settings = {
+        "vm": vm,
+        "peer": {"secret": "s"},
+        "entry": {"callers": "a:1", "readiness": "a:2", "metrics_port": 3},
+        "store": {"address": "a:4"},
+    }
+    cfg = ServingSettings.model_validate(settings)
+    nothing: Any = None
+    ctx = make_context(cfg, ManualClock(), nothing, nothing)
+    ctx.owners = {n: Owner(name, "127.0.0.1", 1) for n, name in enumerate(members)}
+    return ctx
+
+
+def test_store_counts_as_lost_only_if_every_member_says_so_now() -> None:
+    ctx = make_ctx(["vm-a", "vm-b", "vm-c"])
+    ctx.store_views["vm-b"] = StoreView(10.0, has_store=False)
+    assert not ctx.is_store_lost_to_all(10.1)
+    ctx.store_views["vm-c"] = StoreView(10.0, has_store=False)
+    assert ctx.is_store_lost_to_all(10.1)
+    assert not ctx.is_store_lost_to_all(12.0)
+    ctx.store_views["vm-b"] = StoreView(12.0, has_store=True)
+    ctx.store_views["vm-c"] = StoreView(9.0, has_store=False, is_leaving=True)
+    assert not ctx.is_store_lost_to_all(12.1)
+    ctx.store_views["vm-b"] = StoreView(12.0, has_store=False)
+    assert ctx.is_store_lost_to_all(12.1)
