--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -67,7 +67,10 @@
         self.generation = 0
 
     def resume(self, shares: set[int], now: float) -> None:
-        """Take up shares that this VM held before its process was replaced."""
+        """Take up shares that this VM held before its process was replaced.
+
+        Orders have to wait for the first renewal, which tells the generation.
+        """
         self._orders_from = dict.fromkeys(shares, now)
         self._lease_deadline = now + self._ttl_s - self._margin_s
 
@@ -149,6 +152,8 @@
         orders_from = self._orders_from.get(share_of(runner_id))
         if orders_from is None or now < orders_from or now >= self._lease_deadline:
             return None
+        if self.generation == 0:
+            return None
         return self.generation
 
     def orders_in_s(self, runner_id: str, now: float) -> float:
--- a/tests/unit/serving/test_ownership.py
+++ b/tests/unit/serving/test_ownership.py
@@ -84,6 +84,15 @@
     assert state.fencing_token(RUNNER, 0.2) == 5
 
 
+def test_replaced_process_orders_nothing_before_it_knows_the_generation() -> None:
+    """Replays crashing-requests: orders with token 0 while the store was slow."""
+    state = make_state()
+    state.resume({SHARE}, 0.0)
+    assert state.fencing_token(RUNNER, 0.1) is None
+    state.renew(holding(36, SHARE), {}, 0.2, 0.2)
+    assert state.fencing_token(RUNNER, 0.3) == 36
+
+
 def test_outage_without_any_change_leaves_the_shares_with_their_owner() -> None:
     state = make_state()
     state.resume({SHARE}, 0.0)
