--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
@@ -1,5 +1,6 @@
 """Coordination of serving by routes: tasks and ports."""
 
+from ._answers import end_to_end
 from ._context import Context, StoreView, make_context
 from ._event_stream import EventBuffer
 from ._job import Job, OwnAnswer
@@ -64,5 +65,6 @@
     "StoreFault",
     "StoreView",
     "StoreFaultKind",
+    "end_to_end",
     "make_context",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_answers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_answers.py
@@ -16,6 +16,7 @@
 
 _CONNECTION_HEADERS = {
     "connection",
+    "expect",
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -9,6 +9,7 @@
 
 from .._events import log_event
 from .._serving_messages import CrashReport
+from ._answers import end_to_end
 from ._context import Context
 from ._job import Job
 from ._ports import (
@@ -64,14 +65,7 @@
     ) -> Result[RunnerAnswer, AttemptFault]:
         """Send the request once; an answer that proves "not run" is returned too."""
         job.tried.add(runner.id)
-        encode = self._ctx.ports.codec.encode_request
-        outbound = OutboundRequest(
-            job.request.method,
-            job.request.target,
-            encode(job.request.headers, forwarding),
-            job.request.body,
-            job.facts.request_id,
-        )
+        outbound = self._outbound(job, forwarding)
         asked_at = self._ctx.clock.monotonic()
         sent = self._ctx.ports.requests.send(runner, outbound, deadline)
         if isinstance(sent, Err):
@@ -88,6 +82,16 @@
         )
         return sent
 
+    def _outbound(self, job: Job, forwarding: Forwarding) -> OutboundRequest:
+        request = job.request
+        own = end_to_end(request.headers)
+        headers = self._ctx.ports.codec.encode_request(own, forwarding)
+        if request.body or request.method != "GET":
+            headers = [*headers, ("content-length", str(len(request.body)))]
+        return OutboundRequest(
+            request.method, request.target, headers, request.body, job.facts.request_id
+        )
+
     def _note_answer(self, job: Job, runner: Runner, answer: RunnerAnswer) -> None:
         job.sends += 1
         now = self._ctx.clock.monotonic()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
@@ -135,7 +135,7 @@
     """What the headers of a runner's answer say, decoded.
 
     ``is_not_run`` states that the runner has not run the request and never will;
-    ``other_instance`` that another runner than the expected one answered.
+    ``is_misdirected`` that it is not the expected one or lacks what was asked for.
     """
 
     request_id: str
@@ -154,7 +154,7 @@
 
     @abstractmethod
     def encode_request(self, headers: Headers, forwarding: Forwarding) -> Headers:
-        """Return the headers for a runner."""
+        """Return the headers for a runner; those of one connection are gone."""
 
     @abstractmethod
     def decode_answer(self, status: int, headers: Headers) -> AnswerFacts:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -6,7 +6,6 @@
 import signal
 import time
 import uuid
-from collections.abc import Callable
 from pathlib import Path
 from types import FrameType
 
@@ -205,6 +204,3 @@
     except OSError as exc:
         log_event("settings_unreadable", level="warning", why=repr(exc))
         return ""
-
-
-MakeAdapter = Callable[[ServingSettings], Adapter]
--- a/tests/unit/serving/test_platform.py
+++ b/tests/unit/serving/test_platform.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pytest
+from gooseberryrun._internal.coordination.serving import end_to_end
 from gooseberryrun.serving import Forwarding, RouteKind
 from gooseberryrun_platform._entries import decode_config_record, decode_runner_record
 from gooseberryrun_platform._headers import PlatformHeaders
@@ -62,7 +63,8 @@
         ("X-Private", "1"),
         ("X-Other", "kept"),
     ]
-    sent = dict(CODEC.encode_request(given, Forwarding("i-1", 1.5)))
+    own = end_to_end(given)
+    sent = dict(CODEC.encode_request(own, Forwarding("i-1", 1.5)))
     assert sent == {
         "X-Gooseberryrun-Request-Id": "9c41",
         "X-Other": "kept",
