--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
@@ -1,6 +1,8 @@
 """Coordination of serving by routes: tasks and ports."""
 
-from ._context import Context, make_context
+from ._answers import end_to_end
+from ._context import Context, StoreView, make_context
+from ._event_stream import EventBuffer
 from ._job import Job, OwnAnswer
 from ._ports import (
     AnswerFacts,
@@ -39,6 +41,7 @@
     "CallerLeftError",
     "Context",
     "ControlStore",
+    "EventBuffer",
     "Forwarding",
     "HeaderCodec",
     "Headers",
@@ -60,6 +63,8 @@
     "RunnerRequests",
     "Serving",
     "StoreFault",
+    "StoreView",
     "StoreFaultKind",
+    "end_to_end",
     "make_context",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -67,7 +67,10 @@
         self.generation = 0
 
     def resume(self, shares: set[int], now: float) -> None:
-        """Take up shares that this VM held before its process was replaced."""
+        """Take up shares that this VM held before its process was replaced.
+
+        Orders have to wait for the first renewal, which tells the generation.
+        """
         self._orders_from = dict.fromkeys(shares, now)
         self._lease_deadline = now + self._ttl_s - self._margin_s
 
@@ -83,7 +86,7 @@
         ``earlier`` has the last known holders of the shares.
         """
         before = set(self._orders_from)
-        if now > self._lease_deadline:
+        if now > self._lease_deadline and assignment.generation != self.generation:
             self._lost_at.update(dict.fromkeys(self._orders_from, now))
             # Another VM may have held the shares meanwhile.
             self._orders_from.clear()
@@ -100,6 +103,11 @@
         self._lease_deadline = asked_at + self._ttl_s - self._margin_s
         return lost if changed or before != assignment.shares else None
 
+    def extend(self, now: float, until: float) -> None:
+        """Keep an unbroken lease in force while no member can reach the store."""
+        if now < self._lease_deadline:
+            self._lease_deadline = max(self._lease_deadline, until)
+
     def _gain(self, share: int, holder: Holder | None, now: float) -> None:
         self._orders_from[share] = now + self._ttl_s
         if holder is None:
@@ -144,6 +152,8 @@
         orders_from = self._orders_from.get(share_of(runner_id))
         if orders_from is None or now < orders_from or now >= self._lease_deadline:
             return None
+        if self.generation == 0:
+            return None
         return self.generation
 
     def orders_in_s(self, runner_id: str, now: float) -> float:
