Take an answer that ends too soon as a sign of a crash; log each end once

Cause: a runner that crashes may close its connections like a server that has finished. Such ends counted as spoiled answers and were never checked for a crash, so that a request that crashes its runners was not remembered. Change: an end within a framed answer counts like a reset.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -20,7 +20,8 @@
 
     Faults: ``reset`` (run, then reset), ``unframed_reset`` (half a body without a
     length, then reset), ``stray`` (an answer to another request first), ``error``
-    (500), ``full`` (not run), ``cut`` (a stream ends within an event).
+    (500), ``full`` (not run), ``cut`` (a stream ends within an event), ``crash`` (the
+    connection ends within an answer and the address refuses new ones).
     """
 
     id: str
@@ -196,6 +197,10 @@
         for number in range(first, 11):
             time.sleep(self.runner.event_pause_s)
             event = f"id: {number}\ndata: {number}\n\n".encode()
+            if fault == "crash" and number == 3:
+                self.server.socket.shutdown(socket.SHUT_RDWR)
+                self.close_connection = True
+                return
             if fault == "cut" and number == 5:
                 self._chunk(event[:-4])
                 self._reset()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_answers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_answers.py
@@ -78,7 +78,8 @@
         job.caller.answer(answer.status, end_to_end(answer.headers), body)
 
     def log(self, job: Job, status: int, reason: str) -> None:
-        """Log the end of a request."""
+        """Log the end of a request, once."""
+        job.is_answered = True
         now = self._ctx.clock.monotonic()
         log_event(
             "request",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -91,7 +91,8 @@
             else:
                 self._plain.serve(job)
         except CallerLeftError:
-            self._answers.log(job, 0, "caller_left")
+            if not job.is_answered:
+                self._answers.log(job, 0, "caller_left")
             raise
 
     def _reject(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_job.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_job.py
@@ -29,6 +29,7 @@
     attempts: int = 0
     sends: int = 0
     may_have_run: bool = False
+    is_answered: bool = False
     tried: set[str] = field(default_factory=set)
     missing_at: str = ""
     unloadable: set[str] = field(default_factory=set)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -158,6 +158,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self.idle_s = DEFAULT_IDLE_S
         self._is_writing = False
+        self._ends_with_connection = False
 
     def close(self) -> None:
         """Close the socket."""
@@ -247,6 +248,7 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.Response):
+                self._ends_with_connection = _ends_with_connection(event)
                 headers = [
                     (name.decode("latin-1"), value.decode("latin-1"))
                     for name, value in event.headers.raw_items()
@@ -270,7 +272,16 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._http.receive_data(receive(self._sock))
+            data = receive(self._sock)
+            if not data and self._is_body_open():
+                raise _ConnectionLostError("closed within an answer")
+            self._http.receive_data(data)
+
+    def _is_body_open(self) -> bool:
+        """Tell whether an end of the connection now cuts an answer off."""
+        if self._http.their_state is not h11.SEND_BODY:
+            return True
+        return not self._ends_with_connection
 
     def is_reusable(self) -> bool:
         """Tell whether another request may be sent on the connection."""
@@ -290,6 +301,12 @@
                     self.idle_s = max(0.0, int(digits) - 1.0)
 
 
+def _ends_with_connection(response: h11.Response) -> bool:
+    """Tell whether an answer has neither a length nor chunks."""
+    names = {name for name, _ in response.headers}
+    return not names & {b"content-length", b"transfer-encoding"}
+
+
 class _HttpAnswer(RunnerAnswer):
     """Answer on one connection."""
 
--- a/tests/functional/serving/test_serving.py
+++ b/tests/functional/serving/test_serving.py
@@ -152,6 +152,18 @@
         stream(site, "/chat/1", "r1", "a1")
 
 
+def test_request_whose_runner_crashes_is_remembered(site: Site) -> None:
+    """A crash may end the connection like a server that closes it."""
+    stream(site, "/chat/1", "warm", "a1")
+    for runner in site.models:
+        runner.fault, runner.fault_count = "crash", 1
+    with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        stream(site, "/chat/1", "r1", "a1")
+    log = site.vms[0].log
+    wait_for(lambda: "event=crash_seen" in log.read_text(), "the crash", within_s=3.0)
+    assert log.read_text().count("event=request request=r1x ") == 1
+
+
 def test_runner_learns_at_once_that_a_caller_left(site: Site) -> None:
     stream(site, "/chat/1", "warm", "a1")
     for runner in site.models:
