Test takeover, restart of everything and crashing requests over several VMs

Through real processes before the stand-in, which now tells whether owners took turns or a fencing token went down.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 LOAD_S = 0.1
+TURN_S = 3.0
 
 
 @dataclass
@@ -37,6 +38,7 @@
     ran: list[str] = field(default_factory=list)
     resumed: list[str] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
+    order_times: list[float] = field(default_factory=list)
     abandoned: list[str] = field(default_factory=list)
     lock: threading.RLock = field(default_factory=threading.RLock)
 
@@ -71,6 +73,7 @@
         with self.lock:
             self.models()
             self.orders.append(body)
+            self.order_times.append(time.monotonic())
             name = body.get("adapter", "")
             if body.get("expect") != self.seq:
                 return 409
@@ -91,6 +94,21 @@
         self.seq += 1
         return 202
 
+    def is_taking_turns(self) -> bool:
+        """Tell whether holders took turns within 3 s or a fencing token went down."""
+        last_of: dict[str, float] = {}
+        token = 0
+        before = ""
+        with self.lock:
+            orders = list(zip(self.order_times, self.orders, strict=True))
+        for at, order in orders:
+            holder = order["holder"]
+            came_back = holder != before and at - last_of.get(holder, -TURN_S) < TURN_S
+            if came_back or order["fence"] < token:
+                return True
+            last_of[holder], token, before = at, order["fence"], holder
+        return False
+
     def take_fault(self) -> str:
         """Return the fault of this answer."""
         with self.lock:
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -119,9 +119,22 @@
         )
         self.member = f"{name}@127.0.0.1:{peer_port}"
         self.log = folder / f"{name}.log"
-        command = [sys.executable, "platform/start.py", "--settings", str(settings)]
-        with self.log.open("w") as out:
-            self.process = subprocess.Popen(command, cwd=ROOT, stdout=out, stderr=out)
+        self._command = [sys.executable, "platform/start.py", "--settings"]
+        self._command.append(str(settings))
+        self.process = self._start()
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        with self.log.open("a") as out:
+            return subprocess.Popen(self._command, cwd=ROOT, stdout=out, stderr=out)
+
+    def kill(self) -> None:
+        """Kill the process."""
+        self.process.kill()
+        self.process.wait()
+
+    def restart(self) -> None:
+        """Start a new process on this VM."""
+        self.process = self._start()
 
     def is_ready(self) -> bool:
         """Tell whether the readiness address answers 200."""
@@ -171,10 +184,12 @@
 class Site:
     """Store, two model runners, two plain servers and entry VMs."""
 
-    def __init__(self, folder: Path, vms: int = 1, configured: bool = True) -> None:
+    def __init__(
+        self, folder: Path, vms: int = 1, configured: bool = True, models: int = 2
+    ) -> None:
         self.store = PlatformStore()
         self._store_server = serve_store(self.store)
-        self.models = [PlatformRunner(f"m-{n}", "models", MODEL) for n in range(2)]
+        self.models = [PlatformRunner(f"m-{n}", "models", MODEL) for n in range(models)]
         self.plain = [PlatformRunner(f"p-{n}", "plain") for n in range(2)]
         self.addresses: dict[str, str] = {}
         for runner in [*self.models, *self.plain]:
@@ -195,6 +210,5 @@
         """End the processes that this site started."""
         for vm in self.vms:
             if vm.process.poll() is None:
-                vm.process.kill()
-                vm.process.wait()
+                vm.kill()
         self._store_server.shutdown()
