Keep the fencing token of a holding while it lasts

Ruled out: two owners (one holder, one VM). Change: the token is the generation at which the share was got and stays while it is held; a later holding has a higher one. A unit test failed first.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -50,7 +50,7 @@
 
     A new owner waits until every earlier lease on its share has surely run out and no
     order of the earlier owner is recent, or until the earlier owner says that it has
-    stopped; its fencing token is the generation. All times are seconds on a clock that
+    stopped; its fencing token is the generation at which it got the share. All times are seconds on a clock that
     also counts while the VM is suspended.
     """
 
@@ -61,6 +61,7 @@
         self._turn_s = turn_s
         self._lost_at: dict[int, float] = {}
         self._orders_from: dict[int, float] = {}
+        self._tokens: dict[int, int] = {}
         self._awaited: dict[int, Holder] = {}
         self._releases: dict[int, Holder] = {}
         self._lease_deadline = float("-inf")
@@ -91,6 +92,7 @@
             # Another VM may have held the shares meanwhile.
             self._orders_from.clear()
             self._awaited.clear()
+            self._tokens.clear()
         changed = assignment.generation != self.generation
         self.generation = max(self.generation, assignment.generation)
         for share in assignment.shares - self._orders_from.keys():
@@ -100,6 +102,9 @@
             del self._orders_from[share]
             self._lost_at[share] = now
             self._awaited.pop(share, None)
+            self._tokens.pop(share, None)
+        for share in assignment.shares:
+            self._tokens.setdefault(share, self.generation)
         self._lease_deadline = asked_at + self._ttl_s - self._margin_s
         return lost if changed or before != assignment.shares else None
 
@@ -140,6 +145,7 @@
         shares = frozenset(self._orders_from)
         self._orders_from.clear()
         self._awaited.clear()
+        self._tokens.clear()
         self._lease_deadline = float("-inf")
         return shares
 
@@ -148,13 +154,16 @@
         return share_of(runner_id) in self._orders_from and now < self._lease_deadline
 
     def fencing_token(self, runner_id: str, now: float) -> int | None:
-        """Return the token for an order sent now, None if none may be sent."""
-        orders_from = self._orders_from.get(share_of(runner_id))
+        """Return the token for an order sent now, None if none may be sent.
+
+        It stays the same while the share is held, so that an order that is held up on
+        the way does not arrive with a lower one than its successor.
+        """
+        share = share_of(runner_id)
+        orders_from = self._orders_from.get(share)
         if orders_from is None or now < orders_from or now >= self._lease_deadline:
             return None
-        if self.generation == 0:
-            return None
-        return self.generation
+        return self._tokens.get(share)
 
     def orders_in_s(self, runner_id: str, now: float) -> float:
         """Return the seconds until orders to a runner are allowed, if renewed."""
--- a/tests/unit/serving/test_ownership.py
+++ b/tests/unit/serving/test_ownership.py
@@ -116,9 +116,24 @@
     assert state.fencing_token(RUNNER, 11.1) is None
 
 
-def test_generation_never_goes_down() -> None:
+def test_token_stays_the_same_while_a_share_is_held() -> None:
+    """Replays cuts-and-clocks, seed 555079413649: a held-up order came after a later
+    one and, the group having changed meanwhile, with a lower token.
+    """
+    state = make_state()
+    state.resume({SHARE}, 0.0)
+    state.renew(holding(76, SHARE), {}, 1.0, 1.0)
+    state.renew(holding(77, SHARE), {}, 2.0, 2.0)
+    assert state.fencing_token(RUNNER, 2.1) == 76
+
+
+def test_token_of_a_later_holding_is_higher_and_never_goes_down() -> None:
     state = make_state()
     state.resume({SHARE}, 0.0)
     state.renew(holding(8, SHARE), {}, 1.0, 1.0)
     state.renew(holding(7, SHARE), {}, 2.0, 2.0)
     assert state.fencing_token(RUNNER, 2.1) == 8
+    state.renew(holding(9), {}, 3.0, 3.0)
+    state.hear_release(Holder("vm-b", 10), [SHARE], 6.0)
+    state.renew(holding(11, SHARE), {SHARE: Holder("vm-b", 10)}, 6.1, 6.1)
+    assert state.fencing_token(RUNNER, 6.2) == 11
