--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -50,8 +50,8 @@
 
     A new owner waits until every earlier lease on its share has surely run out and no
     order of the earlier owner is recent, or until the earlier owner says that it has
-    stopped; its fencing token is the generation at which it got the share. All times are seconds on a clock that
-    also counts while the VM is suspended.
+    stopped. Its fencing token is the generation at which it got the share. All times
+    are seconds on a clock that also counts while the VM is suspended.
     """
 
     def __init__(self, ttl_s: float, margin_s: float, turn_s: float) -> None:
--- a/tests/unit/serving/test_ownership.py
+++ b/tests/unit/serving/test_ownership.py
@@ -117,8 +117,9 @@
 
 
 def test_token_stays_the_same_while_a_share_is_held() -> None:
-    """Replays cuts-and-clocks, seed 555079413649: a held-up order came after a later
-    one and, the group having changed meanwhile, with a lower token.
+    """Replays cuts-and-clocks, seed 555079413649: an order that was held up came late.
+
+    The group had changed meanwhile, so its token was lower than its successor's.
     """
     state = make_state()
     state.resume({SHARE}, 0.0)
