--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from gooseberryrun._internal.state.serving import DirectoryRecord, RunnerView, Topic
+from gooseberryrun._internal.state.serving import (
+    DirectoryRecord,
+    Member,
+    RunnerView,
+    Topic,
+)
 
 from ._message_base import Message
 
@@ -39,12 +44,28 @@
     count: int
 
 
-class ReleaseNotice(Message, frozen=True, array_like=True):
-    """The sender gives no more orders for these shares of the runners."""
+class ViewNotice(Message, frozen=True, array_like=True):
+    """The sender acts by the view of this generation, or by none if it is leaving.
+
+    Without ``members`` it only says so; with them it passes the view on.
+    """
+
+    generation: int
+    members: tuple[Member, ...] = ()
+    is_leaving: bool = False
+
+
+class RenewRequest(Message, frozen=True, array_like=True):
+    """Asks a member to renew the sender's membership, which cannot reach the store."""
+
+    member: Member
+    generation: int
+
+
+class RenewAnswer(Message, frozen=True, array_like=True):
+    """Generation that the store told the member that was asked, -1 without one."""
 
-    shares: list[int]
     generation: int
-    is_leaving: bool
 
 
 class ResidencyNotice(Message, frozen=True, array_like=True):
@@ -103,7 +124,9 @@
     AcquireRequest
     | AcquireAnswer
     | UseNotice
-    | ReleaseNotice
+    | ViewNotice
+    | RenewRequest
+    | RenewAnswer
     | ResidencyNotice
     | ServingGossip
     | DirectoryRequest
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -115,7 +115,7 @@
             del self._uses[(runner.id, adapter)]
 
     def _tell_use(self, runner: Runner, adapter: str) -> None:
-        owner = self._ctx.owner_of(runner.id)
+        owner = self._ctx.ownership.owner_of(runner)
         notice = UseNotice(runner.id, adapter, self._uses[(runner.id, adapter)])
         if owner is None:
             return
@@ -128,9 +128,9 @@
         self, runner: Runner, want: AdapterWant, deadline: float
     ) -> Result[int, Refused]:
         """Have the owner of a runner make an adapter ready; return its version."""
-        owner = self._ctx.owner_of(runner.id)
+        owner = self._ctx.ownership.owner_of(runner)
         if owner is None:
-            self._membership.reread_owners()
+            self._membership.renew_soon()
             return Err(Refused("no_owner", 0.5))
         question = AcquireRequest(
             runner=runner.id,
@@ -178,4 +178,4 @@
             return
         pause_s = min(MAX_PAUSE_S, max(MIN_PAUSE_S, refused.retry_in_s))
         self._unorderable[runner.id] = self._ctx.clock.monotonic() + pause_s
-        self._membership.reread_owners()
+        self._membership.renew_soon()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -14,11 +14,9 @@
 from gooseberryrun._internal.state.serving import (
     AdapterMemory,
     DirectoryState,
-    Holder,
-    Owner,
+    Member,
     OwnershipState,
     RunnerLoads,
-    share_of,
 )
 
 from .._ports import Peers
@@ -54,8 +52,6 @@
     ownership: OwnershipState
     loads: RunnerLoads
     suspects: SuspectState
-    owners: dict[int, Owner] = field(default_factory=dict)
-    owners_generation: int = 0
     has_store: bool = True
     store_views: dict[str, StoreView] = field(default_factory=dict)
     residency: dict[str, ResidencyNotice] = field(default_factory=dict)
@@ -67,46 +63,61 @@
         """Return the id of this entry VM."""
         return self.cfg.vm.id
 
-    def owner_of(self, runner_id: str) -> Owner | None:
-        """Return the member that holds a runner's share."""
-        return self.owners.get(share_of(runner_id))
-
-    def holders(self) -> dict[int, Holder]:
-        """Return the last known holder of each share."""
-        generation = self.owners_generation
-        return {
-            share: Holder(owner.vm, generation) for share, owner in self.owners.items()
-        }
+    @property
+    def own_member(self) -> Member:
+        """Return this entry VM as a member of the group."""
+        vm = self.cfg.vm
+        return Member(vm.id, vm.domain, str(vm.address), self.cfg.peer.port)
 
-    def members(self) -> dict[str, Owner]:
+    def members(self) -> dict[str, Member]:
         """Return the members known, this VM included, by id."""
-        return {owner.vm: owner for owner in self.owners.values()}
+        return {member.vm: member for member in self.ownership.view.members}
 
     def peer_ids(self) -> list[str]:
         """Return the ids of the other members."""
         return [vm for vm in self.members() if vm != self.vm]
 
+    def near_peer_ids(self) -> list[str]:
+        """Return the ids of the other members in this VM's failure domain."""
+        members = self.ownership.view.members
+        near = [m.vm for m in members if m.domain == self.cfg.vm.domain]
+        return [vm for vm in near if vm != self.vm]
+
+    def former_peer_ids(self) -> list[str]:
+        """Return the ids of members that left the view a short time ago."""
+        former = self.ownership.former_members(self.clock.boottime())
+        return [member.vm for member in former if member.vm != self.vm]
+
     def find_vm(self, vm: str) -> Vm | None:
         """Return where a member listens for peers."""
-        owner = self.members().get(vm)
-        if owner is None:
+        former = self.ownership.former_members(self.clock.boottime())
+        known = {member.vm: member for member in former} | self.members()
+        member = known.get(vm)
+        if member is None:
             return None
         return Vm(
             id=vm,
             kind=VmKind.ENTRY,
-            domain="",
-            address=owner.host,
+            domain=member.domain,
+            address=member.host,
             port=0,
-            peer_port=owner.port,
+            peer_port=member.port,
         )
 
-    def is_store_lost_to_all(self, now: float) -> bool:
-        """Tell whether every other member has just said that it lost the store too.
+    def is_store_lost_to(self, peers: list[str], now: float) -> bool:
+        """Tell whether all these members have just said that they lost the store too.
 
-        Then no share can change hands. A member that is leaving counts as lost: its
-        successor takes up no share of others without waiting.
+        Then none of them can take a runner over. A member that is leaving counts as
+        lost: its successor takes up no runner of others without waiting.
         """
-        for peer in self.peer_ids():
+        members = self.members()
+        if any(
+            view.has_store and now - view.heard_at <= STORE_VIEW_S
+            for vm, view in self.store_views.items()
+            if vm not in members
+        ):
+            return False
+        for peer in peers:
             view = self.store_views.get(peer)
             if view is None or view.has_store:
                 return False
@@ -143,16 +154,13 @@
     cfg: ServingSettings, clock: Clock, ports: Ports, peers: Peers
 ) -> Context:
     """Return the context of a new process."""
-    membership = cfg.membership
     return Context(
         cfg,
         clock,
         ports,
         peers,
         DirectoryState(),
-        OwnershipState(
-            membership.lease_s, membership.margin_s, membership.turn_ms / 1000
-        ),
+        OwnershipState(cfg.vm.id, cfg.vm.domain, cfg.membership),
         RunnerLoads(),
         SuspectState(CRASHES_TO_REFUSE, SUSPECT_TTL_S),
     )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -37,11 +37,24 @@
     def _tell_all(self) -> None:
         while True:
             eventlet.sleep(INTERVAL_S * random.uniform(0.8, 1.2))
-            peers = self._ctx.peer_ids()
             gossip = self._gossip()
-            for peer in random.sample(peers, min(FANOUT, len(peers))):
+            for peer in self._pick_peers():
                 self._ctx.peers.tell(peer, gossip)
 
+    def _pick_peers(self) -> set[str]:
+        """Return some peers, and all that have to know how this VM fares.
+
+        Members that the store has dropped may be cut off from it only. A VM without
+        the store keeps its runners while its neighbours say that they lost it too.
+        """
+        ctx = self._ctx
+        peers = ctx.peer_ids()
+        picked = set(random.sample(peers, min(FANOUT, len(peers))))
+        picked.update(ctx.former_peer_ids()[:FANOUT])
+        if not ctx.has_store:
+            picked.update(ctx.near_peer_ids())
+        return picked
+
     def _gossip(self) -> ServingGossip:
         ctx = self._ctx
         now = ctx.clock.monotonic()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -1,34 +1,44 @@
-"""Membership of the group of entry VMs and the shares that come with it."""
+"""Membership of the group of entry VMs and the view of its members."""
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 import eventlet
-from result import Err
+from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import Holder
+from gooseberryrun._internal.state.serving import View
 
 from .._events import log_event
-from .._serving_messages import ReleaseNotice
-from ._context import Context, StoreView
+from .._ports import Inbound
+from .._serving_messages import RenewAnswer, RenewRequest, ViewNotice
+from ._context import STORE_VIEW_S, Context, StoreView
+from ._ports import StoreFault
 
-SETTLE_S = (0.0, 0.4, 1.5)
-"""Times after a change at which the owners are read: shares move in steps."""
 EXTEND_S = 0.6
 """Time for which a lease is kept in force after a look at the other members."""
-OWNERS_REREAD_S = 1.0
-"""Shortest time between readings asked for by tasks."""
+RENEW_SOON_S = 0.02
+"""Longest pause before a renewal that a member's word asks for."""
+VIEW_READS = 3
+"""Readings of the members in a row while the group is changing."""
+PREDECESSOR_RETRY_S = 0.25
+"""Pause before a new process asks the store again who was in the group."""
+RELAYS = 2
+"""Members that are asked to renew for one that cannot reach the store."""
+RELAY_TIMEOUT_S = 0.4
+FAR_TOLD = 2
+"""Members of other failure domains that a view read from the store is passed on to."""
 
 
 class Membership:
-    """Renews the lease and learns who owns which runners."""
+    """Renews the lease and keeps the view of the members up to date."""
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
         self._is_lost = False
         self._is_left = False
-        self._owners_read_at = float("-inf")
+        self._is_renewal_due = False
         self.on_change: Callable[[], None] = lambda: None
 
     def start(self) -> None:
@@ -37,112 +47,197 @@
         eventlet.spawn(self._extend_all)
 
     def _extend_all(self) -> None:
-        """Keep the lease in force in an outage of the store for every member."""
+        """Keep the lease in force in an outage of the store for the whole domain."""
         while not self._is_left:
             eventlet.sleep(EXTEND_S / 3)
             ctx = self._ctx
-            if ctx.has_store or not ctx.is_store_lost_to_all(ctx.clock.monotonic()):
+            now = ctx.clock.monotonic()
+            if ctx.has_store or not ctx.is_store_lost_to(ctx.near_peer_ids(), now):
                 continue
-            now = ctx.clock.boottime()
-            ctx.ownership.extend(now, now + EXTEND_S)
+            is_lost_to_all = ctx.is_store_lost_to(ctx.peer_ids(), now)
+            boottime = ctx.clock.boottime()
+            ctx.ownership.extend(boottime, boottime + EXTEND_S, is_lost_to_all)
 
     def leave(self) -> None:
-        """Give up every share and leave the group."""
+        """Give every runner up and leave the group."""
         self._is_left = True
-        self._tell_release(self._ctx.ownership.lose())
-        left = self._ctx.ports.store.leave()
+        peers = self._ctx.peer_ids()
+        generation = self._ctx.ownership.view.generation
+        self._ctx.ownership.lose()
+        notice = ViewNotice(generation, is_leaving=True)
+        self._tell(peers, notice)
+        left = self._ctx.ports.store.leave(self._ctx.own_member)
         why = left.err_value.detail if isinstance(left, Err) else ""
         log_event("group_left", error=why)
+        self._tell(peers, notice)
 
-    def reread_owners(self) -> None:
-        """Read the owners again, unless that was done just now."""
-        now = self._ctx.clock.monotonic()
-        if now - self._owners_read_at >= OWNERS_REREAD_S:
-            self._owners_read_at = now
-            eventlet.spawn(self._read_owners)
-
-    def _tell_release(self, shares: frozenset[int]) -> None:
-        """Tell the others that this VM gives no more orders for these shares."""
-        if not shares and not self._is_left:
+    def renew_soon(self) -> None:
+        """Renew in a moment, to learn of a change that others know of."""
+        if self._is_renewal_due:
             return
-        generation = self._ctx.ownership.generation
-        notice = ReleaseNotice(sorted(shares), generation, self._is_left)
-        for peer in self._ctx.peer_ids():
-            self._ctx.peers.tell(peer, notice)
+        self._is_renewal_due = True
+        eventlet.spawn_after(random.uniform(0, RENEW_SOON_S), self._renew_now)
+
+    def _renew_now(self) -> None:
+        try:
+            self._renew()
+        finally:
+            self._is_renewal_due = False
 
-    def hear_release(self, vm: str, notice: ReleaseNotice) -> None:
-        """Take in the word of another owner."""
+    def hear_view(self, vm: str, notice: ViewNotice) -> None:
+        """Take in by which view a member acts."""
+        ctx = self._ctx
+        ctx.ownership.hear_word(
+            vm, notice.generation, ctx.clock.boottime(), notice.is_leaving
+        )
         if notice.is_leaving:
-            heard_at = self._ctx.clock.monotonic()
-            self._ctx.store_views[vm] = StoreView(heard_at, False, is_leaving=True)
-        release = Holder(vm, notice.generation)
+            heard_at = ctx.clock.monotonic()
+            ctx.store_views[vm] = StoreView(heard_at, False, is_leaving=True)
+            self.renew_soon()
+        if notice.members:
+            self._adopt(View(notice.generation, notice.members), f"peer:{vm}")
+        if notice.generation > ctx.ownership.view.generation:
+            self.renew_soon()
+        self.on_change()
+
+    def _adopt(self, view: View, source: str) -> None:
+        """Act by a view from now on, and say so to those who may wait for that."""
+        ctx = self._ctx
+        if not ctx.ownership.adopt(view, ctx.clock.boottime()):
+            return
+        log_event(
+            "view_adopted",
+            generation=view.generation,
+            members=len(view.members),
+            source=source,
+        )
+        heirs = ctx.ownership.heirs_of(ctx.directory.all_runners())
+        self._tell({*ctx.near_peer_ids(), *heirs}, ViewNotice(view.generation))
+        self.on_change()
+
+    def _tell(self, vms: list[str] | set[str], notice: ViewNotice) -> None:
+        for vm in vms:
+            self._ctx.peers.tell(vm, notice)
+
+    def _pass_on(self, view: View) -> None:
+        """Spare neighbours and a few others the reading of the view."""
+        near = self._ctx.near_peer_ids()
+        far = [vm for vm in self._ctx.peer_ids() if vm not in near]
+        some = random.sample(far, min(FAR_TOLD, len(far)))
+        self._tell([*near, *some], ViewNotice(view.generation, view.members))
+
+    def _start_after_predecessor(self) -> None:
+        """Find what the process before this one held on this VM.
+
+        The members have to be read before the first renewal, which adds this one.
+        """
+        while isinstance(read := self._ctx.ports.store.members(), Err):
+            if not self._is_lost:
+                log_event("members_unread", level="warning", why=read.err_value.detail)
+            self._note_lost(read.err_value.detail)
+            eventlet.sleep(PREDECESSOR_RETRY_S)
+        is_listed = any(member.vm == self._ctx.vm for member in read.ok_value)
+        log_event("predecessor", members=len(read.ok_value), is_listed=is_listed)
         now = self._ctx.clock.boottime()
-        self._ctx.ownership.hear_release(release, notice.shares, now)
-
-    def _resume(self) -> None:
-        """Find the shares that the process before this one held on this VM."""
-        self._read_owners()
-        held = {
-            share
-            for share, owner in self._ctx.owners.items()
-            if owner.vm == self._ctx.vm
-        }
-        if held:
-            log_event("shares_resumed", shares=len(held))
-            self._ctx.ownership.resume(held, self._ctx.clock.boottime())
+        self._ctx.ownership.start_after(read.ok_value, now)
 
     def _renew_all(self) -> None:
-        self._resume()
+        self._start_after_predecessor()
         while not self._is_left:
             self._renew()
             eventlet.sleep(self._ctx.cfg.membership.renew_interval_s)
 
     def _renew(self) -> None:
+        if not self._renew_lease() or not self._ctx.ownership.needs_view():
+            return
+        for _ in range(VIEW_READS):
+            if self._read_view():
+                return
+
+    def _renew_lease(self) -> bool:
+        """Renew once; return whether the store answered."""
         ctx = self._ctx
-        asked_at = ctx.clock.boottime()
-        renewed = ctx.ports.store.renew(ctx.ownership.generation)
-        now = ctx.clock.boottime()
         if self._is_left:
-            return
+            return False
+        asked_at = ctx.clock.boottime()
+        renewed = ctx.ports.store.renew(ctx.own_member, ctx.ownership.generation)
         if isinstance(renewed, Err):
-            ctx.has_store = False
             self._note_lost(renewed.err_value.detail)
-            return
-        ctx.has_store = True
-        if self._is_lost:
+            asked_at = ctx.clock.boottime()
+            renewed = self._renew_through_peers(renewed.err_value)
+        elif self._is_lost:
             self._is_lost = False
-            log_event(
-                "membership_regained", lease_left_s=ctx.ownership.lease_left_s(now)
-            )
-        assignment = renewed.ok_value
-        lost = ctx.ownership.renew(assignment, ctx.holders(), asked_at, now)
-        if lost is not None:
-            self._tell_release(lost)
-            log_event(
-                "shares_changed",
-                generation=assignment.generation,
-                shares=len(assignment.shares),
-            )
-            for after_s in SETTLE_S:
-                eventlet.spawn_after(after_s, self._read_owners)
-            self.on_change()
+            log_event("membership_regained", lease_left_s=self._lease_left_s())
+        ctx.has_store = isinstance(renewed, Ok)
+        if isinstance(renewed, Err) or self._is_left:
+            return False
+        ctx.ownership.renew(renewed.ok_value, asked_at, ctx.clock.boottime())
+        return True
+
+    def _renew_through_peers(self, fault: StoreFault) -> Result[int, StoreFault]:
+        """Ask members that reach the store, near ones first, to renew for this one."""
+        ctx = self._ctx
+        now = ctx.clock.monotonic()
+        reaching = {
+            vm
+            for vm, view in ctx.store_views.items()
+            if view.has_store and now - view.heard_at <= STORE_VIEW_S
+        }
+        near = [vm for vm in ctx.near_peer_ids() if vm in reaching]
+        far = sorted(reaching - set(near))
+        question = RenewRequest(ctx.own_member, ctx.ownership.generation)
+        for vm in [*near, *far][:RELAYS]:
+            deadline = ctx.clock.monotonic() + RELAY_TIMEOUT_S
+            asked = ctx.peers.ask(vm, question, deadline)
+            answer = asked.ok_value if isinstance(asked, Ok) else None
+            if isinstance(answer, RenewAnswer) and answer.generation >= 0:
+                return Ok(answer.generation)
+            log_event("relayed_renewal_failed", peer=vm)
+        return Err(fault)
+
+    def answer_renewal(self, inbound: Inbound, question: RenewRequest) -> None:
+        """Renew for a member that cannot reach the store."""
+        eventlet.spawn(self._answer_renewal, inbound, question)
+
+    def _answer_renewal(self, inbound: Inbound, question: RenewRequest) -> None:
+        renewed = self._ctx.ports.store.renew(question.member, question.generation)
+        generation = -1 if isinstance(renewed, Err) else renewed.ok_value
+        log_event(
+            "renewal_relayed",
+            level="debug",
+            peer=inbound.sender,
+            generation=generation,
+        )
+        inbound.reply(RenewAnswer(generation))
+
+    def _lease_left_s(self) -> float:
+        return self._ctx.ownership.lease_left_s(self._ctx.clock.boottime())
 
     def _note_lost(self, why: str) -> None:
         if self._is_lost:
             return
         self._is_lost = True
-        left_s = self._ctx.ownership.lease_left_s(self._ctx.clock.boottime())
+        left_s = self._lease_left_s()
         log_event("membership_lost", level="warning", why=why, lease_left_s=left_s)
 
-    def _read_owners(self) -> None:
-        self._owners_read_at = self._ctx.clock.monotonic()
-        generation = self._ctx.ownership.generation
-        read = self._ctx.ports.store.owners()
+    def _read_view(self) -> bool:
+        """Read the members between two renewals; return whether to stop trying.
+
+        If both renewals tell the same generation, the members are those of it.
+        """
+        ownership = self._ctx.ownership
+        generation = ownership.generation
+        read = self._ctx.ports.store.members()
         if isinstance(read, Err):
-            log_event("owners_unread", level="warning", why=read.err_value.detail)
-            return
-        if read.ok_value != self._ctx.owners:
-            members = {owner.vm for owner in read.ok_value.values()}
-            log_event("owners_changed", members=len(members))
-        self._ctx.owners = read.ok_value
-        self._ctx.owners_generation = generation
+            log_event("members_unread", level="warning", why=read.err_value.detail)
+            return True
+        if not self._renew_lease() or not ownership.needs_view():
+            return True
+        if ownership.generation != generation:
+            return False
+        view = View(
+            generation, tuple(sorted(read.ok_value, key=lambda member: member.vm))
+        )
+        self._adopt(view, "store")
+        self._pass_on(view)
+        return True
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -90,8 +90,11 @@
         if task is not None:
             task.note_use(vm, notice.adapter, notice.count)
 
-    def wake(self) -> None:
-        """Let every task look at what has changed."""
+    def refresh(self) -> None:
+        """Take up and give up runners by the view in force, and wake their tasks."""
+        if self._is_closed:
+            return
+        self._check()
         for task in self._tasks.values():
             task.wake()
 
@@ -119,7 +122,7 @@
             for runner in self._ctx.directory.all_runners()
             if not runner.draining
             and self._max_adapters(runner) is not None
-            and self._ctx.ownership.holds(runner.id, now)
+            and self._ctx.ownership.holds(runner, now)
         ]
 
     def _max_adapters(self, runner: Runner) -> int | None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
@@ -10,10 +10,9 @@
 from result import Result
 
 from gooseberryrun._internal.state.serving import (
-    Assignment,
     DirectoryRecord,
     HeldModel,
-    Owner,
+    Member,
     Runner,
     Topic,
 )
@@ -62,16 +61,16 @@
         """Wait for records from an offset on; none come if ``wait_s`` passes."""
 
     @abstractmethod
-    def renew(self, generation: int) -> Result[Assignment, StoreFault]:
-        """Join the group of entry VMs or stay in it."""
+    def renew(self, member: Member, generation: int) -> Result[int, StoreFault]:
+        """Let a member join the group or stay in it; return the generation."""
 
     @abstractmethod
-    def leave(self) -> Result[None, StoreFault]:
-        """Leave the group, giving up every share."""
+    def leave(self, member: Member) -> Result[None, StoreFault]:
+        """Take a member out of the group."""
 
     @abstractmethod
-    def owners(self) -> Result[dict[int, Owner], StoreFault]:
-        """Read which member holds each share."""
+    def members(self) -> Result[list[Member], StoreFault]:
+        """Read who is in the group."""
 
 
 # Requests of callers.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -165,7 +165,7 @@
         self._places.note_demand(adapter, now)
         if self._fencing_token() is None:
             boottime = self._ctx.clock.boottime()
-            wait_s = self._ctx.ownership.orders_in_s(self._runner.id, boottime)
+            wait_s = self._ctx.ownership.orders_in_s(self._runner, boottime)
             return Err(Refused("no_lease", wait_s))
         if is_missing and adapter in self._places.held:
             log_event("belief_doubted", runner=self._runner.id, adapter=adapter)
@@ -267,7 +267,7 @@
 
     def _fencing_token(self) -> int | None:
         now = self._ctx.clock.boottime()
-        return self._ctx.ownership.fencing_token(self._runner.id, now)
+        return self._ctx.ownership.fencing_token(self._runner, now)
 
     def _refuse_all(self, reason: str) -> None:
         waiters, self._waiters = self._waiters, []
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -7,10 +7,11 @@
 from .._serving_messages import (
     AcquireRequest,
     DirectoryRequest,
-    ReleaseNotice,
+    RenewRequest,
     ResidencyNotice,
     ServingGossip,
     UseNotice,
+    ViewNotice,
 )
 from ._adapters import Adapters
 from ._answers import Answers
@@ -44,8 +45,9 @@
             PlainRequests(ctx, attempts, answers),
             ModelRequests(ctx, adapters, attempts, answers),
         )
-        self.membership.on_change = self.owners.wake
+        self.membership.on_change = self.owners.refresh
         self.is_stopping = False
+        self._is_released = False
 
     def start(self) -> None:
         """Start every task."""
@@ -59,7 +61,10 @@
         return not self.is_stopping and self.follower.is_ready()
 
     def release(self) -> None:
-        """Give up every duty, ahead of a stop."""
+        """Give up every duty, ahead of a stop; a second time does nothing."""
+        if self._is_released:
+            return
+        self._is_released = True
         self.owners.close()
         self.membership.leave()
 
@@ -68,10 +73,12 @@
         message = inbound.message
         if isinstance(message, UseNotice):
             self.owners.hear_use(inbound.sender, message)
-        elif isinstance(message, ReleaseNotice):
-            self.membership.hear_release(inbound.sender, message)
+        elif isinstance(message, ViewNotice):
+            self.membership.hear_view(inbound.sender, message)
         elif isinstance(message, ResidencyNotice):
             self._ctx.hear_residency(message)
+        elif isinstance(message, RenewRequest):
+            self.membership.answer_renewal(inbound, message)
         elif isinstance(message, AcquireRequest):
             self.owners.answer(inbound, message)
         elif isinstance(message, ServingGossip):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -10,6 +10,7 @@
 from types import FrameType
 
 import eventlet
+from eventlet.timeout import Timeout
 
 from gooseberryrun._internal.coordination import log_event
 from gooseberryrun._internal.coordination.serving import (
@@ -41,6 +42,8 @@
 """Time after which kept connections without a request are closed."""
 EXIT_MARGIN_S = 0.8
 """Time kept before the platform kills a process that stops."""
+RELEASE_S = 0.3
+"""Time for giving up what was kept to the end of a stop."""
 QUIET_S = 0.4
 """Time without requests after which a stopping process ends."""
 
@@ -163,7 +166,8 @@
         self._serving.is_stopping = True
         self._callers.is_stopping = True
         log_event("stop_requested", open_requests=self._callers.open_requests)
-        eventlet.spawn(self._serving.release)
+        if self._ctx.has_store:
+            eventlet.spawn(self._serving.release)
         eventlet.spawn_after(CLOSE_IDLE_S, self._callers.close_idle)
         self._drain(started_at + ROTATION_S, exit_deadline)
         log_event(
@@ -172,6 +176,9 @@
             took_s=self._clock.monotonic() - started_at,
         )
         self._callers.close()
+        # Without the store nobody can take the runners over: they are kept to the end.
+        with Timeout(RELEASE_S, False):
+            self._serving.release()
 
     def _drain(self, earliest: float, latest: float) -> None:
         """Serve on until the balancer sends nothing and no request is open.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.py
@@ -52,7 +52,7 @@
     decode_record,
     encode_record,
 )
-from ._serving_settings import ServingSettings
+from ._serving_settings import MembershipSettings, ServingSettings
 from ._settings import (
     HttpSettings,
     LeaseSettings,
@@ -75,6 +75,7 @@
 __all__ = [
     "CONFIG_STREAM",
     "NodeSettings",
+    "MembershipSettings",
     "ServingSettings",
     "load_as",
     "CacheEvent",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -32,8 +32,13 @@
     lease_s: float = Field(default=4.0, gt=0)
     renew_interval_s: float = Field(default=0.7, gt=0)
     margin_s: float = Field(default=0.5, ge=0)
+    outside_s: float = Field(default=10.0, gt=0)
+    """Time for which members of other failure domains leave a runner without an owner;
+    one in its own domain may go on that long without the store."""
     turn_ms: int = Field(default=3000, ge=0)
     """Time within which two owners of a runner may not take turns."""
+    max_members: int = Field(default=96, ge=1)
+    """Entry VMs that the group has room for."""
 
 
 class RepeatSettings(Section):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -3,7 +3,7 @@
 from ._budget import RepeatBudget
 from ._directory import AdapterVersion, DirectoryRecord, DirectoryState, Topic
 from ._loads import RunnerLoads, RunnerView
-from ._ownership import SHARES, Assignment, Holder, Owner, OwnershipState, share_of
+from ._ownership import Member, OwnershipState, View
 from ._placement import (
     LOAD_S,
     PROMPT_TOKENS_PER_S,
@@ -32,12 +32,10 @@
 __all__ = [
     "LOAD_S",
     "PROMPT_TOKENS_PER_S",
-    "SHARES",
     "STEP_S",
     "AdapterMemory",
     "AdapterPlaces",
     "AdapterVersion",
-    "Assignment",
     "Candidate",
     "Choice",
     "ClientLimits",
@@ -46,9 +44,8 @@
     "DirectoryState",
     "EngineSpec",
     "HeldModel",
-    "Holder",
+    "Member",
     "ModelSpec",
-    "Owner",
     "OwnershipState",
     "Plan",
     "RepeatBudget",
@@ -61,10 +58,10 @@
     "Service",
     "Step",
     "Topic",
+    "View",
     "WeightedService",
     "choose_model_runner",
     "choose_plain_server",
     "expected_first_event_s",
     "failure_share",
-    "share_of",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -2,174 +2,324 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-import xxhash
+import msgspec
 
-SHARES = 96
-"""Shares that the runners are divided into; as many as owners there can be."""
+from .._hashing import top_node
+from .._serving_settings import MembershipSettings
+from ._runners import Runner
 
+HISTORY = 16
+"""Adopted views that are remembered."""
+FORMER_S = 12.0
+"""Time for which a member that left the view is still told what happens."""
+LEAVING_S = 2.0
+"""Time in which a member that said it is leaving has left the view."""
 
-def share_of(runner_id: str) -> int:
-    """Return the share of runners that a runner belongs to."""
-    return xxhash.xxh3_64_intdigest(runner_id.encode()) % SHARES
 
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """Entry VM in the group, with its failure domain and its address for peers."""
+
+    vm: str
+    domain: str
+    host: str
+    port: int
 
-@dataclass(frozen=True, slots=True)
-class Assignment:
-    """Answer of the store to a membership renewal."""
+
+class View(msgspec.Struct, frozen=True, array_like=True):
+    """Members of the group at one generation."""
 
     generation: int
-    shares: frozenset[int]
+    members: tuple[Member, ...]
+
+    def in_charge_of(self, domain: str) -> list[Member]:
+        """Return the members that runners of a failure domain are dealt to.
+
+        Those of other domains step in only where the domain has none left.
+        """
+        near = [member for member in self.members if member.domain == domain]
+        return near or list(self.members)
+
+    def owner_of(self, runner: Runner) -> Member | None:
+        """Return the member that a runner is dealt to."""
+        candidates = {m.vm: m for m in self.in_charge_of(runner.domain)}
+        vm = top_node(runner.id, candidates)
+        return None if vm is None else candidates[vm]
 
 
 @dataclass(frozen=True, slots=True)
-class Owner:
-    """Member that holds a share, with its address for peers."""
+class _Adopted:
+    """View with the time of its adoption; that of a former process has no orders."""
 
-    vm: str
-    host: str
-    port: int
+    view: View
+    at: float
+    is_predecessor: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class Holder:
-    """Member that holds or held a share, at a generation."""
+class _Word:
+    """Generation of the view that a member last said it acts by."""
 
-    vm: str
     generation: int
+    heard_at: float
+    is_leaving: bool
+
 
-    def covers(self, held: Holder) -> bool:
-        """Tell whether a release by this holder ends the holding ``held``."""
-        return self.vm == held.vm and self.generation >= held.generation
+@dataclass(frozen=True, slots=True)
+class _Tenure:
+    """Unbroken ownership of a runner by this VM.
+
+    ``awaited`` are the VMs whose word ends the wait, None if they are not known.
+    """
+
+    since: float
+    fencing_token: int
+    is_resumed: bool
+    awaited: frozenset[str] | None
+    lost_at: float
 
 
 class OwnershipState:
-    """Lease on shares of the runners, renewed through the store.
+    """Lease on the runners that the members' view deals to this VM.
 
-    A new owner waits until every earlier lease on its share has surely run out and no
-    order of the earlier owner is recent, or until the earlier owner says that it has
-    stopped. Its fencing token is the generation at which it got the share. All times
-    are seconds on a clock that also counts while the VM is suspended.
+    Every member works the owner of a runner out from the same view. A new owner waits
+    until every earlier lease has surely run out, or until those who could hold one say
+    that they act by its view. Its fencing token is the generation of the view that
+    dealt it the runner. All times are seconds on a clock that also counts while the VM
+    is suspended.
     """
 
-    def __init__(self, ttl_s: float, margin_s: float, turn_s: float) -> None:
-        """Start without shares; two owners may not take turns within ``turn_s``."""
-        self._ttl_s = ttl_s
-        self._margin_s = margin_s
-        self._turn_s = turn_s
-        self._lost_at: dict[int, float] = {}
-        self._orders_from: dict[int, float] = {}
-        self._tokens: dict[int, int] = {}
-        self._awaited: dict[int, Holder] = {}
-        self._releases: dict[int, Holder] = {}
+    def __init__(self, vm: str, domain: str, cfg: MembershipSettings) -> None:
+        """Start without a view and without a lease."""
+        self._vm = vm
+        self._domain = domain
+        self._cfg = cfg
+        self._turn_s = cfg.turn_ms / 1000
+        self._adopted: list[_Adopted] = []
+        self._words: dict[str, _Word] = {}
+        self._former: dict[str, tuple[Member, float]] = {}
+        self._tenures: dict[str, _Tenure | None] = {}
+        self._owners: dict[str, Member | None] = {}
+        self._renewed_at = float("-inf")
         self._lease_deadline = float("-inf")
+        self._extended_deadline = float("-inf")
         self.generation = 0
 
-    def resume(self, shares: set[int], now: float) -> None:
-        """Take up shares that this VM held before its process was replaced.
+    # The view.
+
+    @property
+    def view(self) -> View:
+        """Return the view that this VM acts by."""
+        return self._adopted[-1].view if self._adopted else View(0, ())
+
+    def needs_view(self) -> bool:
+        """Tell whether the group has changed since the view in force."""
+        is_own = bool(self._adopted) and not self._adopted[-1].is_predecessor
+        return not is_own or self.view.generation < self.generation
+
+    def start_after(self, members: Iterable[Member], now: float) -> None:
+        """Take up what an earlier process of this VM held.
 
         Orders have to wait for the first renewal, which tells the generation.
         """
-        self._orders_from = dict.fromkeys(shares, now)
-        self._lease_deadline = now + self._ttl_s - self._margin_s
-
-    def renew(
-        self,
-        assignment: Assignment,
-        earlier: Mapping[int, Holder],
-        asked_at: float,
-        now: float,
-    ) -> frozenset[int] | None:
-        """Take in an answer to a renewal; return the shares lost, None if as before.
-
-        ``earlier`` has the last known holders of the shares.
+        self._append(_Adopted(View(0, tuple(members)), now, is_predecessor=True))
+
+    def adopt(self, view: View, now: float) -> bool:
+        """Act by a view from now on; return False if it is not newer."""
+        if view.generation <= self.view.generation:
+            return False
+        for member in self.view.members:
+            self._former[member.vm] = (member, now + FORMER_S)
+        self._append(_Adopted(view, now))
+        self._forget_words(now)
+        return True
+
+    def _append(self, adopted: _Adopted) -> None:
+        self._adopted.append(adopted)
+        del self._adopted[:-HISTORY]
+        self._tenures.clear()
+        self._owners.clear()
+
+    def _forget_words(self, now: float) -> None:
+        """Forget words of leaving by members that are back."""
+        for member in self.view.members:
+            self._former.pop(member.vm, None)
+            word = self._words.get(member.vm)
+            if word and word.is_leaving and now - word.heard_at > LEAVING_S:
+                del self._words[member.vm]
+
+    def former_members(self, now: float) -> list[Member]:
+        """Return the members that left the view a short time ago."""
+        self._former = {vm: kept for vm, kept in self._former.items() if now < kept[1]}
+        return [member for member, _ in self._former.values()]
+
+    def owner_of(self, runner: Runner) -> Member | None:
+        """Return the member that a runner is dealt to."""
+        if runner.id not in self._owners:
+            self._owners[runner.id] = self.view.owner_of(runner)
+        return self._owners[runner.id]
+
+    def heirs_of(self, runners: Iterable[Runner]) -> set[str]:
+        """Return the VMs that the last change of the view gave this VM's runners to."""
+        if len(self._adopted) < 2:
+            return set()
+        before = self._adopted[-2].view
+        heirs = set()
+        for runner in runners:
+            owner = self.owner_of(runner)
+            if owner is not None and self._is_own(before, runner):
+                heirs.add(owner.vm)
+        return heirs - {self._vm}
+
+    # The lease.
+
+    def renew(self, generation: int, asked_at: float, now: float) -> None:
+        """Take in the answer to a renewal."""
+        had_lease = math.isfinite(self._renewed_at)
+        if had_lease and now > self._deadline() and generation != self.generation:
+            # Another VM may have held the runners meanwhile.
+            self._adopted.clear()
+            self._tenures.clear()
+            self._owners.clear()
+        self.generation = max(self.generation, generation)
+        self._renewed_at = max(self._renewed_at, asked_at)
+        lease_s = self._cfg.lease_s - self._cfg.margin_s
+        self._lease_deadline = self._renewed_at + lease_s
+
+    def extend(self, now: float, until: float, is_store_lost_to_all: bool) -> None:
+        """Keep an unbroken lease on runners of this VM's own domain in force.
+
+        Only while no member of the domain can reach the store. Members of other
+        domains may step in after ``outside_s``, unless they lost the store too.
         """
-        before = set(self._orders_from)
-        if now > self._lease_deadline and assignment.generation != self.generation:
-            self._lost_at.update(dict.fromkeys(self._orders_from, now))
-            # Another VM may have held the shares meanwhile.
-            self._orders_from.clear()
-            self._awaited.clear()
-            self._tokens.clear()
-        changed = assignment.generation != self.generation
-        self.generation = max(self.generation, assignment.generation)
-        for share in assignment.shares - self._orders_from.keys():
-            self._gain(share, earlier.get(share), now)
-        lost = frozenset(self._orders_from.keys() - assignment.shares)
-        for share in lost:
-            del self._orders_from[share]
-            self._lost_at[share] = now
-            self._awaited.pop(share, None)
-            self._tokens.pop(share, None)
-        for share in assignment.shares:
-            self._tokens.setdefault(share, self.generation)
-        self._lease_deadline = asked_at + self._ttl_s - self._margin_s
-        return lost if changed or before != assignment.shares else None
-
-    def extend(self, now: float, until: float) -> None:
-        """Keep an unbroken lease in force while no member can reach the store."""
-        if now < self._lease_deadline:
-            self._lease_deadline = max(self._lease_deadline, until)
-
-    def _gain(self, share: int, holder: Holder | None, now: float) -> None:
-        self._orders_from[share] = now + self._ttl_s
-        if holder is None:
+        if now >= self._deadline():
             return
-        release = self._releases.get(share)
-        if release is not None and release.covers(holder):
-            self._orders_from[share] = self._earliest(share, now)
-        else:
-            self._awaited[share] = holder
+        if not is_store_lost_to_all:
+            latest = self._renewed_at + self._cfg.outside_s - self._cfg.margin_s
+            until = min(until, latest)
+        self._extended_deadline = max(self._extended_deadline, until)
+
+    def lose(self) -> None:
+        """Give up everything at once."""
+        self._adopted.clear()
+        self._tenures.clear()
+        self._owners.clear()
+        self._lease_deadline = float("-inf")
+        self._extended_deadline = float("-inf")
 
-    def _earliest(self, share: int, now: float) -> float:
-        """Return when orders may begin again if no other owner is left.
+    def hear_word(
+        self, vm: str, generation: int, now: float, is_leaving: bool = False
+    ) -> None:
+        """Take in the word of a member that it acts by a view, or by none any more."""
+        self._words[vm] = _Word(generation, now, is_leaving)
 
-        A VM that takes a share back soon would take turns with the owner between.
-        """
-        lost_at = self._lost_at.get(share, float("-inf"))
-        return max(now, lost_at + self._turn_s)
-
-    def hear_release(self, release: Holder, shares: Iterable[int], now: float) -> None:
-        """Take in the word of an earlier owner that it gives no more orders."""
-        for share in shares:
-            self._releases[share] = release
-            awaited = self._awaited.get(share)
-            if awaited is not None and release.covers(awaited):
-                self._orders_from[share] = self._earliest(share, now)
-                del self._awaited[share]
-
-    def lose(self) -> frozenset[int]:
-        """Give up every share at once; return them."""
-        shares = frozenset(self._orders_from)
-        self._orders_from.clear()
-        self._awaited.clear()
-        self._tokens.clear()
-        self._lease_deadline = float("-inf")
-        return shares
+    def _deadline(self) -> float:
+        return max(self._lease_deadline, self._extended_deadline)
+
+    def _deadline_for(self, runner: Runner) -> float:
+        is_near = runner.domain == self._domain
+        return self._deadline() if is_near else self._lease_deadline
+
+    def lease_left_s(self, now: float) -> float:
+        """Return the seconds until the lease runs out."""
+        return self._lease_deadline - now
 
-    def holds(self, runner_id: str, now: float) -> bool:
-        """Tell whether the runner belongs to this VM, orders allowed or not."""
-        return share_of(runner_id) in self._orders_from and now < self._lease_deadline
+    # Orders.
 
-    def fencing_token(self, runner_id: str, now: float) -> int | None:
+    def holds(self, runner: Runner, now: float) -> bool:
+        """Tell whether the runner is dealt to this VM, orders allowed or not."""
+        is_leased = now < self._deadline_for(runner)
+        return is_leased and self._tenure(runner) is not None
+
+    def fencing_token(self, runner: Runner, now: float) -> int | None:
         """Return the token for an order sent now, None if none may be sent.
 
-        It stays the same while the share is held, so that an order that is held up on
+        It stays the same while the runner is held, so that an order that is held up on
         the way does not arrive with a lower one than its successor.
         """
-        share = share_of(runner_id)
-        orders_from = self._orders_from.get(share)
-        if orders_from is None or now < orders_from or now >= self._lease_deadline:
+        if now >= self._deadline_for(runner):
             return None
-        return self._tokens.get(share)
-
-    def orders_in_s(self, runner_id: str, now: float) -> float:
-        """Return the seconds until orders to a runner are allowed, if renewed."""
-        orders_from = self._orders_from.get(share_of(runner_id), now)
-        return max(0.0, orders_from - now)
-
-    def lease_left_s(self, now: float) -> float:
-        """Return the seconds until the lease runs out."""
-        return self._lease_deadline - now
+        tenure = self._tenure(runner)
+        if tenure is None or not self._may_order(runner, tenure, now):
+            return None
+        return tenure.fencing_token
+
+    def orders_in_s(self, runner: Runner, now: float) -> float:
+        """Return the longest time until orders to a runner are allowed."""
+        tenure = self._tenure(runner)
+        if tenure is None:
+            return 0.0
+        return max(0.0, tenure.since + self._wait_s(runner) - now)
+
+    def _may_order(self, runner: Runner, tenure: _Tenure, now: float) -> bool:
+        # A VM that takes a runner back soon would take turns with the owner between.
+        if now < tenure.lost_at + self._turn_s:
+            return False
+        if tenure.is_resumed or self._is_released(tenure):
+            return True
+        # A renewal after the wait shows that this VM's view is still the newest.
+        return self._renewed_at >= tenure.since + self._wait_s(runner)
+
+    def _wait_s(self, runner: Runner) -> float:
+        is_near = runner.domain == self._domain
+        return self._cfg.lease_s if is_near else self._cfg.outside_s
+
+    def _is_released(self, tenure: _Tenure) -> bool:
+        """Tell whether all that could hold a lease act by a view without it.
+
+        A word on a view newer than this VM's own may mean that the runner was dealt
+        anew: it does not count.
+        """
+        if tenure.awaited is None:
+            return False
+        words = [self._words.get(vm) for vm in tenure.awaited]
+        return all(word is not None and self._covers(word, tenure) for word in words)
+
+    def _covers(self, word: _Word, tenure: _Tenure) -> bool:
+        if word.is_leaving:
+            return True
+        return tenure.fencing_token <= word.generation <= self.view.generation
+
+    def _tenure(self, runner: Runner) -> _Tenure | None:
+        if runner.id not in self._tenures:
+            self._tenures[runner.id] = self._work_out_tenure(runner)
+        return self._tenures[runner.id]
+
+    def _work_out_tenure(self, runner: Runner) -> _Tenure | None:
+        """Find in the adopted views since when this VM owns a runner."""
+        owned = [self._is_own(adopted.view, runner) for adopted in self._adopted]
+        if not owned or not owned[-1] or self._adopted[-1].is_predecessor:
+            return None
+        first = len(owned) - 1
+        while first > 0 and owned[first - 1]:
+            first -= 1
+        begun = self._adopted[first]
+        if begun.is_predecessor:
+            token = self._adopted[first + 1].view.generation
+            return _Tenure(begun.at, token, True, None, float("-inf"))
+        earlier = range(first - 1, -1, -1)
+        lost_at = next((self._adopted[n + 1].at for n in earlier if owned[n]), None)
+        return _Tenure(
+            begun.at,
+            begun.view.generation,
+            False,
+            self._awaited(runner, first),
+            float("-inf") if lost_at is None else lost_at,
+        )
+
+    def _awaited(self, runner: Runner, first: int) -> frozenset[str] | None:
+        """Return who may hold a lease on a runner from before a view."""
+        if not first:
+            return None
+        before = self._adopted[first - 1].view.owner_of(runner)
+        vms = {m.vm for m in self._adopted[first].view.in_charge_of(runner.domain)}
+        if before is not None:
+            vms.add(before.vm)
+        return frozenset(vms - {self._vm})
+
+    def _is_own(self, view: View, runner: Runner) -> bool:
+        owner = view.owner_of(runner)
+        return owner is not None and owner.vm == self._vm
--- a/packages/gooseberryrun/src/gooseberryrun/serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/serving.py
@@ -21,16 +21,14 @@
 from gooseberryrun._internal.serving_app import Adapter, run_serving
 from gooseberryrun._internal.state import ServingSettings, load_as
 from gooseberryrun._internal.state.serving import (
-    SHARES,
     AdapterVersion,
-    Assignment,
     ClientLimits,
     Configuration,
     DirectoryRecord,
     EngineSpec,
     HeldModel,
+    Member,
     ModelSpec,
-    Owner,
     Route,
     RouteKind,
     Runner,
@@ -40,11 +38,9 @@
 )
 
 __all__ = [
-    "SHARES",
     "Adapter",
     "AdapterVersion",
     "AnswerFacts",
-    "Assignment",
     "ClientLimits",
     "Configuration",
     "ControlStore",
@@ -54,10 +50,10 @@
     "HeaderCodec",
     "Headers",
     "HeldModel",
+    "Member",
     "ModelSpec",
     "OrderOp",
     "OrderOutcome",
-    "Owner",
     "PromptPart",
     "Records",
     "RequestFacts",
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -114,10 +114,11 @@
 [membership]
 lease_s = 1.2
 renew_interval_s = 0.2
+outside_s = 2.4
 """,
             encoding="utf-8",
         )
-        self.member = f"{name}@127.0.0.1:{peer_port}"
+        self.member = f"{name}@127.0.0.1:{peer_port}/zone-a"
         self.log = folder / f"{name}.log"
         self._command = [sys.executable, "platform/start.py", "--settings"]
         self._command.append(str(settings))
--- a/tests/unit/serving/test_ownership.py
+++ b/tests/unit/serving/test_ownership.py
@@ -1,140 +1,312 @@
-"""Owners of runners: one at a time, whatever the store does with the shares."""
+"""Owners of runners: one at a time, whatever happens to the group."""
 
 from __future__ import annotations
 
+from gooseberryrun._internal.state import MembershipSettings
 from gooseberryrun._internal.state.serving import (
-    Assignment,
-    Holder,
+    Member,
     OwnershipState,
-    share_of,
+    Runner,
+    View,
 )
 
-TTL_S = 4.0
-MARGIN_S = 0.5
-TURN_S = 3.0
-RUNNER = "i-1"
-SHARE = share_of(RUNNER)
+CFG = MembershipSettings(lease_s=4.0, margin_s=0.5, outside_s=10.0, turn_ms=3000)
 
 
-def make_state() -> OwnershipState:
-    return OwnershipState(TTL_S, MARGIN_S, TURN_S)
+def make_runner(number: int, domain: str = "a") -> Runner:
+    return Runner(f"i-{number}", "s", "h", 1, domain, 8, False, 1, 0, ())
 
 
-def holding(generation: int, *shares: int) -> Assignment:
-    return Assignment(generation, frozenset(shares))
+def make_view(generation: int, *names: str) -> View:
+    """Return a view of VMs named by their domain and a number, as in ``a1``."""
+    return View(generation, tuple(Member(name, name[0], "h", 1) for name in names))
 
 
-def test_new_owner_waits_for_a_lease_that_it_cannot_see_the_end_of() -> None:
+def runner_of(owner: str, before: str, after: View, earlier: View) -> Runner:
+    """Return a runner of domain a that a change of the view moves."""
+    for number in range(500):
+        runner = make_runner(number)
+        now = after.owner_of(runner)
+        then = earlier.owner_of(runner)
+        if now and then and (now.vm, then.vm) == (owner, before):
+            return runner
+    raise AssertionError("no such runner")
+
+
+def make_state(vm: str = "a1") -> OwnershipState:
+    return OwnershipState(vm, vm[0], CFG)
+
+
+def start(state: OwnershipState, view: View, at: float) -> None:
+    """Join a group whose members the store has listed before."""
+    state.start_after(view.members, at)
+    state.renew(view.generation, at, at)
+    state.adopt(view, at)
+
+
+def change(state: OwnershipState, view: View, at: float) -> None:
+    """Renew, and adopt the view that the renewal asks for."""
+    state.renew(view.generation, at, at)
+    state.adopt(view, at)
+
+
+def owned_alone(vm: str = "a1") -> tuple[OwnershipState, Runner]:
+    """Return a state that has held a runner since the process before."""
+    state = make_state(vm)
+    start(state, make_view(5, vm), 0.0)
+    return state, make_runner(1)
+
+
+def test_runner_is_dealt_to_a_vm_of_its_own_domain() -> None:
+    view = make_view(1, "a1", "b1", "b2")
+    owners = {owner.vm for n in range(20) if (owner := view.owner_of(make_runner(n)))}
+    assert owners == {"a1"}
+
+
+def test_runner_of_a_domain_without_vms_is_dealt_to_others() -> None:
+    owner = make_view(1, "b1", "c1").owner_of(make_runner(1))
+    assert owner is not None
+    assert owner.vm in {"b1", "c1"}
+
+
+def test_view_is_due_after_every_change_of_the_generation() -> None:
+    state, _ = owned_alone()
+    assert not state.needs_view()
+    state.renew(6, 1.0, 1.0)
+    assert state.needs_view()
+    assert state.adopt(make_view(6, "a1", "b1"), 1.1)
+    assert not state.needs_view()
+    assert not state.adopt(make_view(6, "a1"), 1.2)
+
+
+def test_first_owner_waits_for_leases_that_it_cannot_know_of() -> None:
     state = make_state()
-    state.renew(holding(5, SHARE), {}, 10.0, 10.0)
-    assert state.fencing_token(RUNNER, 10.1) is None
-    state.renew(holding(5, SHARE), {}, 13.0, 13.0)
-    assert state.fencing_token(RUNNER, 13.9) is None
-    assert state.fencing_token(RUNNER, 14.1) == 5
+    state.renew(5, 10.0, 10.0)
+    state.adopt(make_view(5, "a1"), 10.0)
+    runner = make_runner(1)
+    state.renew(5, 13.0, 13.0)
+    assert state.fencing_token(runner, 14.1) is None
+    state.renew(5, 14.1, 14.1)
+    assert state.fencing_token(runner, 14.2) == 5
+
+
+def test_wait_ends_only_with_a_renewal_after_it() -> None:
+    """A VM that missed the newest change would order beside the new owner."""
+    earlier, later = make_view(5, "a1", "a2"), make_view(6, "a1")
+    runner = runner_of("a1", "a2", later, earlier)
+    state = make_state()
+    start(state, earlier, 0.0)
+    change(state, later, 1.0)
+    state.renew(6, 4.0, 4.0)
+    assert state.fencing_token(runner, 5.1) is None
+    state.renew(6, 5.0, 5.2)
+    assert state.fencing_token(runner, 5.3) == 6
 
 
 def test_word_of_the_earlier_owner_ends_the_wait() -> None:
+    earlier, later = make_view(5, "a1", "a2"), make_view(6, "a1")
+    runner = runner_of("a1", "a2", later, earlier)
     state = make_state()
-    earlier = {SHARE: Holder("vm-a", 4)}
-    state.renew(holding(5, SHARE), earlier, 10.0, 10.0)
-    state.hear_release(Holder("vm-b", 5), [SHARE], 10.1)
-    assert state.fencing_token(RUNNER, 10.2) is None
-    state.hear_release(Holder("vm-a", 4), [SHARE], 10.3)
-    assert state.fencing_token(RUNNER, 10.4) == 5
+    start(state, earlier, 0.0)
+    state.hear_word("a2", 5, 0.5)
+    change(state, later, 1.0)
+    assert state.fencing_token(runner, 1.1) is None
+    state.hear_word("a2", 5, 1.2, is_leaving=True)
+    assert state.fencing_token(runner, 1.3) == 6
 
 
-def test_word_from_an_earlier_holding_does_not_count() -> None:
+def test_neighbours_that_may_have_been_owners_between_are_awaited_too() -> None:
+    earlier, later = make_view(5, "a1", "a2"), make_view(8, "a1", "a3")
+    runner = runner_of("a1", "a2", later, earlier)
+    state = make_state()
+    start(state, earlier, 0.0)
+    change(state, later, 1.0)
+    state.hear_word("a2", 5, 1.1, is_leaving=True)
+    assert state.fencing_token(runner, 1.2) is None
+    state.hear_word("a3", 8, 1.3)
+    assert state.fencing_token(runner, 1.4) == 8
+
+
+def test_word_on_a_newer_view_does_not_count() -> None:
+    """The runner may have been dealt back to the one who says so."""
+    earlier, later = make_view(5, "a2"), make_view(6, "a1", "a2")
+    runner = runner_of("a1", "a2", later, earlier)
     state = make_state()
-    state.hear_release(Holder("vm-a", 3), [SHARE], 9.0)
-    state.renew(holding(5, SHARE), {SHARE: Holder("vm-a", 4)}, 10.0, 10.0)
-    assert state.fencing_token(RUNNER, 10.1) is None
+    state.start_after(earlier.members, 9.0)
+    change(state, later, 10.0)
+    state.hear_word("a2", 7, 10.1)
+    assert state.fencing_token(runner, 10.2) is None
+    change(state, make_view(7, "a1", "a2"), 10.3)
+    assert state.fencing_token(runner, 10.4) == 6
 
 
-def test_share_taken_back_soon_waits_so_that_owners_do_not_take_turns() -> None:
+def test_word_of_leaving_does_not_count_for_a_member_that_is_back() -> None:
+    first, second = make_view(5, "a2"), make_view(6, "a1", "a2")
+    runner = runner_of("a1", "a2", second, first)
     state = make_state()
-    state.resume({SHARE}, 0.0)
-    state.renew(holding(5, SHARE), {}, 1.0, 1.0)
-    assert state.renew(holding(6), {}, 2.0, 2.0) == frozenset({SHARE})
-    state.hear_release(Holder("vm-b", 7), [SHARE], 3.0)
-    state.renew(holding(7, SHARE), {SHARE: Holder("vm-b", 6)}, 3.1, 3.1)
-    assert state.fencing_token(RUNNER, 4.9) is None
-    assert state.fencing_token(RUNNER, 5.1) == 7
+    state.start_after(first.members, 0.0)
+    state.hear_word("a2", 4, 0.1, is_leaving=True)
+    change(state, second, 10.0)
+    assert state.fencing_token(runner, 10.1) is None
+
+
+def test_members_of_other_domains_step_in_late() -> None:
+    earlier, later = make_view(5, "a1", "b1"), make_view(6, "b1")
+    runner = make_runner(1)
+    state = make_state("b1")
+    start(state, earlier, 0.0)
+    for step in range(11):
+        change(state, later, 1.0 + step * 0.99)
+    assert state.fencing_token(runner, 10.95) is None
+    state.renew(6, 11.1, 11.1)
+    assert state.fencing_token(runner, 11.2) == 6
+
+
+def test_runner_taken_back_soon_waits_so_that_owners_do_not_take_turns() -> None:
+    alone, both = make_view(5, "a1"), make_view(6, "a1", "a2")
+    runner = runner_of("a2", "a1", both, alone)
+    state = make_state()
+    start(state, alone, 0.0)
+    change(state, both, 2.0)
+    assert state.fencing_token(runner, 2.1) is None
+    change(state, make_view(7, "a1"), 3.0)
+    state.hear_word("a2", 6, 3.0, is_leaving=True)
+    assert state.fencing_token(runner, 4.9) is None
+    assert state.fencing_token(runner, 5.1) == 7
 
 
 def test_no_orders_after_the_lease_even_if_the_vm_was_suspended() -> None:
-    state = make_state()
-    state.resume({SHARE}, 0.0)
-    state.renew(holding(5, SHARE), {}, 1.0, 1.0)
-    assert state.fencing_token(RUNNER, 4.4) == 5
-    assert state.fencing_token(RUNNER, 4.6) is None
+    state, runner = owned_alone()
+    state.renew(5, 1.0, 1.0)
+    assert state.fencing_token(runner, 4.4) == 5
+    assert state.fencing_token(runner, 4.6) is None
 
 
 def test_owner_whose_lease_ran_out_starts_again_as_a_new_one() -> None:
-    state = make_state()
-    state.resume({SHARE}, 0.0)
-    state.renew(holding(5, SHARE), {}, 1.0, 1.0)
-    state.renew(holding(9, SHARE), {SHARE: Holder("vm-b", 8)}, 20.0, 20.0)
-    assert state.fencing_token(RUNNER, 20.1) is None
+    state, runner = owned_alone()
+    change(state, make_view(9, "a1"), 20.0)
+    state.renew(9, 20.5, 20.5)
+    assert state.fencing_token(runner, 20.6) is None
+
 
+def test_replaced_process_takes_up_its_runners_at_once() -> None:
+    state, runner = owned_alone()
+    assert state.fencing_token(runner, 0.1) == 5
 
-def test_replaced_process_takes_up_its_shares_at_once() -> None:
+
+def test_replaced_process_does_not_take_up_what_others_held() -> None:
+    earlier, later = make_view(5, "a2"), make_view(6, "a1", "a2")
+    runner = runner_of("a1", "a2", later, earlier)
     state = make_state()
-    state.resume({SHARE}, 0.0)
-    state.renew(holding(5, SHARE), {SHARE: Holder("vm-self", 5)}, 0.1, 0.1)
-    assert state.fencing_token(RUNNER, 0.2) == 5
+    state.start_after(earlier.members, 0.0)
+    change(state, later, 0.1)
+    assert state.fencing_token(runner, 0.2) is None
 
 
 def test_replaced_process_orders_nothing_before_it_knows_the_generation() -> None:
     """Replays crashing-requests: orders with token 0 while the store was slow."""
     state = make_state()
-    state.resume({SHARE}, 0.0)
-    assert state.fencing_token(RUNNER, 0.1) is None
-    state.renew(holding(36, SHARE), {}, 0.2, 0.2)
-    assert state.fencing_token(RUNNER, 0.3) == 36
+    state.start_after(make_view(0, "a1").members, 0.0)
+    runner = make_runner(1)
+    assert state.fencing_token(runner, 0.1) is None
+    assert not state.holds(runner, 0.1)
+    change(state, make_view(36, "a1"), 0.2)
+    assert state.fencing_token(runner, 0.3) == 36
 
 
-def test_outage_without_any_change_leaves_the_shares_with_their_owner() -> None:
-    state = make_state()
-    state.resume({SHARE}, 0.0)
-    state.renew(holding(5, SHARE), {}, 1.0, 1.0)
-    assert state.fencing_token(RUNNER, 8.0) is None
-    state.renew(holding(5, SHARE), {}, 9.0, 9.0)
-    assert state.fencing_token(RUNNER, 9.1) == 5
+def test_outage_without_any_change_leaves_the_runners_with_their_owner() -> None:
+    state, runner = owned_alone()
+    state.renew(5, 1.0, 1.0)
+    assert state.fencing_token(runner, 8.0) is None
+    state.renew(5, 9.0, 9.0)
+    assert state.fencing_token(runner, 9.1) == 5
+
+
+def extend(state: OwnershipState, until: float, is_lost_to_all: bool) -> None:
+    """Extend the lease five times a second from 1 s on."""
+    for step in range(int((until - 1.0) * 5) + 1):
+        now = 1.0 + step * 0.2
+        state.extend(now, now + 0.6, is_lost_to_all)
 
 
 def test_lease_is_extended_only_while_it_is_unbroken() -> None:
     """Replays trouble-3: the store was away from every VM for 8 s."""
-    state = make_state()
-    state.resume({SHARE}, 0.0)
-    state.renew(holding(5, SHARE), {}, 1.0, 1.0)
-    for step in range(30):
-        now = 4.0 + step * 0.2
-        state.extend(now, now + 0.6)
-    assert state.fencing_token(RUNNER, 10.0) == 5
-    assert state.fencing_token(RUNNER, 10.9) is None
-    state.extend(11.0, 11.6)
-    assert state.fencing_token(RUNNER, 11.1) is None
-
-
-def test_token_stays_the_same_while_a_share_is_held() -> None:
+    state, runner = owned_alone()
+    state.renew(5, 1.0, 1.0)
+    extend(state, 20.0, is_lost_to_all=True)
+    assert state.fencing_token(runner, 20.1) == 5
+    assert state.fencing_token(runner, 20.9) is None
+    state.extend(21.0, 21.6, is_store_lost_to_all=True)
+    assert state.fencing_token(runner, 21.1) is None
+
+
+def test_domain_without_the_store_keeps_its_runners_until_others_step_in() -> None:
+    """Replays the zone cuts of every standard day: others still reach the store."""
+    state, runner = owned_alone()
+    state.renew(5, 1.0, 1.0)
+    extend(state, 20.0, is_lost_to_all=False)
+    assert state.fencing_token(runner, 10.4) == 5
+    assert state.fencing_token(runner, 10.6) is None
+
+
+def test_lease_on_runners_of_other_domains_is_not_extended() -> None:
+    state = make_state("b1")
+    view = make_view(5, "b1")
+    start(state, view, 0.0)
+    state.renew(5, 1.0, 1.0)
+    extend(state, 9.0, is_lost_to_all=True)
+    assert state.fencing_token(make_runner(1), 4.6) is None
+    assert state.fencing_token(make_runner(1, "b"), 4.6) == 5
+
+
+def test_owner_cut_off_with_its_domain_goes_on_after_the_cut() -> None:
+    """Replays a zone cut: the store dropped the domain, nobody stepped in."""
+    state, runner = owned_alone()
+    state.renew(5, 1.0, 1.0)
+    extend(state, 7.0, is_lost_to_all=False)
+    change(state, make_view(8, "a1", "b1"), 7.1)
+    assert state.fencing_token(runner, 7.2) == 5
+
+
+def test_token_stays_the_same_while_a_runner_is_held() -> None:
     """Replays cuts-and-clocks, seed 555079413649: an order that was held up came late.
 
     The group had changed meanwhile, so its token was lower than its successor's.
     """
-    state = make_state()
-    state.resume({SHARE}, 0.0)
-    state.renew(holding(76, SHARE), {}, 1.0, 1.0)
-    state.renew(holding(77, SHARE), {}, 2.0, 2.0)
-    assert state.fencing_token(RUNNER, 2.1) == 76
+    state, runner = owned_alone()
+    change(state, make_view(6, "a1", "b1"), 2.0)
+    assert state.fencing_token(runner, 2.1) == 5
 
 
 def test_token_of_a_later_holding_is_higher_and_never_goes_down() -> None:
+    alone, both = make_view(8, "a1"), make_view(9, "a1", "a2")
+    runner = runner_of("a2", "a1", both, alone)
+    state = make_state()
+    start(state, alone, 0.0)
+    state.renew(7, 1.0, 1.0)
+    assert state.fencing_token(runner, 2.0) == 8
+    change(state, both, 3.0)
+    state.hear_word("a2", 9, 3.1)
+    change(state, make_view(11, "a1"), 6.5)
+    state.hear_word("a2", 9, 6.6, is_leaving=True)
+    assert state.fencing_token(runner, 6.7) == 11
+
+
+def test_heirs_are_told_who_got_a_runner() -> None:
+    alone, both = make_view(5, "a1"), make_view(6, "a1", "a2")
+    moved = runner_of("a2", "a1", both, alone)
+    kept = runner_of("a1", "a1", both, alone)
+    state = make_state()
+    start(state, alone, 0.0)
+    change(state, both, 1.0)
+    assert state.heirs_of([kept]) == set()
+    assert state.heirs_of([kept, moved]) == {"a2"}
+
+
+def test_member_that_left_is_known_a_while_longer() -> None:
+    """Replays platform_down nodes: VMs dropped by the store learn from peers only."""
     state = make_state()
-    state.resume({SHARE}, 0.0)
-    state.renew(holding(8, SHARE), {}, 1.0, 1.0)
-    state.renew(holding(7, SHARE), {}, 2.0, 2.0)
-    assert state.fencing_token(RUNNER, 2.1) == 8
-    state.renew(holding(9), {}, 3.0, 3.0)
-    state.hear_release(Holder("vm-b", 10), [SHARE], 6.0)
-    state.renew(holding(11, SHARE), {SHARE: Holder("vm-b", 10)}, 6.1, 6.1)
-    assert state.fencing_token(RUNNER, 6.2) == 11
+    start(state, make_view(5, "a1", "a2"), 0.0)
+    change(state, make_view(6, "a1"), 1.0)
+    assert [member.vm for member in state.former_members(2.0)] == ["a2"]
+    assert state.former_members(20.0) == []
--- a/tests/unit/serving/test_small_parts.py
+++ b/tests/unit/serving/test_small_parts.py
@@ -12,10 +12,11 @@
 )
 from gooseberryrun._internal.state import ManualClock, ServingSettings
 from gooseberryrun._internal.state.serving import (
-    Owner,
+    Member,
     RepeatBudget,
     RunnerLoads,
     RunnerView,
+    View,
     failure_share,
 )
 
@@ -82,19 +83,29 @@
     cfg = ServingSettings.model_validate(settings)
     nothing: Any = None
     ctx = make_context(cfg, ManualClock(), nothing, nothing)
-    ctx.owners = {n: Owner(name, "127.0.0.1", 1) for n, name in enumerate(members)}
+    known = tuple(Member(name, "d", "127.0.0.1", 1) for name in members)
+    ctx.ownership.adopt(View(1, known), 0.0)
     return ctx
 
 
 def test_store_counts_as_lost_only_if_every_member_says_so_now() -> None:
     ctx = make_ctx(["vm-a", "vm-b", "vm-c"])
+    peers = ctx.peer_ids()
     ctx.store_views["vm-b"] = StoreView(10.0, has_store=False)
-    assert not ctx.is_store_lost_to_all(10.1)
+    assert not ctx.is_store_lost_to(peers, 10.1)
+    assert ctx.is_store_lost_to(["vm-b"], 10.1)
     ctx.store_views["vm-c"] = StoreView(10.0, has_store=False)
-    assert ctx.is_store_lost_to_all(10.1)
-    assert not ctx.is_store_lost_to_all(12.0)
+    assert ctx.is_store_lost_to(peers, 10.1)
+    assert not ctx.is_store_lost_to(peers, 12.0)
     ctx.store_views["vm-b"] = StoreView(12.0, has_store=True)
     ctx.store_views["vm-c"] = StoreView(9.0, has_store=False, is_leaving=True)
-    assert not ctx.is_store_lost_to_all(12.1)
+    assert not ctx.is_store_lost_to(peers, 12.1)
     ctx.store_views["vm-b"] = StoreView(12.0, has_store=False)
-    assert ctx.is_store_lost_to_all(12.1)
+    assert ctx.is_store_lost_to(peers, 12.1)
+
+
+def test_store_is_not_lost_while_a_vm_that_is_not_listed_reaches_it() -> None:
+    ctx = make_ctx(["vm-a", "vm-b"])
+    ctx.store_views["vm-b"] = StoreView(10.0, has_store=False)
+    ctx.store_views["vm-new"] = StoreView(10.0, has_store=True)
+    assert not ctx.is_store_lost_to(["vm-b"], 10.1)
