Judge peers by their pings; deal no runners to a VM that has just started

Change: a peer is silent once a ping is unanswered for 0.4 s; the predecessor's list comes first, whenever it is read; a VM joins as new, is dealt runners only where no others are, and settles after the time of a turn.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -53,6 +53,7 @@
     loads: RunnerLoads
     suspects: SuspectState
     has_store: bool = True
+    is_new: bool = True
     store_views: dict[str, StoreView] = field(default_factory=dict)
     residency: dict[str, ResidencyNotice] = field(default_factory=dict)
     memories: dict[str, AdapterMemory] = field(default_factory=dict)
@@ -67,7 +68,8 @@
     def own_member(self) -> Member:
         """Return this entry VM as a member of the group."""
         vm = self.cfg.vm
-        return Member(vm.id, vm.domain, str(vm.address), self.cfg.peer.port)
+        address = str(vm.address)
+        return Member(vm.id, vm.domain, address, self.cfg.peer.port, self.is_new)
 
     def members(self) -> dict[str, Member]:
         """Return the members known, this VM included, by id."""
@@ -160,7 +162,7 @@
         ports,
         peers,
         DirectoryState(),
-        OwnershipState(cfg.vm.id, cfg.vm.domain, cfg.membership),
+        OwnershipState(cfg.vm.id, cfg.vm.domain, cfg.membership, clock.boottime()),
         RunnerLoads(),
         SuspectState(CRASHES_TO_REFUSE, SUSPECT_TTL_S),
     )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -136,16 +136,33 @@
                 log_event("members_unread", level="warning", why=read.err_value.detail)
             self._note_lost(read.err_value.detail)
             eventlet.sleep(PREDECESSOR_RETRY_S)
-        is_listed = any(member.vm == self._ctx.vm for member in read.ok_value)
+        is_listed = any(
+            member.vm == self._ctx.vm and not member.is_new for member in read.ok_value
+        )
         log_event("predecessor", members=len(read.ok_value), is_listed=is_listed)
+        self._ctx.is_new = not is_listed
         now = self._ctx.clock.boottime()
         self._ctx.ownership.start_after(read.ok_value, now)
 
     def _renew_all(self) -> None:
+        settled_at = (
+            self._ctx.clock.boottime() + self._ctx.cfg.membership.turn_ms / 1000
+        )
         self._start_after_predecessor()
         while not self._is_left:
             self._renew()
             eventlet.sleep(self._ctx.cfg.membership.renew_interval_s)
+            if self._ctx.is_new and self._ctx.clock.boottime() >= settled_at:
+                self._settle()
+
+    def _settle(self) -> None:
+        """Join as a member that runners are dealt to, in place of the new one."""
+        as_new = self._ctx.own_member
+        self._ctx.is_new = False
+        if self._renew_lease():
+            left = self._ctx.ports.store.leave(as_new)
+            why = left.err_value.detail if isinstance(left, Err) else ""
+            log_event("member_settled", error=why)
 
     def _renew(self) -> None:
         if not self._renew_lease() or not self._ctx.ownership.needs_view():
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -21,12 +21,17 @@
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """Entry VM in the group, with its failure domain and its address for peers."""
+    """Entry VM in the group, with its failure domain and its address for peers.
+
+    One that ``is_new`` has just started: the process before it may have given orders a
+    moment ago, so that owners would take turns if it got runners at once.
+    """
 
     vm: str
     domain: str
     host: str
     port: int
+    is_new: bool = False
 
 
 class View(msgspec.Struct, frozen=True, array_like=True):
@@ -38,10 +43,12 @@
     def in_charge_of(self, domain: str) -> list[Member]:
         """Return the members that runners of a failure domain are dealt to.
 
-        Those of other domains step in only where the domain has none left.
+        Those of other domains step in only where the domain has none left, new ones
+        where there are no others.
         """
         near = [member for member in self.members if member.domain == domain]
-        return near or list(self.members)
+        found = near or list(self.members)
+        return [member for member in found if not member.is_new] or found
 
     def owner_of(self, runner: Runner) -> Member | None:
         """Return the member that a runner is dealt to."""
@@ -92,8 +99,11 @@
     is suspended.
     """
 
-    def __init__(self, vm: str, domain: str, cfg: MembershipSettings) -> None:
+    def __init__(
+        self, vm: str, domain: str, cfg: MembershipSettings, started_at: float
+    ) -> None:
         """Start without a view and without a lease."""
+        self._started_at = started_at
         self._vm = vm
         self._domain = domain
         self._cfg = cfg
@@ -125,7 +135,10 @@
 
         Orders have to wait for the first renewal, which tells the generation.
         """
-        self._append(_Adopted(View(0, tuple(members)), now, is_predecessor=True))
+        listed = _Adopted(View(0, tuple(members)), now, is_predecessor=True)
+        # A peer may have told a view already.
+        self._adopted.insert(0, listed)
+        self._forget_derived()
 
     def adopt(self, view: View, now: float) -> bool:
         """Act by a view from now on; return False if it is not newer."""
@@ -133,13 +146,14 @@
             return False
         for member in self.view.members:
             self._former[member.vm] = (member, now + FORMER_S)
-        self._append(_Adopted(view, now))
+        self._adopted.append(_Adopted(view, now))
+        del self._adopted[:-HISTORY]
+        self._forget_derived()
         self._forget_words(now)
         return True
 
-    def _append(self, adopted: _Adopted) -> None:
-        self._adopted.append(adopted)
-        del self._adopted[:-HISTORY]
+    def _forget_derived(self) -> None:
+        """Forget what was worked out from the views."""
         self._tenures.clear()
         self._owners.clear()
 
@@ -182,8 +196,7 @@
         if had_lease and now > self._deadline() and generation != self.generation:
             # Another VM may have held the runners meanwhile.
             self._adopted.clear()
-            self._tenures.clear()
-            self._owners.clear()
+            self._forget_derived()
         self.generation = max(self.generation, generation)
         self._renewed_at = max(self._renewed_at, asked_at)
         lease_s = self._cfg.lease_s - self._cfg.margin_s
@@ -205,8 +218,7 @@
     def lose(self) -> None:
         """Give up everything at once."""
         self._adopted.clear()
-        self._tenures.clear()
-        self._owners.clear()
+        self._forget_derived()
         self._lease_deadline = float("-inf")
         self._extended_deadline = float("-inf")
 
@@ -301,13 +313,13 @@
             token = self._adopted[first + 1].view.generation
             return _Tenure(begun.at, token, True, None, float("-inf"))
         earlier = range(first - 1, -1, -1)
-        lost_at = next((self._adopted[n + 1].at for n in earlier if owned[n]), None)
+        losses = (self._adopted[n + 1].at for n in earlier if owned[n])
         return _Tenure(
             begun.at,
             begun.view.generation,
             False,
             self._awaited(runner, first),
-            float("-inf") if lost_at is None else lost_at,
+            next(losses, self._started_at),
         )
 
     def _awaited(self, runner: Runner, first: int) -> frozenset[str] | None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
@@ -44,11 +44,13 @@
 )
 from gooseberryrun._internal.state import Clock, NodeSettings, Vm
 
+from ._liveness import Liveness, Verdict
+
 MAX_QUEUED = 10000
 """Messages queued for a peer; more are dropped, oldest first."""
 RECONNECT_S = 0.2
-WATCH_S = 0.25
-"""Time without an answer after which a sign of life is asked for."""
+WATCH_S = 0.1
+"""Pause between looks at the links."""
 KEEPALIVE_S = 5.0
 KEEPALIVE_TIMEOUT_S = 3.0
 
@@ -62,10 +64,15 @@
 @dataclass(slots=True)
 class _Link:
     vm: str
+    liveness: Liveness
     queue: asyncio.Queue[Any] = field(default_factory=asyncio.Queue)
     pending: dict[int, _Pending] = field(default_factory=dict)
-    received_at: float = 0.0
-    silent: bool = False
+
+    @property
+    def oldest_asked_at(self) -> float | None:
+        """Return when the oldest open question was asked."""
+        oldest = next(iter(self.pending.values()), None)
+        return None if oldest is None else oldest.asked_at
 
 
 def _put(queue: asyncio.Queue[Any], envelope: Any) -> None:
@@ -169,7 +176,7 @@
     ) -> Result[PeerMessage, PeerError]:
         """Send a message and wait for the answer; fails early if the link breaks."""
         link = self._link(vm)
-        if link.silent:
+        if link.liveness.is_silent:
             return Err(PeerError(vm, "the peer is silent"))
         number = next(self._ids)
         answered: Event = Event()
@@ -186,7 +193,7 @@
     def _link(self, vm: str) -> _Link:
         link = self._links.get(vm)
         if link is None:
-            link = _Link(vm)
+            link = _Link(vm, Liveness(self._cfg.peer.connect_timeout_s))
             self._links[vm] = link
             spawn_for_awaitable(self._keep_open(link))
         return link
@@ -219,28 +226,14 @@
         while True:
             now = self._clock.monotonic()
             for link in list(self._links.values()):
-                if self._is_overdue(link, now):
-                    self._judge(link, now)
+                verdict = link.liveness.judge(link.oldest_asked_at, now)
+                if verdict is Verdict.SILENT:
+                    log_event("peer_silent", peer=link.vm)
+                    self._fail_pending(link, "the peer is silent")
+                elif verdict is Verdict.PING:
                     _put(link.queue, peer_pb2.Envelope(id=0, kind=kind, body=body))
             eventlet.sleep(WATCH_S)
 
-    def _is_overdue(self, link: _Link, now: float) -> bool:
-        if link.silent:
-            return True
-        oldest = next(iter(link.pending.values()), None)
-        return oldest is not None and now - oldest.asked_at > WATCH_S
-
-    def _judge(self, link: _Link, now: float) -> None:
-        """Fail the questions on a link that has been silent for too long."""
-        if link.silent:
-            return
-        oldest = next(iter(link.pending.values()))
-        heard_at = max(link.received_at, oldest.asked_at)
-        if now - heard_at > self._cfg.peer.connect_timeout_s:
-            link.silent = True
-            log_event("peer_silent", peer=link.vm)
-            self._fail_pending(link, "the peer is silent")
-
     async def _run_link(self, link: _Link, vm: Vm) -> None:
         config = Configuration(
             _keepalive_time=KEEPALIVE_S, _keepalive_timeout=KEEPALIVE_TIMEOUT_S
@@ -276,8 +269,7 @@
     async def _receive(self, link: _Link, stream: Any) -> None:
         async for frame in stream:
             _count_in(frame)
-            link.received_at = self._clock.monotonic()
-            link.silent = False
+            link.liveness.hear(self._clock.monotonic())
             for envelope in frame.envelopes:
                 self._take_answer(link, envelope)
 
--- a/tests/unit/serving/test_ownership.py
+++ b/tests/unit/serving/test_ownership.py
@@ -34,7 +34,7 @@
 
 
 def make_state(vm: str = "a1") -> OwnershipState:
-    return OwnershipState(vm, vm[0], CFG)
+    return OwnershipState(vm, vm[0], CFG, started_at=-10.0)
 
 
 def start(state: OwnershipState, view: View, at: float) -> None:
@@ -194,6 +194,16 @@
     assert state.fencing_token(runner, 0.1) == 5
 
 
+def test_replaced_process_that_hears_of_the_view_first_takes_up_its_runners() -> None:
+    """Replays trouble-3: neighbours told the view before the store listed the VM."""
+    state = make_state()
+    view = make_view(18, "a1")
+    state.adopt(view, 0.0)
+    state.start_after(view.members, 0.1)
+    state.renew(18, 0.2, 0.2)
+    assert state.fencing_token(make_runner(1), 0.3) == 18
+
+
 def test_replaced_process_does_not_take_up_what_others_held() -> None:
     earlier, later = make_view(5, "a2"), make_view(6, "a1", "a2")
     runner = runner_of("a1", "a2", later, earlier)
@@ -292,6 +302,26 @@
     assert state.fencing_token(runner, 6.7) == 11
 
 
+def test_new_process_does_not_take_a_runner_from_its_owner_at_once() -> None:
+    """Replays trouble-3: the process before had ordered 1 s ago, another VM since."""
+    alone, both = make_view(5, "a2"), make_view(6, "a1", "a2")
+    runner = runner_of("a1", "a2", both, alone)
+    state = OwnershipState("a1", "a", CFG, started_at=0.0)
+    state.start_after(alone.members, 0.1)
+    change(state, both, 0.2)
+    state.hear_word("a2", 6, 0.3)
+    assert state.fencing_token(runner, 2.9) is None
+    assert state.fencing_token(runner, 3.1) == 6
+
+
+def test_new_members_get_runners_only_where_there_are_no_others() -> None:
+    new = Member("a1", "a", "h", 1, is_new=True)
+    settled = Member("a2", "a", "h", 1)
+    far = Member("b1", "b", "h", 1)
+    assert View(1, (new, settled, far)).in_charge_of("a") == [settled]
+    assert View(1, (new, far)).in_charge_of("a") == [new]
+
+
 def test_heirs_are_told_who_got_a_runner() -> None:
     alone, both = make_view(5, "a1"), make_view(6, "a1", "a2")
     moved = runner_of("a2", "a1", both, alone)
