Tell new owners what is in use; measure orders' answers and places' turns

Change: VMs repeat their uses to an owner with a new token, which drops nothing for 80 ms; timeouts of orders follow the response times (RFC 6298), 25 to 100 ms; owners measure how often a place becomes free while requests wait, and tell.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -72,7 +72,7 @@
     """Adapters that a runner holds, as its owner knows them.
 
     ``idle`` places could take another adapter at once, ``waiting`` requests wait for
-    an adapter.
+    an adapter; while they do, a place becomes free every ``turn_s``.
     """
 
     runner: str
@@ -81,6 +81,7 @@
     held: dict[str, int]
     idle: int
     waiting: int
+    turn_s: float
 
 
 class CrashReport(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import Runner
+from gooseberryrun._internal.state.serving import DEFAULT_TURN_S, Runner
 
 from .._events import log_event
 from .._serving_messages import (
@@ -47,6 +47,15 @@
     is_missing: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PlaceQueue:
+    """Wait for places of a runner: idle ones, requests waiting, time for each."""
+
+    idle: int
+    waiting: int
+    turn_s: float
+
+
 class Adapters:
     """Beliefs on adapters at runners, and questions to the runners' owners."""
 
@@ -68,12 +77,22 @@
             for name, version in model.adapters.items()
         }
 
-    def queue(self, runner: Runner) -> tuple[int, int]:
-        """Return the idle places of a runner and the requests that wait for one."""
+    def queue(self, runner: Runner) -> PlaceQueue:
+        """Return what is known of the wait for places of a runner."""
         notice = self._ctx.residency.get(runner.id)
         if notice is None or notice.born_ms != runner.born_ms:
-            return 1, 0
-        return notice.idle, notice.waiting
+            return PlaceQueue(1, 0, DEFAULT_TURN_S)
+        return PlaceQueue(notice.idle, notice.waiting, notice.turn_s)
+
+    def hear_residency(self, sender: str, notice: ResidencyNotice) -> None:
+        """Take in what an owner says, and tell a new one what is in use."""
+        known = self._ctx.residency.get(notice.runner)
+        self._ctx.hear_residency(notice)
+        if known is not None and known.fencing_token == notice.fencing_token:
+            return
+        for (runner, adapter), count in self._uses.items():
+            if runner == notice.runner:
+                self._tell(sender, UseNotice(runner, adapter, count))
 
     def was_held(self, runner: Runner, adapter: str) -> bool:
         """Tell whether a runner held an adapter lately, so that it reloads fast."""
@@ -98,8 +117,16 @@
         known = self._ctx.residency.get(runner.id)
         is_same = known is not None and known.born_ms == runner.born_ms
         token = known.fencing_token if known is not None and is_same else 0
-        idle, waiting = self.queue(runner)
-        notice = ResidencyNotice(runner.id, runner.born_ms, token, held, idle, waiting)
+        queue = self.queue(runner)
+        notice = ResidencyNotice(
+            runner.id,
+            runner.born_ms,
+            token,
+            held,
+            queue.idle,
+            queue.waiting,
+            queue.turn_s,
+        )
         self._ctx.note_residency(notice)
 
     def begin_use(self, runner: Runner, adapter: str) -> None:
@@ -117,12 +144,14 @@
     def _tell_use(self, runner: Runner, adapter: str) -> None:
         owner = self._ctx.ownership.owner_of(runner)
         notice = UseNotice(runner.id, adapter, self._uses[(runner.id, adapter)])
-        if owner is None:
-            return
-        if owner.vm == self._ctx.vm:
-            self._owners.hear_use(owner.vm, notice)
+        if owner is not None:
+            self._tell(owner.vm, notice)
+
+    def _tell(self, owner: str, notice: UseNotice) -> None:
+        if owner == self._ctx.vm:
+            self._owners.hear_use(owner, notice)
         else:
-            self._ctx.peers.tell(owner.vm, notice)
+            self._ctx.peers.tell(owner, notice)
 
     def acquire(
         self, runner: Runner, want: AdapterWant, deadline: float
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -24,9 +24,13 @@
     """Tells random peers what this VM has read, sent and seen."""
 
     def __init__(
-        self, ctx: Context, own_residency: Callable[[], list[ResidencyNotice]]
+        self,
+        ctx: Context,
+        own_residency: Callable[[], list[ResidencyNotice]],
+        hear_residency: Callable[[str, ResidencyNotice], None],
     ) -> None:
         self._ctx = ctx
+        self._hear_residency = hear_residency
         self._own_residency = own_residency
         self._rounds = itertools.count()
 
@@ -79,6 +83,6 @@
         ctx.loads.hear(gossip.vm, gossip.views, now)
         ctx.store_views[gossip.vm] = StoreView(now, gossip.has_store)
         for notice in gossip.residency:
-            ctx.hear_residency(notice)
+            self._hear_residency(gossip.vm, notice)
         for report in gossip.crashes:
             ctx.record_crash(report)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -126,7 +126,7 @@
         if job.facts.adapter:
             held = self._adapters.held(runner).get(adapter, -1)
             has_adapter = held >= self._wanted_version(job)
-        idle, waiting = self._adapters.queue(runner)
+        queue = self._adapters.queue(runner)
         return Candidate(
             runner=runner,
             view=self._ctx.loads.total(runner.id, now),
@@ -134,8 +134,9 @@
             has_adapter=has_adapter,
             can_load=self._can_load(job, runner),
             had_adapter=self._adapters.was_held(runner, adapter),
-            idle_places=idle,
-            waiting=waiting,
+            idle_places=queue.idle,
+            waiting=queue.waiting,
+            turn_s=queue.turn_s,
         )
 
     def _can_load(self, job: Job, runner: Runner) -> bool:
@@ -319,6 +320,7 @@
         has_adapter=candidate.has_adapter,
         idle_places=candidate.idle_places,
         waiting=candidate.waiting,
+        turn_s=candidate.turn_s,
     )
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import eventlet
 from result import Err, Ok, Result
 
@@ -18,6 +20,8 @@
 from ._context import Context
 from ._runner_owner import Refused, RunnerOwner
 
+ResidencyListener = Callable[[str, ResidencyNotice], None]
+"""Takes in what an owner, the first argument, says that a runner holds."""
 TELL_S = 0.02
 """Time for which changes are gathered before they are told."""
 CHECK_S = 0.3
@@ -32,6 +36,10 @@
         self._tasks: dict[str, RunnerOwner] = {}
         self._is_closed = False
         self._to_tell: set[str] = set()
+        self.on_residency: ResidencyListener = self._ignore_sender
+
+    def _ignore_sender(self, _vm: str, notice: ResidencyNotice) -> None:
+        self._ctx.hear_residency(notice)
 
     def start(self) -> None:
         """Check in a green thread of its own."""
@@ -154,6 +162,6 @@
             notice = task.residency() if task else None
             if notice is None:
                 continue
-            self._ctx.hear_residency(notice)
+            self.on_residency(self._ctx.vm, notice)
             for peer in self._ctx.peer_ids():
                 self._ctx.peers.tell(peer, notice)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
@@ -330,8 +330,10 @@
         """Read a runner's report."""
 
     @abstractmethod
-    def give_order(self, runner: Runner, order: RunnerOrder) -> OrderOutcome:
-        """Give an order once."""
+    def give_order(
+        self, runner: Runner, order: RunnerOrder, timeout_s: float
+    ) -> OrderOutcome:
+        """Give an order once and wait for its answer at most this long."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -10,7 +10,13 @@
 from eventlet.timeout import Timeout
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import AdapterPlaces, Runner, Step
+from gooseberryrun._internal.state.serving import (
+    AdapterPlaces,
+    PlaceTurns,
+    ResponseTimes,
+    Runner,
+    Step,
+)
 
 from .._events import log_event
 from .._serving_messages import ResidencyNotice
@@ -39,6 +45,8 @@
 """Orders without an answer in a row after which the report is asked."""
 LEAVING_S = 3.0
 """Time for which an adapter that was ordered out is not ordered out again."""
+USES_TOLD_S = 0.08
+"""Time in which a new owner is told what is in use, before it drops adapters."""
 MAX_WAITING = 8
 """Requests that wait for places of one runner."""
 
@@ -95,6 +103,9 @@
         self._arrivals: dict[str, _Arrival] = {}
         self._seq: int | None = None
         self._unanswered = 0
+        self._times = ResponseTimes()
+        self._turns = PlaceTurns()
+        self._evicts_from = float("inf")
         self._doubted: set[str] = set()
         self._report_at = float("-inf")
         self._models: set[str] = set()
@@ -147,6 +158,7 @@
             held,
             self._places.idle_count(now),
             len(self._waiters),
+            round(self._turns.mean_s, 3),
         )
 
     def acquire(
@@ -178,6 +190,7 @@
             return Err(Refused("many_waiting", 1.0))
         waiter = _Waiter(adapter, version, priority, deadline)
         self._waiters.append(waiter)
+        self._turns.note_waiting(now)
         self._on_change()
         self.wake()
         try:
@@ -186,10 +199,15 @@
                 return answer
         finally:
             if waiter in self._waiters:
-                self._waiters.remove(waiter)
+                self._drop_waiter(waiter)
             self._on_change()
         return Err(Refused("too_late", 0.5))
 
+    def _drop_waiter(self, waiter: _Waiter) -> None:
+        self._waiters.remove(waiter)
+        if not self._waiters:
+            self._turns.note_idle()
+
     # The task.
 
     def _run(self) -> None:
@@ -213,9 +231,11 @@
         """Return the time until there is something to do, unless woken."""
         if self._seq is None:
             return UNREAD_PAUSE_S
+        now = self._ctx.clock.monotonic()
+        if self._waiters and now < self._evicts_from:
+            return self._evicts_from - now
         if not self._arrivals:
             return CHECK_INTERVAL_S if self._unanswered else IDLE_CHECK_S
-        now = self._ctx.clock.monotonic()
         check_at = min(arrival.check_at for arrival in self._arrivals.values())
         return max(0.001, check_at - now)
 
@@ -271,6 +291,7 @@
 
     def _refuse_all(self, reason: str) -> None:
         waiters, self._waiters = self._waiters, []
+        self._turns.note_idle()
         for waiter in waiters:
             waiter.answered.send(Err(Refused(reason, 0.5)))
 
@@ -283,12 +304,15 @@
             if waiter.adapter in self._doubted:
                 self._verify(waiter.adapter, token)
             plan = self._places.plan(waiter.adapter, waiter.version, now)
+            if plan.step is Step.EVICT and now < self._evicts_from:
+                continue
             if plan.step is Step.EVICT:
                 if not self._unload(plan.victim, token):
                     continue
                 plan = self._places.plan(waiter.adapter, waiter.version, now)
             if plan.step is Step.LOAD:
                 self._load(waiter.adapter, waiter.version, token)
+                self._turns.note_taken(now)
                 plan = self._places.plan(waiter.adapter, waiter.version, now)
             if plan.step is Step.PRESENT:
                 self._answer(waiter)
@@ -306,7 +330,7 @@
 
     def _answer(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
-            self._waiters.remove(waiter)
+            self._drop_waiter(waiter)
             now = self._ctx.clock.monotonic()
             self._places.promise(waiter.adapter, now + PROMISE_S)
             waiter.answered.send(Ok(self._places.held[waiter.adapter]))
@@ -342,7 +366,12 @@
             return OrderOutcome.REJECTED
         model, _, name = adapter.partition("/")
         order = RunnerOrder(op, model, name, version, self._seq, token)
-        outcome = self._ctx.ports.control.give_order(self._runner, order)
+        timeout_s = self._times.timeout_s
+        asked_at = self._ctx.clock.monotonic()
+        outcome = self._ctx.ports.control.give_order(self._runner, order, timeout_s)
+        took_s = self._ctx.clock.monotonic() - asked_at
+        if outcome is not OrderOutcome.UNKNOWN:
+            self._times.note(took_s)
         log_event(
             "order",
             runner=self._runner.id,
@@ -352,6 +381,7 @@
             seq=self._seq,
             fencing_token=token,
             outcome=outcome,
+            took_s=took_s,
         )
         self._count(op, outcome)
         return outcome
@@ -427,6 +457,7 @@
         }
         coming = dict(report.coming)
         now = self._ctx.clock.monotonic()
+        self._evicts_from = min(self._evicts_from, now + USES_TOLD_S)
         fresh = _Arrival(now, now)
         self._arrivals = {key: self._arrivals.get(key, fresh) for key in coming}
         changed = held != self._places.held
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -34,10 +34,12 @@
         self.follower = DirectoryFollower(ctx)
         self.membership = Membership(ctx)
         self.owners = Owners(ctx)
-        self._gossip = Gossip(ctx, self.owners.residency)
         attempts = Attempts(ctx)
         answers = Answers(ctx)
         adapters = Adapters(ctx, self.owners, self.membership)
+        self._adapters = adapters
+        self._gossip = Gossip(ctx, self.owners.residency, adapters.hear_residency)
+        self.owners.on_residency = adapters.hear_residency
         self.gateway = Gateway(
             ctx,
             attempts,
@@ -76,7 +78,7 @@
         elif isinstance(message, ViewNotice):
             self.membership.hear_view(inbound.sender, message)
         elif isinstance(message, ResidencyNotice):
-            self._ctx.hear_residency(message)
+            self._adapters.hear_residency(inbound.sender, message)
         elif isinstance(message, RenewRequest):
             self.membership.answer_renewal(inbound, message)
         elif isinstance(message, AcquireRequest):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -15,7 +15,15 @@
     expected_first_event_s,
     failure_share,
 )
-from ._places import AdapterMemory, AdapterPlaces, Plan, Step
+from ._places import (
+    DEFAULT_TURN_S,
+    AdapterMemory,
+    AdapterPlaces,
+    PlaceTurns,
+    Plan,
+    Step,
+)
+from ._response_times import ResponseTimes
 from ._routes import (
     ClientLimits,
     Configuration,
@@ -30,6 +38,7 @@
 from ._runners import HeldModel, Runner
 
 __all__ = [
+    "DEFAULT_TURN_S",
     "LOAD_S",
     "PROMPT_TOKENS_PER_S",
     "STEP_S",
@@ -47,8 +56,10 @@
     "Member",
     "ModelSpec",
     "OwnershipState",
+    "PlaceTurns",
     "Plan",
     "RepeatBudget",
+    "ResponseTimes",
     "Route",
     "RouteKind",
     "RouteTable",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -11,6 +11,7 @@
 
 from .._hashing import rank_nodes
 from ._loads import RunnerView
+from ._places import DEFAULT_TURN_S
 from ._runners import Runner
 
 PROMPT_TOKENS_PER_S = 15000.0
@@ -24,8 +25,6 @@
 RANK_S = 0.3
 """Cost of each place further down an adapter's ranking, so that later loads find
 the adapter in the memory of the same runner."""
-PLACE_TURN_S = 0.17
-"""Time after which a place of a runner whose places are all in use becomes idle."""
 FAR_S = 0.03
 """Cost of a runner in another failure domain."""
 FAILURE_S = 2.0
@@ -47,6 +46,7 @@
     had_adapter: bool = False
     idle_places: int = 1
     waiting: int = 0
+    turn_s: float = DEFAULT_TURN_S
     can_load: bool = True
     cached_tokens: int = 0
 
@@ -79,7 +79,7 @@
         return 0.0
     queue = max(0, candidate.waiting + 1 - candidate.idle_places)
     load_s = RELOAD_S if candidate.had_adapter else LOAD_S
-    return load_s + queue * PLACE_TURN_S
+    return load_s + queue * candidate.turn_s
 
 
 def choose_model_runner(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
@@ -13,6 +13,12 @@
 
 HALF_LIFE_S = 20.0
 """Half-life of an adapter's demand."""
+DEFAULT_TURN_S = 0.17
+"""Time after which a place becomes free, before any was seen."""
+MAX_TURN_S = 1.5
+"""Longest time between two places that counts."""
+TURN_WEIGHT = 0.15
+"""Weight of the newest time between two places."""
 MAX_COMING = 4
 """Adapters that a runner fetches at the same time."""
 USE_TTL_S = 30.0
@@ -135,6 +141,35 @@
         return min(self._idle(now), key=lambda key: self.demand(key, now), default="")
 
 
+class PlaceTurns:
+    """Time after which one more place becomes free while requests wait for one.
+
+    Answers demand beyond the places: how long a queue takes depends on how long the
+    requests of the hour hold their adapters.
+    """
+
+    def __init__(self) -> None:
+        self.mean_s = DEFAULT_TURN_S
+        self._since: float | None = None
+
+    def note_waiting(self, now: float) -> None:
+        """Note that a request waits; the first one starts the clock."""
+        if self._since is None:
+            self._since = now
+
+    def note_idle(self) -> None:
+        """Note that no request waits."""
+        self._since = None
+
+    def note_taken(self, now: float) -> None:
+        """Note that a place was taken for a request that waited."""
+        if self._since is None:
+            return
+        turn_s = min(MAX_TURN_S, now - self._since)
+        self.mean_s += TURN_WEIGHT * (turn_s - self.mean_s)
+        self._since = now
+
+
 class AdapterMemory:
     """Adapters that one runner held lately; it loads these again from its memory."""
 
--- /dev/null
+++ b/tests/unit/serving/test_waits.py
@@ -0,0 +1,63 @@
+"""Waits for orders and for places, replayed from the worst load of a day."""
+
+from __future__ import annotations
+
+from gooseberryrun._internal.state.serving import (
+    DEFAULT_TURN_S,
+    Candidate,
+    PlaceTurns,
+    ResponseTimes,
+    Runner,
+    RunnerView,
+    choose_model_runner,
+)
+
+
+def test_unanswered_orders_hold_others_up_only_briefly() -> None:
+    """Replays scale-1: a third of the orders got no answer, each held up for 80 ms."""
+    times = ResponseTimes()
+    assert times.timeout_s == 0.1
+    for took_s in (0.003, 0.005, 0.002, 0.007, 0.003) * 4:
+        times.note(took_s)
+    assert times.timeout_s == 0.025
+
+
+def test_slow_vm_waits_longer_for_its_orders() -> None:
+    times = ResponseTimes()
+    for took_s in (0.02, 0.05, 0.03, 0.06) * 5:
+        times.note(took_s)
+    assert 0.06 < times.timeout_s <= 0.1
+
+
+def test_turns_of_places_are_learnt_while_requests_wait() -> None:
+    """Replays trouble-3: three runners left, chats held their places for 3 s."""
+    turns = PlaceTurns()
+    turns.note_waiting(10.0)
+    for n in range(1, 31):
+        turns.note_taken(10.0 + 0.5 * n)
+    assert 0.45 < turns.mean_s < 0.51
+
+
+def test_idle_times_do_not_count_as_turns() -> None:
+    turns = PlaceTurns()
+    turns.note_taken(5.0)
+    turns.note_waiting(6.0)
+    turns.note_idle()
+    turns.note_waiting(60.0)
+    turns.note_taken(60.0)
+    assert turns.mean_s < DEFAULT_TURN_S
+
+
+def test_slow_turns_make_a_queue_too_long() -> None:
+    def candidate(name: str, turn_s: float) -> Candidate:
+        runner = Runner(name, "s", "h", 1, "a", 64, False, 1, 0, ())
+        view = RunnerView(6, 0, 5, 0, 1.0)
+        return Candidate(
+            runner, view, True, has_adapter=False, idle_places=0, waiting=2,
+            turn_s=turn_s, had_adapter=True,
+        )  # fmt: skip
+
+    choice = choose_model_runner([candidate("x", 0.6), candidate("y", 0.15)], "m/a", 9)
+    assert choice is not None
+    assert choice.candidate.runner.id == "y"
+    assert choice.expected_s < 1.0
