Let patient requests wait longer for a place

Change: longest expected wait 2.2 times the target instead of 1.5, 12 waiting a runner instead of 8, 36 adapters remembered instead of 30.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -30,7 +30,7 @@
 MAX_WAIT_SHARE = 0.6
 """Share of the time left that may pass before the first event; a request that would
 wait longer is refused at once."""
-MAX_LATENESS = 1.5
+MAX_LATENESS = 2.2
 """Longest expected wait as a multiple of the route's target latency: under overload,
 short queues serve most requests in time where long ones make all of them late."""
 MIN_SLOWNESS_SAMPLE_S = 0.03
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -47,7 +47,7 @@
 """Time for which an adapter that was ordered out is not ordered out again."""
 USES_TOLD_S = 0.08
 """Time in which a new owner is told what is in use, before it drops adapters."""
-MAX_WAITING = 8
+MAX_WAITING = 12
 """Requests that wait for places of one runner."""
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_places.py
@@ -23,7 +23,7 @@
 """Adapters that a runner fetches at the same time."""
 USE_TTL_S = 30.0
 """Age up to which a VM's count of requests on an adapter holds."""
-MAX_REMEMBERED = 30
+MAX_REMEMBERED = 36
 """Adapters that a runner is taken to keep in its memory."""
 MAX_TRACKED = 400
 """Adapters whose demand is remembered."""
