Let the holder of a runner hand over the right to it; serve more metrics

A zone had been cut off. Its first VM back was dealt a runner that the second one still held in its extended lease; a third came, was dealt it next, and gave its word that it acted by the next view; that word ended the wait of the first. A word of an owner that never held the right proves nothing. Change: the right to give orders is one thing that its holder hands to the member that the view deals the runner to, or that a new owner takes after every earlier lease has run out. Handovers by a newer view wait for it, old ones do not count, those that arrive too late are passed on. A view read before the own seat is listed is not adopted. Tests replay the fault. Metrics: time served by kind and status, orders by outcome, calls to the store, lease left, members, runners owned, configuration in force.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -11,6 +11,25 @@
     PREFIX + "requests", "Requests answered, by route and status", ["route", "status"]
 )
 REFUSALS = Counter(PREFIX + "refusals", "Refusals, by code", ["code"])
+SERVED_SECONDS = Histogram(
+    PREFIX + "served_seconds",
+    "Time from a request read to the end of its answer, by kind and status class",
+    ["kind", "status"],
+    buckets=_SECONDS,
+)
+ORDERS = Counter(PREFIX + "orders", "Orders to runners, by outcome", ["op", "outcome"])
+ORDER_SECONDS = Histogram(
+    PREFIX + "order_seconds", "Time until an order was answered", buckets=_SECONDS
+)
+STORE_CALLS = Counter(
+    PREFIX + "store_calls", "Calls to the operators' store", ["call", "outcome"]
+)
+LEASE_LEFT = Gauge(PREFIX + "lease_left_seconds", "Time left at the last renewal")
+VIEW_MEMBERS = Gauge(PREFIX + "view_members", "Entry VMs in the view in force")
+RUNNERS_OWNED = Gauge(PREFIX + "runners_owned", "Model runners that this VM owns")
+CONFIGURATION_VERSION = Gauge(
+    PREFIX + "configuration_version", "Version of the configuration in force"
+)
 LOAD_STALL = Histogram(
     PREFIX + "load_stall_seconds",
     "Time requests waited for an adapter to arrive",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -7,6 +7,7 @@
     Member,
     RunnerView,
     Topic,
+    View,
 )
 
 from ._message_base import Message
@@ -47,14 +48,23 @@
 
 
 class ViewNotice(Message, frozen=True, array_like=True):
-    """The sender acts by the view of this generation, or by none if it is leaving.
+    """View that the sender has read from the store, passed on."""
 
-    Without ``members`` it only says so; with them it passes the view on.
+    view: View
+
+
+class HandoverNotice(Message, frozen=True, array_like=True):
+    """The sender gives no more orders to these runners, by the view of a generation.
+
+    The member to which that view deals them may, once it acts by it.
     """
 
+    runners: list[str]
     generation: int
-    members: tuple[Member, ...] = ()
-    is_leaving: bool = False
+
+
+class LeavingNotice(Message, frozen=True, array_like=True):
+    """The sender is leaving the group, or has just left it."""
 
 
 class RenewRequest(Message, frozen=True, array_like=True):
@@ -128,6 +138,8 @@
     | AcquireAnswer
     | UseNotice
     | ViewNotice
+    | HandoverNotice
+    | LeavingNotice
     | RenewRequest
     | RenewAnswer
     | ResidencyNotice
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_answers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_answers.py
@@ -5,7 +5,7 @@
 import random
 
 from .._events import log_event
-from .._metrics import REFUSALS
+from .._metrics import REFUSALS, SERVED_SECONDS
 from ._context import Context
 from ._job import Job, OwnAnswer
 from ._ports import Headers, RunnerAnswer
@@ -81,6 +81,9 @@
         """Log the end of a request, once."""
         job.is_answered = True
         now = self._ctx.clock.monotonic()
+        took_s = now - job.request.read_at
+        status_class = f"{status // 100}xx" if status else "cut"
+        SERVED_SECONDS.labels(kind=job.route.kind, status=status_class).observe(took_s)
         log_event(
             "request",
             request=job.facts.request_id,
@@ -89,7 +92,7 @@
             adapter=job.facts.adapter,
             status=status,
             reason=reason,
-            took_s=now - job.request.read_at,
+            took_s=took_s,
             left_s=job.deadline - now,
             sends=job.sends,
             attempts=job.attempts,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -8,6 +8,7 @@
 from gooseberryrun._internal.state.serving import DirectoryRecord, Topic
 
 from .._events import log_event
+from .._metrics import CONFIGURATION_VERSION, STORE_CALLS
 from .._ports import Inbound
 from .._serving_messages import DirectoryReply, DirectoryRequest
 from ._context import Context
@@ -73,6 +74,8 @@
         else:
             wait_s = self._ctx.cfg.store.poll_wait_s
             read = store.read_changes(topic, directory.ends[topic], wait_s)
+        outcome = read.err_value.kind if isinstance(read, Err) else "ok"
+        STORE_CALLS.labels(call=f"read_{topic}", outcome=outcome).inc()
         if isinstance(read, Err):
             return read.err_value
         self._note_regained(topic)
@@ -161,6 +164,8 @@
 
     def _log_news(self, news: list[DirectoryRecord], source: str) -> None:
         for record in news:
+            if record.configuration is not None:
+                CONFIGURATION_VERSION.set(record.configuration.version)
             log_event(
                 "record_applied",
                 topic=record.topic,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import eventlet
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import View
+from gooseberryrun._internal.state.serving import Member, View
 
 from .._events import log_event
+from .._metrics import LEASE_LEFT, STORE_CALLS, VIEW_MEMBERS
 from .._ports import Inbound
-from .._serving_messages import RenewAnswer, RenewRequest, ViewNotice
+from .._serving_messages import (
+    HandoverNotice,
+    LeavingNotice,
+    RenewAnswer,
+    RenewRequest,
+    ViewNotice,
+)
 from ._context import STORE_VIEW_S, Context, StoreView
 from ._ports import StoreFault
 
@@ -27,6 +34,8 @@
 RELAYS = 2
 """Members that are asked to renew for one that cannot reach the store."""
 RELAY_TIMEOUT_S = 0.4
+MAX_UNLISTED_READS = 20
+"""Readings in a row that may lack this VM before one is believed."""
 FAR_TOLD = 2
 """Members of other failure domains that a view read from the store is passed on to."""
 
@@ -39,6 +48,7 @@
         self._is_lost = False
         self._is_left = False
         self._is_renewal_due = False
+        self._unlisted_reads = 0
         self.on_change: Callable[[], None] = lambda: None
 
     def start(self) -> None:
@@ -60,16 +70,26 @@
 
     def leave(self) -> None:
         """Give every runner up and leave the group."""
+        ctx = self._ctx
         self._is_left = True
-        peers = self._ctx.peer_ids()
-        generation = self._ctx.ownership.view.generation
-        self._ctx.ownership.lose()
-        notice = ViewNotice(generation, is_leaving=True)
-        self._tell(peers, notice)
-        left = self._ctx.ports.store.leave(self._ctx.own_member)
+        peers = ctx.peer_ids()
+        generation = ctx.ownership.view.generation
+        runners = ctx.directory.all_runners()
+        given = ctx.ownership.leave(runners, ctx.clock.boottime())
+        self._tell(peers, LeavingNotice())
+        left = ctx.ports.store.leave(ctx.own_member)
         why = left.err_value.detail if isinstance(left, Err) else ""
         log_event("group_left", error=why)
-        self._tell(peers, notice)
+        if isinstance(left, Err):
+            # The next process on this VM may still be listed, and take them up again.
+            return
+        self._hand_over(given, generation + 1)
+        self._tell(peers, LeavingNotice())
+
+    def _hand_over(self, given: dict[str, list[str]], generation: int) -> None:
+        for vm, runners in given.items():
+            log_event("handed_over", to=vm, runners=",".join(runners))
+            self._ctx.peers.tell(vm, HandoverNotice(runners, generation))
 
     def renew_soon(self) -> None:
         """Renew in a moment, to learn of a change that others know of."""
@@ -85,46 +105,72 @@
             self._is_renewal_due = False
 
     def hear_view(self, vm: str, notice: ViewNotice) -> None:
-        """Take in by which view a member acts."""
+        """Take in a view that a member has read."""
+        if self._ctx.has_store and not self._is_listed(notice.view.members):
+            # This VM is about to be listed again: it only has to renew.
+            self.renew_soon()
+            return
+        self._adopt(notice.view, f"peer:{vm}")
+
+    def hear_handover(self, vm: str, notice: HandoverNotice) -> None:
+        """Take in rights to runners, or pass them on to whom they are dealt now."""
         ctx = self._ctx
-        ctx.ownership.hear_word(
-            vm, notice.generation, ctx.clock.boottime(), notice.is_leaving
+        now = ctx.clock.boottime()
+        ctx.ownership.hear_handover(notice.runners, notice.generation, now)
+        log_event(
+            "handover_heard",
+            peer=vm,
+            runners=",".join(notice.runners),
+            generation=notice.generation,
+            own_generation=ctx.ownership.view.generation,
         )
-        if notice.is_leaving:
-            heard_at = ctx.clock.monotonic()
-            ctx.store_views[vm] = StoreView(heard_at, False, is_leaving=True)
-            self.renew_soon()
-        if notice.members:
-            self._adopt(View(notice.generation, notice.members), f"peer:{vm}")
         if notice.generation > ctx.ownership.view.generation:
             self.renew_soon()
+        else:
+            self._hand_over_moved()
         self.on_change()
 
+    def hear_leaving(self, vm: str) -> None:
+        """Take in that a member is leaving, and look for the view without it."""
+        heard_at = self._ctx.clock.monotonic()
+        self._ctx.store_views[vm] = StoreView(heard_at, False, is_leaving=True)
+        self.renew_soon()
+
     def _adopt(self, view: View, source: str) -> None:
-        """Act by a view from now on, and say so to those who may wait for that."""
+        """Act by a view from now on, and hand over what it deals to others."""
         ctx = self._ctx
         if not ctx.ownership.adopt(view, ctx.clock.boottime()):
             return
+        VIEW_MEMBERS.set(len(view.members))
         log_event(
             "view_adopted",
             generation=view.generation,
             members=len(view.members),
             source=source,
         )
-        heirs = ctx.ownership.heirs_of(ctx.directory.all_runners())
-        self._tell({*ctx.near_peer_ids(), *heirs}, ViewNotice(view.generation))
+        self._hand_over_moved()
         self.on_change()
 
-    def _tell(self, vms: list[str] | set[str], notice: ViewNotice) -> None:
+    def _hand_over_moved(self) -> None:
+        """Hand over the rights to runners that are dealt to others now."""
+        ownership = self._ctx.ownership
+        runners = self._ctx.directory.all_runners()
+        given = ownership.hand_over(runners, self._ctx.clock.boottime())
+        self._hand_over(given, ownership.view.generation)
+
+    def _is_listed(self, members: Iterable[Member]) -> bool:
+        return any(member.vm == self._ctx.vm for member in members)
+
+    def _tell(self, vms: Iterable[str], message: ViewNotice | LeavingNotice) -> None:
         for vm in vms:
-            self._ctx.peers.tell(vm, notice)
+            self._ctx.peers.tell(vm, message)
 
     def _pass_on(self, view: View) -> None:
         """Spare neighbours and a few others the reading of the view."""
         near = self._ctx.near_peer_ids()
         far = [vm for vm in self._ctx.peer_ids() if vm not in near]
         some = random.sample(far, min(FAR_TOLD, len(far)))
-        self._tell([*near, *some], ViewNotice(view.generation, view.members))
+        self._tell([*near, *some], ViewNotice(view))
 
     def _start_after_predecessor(self) -> None:
         """Find what the process before this one held on this VM.
@@ -186,6 +232,9 @@
             self._is_lost = False
             log_event("membership_regained", lease_left_s=self._lease_left_s())
         ctx.has_store = isinstance(renewed, Ok)
+        outcome = "lost" if not ctx.has_store else "relayed" if self._is_lost else "ok"
+        STORE_CALLS.labels(call="renew", outcome=outcome).inc()
+        LEASE_LEFT.set(self._lease_left_s())
         if isinstance(renewed, Err) or self._is_left:
             return False
         ctx.ownership.renew(renewed.ok_value, asked_at, ctx.clock.boottime())
@@ -252,9 +301,14 @@
             return True
         if ownership.generation != generation:
             return False
-        view = View(
-            generation, tuple(sorted(read.ok_value, key=lambda member: member.vm))
-        )
+        members = sorted(read.ok_value, key=lambda member: (member.vm, member.is_new))
+        if not self._is_listed(members) and self._unlisted_reads < MAX_UNLISTED_READS:
+            # A member is listed once it has a seat, a moment after it has joined.
+            self._unlisted_reads += 1
+            self.renew_soon()
+            return True
+        self._unlisted_reads = 0
+        view = View(generation, tuple(members))
         self._adopt(view, "store")
         self._pass_on(view)
         return True
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -10,6 +10,7 @@
 from gooseberryrun._internal.state.serving import Runner
 
 from .._events import log_event
+from .._metrics import RUNNERS_OWNED
 from .._ports import Inbound
 from .._serving_messages import (
     AcquireAnswer,
@@ -116,6 +117,7 @@
         for runner_id, runner in wanted.items():
             if runner_id not in self._tasks:
                 self._open(runner)
+        RUNNERS_OWNED.set(len(self._tasks))
 
     def _owned_runners(self) -> list[Runner]:
         now = self._ctx.clock.boottime()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -21,6 +21,7 @@
 )
 
 from .._events import log_event
+from .._metrics import ORDER_SECONDS, ORDERS
 from .._serving_messages import AcquireRequest, ResidencyNotice
 from ._context import Context
 from ._ports import OrderOp, OrderOutcome, RunnerOrder, RunnerReport
@@ -364,8 +365,10 @@
         asked_at = self._ctx.clock.monotonic()
         outcome = self._ctx.ports.control.give_order(self._runner, order, timeout_s)
         took_s = self._ctx.clock.monotonic() - asked_at
+        ORDERS.labels(op=op, outcome=outcome).inc()
         if outcome is not OrderOutcome.UNKNOWN:
             self._times.note(took_s)
+            ORDER_SECONDS.observe(took_s)
         log_event(
             "order",
             runner=self._runner.id,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -7,6 +7,8 @@
 from .._serving_messages import (
     AcquireRequest,
     DirectoryRequest,
+    HandoverNotice,
+    LeavingNotice,
     RenewRequest,
     ResidencyNotice,
     ServingGossip,
@@ -77,6 +79,10 @@
             self.owners.hear_use(inbound.sender, message)
         elif isinstance(message, ViewNotice):
             self.membership.hear_view(inbound.sender, message)
+        elif isinstance(message, HandoverNotice):
+            self.membership.hear_handover(inbound.sender, message)
+        elif isinstance(message, LeavingNotice):
+            self.membership.hear_leaving(inbound.sender)
         elif isinstance(message, ResidencyNotice):
             self._adapters.hear_residency(inbound.sender, message)
         elif isinstance(message, RenewRequest):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -12,12 +13,12 @@
 from .._serving_settings import MembershipSettings
 from ._runners import Runner
 
-HISTORY = 16
-"""Adopted views that are remembered."""
+HISTORY = 32
+"""Adopted views that are remembered; neighbours with the same members are one."""
 FORMER_S = 12.0
 """Time for which a member that left the view is still told what happens."""
-LEAVING_S = 2.0
-"""Time in which a member that said it is leaving has left the view."""
+HANDOVER_S = 3.0
+"""Age up to which a handover counts: less than the wait of an owner without one."""
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
@@ -59,44 +60,42 @@
 
 @dataclass(frozen=True, slots=True)
 class _Adopted:
-    """View with the time of its adoption; that of a former process has no orders."""
+    """View with the time of its adoption; that of a former process has no orders.
+
+    ``first_generation`` is that of the first view with these members in a row.
+    """
 
     view: View
+    first_generation: int
     at: float
     is_predecessor: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class _Word:
-    """Generation of the view that a member last said it acts by."""
+class _Handover:
+    """Right to give orders to a runner, handed over by its holder."""
 
     generation: int
     heard_at: float
-    is_leaving: bool
 
 
 @dataclass(frozen=True, slots=True)
 class _Tenure:
-    """Unbroken ownership of a runner by this VM.
-
-    ``awaited`` are the VMs whose word ends the wait, None if they are not known.
-    """
+    """Time since which, and generation from which on, a runner is dealt to this VM."""
 
     since: float
-    fencing_token: int
-    is_resumed: bool
-    awaited: frozenset[str] | None
-    lost_at: float
+    generation: int
 
 
 class OwnershipState:
     """Lease on the runners that the members' view deals to this VM.
 
-    Every member works the owner of a runner out from the same view. A new owner waits
-    until every earlier lease has surely run out, or until those who could hold one say
-    that they act by its view. Its fencing token is the generation of the view that
-    dealt it the runner. All times are seconds on a clock that also counts while the VM
-    is suspended.
+    Every member works the owner of a runner out from the same view, but only the one
+    that holds the right to it gives orders. The holder hands the right over when the
+    view deals the runner to another member. A new owner that gets no handover takes the
+    right once every earlier lease has surely run out. The fencing token is the
+    generation of the view by which the right came. All times are seconds on a clock
+    that also counts while the VM is suspended.
     """
 
     def __init__(
@@ -109,10 +108,11 @@
         self._cfg = cfg
         self._turn_s = cfg.turn_ms / 1000
         self._adopted: list[_Adopted] = []
-        self._words: dict[str, _Word] = {}
         self._former: dict[str, tuple[Member, float]] = {}
-        self._tenures: dict[str, _Tenure | None] = {}
         self._owners: dict[str, Member | None] = {}
+        self._rights: dict[str, int] = {}
+        self._handovers: dict[str, _Handover] = {}
+        self._lost_at: dict[str, float] = {}
         self._renewed_at = float("-inf")
         self._lease_deadline = float("-inf")
         self._extended_deadline = float("-inf")
@@ -135,10 +135,10 @@
 
         Orders have to wait for the first renewal, which tells the generation.
         """
-        listed = _Adopted(View(0, tuple(members)), now, is_predecessor=True)
+        listed = _Adopted(View(0, tuple(members)), 0, now, is_predecessor=True)
         # A peer may have told a view already.
         self._adopted.insert(0, listed)
-        self._forget_derived()
+        self._owners.clear()
 
     def adopt(self, view: View, now: float) -> bool:
         """Act by a view from now on; return False if it is not newer."""
@@ -146,24 +146,17 @@
             return False
         for member in self.view.members:
             self._former[member.vm] = (member, now + FORMER_S)
-        self._adopted.append(_Adopted(view, now))
-        del self._adopted[:-HISTORY]
-        self._forget_derived()
-        self._forget_words(now)
-        return True
-
-    def _forget_derived(self) -> None:
-        """Forget what was worked out from the views."""
-        self._tenures.clear()
-        self._owners.clear()
-
-    def _forget_words(self, now: float) -> None:
-        """Forget words of leaving by members that are back."""
-        for member in self.view.members:
+        for member in view.members:
             self._former.pop(member.vm, None)
-            word = self._words.get(member.vm)
-            if word and word.is_leaving and now - word.heard_at > LEAVING_S:
-                del self._words[member.vm]
+        last = self._adopted[-1] if self._adopted else None
+        if last and last.view.members == view.members and not last.is_predecessor:
+            first_generation = last.first_generation
+            self._adopted[-1] = _Adopted(view, first_generation, last.at)
+        else:
+            self._adopted.append(_Adopted(view, view.generation, now))
+            del self._adopted[:-HISTORY]
+        self._owners.clear()
+        return True
 
     def former_members(self, now: float) -> list[Member]:
         """Return the members that left the view a short time ago."""
@@ -176,17 +169,79 @@
             self._owners[runner.id] = self.view.owner_of(runner)
         return self._owners[runner.id]
 
-    def heirs_of(self, runners: Iterable[Runner]) -> set[str]:
-        """Return the VMs that the last change of the view gave this VM's runners to."""
-        if len(self._adopted) < 2:
-            return set()
-        before = self._adopted[-2].view
-        heirs = set()
+    # Handing over.
+
+    def hand_over(self, runners: Iterable[Runner], now: float) -> dict[str, list[str]]:
+        """Give up the rights to runners that are dealt to others; return them by VM.
+
+        Rights that were handed to this VM by mistake are among them.
+        """
+        self._forget_old(now)
+        given: dict[str, list[str]] = defaultdict(list)
         for runner in runners:
             owner = self.owner_of(runner)
-            if owner is not None and self._is_own(before, runner):
-                heirs.add(owner.vm)
-        return heirs - {self._vm}
+            if owner is None or owner.vm == self._vm:
+                continue
+            if self._give_up(runner, now):
+                given[owner.vm].append(runner.id)
+        return dict(given)
+
+    def _forget_old(self, now: float) -> None:
+        """Forget what can have no effect any more."""
+        lost_since = now - self._turn_s
+        heard_since = lost_since - HANDOVER_S
+        self._lost_at = {r: at for r, at in self._lost_at.items() if at > lost_since}
+        self._handovers = {
+            runner: handover
+            for runner, handover in self._handovers.items()
+            if handover.heard_at > heard_since
+        }
+
+    def _give_up(self, runner: Runner, now: float) -> bool:
+        """Drop the right to a runner; return whether there was one to hand over."""
+        is_held = runner.id in self._rights and now < self._deadline_for(runner)
+        if is_held:
+            self._lost_at[runner.id] = now
+        self._rights.pop(runner.id, None)
+        handover = self._handovers.get(runner.id)
+        is_due = handover and handover.generation <= self.view.generation
+        if handover is None or not is_due:
+            return is_held
+        del self._handovers[runner.id]
+        return is_held or now - handover.heard_at < HANDOVER_S
+
+    def leave(self, runners: Iterable[Runner], now: float) -> dict[str, list[str]]:
+        """Give up everything; return the runners by the VMs they are dealt to then."""
+        rest = View(
+            self.view.generation + 1,
+            tuple(member for member in self.view.members if member.vm != self._vm),
+        )
+        given: dict[str, list[str]] = defaultdict(list)
+        for runner in runners:
+            heir = rest.owner_of(runner)
+            if self._give_up(runner, now) and heir is not None:
+                given[heir.vm].append(runner.id)
+        self._adopted.clear()
+        self._owners.clear()
+        self._rights.clear()
+        self._lease_deadline = float("-inf")
+        self._extended_deadline = float("-inf")
+        return dict(given)
+
+    def hear_handover(
+        self, runners: Iterable[str], generation: int, now: float
+    ) -> None:
+        """Take in rights that their holder gave up by a view of this generation."""
+        if generation < self._generation_at(now - HANDOVER_S):
+            # Held up on the way; another member may have waited for its turn since.
+            return
+        for runner in runners:
+            self._handovers[runner] = _Handover(generation, now)
+
+    def _generation_at(self, at: float) -> int:
+        """Return the generation up to which the view at a time may have been older."""
+        earlier = [a.first_generation for a in self._adopted if a.at <= at]
+        return earlier[-1] if earlier else 0
 
     # The lease.
 
@@ -196,7 +251,9 @@
         if had_lease and now > self._deadline() and generation != self.generation:
             # Another VM may have held the runners meanwhile.
             self._adopted.clear()
-            self._forget_derived()
+            self._owners.clear()
+            self._rights.clear()
+            self._handovers.clear()
         self.generation = max(self.generation, generation)
         self._renewed_at = max(self._renewed_at, asked_at)
         lease_s = self._cfg.lease_s - self._cfg.margin_s
@@ -215,19 +272,6 @@
             until = min(until, latest)
         self._extended_deadline = max(self._extended_deadline, until)
 
-    def lose(self) -> None:
-        """Give up everything at once."""
-        self._adopted.clear()
-        self._forget_derived()
-        self._lease_deadline = float("-inf")
-        self._extended_deadline = float("-inf")
-
-    def hear_word(
-        self, vm: str, generation: int, now: float, is_leaving: bool = False
-    ) -> None:
-        """Take in the word of a member that it acts by a view, or by none any more."""
-        self._words[vm] = _Word(generation, now, is_leaving)
-
     def _deadline(self) -> float:
         return max(self._lease_deadline, self._extended_deadline)
 
@@ -249,15 +293,17 @@
     def fencing_token(self, runner: Runner, now: float) -> int | None:
         """Return the token for an order sent now, None if none may be sent.
 
-        It stays the same while the runner is held, so that an order that is held up on
+        It stays the same while the right is held, so that an order that is held up on
         the way does not arrive with a lower one than its successor.
         """
         if now >= self._deadline_for(runner):
             return None
         tenure = self._tenure(runner)
-        if tenure is None or not self._may_order(runner, tenure, now):
+        if tenure is None:
             return None
-        return tenure.fencing_token
+        if runner.id not in self._rights:
+            self._take_right(runner, tenure, now)
+        return self._rights.get(runner.id)
 
     def orders_in_s(self, runner: Runner, now: float) -> float:
         """Return the longest time until orders to a runner are allowed."""
@@ -266,71 +312,56 @@
             return 0.0
         return max(0.0, tenure.since + self._wait_s(runner) - now)
 
-    def _may_order(self, runner: Runner, tenure: _Tenure, now: float) -> bool:
+    def _take_right(self, runner: Runner, tenure: _Tenure, now: float) -> None:
+        if self._is_resumed(runner):
+            self._rights[runner.id] = tenure.generation
+            return
         # A VM that takes a runner back soon would take turns with the owner between.
-        if now < tenure.lost_at + self._turn_s:
-            return False
-        if tenure.is_resumed or self._is_released(tenure):
-            return True
+        lost_at = self._lost_at.get(runner.id, self._started_at)
+        if now < lost_at + self._turn_s:
+            return
+        if self._has_handover(runner, now):
+            del self._handovers[runner.id]
+            self._rights[runner.id] = self.view.generation
         # A renewal after the wait shows that this VM's view is still the newest.
-        return self._renewed_at >= tenure.since + self._wait_s(runner)
-
-    def _wait_s(self, runner: Runner) -> float:
-        is_near = runner.domain == self._domain
-        return self._cfg.lease_s if is_near else self._cfg.outside_s
+        elif self._renewed_at >= tenure.since + self._wait_s(runner):
+            self._rights[runner.id] = tenure.generation
 
-    def _is_released(self, tenure: _Tenure) -> bool:
-        """Tell whether all that could hold a lease act by a view without it.
+    def _has_handover(self, runner: Runner, now: float) -> bool:
+        """Tell whether a handover by this view or an earlier one has just come.
 
-        A word on a view newer than this VM's own may mean that the runner was dealt
-        anew: it does not count.
+        One by a newer view may be meant for another member: it has to wait.
         """
-        if tenure.awaited is None:
+        handover = self._handovers.get(runner.id)
+        if handover is None or handover.generation > self.view.generation:
             return False
-        words = [self._words.get(vm) for vm in tenure.awaited]
-        return all(word is not None and self._covers(word, tenure) for word in words)
+        # The turn with the owner between may have to pass first.
+        return now - handover.heard_at < HANDOVER_S + self._turn_s
 
-    def _covers(self, word: _Word, tenure: _Tenure) -> bool:
-        if word.is_leaving:
-            return True
-        return tenure.fencing_token <= word.generation <= self.view.generation
-
-    def _tenure(self, runner: Runner) -> _Tenure | None:
-        if runner.id not in self._tenures:
-            self._tenures[runner.id] = self._work_out_tenure(runner)
-        return self._tenures[runner.id]
+    def _wait_s(self, runner: Runner) -> float:
+        is_near = runner.domain == self._domain
+        return self._cfg.lease_s if is_near else self._cfg.outside_s
 
-    def _work_out_tenure(self, runner: Runner) -> _Tenure | None:
-        """Find in the adopted views since when this VM owns a runner."""
+    def _is_resumed(self, runner: Runner) -> bool:
+        """Tell whether the process before this one held a runner to its end."""
         owned = [self._is_own(adopted.view, runner) for adopted in self._adopted]
-        if not owned or not owned[-1] or self._adopted[-1].is_predecessor:
+        return all(owned) and self._adopted[0].is_predecessor
+
+    def _tenure(self, runner: Runner) -> _Tenure | None:
+        """Find in the adopted views since when a runner is dealt to this VM."""
+        owner = self.owner_of(runner)
+        if owner is None or owner.vm != self._vm:
+            return None
+        if self._adopted[-1].is_predecessor:
             return None
-        first = len(owned) - 1
-        while first > 0 and owned[first - 1]:
+        first = len(self._adopted) - 1
+        while first > 0 and self._is_own(self._adopted[first - 1].view, runner):
             first -= 1
+            if self._adopted[first].is_predecessor:
+                first += 1
+                break
         begun = self._adopted[first]
-        if begun.is_predecessor:
-            token = self._adopted[first + 1].view.generation
-            return _Tenure(begun.at, token, True, None, float("-inf"))
-        earlier = range(first - 1, -1, -1)
-        losses = (self._adopted[n + 1].at for n in earlier if owned[n])
-        return _Tenure(
-            begun.at,
-            begun.view.generation,
-            False,
-            self._awaited(runner, first),
-            next(losses, self._started_at),
-        )
-
-    def _awaited(self, runner: Runner, first: int) -> frozenset[str] | None:
-        """Return who may hold a lease on a runner from before a view."""
-        if not first:
-            return None
-        before = self._adopted[first - 1].view.owner_of(runner)
-        vms = {m.vm for m in self._adopted[first].view.in_charge_of(runner.domain)}
-        if before is not None:
-            vms.add(before.vm)
-        return frozenset(vms - {self._vm})
+        return _Tenure(begun.at, begun.first_generation)
 
     def _is_own(self, view: View, runner: Runner) -> bool:
         owner = view.owner_of(runner)
