Restart tasks that a bug ended; add gooseberryctl explain

Cause: loops of owners, followers, gossip and membership ran in bare green threads: an unexpected error would have ended one for good, with a traceback on standard error only (seen in reading, not in a run). The way from a request to its cause took several greps over many files. Change: they run as lasting tasks, logged, counted and started again after 0.5 s; explain reads any number of log files and prints the lines of a request with what its VMs had learnt of the runners that it names. One line format.

--- a/packages/gooseberryctl/src/gooseberryctl/_internal/base_command.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/base_command.py
@@ -12,10 +12,14 @@
 
 
 class BaseCommand(ABC):
-    """One command of the line; ``name`` and ``summary`` appear in the help."""
+    """One command of the line; ``name`` and ``summary`` appear in the help.
+
+    One that ``needs_server`` is refused without an entry VM and a token.
+    """
 
     name: ClassVar[str]
     summary: ClassVar[str]
+    needs_server: ClassVar[bool] = True
 
     def parameters(self) -> list[click.Parameter]:
         """Return the arguments and options of the command."""
@@ -31,6 +35,8 @@
         @click.pass_context
         def callback(context: click.Context, /, **arguments: Any) -> None:
             session: Session = context.obj
+            if self.needs_server:
+                _require_server(context, session)
             print_result(self.run(session, **arguments), session.as_json)
 
         return click.Command(
@@ -39,3 +45,10 @@
             params=self.parameters(),
             help=self.summary,
         )
+
+
+def _require_server(context: click.Context, session: Session) -> None:
+    """End with a usage error if the command cannot reach any entry VM."""
+    for option, given in (("--server", session.servers), ("--token", session.token)):
+        if not given:
+            raise click.UsageError(f"Missing option '{option}'.", context.parent)
--- a/packages/gooseberryctl/src/gooseberryctl/_internal/cli.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/cli.py
@@ -22,13 +22,12 @@
         click.Option(
             ["--server"],
             multiple=True,
-            required=True,
             envvar="GOOSEBERRYCTL_SERVER",
             help="address:port of an entry VM; several are tried in turn.",
         ),
         click.Option(
             ["--token"],
-            required=True,
+            default="",
             envvar="GOOSEBERRYCTL_TOKEN",
             help="Operator token; better given by the environment.",
         ),
--- a/packages/gooseberryctl/src/gooseberryctl/_internal/commands/__init__.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/commands/__init__.py
@@ -5,5 +5,11 @@
 from .apply import ApplyCommand
 from .ask import AskCommand
 from .diff import DiffCommand
+from .explain import ExplainCommand
 
-COMMANDS: tuple[type[BaseCommand], ...] = (AskCommand, DiffCommand, ApplyCommand)
+COMMANDS: tuple[type[BaseCommand], ...] = (
+    AskCommand,
+    DiffCommand,
+    ApplyCommand,
+    ExplainCommand,
+)
--- a/packages/gooseberryctl/src/gooseberryctl/_internal/output.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/output.py
@@ -21,6 +21,10 @@
         click.echo("(no rows)")
     for vm in result.get("missing", []):
         click.echo(f"missing: {vm} did not answer", err=True)
+    for note in result.get("notes", []):
+        click.echo(f"note: {note}", err=True)
+    if "revision" not in result:
+        return
     click.echo(
         f"revision {result.get('revision')}, knowledge at most "
         f"{result.get('age_s', 0.0):.1f} s old",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/app.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import logging as stdlib_logging
 import signal
-import time
 import uuid
 from pathlib import Path
 from types import FrameType
@@ -17,6 +15,7 @@
 from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SimpleSpanProcessor
 
 from gooseberryrun._internal.coordination import Node, log_event
+from gooseberryrun._internal.logs import line_format
 from gooseberryrun._internal.state import Settings, SystemClock
 from gooseberryrun._internal.transport import (
     HttpClient,
@@ -83,13 +82,7 @@
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     handler = logging.get_absl_handler()
-    handler.setFormatter(
-        stdlib_logging.Formatter(
-            "time=%(asctime)s.%(msecs)03dZ level=%(levelname)s %(message)s",
-            datefmt="%Y-%m-%dT%H:%M:%S",
-        )
-    )
-    stdlib_logging.Formatter.converter = time.gmtime
+    handler.setFormatter(line_format())
 
 
 def _start_traces(cfg: Settings) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_tasks.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_tasks.py
@@ -17,13 +17,19 @@
 from ._metrics import INTERNAL_ERRORS
 
 EXIT_BROKEN_INVARIANT = 70
+RESTART_S = 0.5
+"""Pause before a task that a bug ended starts again."""
 M = TypeVar("M")
 
 
-def run_protected(name: str, function: Callable[[], None]) -> None:
-    """Run a function; a broken invariant stops the process, other bugs are logged."""
+def run_protected(name: str, function: Callable[[], None]) -> bool:
+    """Run a function; return False if a bug ended it, which is logged.
+
+    A broken invariant stops the process.
+    """
     try:
         function()
+        return True
     except InvariantError as exc:
         log_event("invariant_broken", level="error", task=name, detail=str(exc))
         os._exit(EXIT_BROKEN_INVARIANT)
@@ -32,6 +38,7 @@
         log_event(
             "internal_error", level="error", task=name, detail=traceback.format_exc()
         )
+    return False
 
 
 def spawn(name: str, function: Callable[[], None]) -> None:
@@ -39,6 +46,16 @@
     eventlet.spawn(run_protected, name, function)
 
 
+def spawn_lasting(name: str, function: Callable[[], None]) -> None:
+    """Run a function that goes on until it is done; start it again after a bug."""
+
+    def loop() -> None:
+        while not run_protected(name, function):
+            eventlet.sleep(RESTART_S)
+
+    eventlet.spawn(loop)
+
+
 def spawn_periodic(name: str, interval_s: float, function: Callable[[], None]) -> None:
     """Run a function every ``interval_s`` seconds until the process ends."""
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import eventlet
 from result import Err, Ok, Result
 
 from gooseberryrun._internal.state.serving import RepeatBudget, Runner
 
 from .._events import log_event
 from .._serving_messages import CrashReport
+from .._tasks import spawn
 from ._answers import end_to_end
 from ._context import Context
 from ._job import Job
@@ -113,7 +113,7 @@
         job.attempts += 1
         job.may_have_run = True
         if fault.failure is AttemptFailure.SENT:
-            eventlet.spawn(self._check_crash, job.content, runner)
+            spawn("crash_check", lambda: self._check_crash(job.content, runner))
 
     def note_cut(self, job: Job, runner: Runner, fault: AttemptFault) -> None:
         """Learn from an answer that was broken off."""
@@ -127,7 +127,7 @@
             why=fault.detail,
         )
         if fault.failure is AttemptFailure.SENT:
-            eventlet.spawn(self._check_crash, job.content, runner)
+            spawn("crash_check", lambda: self._check_crash(job.content, runner))
 
     def note_success(self, runner: Runner) -> None:
         """Learn from a whole answer."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import eventlet
 from result import Err
 
@@ -11,6 +13,7 @@
 from .._metrics import CONFIGURATION_VERSION, STORE_CALLS
 from .._ports import Inbound
 from .._serving_messages import DirectoryReply, DirectoryRequest
+from .._tasks import spawn, spawn_lasting
 from ._context import Context
 from ._ports import StoreFault, StoreFaultKind
 
@@ -39,8 +42,8 @@
     def start(self) -> None:
         """Follow each topic in a green thread of its own."""
         for topic in Topic:
-            eventlet.spawn(self._follow, topic)
-        eventlet.spawn(self._sweep)
+            spawn_lasting(f"follow_{topic}", partial(self._follow, topic))
+        spawn_lasting("directory_sweep", self._sweep)
 
     def is_ready(self) -> bool:
         """Tell whether a configuration is known."""
@@ -119,7 +122,7 @@
         for topic, end in ends.items():
             if end > self._ctx.directory.ends[topic] and topic not in self._fetching:
                 self._fetching.add(topic)
-                eventlet.spawn(self._fetch, peer, topic, end)
+                spawn("peer_read", partial(self._fetch, peer, topic, end))
 
     def _fetch(self, peer: str, topic: Topic, end: int) -> None:
         try:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -9,6 +9,7 @@
 import eventlet
 
 from .._serving_messages import ResidencyNotice, ServingGossip
+from .._tasks import spawn_lasting
 from ._context import Context, StoreView
 
 INTERVAL_S = 0.5
@@ -36,7 +37,7 @@
 
     def start(self) -> None:
         """Tell in a green thread of its own."""
-        eventlet.spawn(self._tell_all)
+        spawn_lasting("gossip", self._tell_all)
 
     def _tell_all(self) -> None:
         while True:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -20,6 +20,7 @@
     RenewRequest,
     ViewNotice,
 )
+from .._tasks import run_protected, spawn, spawn_lasting
 from ._context import STORE_VIEW_S, Context, StoreView
 from ._ports import StoreFault
 
@@ -49,12 +50,13 @@
         self._is_left = False
         self._is_renewal_due = False
         self._unlisted_reads = 0
+        self._has_started = False
         self.on_change: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Renew in a green thread of its own."""
-        eventlet.spawn(self._renew_all)
-        eventlet.spawn(self._extend_all)
+        spawn_lasting("membership", self._renew_all)
+        spawn_lasting("lease_extension", self._extend_all)
 
     def _extend_all(self) -> None:
         """Keep the lease in force in an outage of the store for the whole domain."""
@@ -96,7 +98,9 @@
         if self._is_renewal_due:
             return
         self._is_renewal_due = True
-        eventlet.spawn_after(random.uniform(0, RENEW_SOON_S), self._renew_now)
+        eventlet.spawn_after(
+            random.uniform(0, RENEW_SOON_S), run_protected, "renewal", self._renew_now
+        )
 
     def _renew_now(self) -> None:
         try:
@@ -191,10 +195,11 @@
         self._ctx.ownership.start_after(read.ok_value, now)
 
     def _renew_all(self) -> None:
-        settled_at = (
-            self._ctx.clock.boottime() + self._ctx.cfg.membership.turn_ms / 1000
-        )
-        self._start_after_predecessor()
+        turn_s = self._ctx.cfg.membership.turn_ms / 1000
+        settled_at = self._ctx.clock.boottime() + turn_s
+        if not self._has_started:
+            self._start_after_predecessor()
+            self._has_started = True
         while not self._is_left:
             self._renew()
             eventlet.sleep(self._ctx.cfg.membership.renew_interval_s)
@@ -263,7 +268,7 @@
 
     def answer_renewal(self, inbound: Inbound, question: RenewRequest) -> None:
         """Renew for a member that cannot reach the store."""
-        eventlet.spawn(self._answer_renewal, inbound, question)
+        spawn("renewal_relay", lambda: self._answer_renewal(inbound, question))
 
     def _answer_renewal(self, inbound: Inbound, question: RenewRequest) -> None:
         renewed = self._ctx.ports.store.renew(question.member, question.generation)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -18,6 +18,7 @@
     ResidencyNotice,
     UseNotice,
 )
+from .._tasks import spawn, spawn_lasting
 from ._context import Context
 from ._runner_owner import Refused, RunnerOwner
 
@@ -44,7 +45,7 @@
 
     def start(self) -> None:
         """Check in a green thread of its own."""
-        eventlet.spawn(self._check_all)
+        spawn_lasting("owners", self._check_all)
 
     def close(self) -> None:
         """Give no more orders."""
@@ -69,7 +70,7 @@
 
     def answer(self, inbound: Inbound, question: AcquireRequest) -> None:
         """Answer a peer's question, in a green thread of its own."""
-        eventlet.spawn(self._answer, inbound, question)
+        spawn("owner_answer", lambda: self._answer(inbound, question))
 
     def _answer(self, inbound: Inbound, question: AcquireRequest) -> None:
         deadline = self._ctx.clock.monotonic() + question.left_s
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import eventlet
 from eventlet.event import Event
 from eventlet.timeout import Timeout
 from result import Err, Ok, Result
@@ -23,6 +22,7 @@
 from .._events import log_event
 from .._metrics import ORDER_SECONDS, ORDERS
 from .._serving_messages import AcquireRequest, ResidencyNotice
+from .._tasks import spawn_lasting
 from ._context import Context
 from ._ports import OrderOp, OrderOutcome, RunnerOrder, RunnerReport
 
@@ -120,7 +120,7 @@
 
     def start(self) -> None:
         """Run in a green thread of its own."""
-        eventlet.spawn(self._run)
+        spawn_lasting("runner_owner", self._run)
 
     def close(self) -> None:
         """Stop; waiters are refused."""
--- /dev/null
+++ b/tests/unit/test_explain.py
@@ -0,0 +1,63 @@
+"""``gooseberryctl explain``: the story of a request out of log files."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from click.testing import CliRunner, Result
+from gooseberryctl._internal.cli import make_cli
+
+FIRST = """\
+time=2026-04-24T06:02:10.000Z level=INFO event=started vm=vm-a boot=b1
+time=2026-04-24T06:02:11.000Z level=INFO event=record_applied topic=runners key=i-1 \
+offset=4 source=store says=draining
+time=2026-04-24T06:02:11.500Z level=INFO event=record_applied topic=runners key=i-9 \
+offset=5 source=store says=serving
+time=2026-04-24T06:02:12.000Z level=INFO event=attempt request=r1 runner=i-1 \
+took_s=0.04 sends=1 outcome="sent: ConnectionResetError(104, 'Connection reset')"
+time=2026-04-24T06:02:12.100Z level=INFO event=request request=r1 status=502 \
+reason=server_failed
+time=2026-04-24T06:02:13.000Z level=INFO event=record_applied topic=runners key=i-1 \
+offset=6 source=store says=removed
+not a line of ours
+"""
+SECOND = """\
+time=2026-04-24T06:02:11.900Z level=INFO event=acquire_refused request=r1 runner=i-1 \
+reason=too_late
+"""
+
+
+def explain(folder: Path, request_id: str) -> Result:
+    (folder / "a.log").write_text(FIRST, encoding="utf-8")
+    (folder / "b.log").write_text(SECOND, encoding="utf-8")
+    logs = [str(folder / "a.log"), str(folder / "b.log")]
+    return CliRunner().invoke(make_cli(), ["--json", "explain", request_id, *logs])
+
+
+def test_story_has_the_lines_of_every_vm_and_what_was_believed(tmp_path: Path) -> None:
+    result = explain(tmp_path, "r1")
+    assert result.exit_code == 0
+    told = json.loads(result.stdout)
+    events = [(row["vm"], row["event"]) for row in told["rows"]]
+    assert events == [
+        ("vm-a", "started"),
+        ("vm-a", "record_applied"),
+        (str(tmp_path / "b.log"), "acquire_refused"),
+        ("vm-a", "attempt"),
+        ("vm-a", "request"),
+    ]
+    assert "says=draining" in told["rows"][1]["details"]
+    assert told["notes"] == ["1 lines were no events"]
+
+
+def test_unknown_request_is_said_to_be_unknown(tmp_path: Path) -> None:
+    told = json.loads(explain(tmp_path, "nobody").stdout)
+    assert told["rows"] == []
+    assert "no line names this request" in told["notes"]
+
+
+def test_other_commands_still_need_a_server() -> None:
+    result = CliRunner().invoke(make_cli(), ["ask", "show", "vms"], env={})
+    assert result.exit_code == 2
+    assert "Missing option '--server'" in result.output
