--- a/packages/gooseberryrun/src/gooseberryrun/_internal/cli.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/cli.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import json
 import os
 import sys
 from pathlib import Path
 
 import click
-from result import Err
 
+from gooseberryrun._internal.settings_cli import take_settings
 from gooseberryrun._internal.state import load_settings
 
-EXIT_BAD_SETTINGS = 78
-
 
 @click.command()
 @click.option(
@@ -30,15 +27,8 @@
 @click.version_option(package_name="gooseberryrun")
 def run(path: Path, check: bool, print_settings: bool) -> None:
     """Serve callers from this entry VM."""
-    loaded = load_settings(path)
-    if isinstance(loaded, Err):
-        for fault in loaded.err_value:
-            click.echo(f"error: {fault}", err=True)
-        sys.exit(EXIT_BAD_SETTINGS)
-    cfg = loaded.ok_value
-    if print_settings:
-        click.echo(json.dumps(cfg.model_dump(mode="json"), indent=2))
-    if check or print_settings:
+    cfg = take_settings(load_settings(path), check, print_settings)
+    if cfg is None:
         return
     from gooseberryrun._internal.app import run_server
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_job.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_job.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 import xxhash
 
@@ -49,6 +51,15 @@
         return self.route.is_repeatable and self.attempts < self.route.max_attempts
 
 
+class Round(Enum):
+    """How a round ended that gave the caller no final answer of this VM."""
+
+    DONE = "done"
+    """The caller has a runner's answer."""
+    AGAIN = "again"
+    """Another runner may be tried."""
+
+
 @dataclass(frozen=True, slots=True)
 class OwnAnswer:
     """Answer that this VM gives itself, for want of a runner's.
@@ -59,3 +70,14 @@
     status: int
     reason: str
     retry_in_s: float | None = None
+
+
+def run_rounds(
+    rounds: int, try_once: Callable[[], OwnAnswer | Round]
+) -> OwnAnswer | Round:
+    """Try until a round is final; ``AGAIN`` if none of them was."""
+    for _ in range(rounds):
+        outcome = try_once()
+        if outcome is not Round.AGAIN:
+            return outcome
+    return Round.AGAIN
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -21,7 +21,7 @@
 from ._attempts import Attempts
 from ._context import Context
 from ._event_stream import EventBuffer
-from ._job import Job, OwnAnswer
+from ._job import Job, OwnAnswer, Round, run_rounds
 from ._ports import AttemptFailure, AttemptFault, Forwarding, RunnerAnswer
 from ._runner_owner import adapter_key
 
@@ -41,8 +41,6 @@
 BUSY_RETRY_S = 1.0
 """Time to come back after a refusal for want of room."""
 
-_AGAIN = OwnAnswer(0, "again")
-
 
 @dataclass(slots=True)
 class _Progress:
@@ -66,14 +64,11 @@
     def serve(self, job: Job) -> None:
         """Answer a request."""
         progress = _Progress()
-        for _ in range(MAX_ROUNDS):
-            own = self._try_once(job, progress)
-            if own is None:
-                return
-            if own.reason != "again":
-                self._end(job, progress, own)
-                return
-        self._end(job, progress, no_answer(job, "attempts", BUSY_RETRY_S))
+        outcome = run_rounds(MAX_ROUNDS, lambda: self._try_once(job, progress))
+        if outcome is Round.AGAIN:
+            outcome = no_answer(job, "attempts", BUSY_RETRY_S)
+        if isinstance(outcome, OwnAnswer):
+            self._end(job, progress, outcome)
 
     def _end(self, job: Job, progress: _Progress, own: OwnAnswer) -> None:
         """Answer, or break off what has begun."""
@@ -83,7 +78,7 @@
         self._answers.log(job, 0, f"cut: {own.reason}")
         job.caller.cut()
 
-    def _try_once(self, job: Job, progress: _Progress) -> OwnAnswer | None:
+    def _try_once(self, job: Job, progress: _Progress) -> OwnAnswer | Round:
         now = self._ctx.clock.monotonic()
         if now >= job.deadline:
             return no_answer(job, "deadline")
@@ -95,7 +90,7 @@
             return no_answer(job, "overload", BUSY_RETRY_S)
         runner = choice.candidate.runner
         if not choice.candidate.has_adapter and not self._acquire(job, runner):
-            return _AGAIN
+            return Round.AGAIN
         if not self._attempts.may_send(job):
             return no_answer(job, "repeat_budget", BUSY_RETRY_S)
         return self._attempt(job, runner, choice, progress)
@@ -181,7 +176,7 @@
 
     def _attempt(
         self, job: Job, runner: Runner, choice: Choice, progress: _Progress
-    ) -> OwnAnswer | None:
+    ) -> OwnAnswer | Round:
         reading = _Reading(self._ctx, runner, job.facts.prompt_tokens, choice)
         adapter = self._key(job)
         self._adapters.begin_use(runner, adapter)
@@ -193,7 +188,7 @@
 
     def _ask(
         self, job: Job, runner: Runner, progress: _Progress, reading: _Reading
-    ) -> OwnAnswer | None:
+    ) -> OwnAnswer | Round:
         forwarding = self._forwarding(job, runner, progress)
         sent = self._attempts.send(job, runner, forwarding, job.deadline)
         if isinstance(sent, Err):
@@ -218,18 +213,16 @@
             progress.events.last_id or job.facts.last_event_id,
         )
 
-    def _after_not_run(
-        self, job: Job, runner: Runner, answer: RunnerAnswer
-    ) -> OwnAnswer:
+    def _after_not_run(self, job: Job, runner: Runner, answer: RunnerAnswer) -> Round:
         if answer.facts.is_misdirected:
             self._adapters.forget(runner, self._key(job))
             job.missing_at = runner.id
             job.tried.discard(runner.id)
-        return _AGAIN
+        return Round.AGAIN
 
-    def _after_fault(self, job: Job, fault: AttemptFault) -> OwnAnswer:
+    def _after_fault(self, job: Job, fault: AttemptFault) -> OwnAnswer | Round:
         if fault.failure is AttemptFailure.NOT_SENT or job.may_repeat:
-            return _AGAIN
+            return Round.AGAIN
         is_late = fault.failure is AttemptFailure.LATE
         return no_answer(job, "deadline" if is_late else "runner_failed")
 
@@ -242,7 +235,7 @@
         answer: RunnerAnswer,
         progress: _Progress,
         reading: _Reading,
-    ) -> OwnAnswer | None:
+    ) -> OwnAnswer | Round:
         if not is_genuine(answer):
             fault = AttemptFault(AttemptFailure.SPOILED, "not signed")
             self._attempts.note_cut(job, runner, fault)
@@ -253,7 +246,7 @@
 
     def _take_failure(
         self, job: Job, runner: Runner, answer: RunnerAnswer, progress: _Progress
-    ) -> OwnAnswer | None:
+    ) -> OwnAnswer | Round:
         body = answer.read_all(job.deadline)
         if isinstance(body, Err):
             self._attempts.note_cut(job, runner, body.err_value)
@@ -262,11 +255,11 @@
         now = self._ctx.clock.monotonic()
         self._ctx.loads.record_result(runner.id, ok=not is_failure, now=now)
         if is_failure and job.may_repeat and self._attempts.has_repeat(job):
-            return _AGAIN
+            return Round.AGAIN
         if progress.is_started:
             return no_answer(job, "runner_failed")
         self._answers.relay(job, answer, body.ok_value)
-        return None
+        return Round.DONE
 
     def _relay(
         self,
@@ -275,7 +268,7 @@
         answer: RunnerAnswer,
         progress: _Progress,
         reading: _Reading,
-    ) -> OwnAnswer | None:
+    ) -> OwnAnswer | Round:
         for piece in answer.pieces(job.deadline):
             if isinstance(piece, Err):
                 progress.events.restart()
@@ -286,7 +279,7 @@
                 reading.note_first_event()
                 self._pass_on(job, answer, progress, events)
         self._finish(job, runner, answer, progress)
-        return None
+        return Round.DONE
 
     def _pass_on(
         self, job: Job, answer: RunnerAnswer, progress: _Progress, events: bytes
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -14,7 +14,7 @@
 from ._answers import Answers, is_genuine, no_answer
 from ._attempts import Attempts
 from ._context import Context
-from ._job import Job, OwnAnswer
+from ._job import Job, OwnAnswer, Round, run_rounds
 from ._ports import AttemptFailure, Forwarding, RunnerAnswer
 
 MAX_SENDS = 5
@@ -37,17 +37,14 @@
         """Answer a request."""
         if job.route.kind is RouteKind.UNSAFE:
             job.caller.keep_when_left()
-        for _ in range(MAX_SENDS):
-            own = self._try_once(job)
-            if own is None:
-                return
-            if own.reason != "again":
-                self._answers.give_own(job, own)
-                return
-        self._answers.give_own(job, no_answer(job, "attempts", FULL_RETRY_S))
-
-    def _try_once(self, job: Job) -> OwnAnswer | None:
-        """Make one attempt; return None if the caller was answered."""
+        outcome = run_rounds(MAX_SENDS, lambda: self._try_once(job))
+        if outcome is Round.AGAIN:
+            outcome = no_answer(job, "attempts", FULL_RETRY_S)
+        if isinstance(outcome, OwnAnswer):
+            self._answers.give_own(job, outcome)
+
+    def _try_once(self, job: Job) -> OwnAnswer | Round:
+        """Make one attempt."""
         now = self._ctx.clock.monotonic()
         if now >= job.deadline:
             return no_answer(job, "deadline")
@@ -62,7 +59,7 @@
         finally:
             self._ctx.loads.end(runner.id)
 
-    def _ask(self, job: Job, runner: Runner, deadline: float) -> OwnAnswer | None:
+    def _ask(self, job: Job, runner: Runner, deadline: float) -> OwnAnswer | Round:
         left_s = job.deadline - self._ctx.clock.monotonic()
         forwarding = Forwarding(runner.id, left_s)
         sent = self._attempts.send(job, runner, forwarding, deadline)
@@ -71,12 +68,14 @@
         answer = sent.ok_value
         try:
             if answer.facts.is_not_run:
-                return OwnAnswer(0, "again")
+                return Round.AGAIN
             return self._take(job, runner, answer)
         finally:
             answer.close()
 
-    def _take(self, job: Job, runner: Runner, answer: RunnerAnswer) -> OwnAnswer | None:
+    def _take(
+        self, job: Job, runner: Runner, answer: RunnerAnswer
+    ) -> OwnAnswer | Round:
         body = answer.read_all(job.deadline)
         if isinstance(body, Err):
             self._attempts.note_cut(job, runner, body.err_value)
@@ -87,9 +86,9 @@
         is_failure = answer.status >= 500
         self._ctx.loads.record_result(runner.id, ok=not is_failure, now=now)
         if is_failure and self._can_repeat(job, now):
-            return OwnAnswer(0, "again")
+            return Round.AGAIN
         self._answers.relay(job, answer, body.ok_value)
-        return None
+        return Round.DONE
 
     def _can_repeat(self, job: Job, now: float) -> bool:
         """Tell whether a failure may be followed by another attempt."""
@@ -99,9 +98,9 @@
             return False
         return self._choose(job, now) is not None
 
-    def _after_fault(self, job: Job, failure: AttemptFailure) -> OwnAnswer:
+    def _after_fault(self, job: Job, failure: AttemptFailure) -> OwnAnswer | Round:
         if failure is AttemptFailure.NOT_SENT or job.may_repeat:
-            return OwnAnswer(0, "again")
+            return Round.AGAIN
         late = failure is AttemptFailure.LATE
         return no_answer(job, "deadline" if late else "server_failed")
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -11,6 +11,7 @@
 
 from gooseberryrun._internal.state.serving import (
     LOAD_S,
+    RELOAD_S,
     AdapterPlaces,
     PlaceTurns,
     ResponseTimes,
@@ -26,8 +27,6 @@
 from ._context import Context
 from ._ports import OrderOp, OrderOutcome, RunnerOrder, RunnerReport
 
-FAST_LOAD_S = 0.03
-"""Time of a load from the runner's own memory."""
 CHECK_INTERVAL_S = 0.03
 """Pause between checks of an adapter that is overdue."""
 IDLE_CHECK_S = 2.0
@@ -339,7 +338,7 @@
         elif outcome is OrderOutcome.ACCEPTED:
             now = self._ctx.clock.monotonic()
             self._places.coming[adapter] = version
-            self._arrivals[adapter] = _Arrival(now, now + FAST_LOAD_S)
+            self._arrivals[adapter] = _Arrival(now, now + RELOAD_S)
 
     def _unload(self, adapter: str, token: int) -> bool:
         """Drop an adapter; return whether its place is free."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -33,11 +33,12 @@
     WeightedService,
 )
 from ._runners import HeldModel, Runner
-from ._waiting import LOAD_S, Wait
+from ._waiting import LOAD_S, RELOAD_S, Wait
 
 __all__ = [
     "DEFAULT_TURN_S",
     "LOAD_S",
+    "RELOAD_S",
     "AdapterMemory",
     "AdapterPlaces",
     "AdapterVersion",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -13,14 +13,12 @@
 from ._loads import RunnerView
 from ._places import DEFAULT_TURN_S
 from ._runners import Runner
-from ._waiting import LOAD_S
+from ._waiting import LOAD_S, RELOAD_S
 
 PROMPT_TOKENS_PER_S = 15000.0
 """Prompt tokens that a runner reads in a second between the steps of its batch."""
 STEP_S = 0.025
 """Time of a batch's step with its overhead on the way."""
-RELOAD_S = 0.04
-"""Time of the load of an adapter that the runner held lately."""
 RANK_S = 0.3
 """Cost of each place further down an adapter's ranking, so that later loads find
 the adapter in the memory of the same runner."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_waiting.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_waiting.py
@@ -7,6 +7,9 @@
 LOAD_S = 0.255
 """Time from a place to its adapter, loaded from the weight store."""
 
+RELOAD_S = 0.03
+"""The same for an adapter that the runner held lately."""
+
 
 @dataclass(frozen=True, slots=True)
 class Wait:
--- a/packages/gooseberryrun/src/gooseberryrun/serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/serving.py
@@ -19,6 +19,7 @@
     StoreFaultKind,
 )
 from gooseberryrun._internal.serving_app import Adapter, run_serving
+from gooseberryrun._internal.settings_cli import take_settings
 from gooseberryrun._internal.state import ServingSettings, load_as
 from gooseberryrun._internal.state.serving import (
     AdapterVersion,
@@ -72,4 +73,5 @@
     "load_as",
     "log_event",
     "run_serving",
+    "take_settings",
 ]
