--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -14,18 +14,17 @@
     RELOAD_S,
     AdapterPlaces,
     PlaceTurns,
-    ResponseTimes,
     Runner,
     Step,
     Wait,
 )
 
 from .._events import log_event
-from .._metrics import ORDER_SECONDS, ORDERS
 from .._serving_messages import AcquireRequest, ResidencyNotice
 from .._tasks import spawn_lasting
 from ._context import Context
-from ._ports import OrderOp, OrderOutcome, RunnerOrder, RunnerReport
+from ._orders import RunnerOrders
+from ._ports import OrderOp, OrderOutcome, RunnerReport
 
 CHECK_INTERVAL_S = 0.03
 """Pause between checks of an adapter that is overdue."""
@@ -39,10 +38,6 @@
 """Pause of an owner that may not give orders."""
 PROMISE_S = 0.15
 """Time for a request to reach its adapter after it was told that it is there."""
-REPORT_LAG_S = 0.25
-"""Age that a runner's report may have."""
-MAX_UNANSWERED = 2
-"""Orders without an answer in a row after which the report is asked."""
 LEAVING_S = 3.0
 """Time for which an adapter that was ordered out is not ordered out again."""
 USES_TOLD_S = 0.08
@@ -100,13 +95,10 @@
         self._places = AdapterPlaces(max_adapters)
         self._waiters: list[_Waiter] = []
         self._arrivals: dict[str, _Arrival] = {}
-        self._seq: int | None = None
-        self._unanswered = 0
-        self._times = ResponseTimes()
+        self._orders = RunnerOrders(ctx, runner)
         self._turns = PlaceTurns()
         self._evicts_from = float("inf")
         self._doubted: set[str] = set()
-        self._report_at = float("-inf")
         self._models: set[str] = set()
         self._wake: Event = Event()
         self._is_closed = False
@@ -140,8 +132,8 @@
 
     def residency(self) -> ResidencyNotice | None:
         """Return what the runner holds; None while that is not known."""
-        token = self._fencing_token()
-        if self._seq is None or token is None:
+        token = self._orders.fencing_token()
+        if not self._orders.is_count_known or token is None:
             return None
         runner = self._runner
         held = {
@@ -168,7 +160,7 @@
         version = question.version
         now = self._ctx.clock.monotonic()
         self._places.note_demand(adapter, now)
-        if self._fencing_token() is None:
+        if self._orders.fencing_token() is None:
             boottime = self._ctx.clock.boottime()
             wait_s = self._ctx.ownership.orders_in_s(self._runner, boottime)
             return Err(Refused("no_lease", wait_s))
@@ -206,13 +198,13 @@
 
     def _run(self) -> None:
         while not self._is_closed:
-            token = self._fencing_token()
+            token = self._orders.fencing_token()
             if token is None:
                 self._refuse_all("no_lease")
-                self._seq = None
+                self._orders.forget_count()
                 self._sleep(LEASE_CHECK_S)
                 continue
-            if self._seq is None and not self._read_report():
+            if not self._orders.is_count_known and not self._read_report():
                 self._sleep(UNREAD_PAUSE_S)
                 continue
             self._order_missing_model(token)
@@ -223,13 +215,13 @@
 
     def _pause_s(self) -> float:
         """Return the time until there is something to do, unless woken."""
-        if self._seq is None:
+        if not self._orders.is_count_known:
             return UNREAD_PAUSE_S
         now = self._ctx.clock.monotonic()
         if self._waiters and now < self._evicts_from:
             return self._evicts_from - now
         if not self._arrivals:
-            return CHECK_INTERVAL_S if self._unanswered else IDLE_CHECK_S
+            return CHECK_INTERVAL_S if self._orders.is_unanswered else IDLE_CHECK_S
         check_at = min(arrival.check_at for arrival in self._arrivals.values())
         return max(0.001, check_at - now)
 
@@ -245,19 +237,17 @@
             if now < arrival.check_at:
                 continue
             if now - arrival.ordered_at > ARRIVAL_TIMEOUT_S:
-                self._lose_count()
+                self._orders.lose_count()
                 del self._arrivals[adapter]
                 continue
             self._check_arrival(adapter, arrival, token)
 
     def _check_arrival(self, adapter: str, arrival: _Arrival, token: int) -> None:
         version = self._places.coming.get(adapter, 0)
-        seq = self._seq
-        outcome = self._order(OrderOp.LOAD, adapter, version, token)
+        outcome = self._orders.repeat_load(adapter, version, token)
         if outcome is OrderOutcome.HOLDS:
             self._arrived(adapter, version)
         elif outcome is OrderOutcome.ACCEPTED:
-            self._seq = seq
             store_at = arrival.ordered_at + LOAD_S
             now = self._ctx.clock.monotonic()
             arrival.check_at = max(store_at, now + CHECK_INTERVAL_S)
@@ -279,10 +269,6 @@
         if self._wake.ready():
             self._wake = Event()
 
-    def _fencing_token(self) -> int | None:
-        now = self._ctx.clock.boottime()
-        return self._ctx.ownership.fencing_token(self._runner, now)
-
     def _refuse_all(self, reason: str) -> None:
         waiters, self._waiters = self._waiters, []
         self._turns.note_idle()
@@ -332,7 +318,7 @@
     # Orders.
 
     def _load(self, adapter: str, version: int, token: int) -> None:
-        outcome = self._order(OrderOp.LOAD, adapter, version, token)
+        outcome = self._orders.give(OrderOp.LOAD, adapter, version, token)
         if outcome is OrderOutcome.HOLDS:
             self._arrived(adapter, version)
         elif outcome is OrderOutcome.ACCEPTED:
@@ -342,7 +328,7 @@
 
     def _unload(self, adapter: str, token: int) -> bool:
         """Drop an adapter; return whether its place is free."""
-        outcome = self._order(OrderOp.UNLOAD, adapter, 0, token)
+        outcome = self._orders.give(OrderOp.UNLOAD, adapter, 0, token)
         if outcome is OrderOutcome.HOLDS:
             self._places.held.pop(adapter, None)
             self._on_change()
@@ -353,57 +339,6 @@
             self._on_change()
         return False
 
-    def _order(
-        self, op: OrderOp, adapter: str, version: int, token: int
-    ) -> OrderOutcome:
-        if self._fencing_token() != token or self._seq is None:
-            return OrderOutcome.REJECTED
-        model, _, name = adapter.partition("/")
-        order = RunnerOrder(op, model, name, version, self._seq, token)
-        timeout_s = self._times.timeout_s
-        asked_at = self._ctx.clock.monotonic()
-        outcome = self._ctx.ports.control.give_order(self._runner, order, timeout_s)
-        took_s = self._ctx.clock.monotonic() - asked_at
-        ORDERS.labels(op=op, outcome=outcome).inc()
-        if outcome is not OrderOutcome.UNKNOWN:
-            self._times.note(took_s)
-            ORDER_SECONDS.observe(took_s)
-        log_event(
-            "order",
-            runner=self._runner.id,
-            op=op,
-            adapter=adapter,
-            version=version,
-            seq=self._seq,
-            fencing_token=token,
-            outcome=outcome,
-            took_s=took_s,
-        )
-        self._count(op, outcome)
-        return outcome
-
-    def _count(self, op: OrderOp, outcome: OrderOutcome) -> None:
-        """Follow the runner's order count; unknown after anything unexpected."""
-        if self._seq is None:
-            return
-        if outcome is OrderOutcome.UNKNOWN and self._unanswered < MAX_UNANSWERED:
-            # It may still be carried out, but not after another one: each names the
-            # count that it expects.
-            self._unanswered += 1
-            return
-        self._unanswered = 0
-        if outcome is OrderOutcome.ACCEPTED:
-            self._seq += 1
-        elif outcome is not OrderOutcome.HOLDS:
-            self._lose_count()
-        elif op is OrderOp.UNLOAD:
-            self._seq += 1
-
-    def _lose_count(self) -> None:
-        """Stop giving orders until a report tells the order count again."""
-        self._seq = None
-        self._report_at = self._ctx.clock.monotonic() + REPORT_LAG_S
-
     def _order_missing_model(self, token: int) -> None:
         """Have an empty runner load the model of its service."""
         now = self._ctx.clock.monotonic()
@@ -414,7 +349,7 @@
         if service is None or service.engine is None or not service.engine.models:
             return
         self._model_ordered_at = now
-        self._order(OrderOp.LOAD, service.engine.models[0].name + "/", 0, token)
+        self._orders.give(OrderOp.LOAD, service.engine.models[0].name + "/", 0, token)
 
     def _replace_old_versions(self, token: int) -> None:
         """Load declared versions over older ones, the most wanted adapter first."""
@@ -432,11 +367,10 @@
 
     def _read_report(self) -> bool:
         """Read the report, once it is new enough to tell of every order given."""
-        if self._ctx.clock.monotonic() < self._report_at:
+        read = self._orders.read_report()
+        if read is None:
             return False
-        read = self._ctx.ports.control.read_report(self._runner)
         if isinstance(read, Err):
-            log_event("report_unread", runner=self._runner.id, why=read.err_value)
             self._refuse_all("runner_down")
             return False
         self._take_report(read.ok_value)
@@ -444,7 +378,6 @@
 
     def _take_report(self, report: RunnerReport) -> None:
         """Correct beliefs."""
-        self._seq = report.order_seq
         self._models = {model.name for model in report.models}
         held = {
             adapter_key(model.name, name): version
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -3,7 +3,7 @@
 from ._budget import RepeatBudget
 from ._directory import AdapterVersion, DirectoryRecord, DirectoryState, Topic
 from ._loads import RunnerLoads, RunnerView
-from ._ownership import Member, OwnershipState, View
+from ._ownership import OwnershipState
 from ._placement import (
     Candidate,
     Choice,
@@ -33,6 +33,7 @@
     WeightedService,
 )
 from ._runners import HeldModel, Runner
+from ._views import Member, View
 from ._waiting import LOAD_S, RELOAD_S, Wait
 
 __all__ = [
