--- /dev/null
+++ b/tests/unit/serving/test_membership.py
@@ -0,0 +1,207 @@
+"""Membership without the store: renewals through neighbours, stops, views heard."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from gooseberryrun._internal.coordination import (
+    Inbound,
+    PeerError,
+    PeerMessage,
+    Peers,
+)
+from gooseberryrun._internal.coordination._serving_messages import (
+    HandoverNotice,
+    LeavingNotice,
+    RenewAnswer,
+    RenewRequest,
+    ViewNotice,
+)
+from gooseberryrun._internal.coordination.serving import (
+    Context,
+    Ports,
+    StoreFault,
+    StoreFaultKind,
+    StoreView,
+    make_context,
+)
+from gooseberryrun._internal.coordination.serving._membership import Membership
+from gooseberryrun._internal.state import ManualClock, ServingSettings
+from gooseberryrun._internal.state.serving import (
+    DirectoryRecord,
+    Member,
+    Runner,
+    Topic,
+    View,
+)
+from result import Err, Ok, Result
+
+BOTH = (Member("vm-a", "d", "127.0.0.1", 1), Member("vm-b", "d", "127.0.0.1", 2))
+REFUSED = StoreFault(StoreFaultKind.REFUSED, "503")
+
+
+class FakeStore:
+    """Store that answers every call alike."""
+
+    def __init__(self, generation: int, is_refusing: bool = False) -> None:
+        self.generation = generation
+        self.is_refusing = is_refusing
+        self.listed = list(BOTH)
+
+    def _answer(self, value: Any) -> Any:
+        return Err(REFUSED) if self.is_refusing else Ok(value)
+
+    def renew(self, member: Member, generation: int) -> Result[int, StoreFault]:
+        result: Result[int, StoreFault] = self._answer(self.generation)
+        return result
+
+    def leave(self, member: Member) -> Result[None, StoreFault]:
+        result: Result[None, StoreFault] = self._answer(None)
+        return result
+
+    def members(self) -> Result[list[Member], StoreFault]:
+        result: Result[list[Member], StoreFault] = self._answer(self.listed)
+        return result
+
+
+class FakePeers(Peers):
+    """Peers that keep what they are told and answer by a function."""
+
+    def __init__(self, answer: Callable[[str, PeerMessage], Any]) -> None:
+        self.told: list[tuple[str, PeerMessage]] = []
+        self._answer = answer
+
+    def tell(self, vm: str, message: PeerMessage) -> None:
+        self.told.append((vm, message))
+
+    def ask(
+        self, vm: str, message: PeerMessage, deadline: float
+    ) -> Result[PeerMessage, PeerError]:
+        answer = self._answer(vm, message)
+        return Err(PeerError(vm, "silent")) if answer is None else Ok(answer)
+
+    def kinds_told(self) -> list[tuple[str, str]]:
+        return [(vm, type(message).__name__) for vm, message in self.told]
+
+
+def make_membership(
+    store: FakeStore, peers: FakePeers, generation: int = 6
+) -> tuple[Membership, Context]:
+    """Return a member of a group of two, with a lease and one runner of its own."""
+    cfg = ServingSettings.model_validate(
+        {
+            "vm": {"id": "vm-a", "domain": "d", "address": "127.0.0.1"},
+            "peer": {"port": 1, "secret": "s"},
+            "entry": {"callers": "a:1", "readiness": "a:2", "metrics_port": 3},
+            "store": {"address": "a:4"},
+        }
+    )
+    nothing: Any = None
+    fake: Any = store
+    ctx = make_context(
+        cfg, ManualClock(), Ports(fake, nothing, nothing, nothing), peers
+    )
+    ctx.is_new = False
+    ctx.ownership.start_after(BOTH, 0.0)
+    ctx.ownership.renew(generation, 0.0, 0.0)
+    ctx.ownership.adopt(View(generation, BOTH), 0.0)
+    return Membership(ctx), ctx
+
+
+def add_own_runner(ctx: Context) -> Runner:
+    """Register a runner that the view deals to vm-a, and take the right to it."""
+    for number in range(100):
+        runner = Runner(f"i-{number}", "s", "h", 1, "d", 8, False, 1, 0, ())
+        owner = ctx.ownership.owner_of(runner)
+        if owner is not None and owner.vm == "vm-a":
+            record = DirectoryRecord(Topic.RUNNERS, 0, runner.id, runner=runner)
+            ctx.directory.apply(record, 0.0)
+            assert ctx.ownership.fencing_token(runner, 0.0) is not None
+            return runner
+    raise AssertionError("no runner for vm-a")
+
+
+def test_neighbour_renews_for_a_vm_that_the_store_refuses() -> None:
+    """Replays trouble-1: the store refused three of nine VMs for 9 s."""
+    asked: list[tuple[str, PeerMessage]] = []
+
+    def answer(vm: str, message: PeerMessage) -> PeerMessage:
+        asked.append((vm, message))
+        return RenewAnswer(7)
+
+    membership, ctx = make_membership(FakeStore(7, is_refusing=True), FakePeers(answer))
+    ctx.store_views["vm-b"] = StoreView(ctx.clock.monotonic(), has_store=True)
+    assert membership._renew_lease()
+    assert ctx.has_store
+    assert ctx.ownership.generation == 7
+    assert asked == [("vm-b", RenewRequest(BOTH[0], 6))]
+
+
+@pytest.mark.parametrize("has_store", [False, True])
+def test_without_any_neighbour_that_can_help_the_store_is_lost(has_store: bool) -> None:
+    peers = FakePeers(lambda vm, message: RenewAnswer(-1) if has_store else None)
+    membership, ctx = make_membership(FakeStore(7, is_refusing=True), peers)
+    ctx.store_views["vm-b"] = StoreView(ctx.clock.monotonic(), has_store=has_store)
+    assert not membership._renew_lease()
+    assert not ctx.has_store
+
+
+def test_renewal_for_a_neighbour_answers_what_the_store_said() -> None:
+    replies: list[PeerMessage] = []
+    membership, _ = make_membership(FakeStore(9), FakePeers(lambda *_: None))
+    question = RenewRequest(BOTH[1], 6)
+    inbound = Inbound("vm-b", question, replies.append)
+    membership._answer_renewal(inbound, question)
+    assert replies == [RenewAnswer(9)]
+
+
+def test_leaving_vm_hands_its_runners_over() -> None:
+    peers = FakePeers(lambda *_: None)
+    membership, ctx = make_membership(FakeStore(6), peers)
+    runner = add_own_runner(ctx)
+    membership.leave()
+    assert ("vm-b", HandoverNotice([runner.id], 7)) in peers.told
+    assert peers.kinds_told()[-1] == ("vm-b", "LeavingNotice")
+
+
+def test_vm_that_stops_without_the_store_hands_nothing_over() -> None:
+    """Its next process may still be listed, and takes the runners up again."""
+    peers = FakePeers(lambda *_: None)
+    membership, ctx = make_membership(FakeStore(6, is_refusing=True), peers)
+    add_own_runner(ctx)
+    membership.leave()
+    assert peers.told == [("vm-b", LeavingNotice())]
+
+
+def test_view_without_this_vm_is_not_adopted_while_it_reaches_the_store() -> None:
+    membership, ctx = make_membership(FakeStore(8), FakePeers(lambda *_: None))
+    membership.hear_view("vm-b", ViewNotice(View(8, BOTH[1:])))
+    assert ctx.ownership.view.generation == 6
+    ctx.has_store = False
+    membership.hear_view("vm-b", ViewNotice(View(8, BOTH[1:])))
+    assert ctx.ownership.view.generation == 8
+
+
+def test_list_without_this_vm_is_read_again() -> None:
+    """A member is listed once it has a seat, a moment after it has joined."""
+    store = FakeStore(8)
+    store.listed = [BOTH[1]]
+    membership, ctx = make_membership(store, FakePeers(lambda *_: None))
+    membership._renew()
+    assert ctx.ownership.view.generation == 6
+    store.listed = list(BOTH)
+    membership._renew()
+    assert ctx.ownership.view == View(8, BOTH)
+
+
+def test_view_read_is_passed_on_and_moved_runners_handed_over() -> None:
+    peers = FakePeers(lambda *_: None)
+    store = FakeStore(8)
+    membership, ctx = make_membership(store, peers)
+    runner = add_own_runner(ctx)
+    store.listed = [Member("vm-a", "d", "127.0.0.1", 1, is_new=True), BOTH[1]]
+    membership._renew()
+    assert ("vm-b", HandoverNotice([runner.id], 8)) in peers.told
+    assert ("vm-b", "ViewNotice") in peers.kinds_told()
