--- a/packages/gooseberryrun/src/gooseberryrun/__main__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/__main__.py
@@ -14,7 +14,9 @@
 import eventlet  # noqa: E402
 import eventlet.hubs  # noqa: E402
 
-eventlet.hubs.use_hub("eventlet.hubs.asyncio")
+from gooseberryrun._hub import Hub  # noqa: E402
+
+eventlet.hubs.use_hub(Hub)
 eventlet.monkey_patch()
 
 from gooseberryrun._internal.cli import run  # noqa: E402
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_ports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -210,6 +210,11 @@
     def tell(self, vm: str, message: PeerMessage) -> None:
         """Send a message without waiting; it may be lost."""
 
+    def tell_all(self, vms: Iterable[str], message: PeerMessage) -> None:
+        """Send one message to several VMs."""
+        for vm in vms:
+            self.tell(vm, message)
+
     @abstractmethod
     def ask(
         self, vm: str, message: PeerMessage, deadline: float
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -31,14 +31,6 @@
     is_missing: bool
 
 
-class AcquireAnswer(Message, frozen=True, array_like=True):
-    """Answer of the owner: the version held, or why there is none."""
-
-    version: int
-    reason: str = ""
-    retry_in_s: float = 0.0
-
-
 class UseNotice(Message, frozen=True, array_like=True):
     """How many requests of the sender are on an adapter of a runner now."""
 
@@ -48,28 +40,32 @@
 
 
 class ViewNotice(Message, frozen=True, array_like=True):
-    """View that the sender has read from the store, passed on."""
+    """View of a failure domain's group that was read from the store, passed on."""
 
+    group: str
     view: View
 
 
 class HandoverNotice(Message, frozen=True, array_like=True):
     """The sender gives no more orders to these runners, by the view of a generation.
 
-    The member to which that view deals them may, once it acts by it.
+    The member to which that view deals them may, once it acts by it. All of them
+    belong to the failure domain of the group.
     """
 
+    group: str
     runners: list[str]
     generation: int
 
 
 class LeavingNotice(Message, frozen=True, array_like=True):
-    """The sender is leaving the group, or has just left it."""
+    """The sender is leaving its domain's group, or has just left it."""
 
 
 class RenewRequest(Message, frozen=True, array_like=True):
     """Asks a member to renew the sender's membership, which cannot reach the store."""
 
+    group: str
     member: Member
     generation: int
 
@@ -96,6 +92,20 @@
     turn_s: float
 
 
+class AcquireAnswer(Message, frozen=True, array_like=True):
+    """Answer of the owner: the version held, or why there is none.
+
+    ``residency`` and ``load`` are what the owner knows of the runner now, for VMs that
+    are not told its changes; a VM that does not own the runner leaves them out.
+    """
+
+    version: int
+    reason: str = ""
+    retry_in_s: float = 0.0
+    residency: ResidencyNotice | None = None
+    load: RunnerView | None = None
+
+
 class CrashReport(Message, frozen=True, array_like=True):
     """A runner crashed while it worked on a request with this content."""
 
@@ -125,6 +135,21 @@
     offset: int
 
 
+class DirectoryNotice(Message, frozen=True, array_like=True):
+    """Sent by a VM that reads the store to the others of its failure domain.
+
+    ``records`` are those from offset ``start`` up to ``end``; there are none if the
+    notice only says that the reading goes on. ``is_after_outage`` says that entries may
+    have lapsed while the store was away and may come back.
+    """
+
+    topic: Topic
+    start: int
+    end: int
+    records: list[DirectoryRecord]
+    is_after_outage: bool
+
+
 class DirectoryReply(Message, frozen=True, array_like=True):
     """Records that a peer has read, and where its reading ended."""
 
@@ -144,6 +169,7 @@
     | RenewAnswer
     | ResidencyNotice
     | ServingGossip
+    | DirectoryNotice
     | DirectoryRequest
     | DirectoryReply
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -34,6 +34,8 @@
 MIN_PAUSE_S = 0.3
 """Shortest time for which an owner that could not order is not asked again."""
 MAX_PAUSE_S = 1.5
+TOLD_TTL_S = 0.6
+"""Age up to which an owner's answer counts where its changes are not told."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,19 +74,32 @@
 
     def held(self, runner: Runner) -> dict[str, int]:
         """Return the adapters that a runner is believed to hold, with versions."""
-        notice = self._ctx.residency.get(runner.id)
-        if notice is not None and notice.born_ms == runner.born_ms:
+        notice = self._notice(runner)
+        if notice is not None:
             return notice.held
+        if not self._ctx.follows(runner):
+            return {}
         return {
             adapter_key(model.name, name): version
             for model in runner.models
             for name, version in model.adapters.items()
         }
 
-    def queue(self, runner: Runner) -> PlaceQueue:
-        """Return what is known of the wait for places of a runner."""
+    def _notice(self, runner: Runner) -> ResidencyNotice | None:
+        """Return what the runner's owner said last, unless it is out of date."""
         notice = self._ctx.residency.get(runner.id)
         if notice is None or notice.born_ms != runner.born_ms:
+            return None
+        if self._ctx.follows(runner):
+            return notice
+        heard_at = self._ctx.residency_at.get(runner.id, float("-inf"))
+        is_fresh = self._ctx.clock.monotonic() - heard_at <= TOLD_TTL_S
+        return notice if is_fresh else None
+
+    def queue(self, runner: Runner) -> PlaceQueue:
+        """Return what is known of the wait for places of a runner."""
+        notice = self._notice(runner)
+        if notice is None:
             return PlaceQueue(1, 0, DEFAULT_TURN_S)
         return PlaceQueue(notice.idle, notice.waiting, notice.turn_s)
 
@@ -146,7 +161,7 @@
             del self._uses[(runner.id, adapter)]
 
     def _tell_use(self, runner: Runner, adapter: str) -> None:
-        owner = self._ctx.ownership.owner_of(runner)
+        owner = self._ctx.owner_of(runner)
         notice = UseNotice(runner.id, adapter, self._uses[(runner.id, adapter)])
         if owner is not None:
             self._tell(owner.vm, notice)
@@ -161,7 +176,7 @@
         self, runner: Runner, want: AdapterWant, deadline: float
     ) -> Result[int, Refused]:
         """Have the owner of a runner make an adapter ready; return its version."""
-        owner = self._ctx.ownership.owner_of(runner)
+        owner = self._ctx.owner_of(runner)
         if owner is None:
             self._membership.renew_soon()
             return Err(Refused("no_owner", 0.5))
@@ -198,10 +213,19 @@
         reply = answer.ok_value
         if not isinstance(reply, AcquireAnswer):
             return Err(Refused("unexpected_answer", 0.5))
+        self._hear_state(vm, reply)
         if reply.reason:
             return Err(Refused(reply.reason, reply.retry_in_s))
         return Ok(reply.version)
 
+    def _hear_state(self, vm: str, reply: AcquireAnswer) -> None:
+        """Take in what an owner tells of its runner with an answer."""
+        if reply.residency is not None:
+            self.hear_residency(vm, reply.residency)
+        if reply.residency is not None and reply.load is not None:
+            now = self._ctx.clock.monotonic()
+            self._ctx.loads.hear_owner(reply.residency.runner, reply.load, now)
+
     def _note(
         self, runner: Runner, adapter: str, acquired: Result[int, Refused]
     ) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -16,7 +16,11 @@
     DirectoryState,
     Member,
     OwnershipState,
+    Runner,
     RunnerLoads,
+    View,
+    is_in_horizon,
+    reader_rank,
 )
 
 from .._ports import Peers
@@ -56,6 +60,9 @@
     is_new: bool = True
     store_views: dict[str, StoreView] = field(default_factory=dict)
     residency: dict[str, ResidencyNotice] = field(default_factory=dict)
+    far_views: dict[str, View] = field(default_factory=dict)
+    guarded: dict[str, OwnershipState] = field(default_factory=dict)
+    residency_at: dict[str, float] = field(default_factory=dict)
     memories: dict[str, AdapterMemory] = field(default_factory=dict)
     crashes: list[tuple[float, CrashReport]] = field(default_factory=list)
 
@@ -72,8 +79,36 @@
         return Member(vm.id, vm.domain, address, self.cfg.peer.port, self.is_new)
 
     def members(self) -> dict[str, Member]:
-        """Return the members known, this VM included, by id."""
-        return {member.vm: member for member in self.ownership.view.members}
+        """Return the members known in all domains, this VM included, by id."""
+        views = [*self.far_views.values(), self.ownership.view]
+        return {member.vm: member for view in views for member in view.members}
+
+    def domains(self) -> list[str]:
+        """Return the failure domains known, in order."""
+        found = {*self.cfg.membership.domains, self.cfg.vm.domain, *self.far_views}
+        found.update(runner.domain for runner in self.directory.all_runners())
+        return sorted(found)
+
+    def rights_to(self, runner: Runner) -> OwnershipState:
+        """Return the state of the group that a runner may be dealt to this VM by."""
+        return self.guarded.get(runner.domain, self.ownership)
+
+    def owner_of(self, runner: Runner) -> Member | None:
+        """Return the member that a runner is dealt to, as far as this VM knows."""
+        far = self.far_views.get(runner.domain)
+        if runner.domain in self.guarded or far is None:
+            return self.rights_to(runner).owner_of(runner)
+        return far.owner_of(runner)
+
+    def hear_far_view(self, group: str, view: View) -> bool:
+        """Take in the view of another domain's group; return whether it was news."""
+        known = self.far_views.get(group)
+        if group == self.cfg.vm.domain or (
+            known and known.generation > view.generation
+        ):
+            return False
+        self.far_views[group] = view
+        return known is None or known.members != view.members
 
     def peer_ids(self) -> list[str]:
         """Return the ids of the other members."""
@@ -85,6 +120,33 @@
         near = [m.vm for m in members if m.domain == self.cfg.vm.domain]
         return [vm for vm in near if vm != self.vm]
 
+    def far_peer_ids(self) -> list[str]:
+        """Return the ids of the members in other failure domains."""
+        domain = self.cfg.vm.domain
+        return [vm for vm, m in self.members().items() if m.domain != domain]
+
+    def reader_rank(self) -> int:
+        """Return this VM's place among those of its domain that read the store."""
+        return reader_rank(self.vm, self.cfg.vm.domain, self.ownership.view.members)
+
+    def follows(self, runner: Runner) -> bool:
+        """Tell whether this VM is told what a runner holds."""
+        return self._is_followed(runner, self.cfg.vm.domain)
+
+    def _is_followed(self, runner: Runner, domain: str) -> bool:
+        near_count = self.directory.near_count(runner.service, domain)
+        return is_in_horizon(runner, domain, near_count)
+
+    def followers(self, runner: Runner) -> list[str]:
+        """Return the ids of the other members that are told what a runner holds."""
+        members = self.members().values()
+        followed_in = {
+            domain: self._is_followed(runner, domain)
+            for domain in {member.domain for member in members}
+        }
+        found = {member.vm for member in members if followed_in[member.domain]}
+        return sorted(found - {self.vm})
+
     def former_peer_ids(self) -> list[str]:
         """Return the ids of members that left the view a short time ago."""
         former = self.ownership.former_members(self.clock.boottime())
@@ -139,6 +201,7 @@
 
     def note_residency(self, notice: ResidencyNotice) -> None:
         """Believe a notice, and remember the adapters for later loads."""
+        self.residency_at[notice.runner] = self.clock.monotonic()
         self.residency[notice.runner] = notice
         memory = self.memories.setdefault(notice.runner, AdapterMemory())
         memory.note(notice.born_ms, notice.held)
@@ -162,7 +225,9 @@
         ports,
         peers,
         DirectoryState(),
-        OwnershipState(cfg.vm.id, cfg.vm.domain, cfg.membership, clock.boottime()),
+        OwnershipState(
+            cfg.vm.id, cfg.vm.domain, cfg.membership, clock.boottime(), cfg.vm.domain
+        ),
         RunnerLoads(),
         SuspectState(CRASHES_TO_REFUSE, SUSPECT_TTL_S),
     )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_event_stream.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_event_stream.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+MAX_EVENT_BYTES = 1 << 20
+"""Longest event that is waited for."""
+
 
 class EventBuffer:
     """Cuts a body into whole events and remembers the id of the last one."""
@@ -21,6 +24,11 @@
         self._note_id(whole)
         return whole
 
+    @property
+    def is_too_long(self) -> bool:
+        """Tell whether an event has begun that is longer than any should be."""
+        return len(self._rest) > MAX_EVENT_BYTES
+
     def rest(self) -> bytes:
         """Return the beginning of an event that is not complete."""
         return self._rest
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -7,12 +7,17 @@
 import eventlet
 from result import Err
 
-from gooseberryrun._internal.state.serving import DirectoryRecord, Topic
+from gooseberryrun._internal.state.serving import (
+    READERS,
+    DirectoryRecord,
+    Topic,
+    reads_store,
+)
 
 from .._events import log_event
 from .._metrics import CONFIGURATION_VERSION, STORE_CALLS
 from .._ports import Inbound
-from .._serving_messages import DirectoryReply, DirectoryRequest
+from .._serving_messages import DirectoryNotice, DirectoryReply, DirectoryRequest
 from .._tasks import spawn, spawn_lasting
 from ._context import Context
 from ._ports import StoreFault, StoreFaultKind
@@ -28,7 +33,13 @@
 PEER_LEAD_S = {Topic.CONFIGURATION: 0.15, Topic.RUNNERS: 1.0}
 """Time for the store's own word before records are fetched from a peer."""
 FETCH_TIMEOUT_S = 1.0
-SWEEP_S = 0.2
+SWEEP_S = 0.4
+DUTY_CHECK_S = 0.25
+"""Pause of a VM that need not read the store before it looks again."""
+READER_POLL_S = 2.5
+"""Longest wait of a read for others: a connection that went silent shows after it."""
+SIGN_OF_LIFE_S = 1.0
+"""Pause between words of a reader to those that it reads for."""
 
 
 class DirectoryFollower:
@@ -38,12 +49,16 @@
         self._ctx = ctx
         self._lost_at: dict[Topic, float] = {}
         self._fetching: set[Topic] = set()
+        self._heard_at: dict[Topic, float] = {}
+        self._read_at: dict[Topic, float] = {}
+        self._is_reading = dict.fromkeys(Topic, True)
 
     def start(self) -> None:
         """Follow each topic in a green thread of its own."""
         for topic in Topic:
             spawn_lasting(f"follow_{topic}", partial(self._follow, topic))
         spawn_lasting("directory_sweep", self._sweep)
+        spawn_lasting("directory_signs", self._tell_signs_of_life)
 
     def is_ready(self) -> bool:
         """Tell whether a configuration is known."""
@@ -55,6 +70,9 @@
         needs_snapshot = True
         pause_s = RETRY_S
         while True:
+            if not needs_snapshot and not self._is_due(topic):
+                eventlet.sleep(DUTY_CHECK_S)
+                continue
             fault = self._read(topic, needs_snapshot)
             if fault is None:
                 self._note_regained(topic)
@@ -69,14 +87,69 @@
             eventlet.sleep(pause_s)
             pause_s = min(MAX_RETRY_S, pause_s * 2)
 
+    def _is_due(self, topic: Topic) -> bool:
+        """Tell whether this VM reads the store itself, and log when that changes."""
+        heard_at = self._heard_at.get(topic, float("-inf"))
+        now = self._ctx.clock.monotonic()
+        rank = self._ctx.reader_rank()
+        is_due = reads_store(rank, heard_at, now)
+        if is_due is not self._is_reading[topic]:
+            self._is_reading[topic] = is_due
+            age_s = now - heard_at
+            log_event(
+                "reading", topic=topic, is_due=is_due, rank=rank, heard_age_s=age_s
+            )
+        return is_due
+
+    def _serves_others(self) -> bool:
+        return self._ctx.reader_rank() < READERS <= len(self._ctx.near_peer_ids())
+
+    def _poll_s(self) -> float:
+        wait_s = self._ctx.cfg.store.poll_wait_s
+        return min(READER_POLL_S, wait_s) if self._serves_others() else wait_s
+
+    def _tell_signs_of_life(self) -> None:
+        """Tell those that this VM reads for that the reading goes on."""
+        while True:
+            eventlet.sleep(SIGN_OF_LIFE_S)
+            now = self._ctx.clock.monotonic()
+            for topic, read_at in self._read_at.items():
+                if topic not in self._lost_at and now - read_at <= 2 * READER_POLL_S:
+                    self._tell(topic, self._ctx.directory.ends[topic], [])
+
+    def _tell(self, topic: Topic, start: int, records: list[DirectoryRecord]) -> None:
+        """Pass on what was read to those of this domain that need not read it."""
+        if not self._serves_others():
+            return
+        directory = self._ctx.directory
+        is_after_outage = directory.is_after_outage(self._ctx.clock.monotonic())
+        notice = DirectoryNotice(
+            topic, start, directory.ends[topic], records, is_after_outage
+        )
+        self._ctx.peers.tell_all(self._ctx.near_peer_ids(), notice)
+
+    def hear_notice(self, peer: str, notice: DirectoryNotice) -> None:
+        """Take in what a reader of this domain has read."""
+        ctx = self._ctx
+        now = ctx.clock.monotonic()
+        self._heard_at[notice.topic] = now
+        if notice.topic in self._lost_at and not self._is_reading[notice.topic]:
+            self._note_regained(notice.topic)
+        if notice.is_after_outage and not ctx.directory.is_after_outage(now):
+            ctx.directory.regained_at = now
+        if notice.start > ctx.directory.ends[notice.topic]:
+            self.hear_ends(peer, {notice.topic: notice.end})
+            return
+        news = DirectoryReply(notice.topic, notice.end, notice.records)
+        self._take_reply(peer, news)
+
     def _read(self, topic: Topic, needs_snapshot: bool) -> StoreFault | None:
         directory = self._ctx.directory
         store = self._ctx.ports.store
         if needs_snapshot:
             read = store.read_snapshot(topic)
         else:
-            wait_s = self._ctx.cfg.store.poll_wait_s
-            read = store.read_changes(topic, directory.ends[topic], wait_s)
+            read = store.read_changes(topic, directory.ends[topic], self._poll_s())
         outcome = read.err_value.kind if isinstance(read, Err) else "ok"
         STORE_CALLS.labels(call=f"read_{topic}", outcome=outcome).inc()
         if isinstance(read, Err):
@@ -84,12 +157,16 @@
         self._note_regained(topic)
         records = read.ok_value
         now = self._ctx.clock.monotonic()
+        self._read_at[topic] = now
+        start = directory.ends[topic]
         if needs_snapshot:
             news = directory.replace(topic, records.records, records.end, now)
         else:
             news = [r for r in records.records if directory.apply(r, now)]
             directory.ends[topic] = max(directory.ends[topic], records.end)
         self._log_news(news, "store")
+        if records.records and not needs_snapshot:
+            self._tell(topic, start, records.records)
         if records.records:
             eventlet.sleep(BATCH_S[topic])
         return None
@@ -126,7 +203,7 @@
 
     def _fetch(self, peer: str, topic: Topic, end: int) -> None:
         try:
-            if topic not in self._lost_at:
+            if self._is_reading[topic] and topic not in self._lost_at:
                 eventlet.sleep(PEER_LEAD_S[topic])
             known_end = self._ctx.directory.ends[topic]
             if known_end >= end:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -15,8 +15,12 @@
 INTERVAL_S = 0.5
 FANOUT = 8
 """Peers told at a time; fixed, so that the cost does not grow with the VMs."""
+FAR_FANOUT = 2
+"""Those of them in other failure domains, where there are more peers than that."""
 RESIDENCY_ROUNDS = 6
 """Rounds after which what the owned runners hold is told again."""
+CONTACT_ROUNDS = 40
+"""Rounds after which other members of other failure domains are told."""
 CRASH_TOLD_S = 5.0
 """Time for which a crash is told."""
 
@@ -34,6 +38,8 @@
         self._hear_residency = hear_residency
         self._own_residency = own_residency
         self._rounds = itertools.count()
+        self._contacts: list[str] = []
+        self._contact_rounds = 0
 
     def start(self) -> None:
         """Tell in a green thread of its own."""
@@ -43,8 +49,7 @@
         while True:
             eventlet.sleep(INTERVAL_S * random.uniform(0.8, 1.2))
             gossip = self._gossip()
-            for peer in self._pick_peers():
-                self._ctx.peers.tell(peer, gossip)
+            self._ctx.peers.tell_all(self._pick_peers(), gossip)
 
     def _pick_peers(self) -> set[str]:
         """Return some peers, and all that have to know how this VM fares.
@@ -53,13 +58,27 @@
         the store keeps its runners while its neighbours say that they lost it too.
         """
         ctx = self._ctx
-        peers = ctx.peer_ids()
-        picked = set(random.sample(peers, min(FANOUT, len(peers))))
+        near = ctx.near_peer_ids()
+        picked = set(self._far_contacts(max(FAR_FANOUT, FANOUT - len(near))))
+        picked.update(random.sample(near, min(FANOUT - len(picked), len(near))))
         picked.update(ctx.former_peer_ids()[:FANOUT])
         if not ctx.has_store:
             picked.update(ctx.near_peer_ids())
         return picked
 
+    def _far_contacts(self, count: int) -> list[str]:
+        """Return some members of other failure domains, the same for a while.
+
+        Each contact is a connection that stays open while it is used.
+        """
+        far = self._ctx.far_peer_ids()
+        self._contact_rounds += 1
+        self._contacts = [vm for vm in self._contacts if vm in far][:count]
+        is_due = self._contact_rounds % CONTACT_ROUNDS == 0
+        if is_due or len(self._contacts) < min(count, len(far)):
+            self._contacts = random.sample(far, min(count, len(far)))
+        return self._contacts
+
     def _gossip(self) -> ServingGossip:
         ctx = self._ctx
         now = ctx.clock.monotonic()
@@ -84,6 +103,8 @@
         ctx.loads.hear(gossip.vm, gossip.views, now)
         ctx.store_views[gossip.vm] = StoreView(now, gossip.has_store)
         for notice in gossip.residency:
-            self._hear_residency(gossip.vm, notice)
+            runner = ctx.directory.runner(notice.runner)
+            if runner is None or ctx.follows(runner):
+                self._hear_residency(gossip.vm, notice)
         for report in gossip.crashes:
             ctx.record_crash(report)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -8,7 +8,7 @@
 import eventlet
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import Member, View
+from gooseberryrun._internal.state.serving import READERS, Member, View
 
 from .._events import log_event
 from .._metrics import LEASE_LEFT, STORE_CALLS, VIEW_MEMBERS
@@ -39,24 +39,38 @@
 """Readings in a row that may lack this VM before one is believed."""
 FAR_TOLD = 2
 """Members of other failure domains that a view read from the store is passed on to."""
+VIEW_STEP_S = 0.1
+"""Time by which each further VM of a domain waits longer for a neighbour to read the
+members and pass them on."""
+MAX_VIEW_WAIT_S = 0.8
+"""Longest such wait."""
 
 
 class Membership:
-    """Renews the lease and keeps the view of the members up to date."""
+    """Renews the lease in one group and keeps the view of its members up to date.
 
-    def __init__(self, ctx: Context) -> None:
+    The group is that of a failure domain: of this VM's own, or of one without VMs that
+    this VM guards.
+    """
+
+    def __init__(self, ctx: Context, group: str | None = None) -> None:
         self._ctx = ctx
+        self._is_home = group is None
+        self._group = ctx.cfg.vm.domain if group is None else group
+        self._ownership = ctx.ownership if group is None else ctx.guarded[group]
         self._is_lost = False
         self._is_left = False
         self._is_renewal_due = False
         self._unlisted_reads = 0
         self._has_started = False
+        self._behind_since: float | None = None
         self.on_change: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Renew in a green thread of its own."""
         spawn_lasting("membership", self._renew_all)
-        spawn_lasting("lease_extension", self._extend_all)
+        if self._is_home:
+            spawn_lasting("lease_extension", self._extend_all)
 
     def _extend_all(self) -> None:
         """Keep the lease in force in an outage of the store for the whole domain."""
@@ -68,30 +82,32 @@
                 continue
             is_lost_to_all = ctx.is_store_lost_to(ctx.peer_ids(), now)
             boottime = ctx.clock.boottime()
-            ctx.ownership.extend(boottime, boottime + EXTEND_S, is_lost_to_all)
+            self._ownership.extend(boottime, boottime + EXTEND_S, is_lost_to_all)
 
     def leave(self) -> None:
         """Give every runner up and leave the group."""
         ctx = self._ctx
         self._is_left = True
-        peers = ctx.peer_ids()
-        generation = ctx.ownership.view.generation
+        peers = self._audience()
+        generation = self._ownership.view.generation
         runners = ctx.directory.all_runners()
-        given = ctx.ownership.leave(runners, ctx.clock.boottime())
-        self._tell(peers, LeavingNotice())
-        left = ctx.ports.store.leave(ctx.own_member)
+        given = self._ownership.leave(runners, ctx.clock.boottime())
+        if self._is_home:
+            self._tell(peers, LeavingNotice())
+        left = ctx.ports.store.leave(self._group, ctx.own_member)
         why = left.err_value.detail if isinstance(left, Err) else ""
-        log_event("group_left", error=why)
+        log_event("group_left", group=self._group, error=why)
         if isinstance(left, Err):
             # The next process on this VM may still be listed, and take them up again.
             return
         self._hand_over(given, generation + 1)
-        self._tell(peers, LeavingNotice())
+        if self._is_home:
+            self._tell(peers, LeavingNotice())
 
     def _hand_over(self, given: dict[str, list[str]], generation: int) -> None:
         for vm, runners in given.items():
             log_event("handed_over", to=vm, runners=",".join(runners))
-            self._ctx.peers.tell(vm, HandoverNotice(runners, generation))
+            self._ctx.peers.tell(vm, HandoverNotice(self._group, runners, generation))
 
     def renew_soon(self) -> None:
         """Renew in a moment, to learn of a change that others know of."""
@@ -120,15 +136,15 @@
         """Take in rights to runners, or pass them on to whom they are dealt now."""
         ctx = self._ctx
         now = ctx.clock.boottime()
-        ctx.ownership.hear_handover(notice.runners, notice.generation, now)
+        self._ownership.hear_handover(notice.runners, notice.generation, now)
         log_event(
             "handover_heard",
             peer=vm,
             runners=",".join(notice.runners),
             generation=notice.generation,
-            own_generation=ctx.ownership.view.generation,
+            own_generation=self._ownership.view.generation,
         )
-        if notice.generation > ctx.ownership.view.generation:
+        if notice.generation > self._ownership.view.generation:
             self.renew_soon()
         else:
             self._hand_over_moved()
@@ -143,11 +159,13 @@
     def _adopt(self, view: View, source: str) -> None:
         """Act by a view from now on, and hand over what it deals to others."""
         ctx = self._ctx
-        if not ctx.ownership.adopt(view, ctx.clock.boottime()):
+        if not self._ownership.adopt(view, ctx.clock.boottime()):
             return
+        self._behind_since = None
         VIEW_MEMBERS.set(len(view.members))
         log_event(
             "view_adopted",
+            group=self._group,
             generation=view.generation,
             members=len(view.members),
             source=source,
@@ -157,7 +175,7 @@
 
     def _hand_over_moved(self) -> None:
         """Hand over the rights to runners that are dealt to others now."""
-        ownership = self._ctx.ownership
+        ownership = self._ownership
         runners = self._ctx.directory.all_runners()
         given = ownership.hand_over(runners, self._ctx.clock.boottime())
         self._hand_over(given, ownership.view.generation)
@@ -166,22 +184,25 @@
         return any(member.vm == self._ctx.vm for member in members)
 
     def _tell(self, vms: Iterable[str], message: ViewNotice | LeavingNotice) -> None:
-        for vm in vms:
-            self._ctx.peers.tell(vm, message)
+        self._ctx.peers.tell_all(vms, message)
 
     def _pass_on(self, view: View) -> None:
         """Spare neighbours and a few others the reading of the view."""
-        near = self._ctx.near_peer_ids()
-        far = [vm for vm in self._ctx.peer_ids() if vm not in near]
-        some = random.sample(far, min(FAR_TOLD, len(far)))
-        self._tell([*near, *some], ViewNotice(view))
+        self._tell(self._audience(), ViewNotice(self._group, view))
+
+    def _audience(self) -> list[str]:
+        """Return those who are told of changes: neighbours and a few of each domain."""
+        told = self._ctx.near_peer_ids()
+        for view in self._ctx.far_views.values():
+            told += [m.vm for m in _sample(view.members, FAR_TOLD)]
+        return told
 
     def _start_after_predecessor(self) -> None:
         """Find what the process before this one held on this VM.
 
         The members have to be read before the first renewal, which adds this one.
         """
-        while isinstance(read := self._ctx.ports.store.members(), Err):
+        while isinstance(read := self._ctx.ports.store.members(self._group), Err):
             if not self._is_lost:
                 log_event("members_unread", level="warning", why=read.err_value.detail)
             self._note_lost(read.err_value.detail)
@@ -192,18 +213,22 @@
         log_event("predecessor", members=len(read.ok_value), is_listed=is_listed)
         self._ctx.is_new = not is_listed
         now = self._ctx.clock.boottime()
-        self._ctx.ownership.start_after(read.ok_value, now)
+        self._ownership.start_after(read.ok_value, now)
 
     def _renew_all(self) -> None:
         turn_s = self._ctx.cfg.membership.turn_ms / 1000
         settled_at = self._ctx.clock.boottime() + turn_s
-        if not self._has_started:
+        if self._is_home and not self._has_started:
             self._start_after_predecessor()
             self._has_started = True
         while not self._is_left:
             self._renew()
             eventlet.sleep(self._ctx.cfg.membership.renew_interval_s)
-            if self._ctx.is_new and self._ctx.clock.boottime() >= settled_at:
+            if (
+                self._is_home
+                and self._ctx.is_new
+                and self._ctx.clock.boottime() >= settled_at
+            ):
                 self._settle()
 
     def _settle(self) -> None:
@@ -211,24 +236,52 @@
         as_new = self._ctx.own_member
         self._ctx.is_new = False
         if self._renew_lease():
-            left = self._ctx.ports.store.leave(as_new)
+            left = self._ctx.ports.store.leave(self._group, as_new)
             why = left.err_value.detail if isinstance(left, Err) else ""
             log_event("member_settled", error=why)
 
     def _renew(self) -> None:
-        if not self._renew_lease() or not self._ctx.ownership.needs_view():
+        if not self._renew_lease() or not self._ownership.needs_view():
+            return
+        if self._waits_for_neighbours():
             return
         for _ in range(VIEW_READS):
             if self._read_view():
                 return
 
+    def _waits_for_neighbours(self) -> bool:
+        """Tell whether a neighbour may be about to pass a newer view on.
+
+        Answers restarts in large domains: were each change read by every VM at once,
+        and passed on to all others, the cost would grow with the square of the VMs.
+        """
+        ctx = self._ctx
+        neighbours = len(ctx.near_peer_ids())
+        now = ctx.clock.monotonic()
+        if self._behind_since is None:
+            self._behind_since = now
+        if (
+            not self._is_home
+            or neighbours < READERS
+            or not self._ownership.has_own_view()
+        ):
+            return False
+        wait_s = min(MAX_VIEW_WAIT_S, VIEW_STEP_S * ctx.reader_rank())
+        left_s = self._behind_since + wait_s - now
+        if left_s <= 0:
+            return False
+        eventlet.spawn_after(left_s, self.renew_soon)
+        return True
+
     def _renew_lease(self) -> bool:
         """Renew once; return whether the store answered."""
         ctx = self._ctx
         if self._is_left:
             return False
         asked_at = ctx.clock.boottime()
-        renewed = ctx.ports.store.renew(ctx.own_member, ctx.ownership.generation)
+        renewed = ctx.ports.store.renew(
+            self._group, ctx.own_member, self._ownership.generation
+        )
         if isinstance(renewed, Err):
             self._note_lost(renewed.err_value.detail)
             asked_at = ctx.clock.boottime()
@@ -236,13 +289,15 @@
         elif self._is_lost:
             self._is_lost = False
             log_event("membership_regained", lease_left_s=self._lease_left_s())
-        ctx.has_store = isinstance(renewed, Ok)
-        outcome = "lost" if not ctx.has_store else "relayed" if self._is_lost else "ok"
+        is_renewed = isinstance(renewed, Ok)
+        if self._is_home:
+            ctx.has_store = is_renewed
+        outcome = "lost" if not is_renewed else "relayed" if self._is_lost else "ok"
         STORE_CALLS.labels(call="renew", outcome=outcome).inc()
         LEASE_LEFT.set(self._lease_left_s())
         if isinstance(renewed, Err) or self._is_left:
             return False
-        ctx.ownership.renew(renewed.ok_value, asked_at, ctx.clock.boottime())
+        self._ownership.renew(renewed.ok_value, asked_at, ctx.clock.boottime())
         return True
 
     def _renew_through_peers(self, fault: StoreFault) -> Result[int, StoreFault]:
@@ -256,7 +311,7 @@
         }
         near = [vm for vm in ctx.near_peer_ids() if vm in reaching]
         far = sorted(reaching - set(near))
-        question = RenewRequest(ctx.own_member, ctx.ownership.generation)
+        question = RenewRequest(self._group, ctx.own_member, self._ownership.generation)
         for vm in [*near, *far][:RELAYS]:
             deadline = ctx.clock.monotonic() + RELAY_TIMEOUT_S
             asked = ctx.peers.ask(vm, question, deadline)
@@ -271,7 +326,9 @@
         spawn("renewal_relay", lambda: self._answer_renewal(inbound, question))
 
     def _answer_renewal(self, inbound: Inbound, question: RenewRequest) -> None:
-        renewed = self._ctx.ports.store.renew(question.member, question.generation)
+        renewed = self._ctx.ports.store.renew(
+            question.group, question.member, question.generation
+        )
         generation = -1 if isinstance(renewed, Err) else renewed.ok_value
         log_event(
             "renewal_relayed",
@@ -282,7 +339,7 @@
         inbound.reply(RenewAnswer(generation))
 
     def _lease_left_s(self) -> float:
-        return self._ctx.ownership.lease_left_s(self._ctx.clock.boottime())
+        return self._ownership.lease_left_s(self._ctx.clock.boottime())
 
     def _note_lost(self, why: str) -> None:
         if self._is_lost:
@@ -296,9 +353,9 @@
 
         If both renewals tell the same generation, the members are those of it.
         """
-        ownership = self._ctx.ownership
+        ownership = self._ownership
         generation = ownership.generation
-        read = self._ctx.ports.store.members()
+        read = self._ctx.ports.store.members(self._group)
         if isinstance(read, Err):
             log_event("members_unread", level="warning", why=read.err_value.detail)
             return True
@@ -317,3 +374,8 @@
         self._adopt(view, "store")
         self._pass_on(view)
         return True
+
+
+def _sample(members: tuple[Member, ...], count: int) -> list[Member]:
+    """Return some of the members at random."""
+    return random.sample(members, min(count, len(members)))
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -6,6 +6,7 @@
 
 from result import Err
 
+from gooseberryrun._internal.state import rank_nodes
 from gooseberryrun._internal.state.serving import (
     Candidate,
     Choice,
@@ -25,6 +26,8 @@
 from ._ports import AttemptFailure, AttemptFault, Forwarding, RunnerAnswer
 from ._runner_owner import adapter_key
 
+HOME_RUNNERS = 2
+"""Runners of an adapter's home domain that VMs of other domains consider."""
 MAX_ROUNDS = 6
 """Choices of a runner for one request."""
 MAX_WAIT_SHARE = 0.6
@@ -106,7 +109,7 @@
     def _choose(self, job: Job, now: float) -> Choice | None:
         adapter = self._key(job)
         candidates = []
-        for runner in self._ctx.directory.runners(job.service, now):
+        for runner in self._eligible(job, adapter, now):
             if runner.id in job.tried or self._ctx.loads.is_down(runner.id, now):
                 continue
             if all(model.name != job.facts.model for model in runner.models):
@@ -114,6 +117,22 @@
             candidates.append(self._candidate(job, runner, adapter, now))
         return choose_model_runner(candidates, adapter, job.facts.prompt_tokens)
 
+    def _eligible(self, job: Job, adapter: str, now: float) -> list[Runner]:
+        """Return the runners that this VM follows, and an adapter's home runners.
+
+        Rare adapters have one home in all domains, so that their loads are shared.
+        """
+        runners = self._ctx.directory.runners(job.service, now)
+        found = [runner for runner in runners if self._ctx.follows(runner)]
+        if len(found) == len(runners):
+            return found
+        by_domain = self._ctx.directory.runners_by_domain(job.service)
+        home = by_domain[rank_nodes(adapter, by_domain)[0]]
+        ranking = rank_nodes(adapter, [runner.id for runner in home])
+        homes = set(ranking[:HOME_RUNNERS])
+        known = {runner.id for runner in found}
+        return found + [r for r in home if r.id in homes and r.id not in known]
+
     def _candidate(
         self, job: Job, runner: Runner, adapter: str, now: float
     ) -> Candidate:
@@ -275,6 +294,11 @@
                 self._attempts.note_cut(job, runner, piece.err_value)
                 return self._after_fault(job, piece.err_value)
             events = progress.events.take(piece.ok_value)
+            if progress.events.is_too_long:
+                fault = AttemptFault(AttemptFailure.SPOILED, "too long an event")
+                progress.events.restart()
+                self._attempts.note_cut(job, runner, fault)
+                return self._after_fault(job, fault)
             if events:
                 reading.note_first_event()
                 self._pass_on(job, answer, progress, events)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_orders.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_orders.py
@@ -45,7 +45,7 @@
     def fencing_token(self) -> int | None:
         """Return the token for an order given now, None if this VM may give none."""
         now = self._ctx.clock.boottime()
-        return self._ctx.ownership.fencing_token(self._runner, now)
+        return self._ctx.rights_to(self._runner).fencing_token(self._runner, now)
 
     def forget_count(self) -> None:
         """Read the report before the next order."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -7,7 +7,7 @@
 import eventlet
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import Runner
+from gooseberryrun._internal.state.serving import Runner, RunnerView
 
 from .._events import log_event
 from .._metrics import RUNNERS_OWNED
@@ -25,7 +25,9 @@
 ResidencyListener = Callable[[str, ResidencyNotice], None]
 """Takes in what an owner, the first argument, says that a runner holds."""
 TELL_S = 0.02
-"""Time for which changes are gathered before they are told."""
+"""Shortest time for which changes are gathered before they are told."""
+TELL_PER_FOLLOWER_S = 0.005
+"""Gathering time for each VM that is told, which bounds an owner's messages."""
 CHECK_S = 0.3
 """Pause between checks of which runners are owned."""
 
@@ -76,7 +78,9 @@
         deadline = self._ctx.clock.monotonic() + question.left_s
         acquired = self.acquire(question, deadline)
         if isinstance(acquired, Ok):
-            inbound.reply(AcquireAnswer(acquired.ok_value))
+            inbound.reply(
+                AcquireAnswer(acquired.ok_value, "", 0.0, *self._state(question.runner))
+            )
             return
         refused = acquired.err_value
         log_event(
@@ -86,7 +90,18 @@
             adapter=question.adapter,
             reason=refused.reason,
         )
-        inbound.reply(AcquireAnswer(-1, refused.reason, refused.retry_in_s))
+        state = self._state(question.runner)
+        inbound.reply(AcquireAnswer(-1, refused.reason, refused.retry_in_s, *state))
+
+    def _state(
+        self, runner_id: str
+    ) -> tuple[ResidencyNotice | None, RunnerView | None]:
+        """Return what is known of an owned runner, for a VM that is not told."""
+        task = self._tasks.get(runner_id)
+        if task is None:
+            return None, None
+        now = self._ctx.clock.monotonic()
+        return task.residency(), self._ctx.loads.total(runner_id, now)
 
     def hear_use(self, vm: str, notice: UseNotice) -> None:
         """Take in which adapters a VM's requests are on."""
@@ -127,7 +142,7 @@
             for runner in self._ctx.directory.all_runners()
             if not runner.draining
             and self._max_adapters(runner) is not None
-            and self._ctx.ownership.holds(runner, now)
+            and self._ctx.rights_to(runner).holds(runner, now)
         ]
 
     def _max_adapters(self, runner: Runner) -> int | None:
@@ -142,14 +157,18 @@
         )
         self._tasks[runner.id] = task
         log_event(
-            "runner_owned", runner=runner.id, generation=self._ctx.ownership.generation
+            "runner_owned",
+            runner=runner.id,
+            generation=self._ctx.rights_to(runner).generation,
         )
         task.start()
 
     def _changed(self, runner_id: str) -> None:
         """Tell what a runner holds now; changes of one moment go together."""
         if not self._to_tell:
-            eventlet.spawn_after(TELL_S, self._tell)
+            followers = len(self._ctx.near_peer_ids())
+            gather_s = max(TELL_S, TELL_PER_FOLLOWER_S * followers)
+            eventlet.spawn_after(gather_s, self._tell)
         self._to_tell.add(runner_id)
 
     def _tell(self) -> None:
@@ -157,8 +176,7 @@
         for runner_id in runners:
             task = self._tasks.get(runner_id)
             notice = task.residency() if task else None
-            if notice is None:
+            if task is None or notice is None:
                 continue
             self.on_residency(self._ctx.vm, notice)
-            for peer in self._ctx.peer_ids():
-                self._ctx.peers.tell(peer, notice)
+            self._ctx.peers.tell_all(self._ctx.followers(task.runner), notice)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
@@ -61,16 +61,21 @@
         """Wait for records from an offset on; none come if ``wait_s`` passes."""
 
     @abstractmethod
-    def renew(self, member: Member, generation: int) -> Result[int, StoreFault]:
-        """Let a member join the group or stay in it; return the generation."""
+    def renew(
+        self, group: str, member: Member, generation: int
+    ) -> Result[int, StoreFault]:
+        """Let a member join a group or stay in it; return the generation.
+
+        Each failure domain has a group, which owns its runners.
+        """
 
     @abstractmethod
-    def leave(self, member: Member) -> Result[None, StoreFault]:
-        """Take a member out of the group."""
+    def leave(self, group: str, member: Member) -> Result[None, StoreFault]:
+        """Take a member out of a group."""
 
     @abstractmethod
-    def members(self) -> Result[list[Member], StoreFault]:
-        """Read who is in the group."""
+    def members(self, group: str) -> Result[list[Member], StoreFault]:
+        """Read who is in a group."""
 
 
 # Requests of callers.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -162,7 +162,8 @@
         self._places.note_demand(adapter, now)
         if self._orders.fencing_token() is None:
             boottime = self._ctx.clock.boottime()
-            wait_s = self._ctx.ownership.orders_in_s(self._runner, boottime)
+            rights = self._ctx.rights_to(self._runner)
+            wait_s = rights.orders_in_s(self._runner, boottime)
             return Err(Refused("no_lease", wait_s))
         if question.is_missing and adapter in self._places.held:
             log_event("belief_doubted", runner=self._runner.id, adapter=adapter)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
+
 from .._events import log_event
 from .._ports import Inbound
 from .._serving_messages import (
     AcquireRequest,
+    DirectoryNotice,
     DirectoryRequest,
     HandoverNotice,
     LeavingNotice,
@@ -19,6 +23,7 @@
 from ._answers import Answers
 from ._attempts import Attempts
 from ._context import Context
+from ._far_domains import FarDomains
 from ._follower import DirectoryFollower
 from ._gateway import Gateway
 from ._gossip import Gossip
@@ -35,6 +40,7 @@
         self._ctx = ctx
         self.follower = DirectoryFollower(ctx)
         self.membership = Membership(ctx)
+        self.far_domains = FarDomains(ctx)
         self.owners = Owners(ctx)
         attempts = Attempts(ctx)
         answers = Answers(ctx)
@@ -50,6 +56,8 @@
             ModelRequests(ctx, adapters, attempts, answers),
         )
         self.membership.on_change = self.owners.refresh
+        self.far_domains.on_change = self.owners.refresh
+        self._handlers = self._make_handlers()
         self.is_stopping = False
         self._is_released = False
 
@@ -57,6 +65,7 @@
         """Start every task."""
         self.follower.start()
         self.membership.start()
+        self.far_domains.start()
         self.owners.start()
         self._gossip.start()
 
@@ -70,30 +79,51 @@
             return
         self._is_released = True
         self.owners.close()
+        self.far_domains.close()
         self.membership.leave()
 
     def dispatch(self, inbound: Inbound) -> None:
         """Handle a message of a peer without blocking."""
-        message = inbound.message
-        if isinstance(message, UseNotice):
-            self.owners.hear_use(inbound.sender, message)
-        elif isinstance(message, ViewNotice):
-            self.membership.hear_view(inbound.sender, message)
-        elif isinstance(message, HandoverNotice):
-            self.membership.hear_handover(inbound.sender, message)
-        elif isinstance(message, LeavingNotice):
-            self.membership.hear_leaving(inbound.sender)
-        elif isinstance(message, ResidencyNotice):
-            self._adapters.hear_residency(inbound.sender, message)
-        elif isinstance(message, RenewRequest):
-            self.membership.answer_renewal(inbound, message)
-        elif isinstance(message, AcquireRequest):
-            self.owners.answer(inbound, message)
-        elif isinstance(message, ServingGossip):
-            self._gossip.hear(message)
-            self.follower.hear_ends(inbound.sender, message.ends)
-        elif isinstance(message, DirectoryRequest):
-            self.follower.answer(inbound, message)
-        else:
-            kind = type(message).__name__
+        handler = self._handlers.get(type(inbound.message))
+        if handler is None:
+            kind = type(inbound.message).__name__
             log_event("peer_message_ignored", peer=inbound.sender, kind=kind)
+            return
+        handler(inbound, inbound.message)
+
+    def _make_handlers(self) -> dict[type, Callable[[Inbound, Any], None]]:
+        return {
+            AcquireRequest: self.owners.answer,
+            DirectoryNotice: _by_sender(self.follower.hear_notice),
+            DirectoryRequest: self.follower.answer,
+            HandoverNotice: self._hear_handover,
+            LeavingNotice: lambda inbound, _: self.membership.hear_leaving(
+                inbound.sender
+            ),
+            RenewRequest: self.membership.answer_renewal,
+            ResidencyNotice: _by_sender(self._adapters.hear_residency),
+            ServingGossip: self._hear_gossip,
+            UseNotice: _by_sender(self.owners.hear_use),
+            ViewNotice: self._hear_view,
+        }
+
+    def _hear_view(self, inbound: Inbound, notice: ViewNotice) -> None:
+        is_home = notice.group == self._ctx.cfg.vm.domain
+        part = self.membership if is_home else self.far_domains
+        part.hear_view(inbound.sender, notice)
+
+    def _hear_handover(self, inbound: Inbound, notice: HandoverNotice) -> None:
+        is_home = notice.group == self._ctx.cfg.vm.domain
+        part = self.membership if is_home else self.far_domains
+        part.hear_handover(inbound.sender, notice)
+
+    def _hear_gossip(self, inbound: Inbound, gossip: ServingGossip) -> None:
+        self._gossip.hear(gossip)
+        self.follower.hear_ends(inbound.sender, gossip.ends)
+
+
+def _by_sender(
+    hear: Callable[[str, Any], None],
+) -> Callable[[Inbound, Any], None]:
+    """Return a handler that passes on the sender's id and the message."""
+    return lambda inbound, message: hear(inbound.sender, message)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -38,7 +38,9 @@
     turn_ms: int = Field(default=3000, ge=0)
     """Time within which two owners of a runner may not take turns."""
     max_members: int = Field(default=96, ge=1)
-    """Entry VMs that the group has room for."""
+    """Entry VMs that the group of a failure domain has room for."""
+    domains: list[str] = []
+    """Failure domains; those with runners are found without it."""
 
 
 class RepeatSettings(Section):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -2,6 +2,13 @@
 
 from ._budget import RepeatBudget
 from ._directory import AdapterVersion, DirectoryRecord, DirectoryState, Topic
+from ._horizon import (
+    READERS,
+    is_in_horizon,
+    reader_rank,
+    reads_store,
+    sees_all_runners,
+)
 from ._loads import RunnerLoads, RunnerView
 from ._ownership import OwnershipState
 from ._placement import (
@@ -39,6 +46,7 @@
 __all__ = [
     "DEFAULT_TURN_S",
     "LOAD_S",
+    "READERS",
     "RELOAD_S",
     "AdapterMemory",
     "AdapterPlaces",
@@ -74,4 +82,8 @@
     "choose_plain_server",
     "expected_first_event_s",
     "failure_share",
+    "is_in_horizon",
+    "reader_rank",
+    "reads_store",
+    "sees_all_runners",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -57,6 +57,8 @@
         self._versions: dict[tuple[str, str], int] = {}
         self._runners: dict[str, Runner] = {}
         self._lapse_deadlines: dict[str, float] = {}
+        self._serving: dict[str, list[Runner]] = {}
+        self._by_domain: dict[str, dict[str, list[Runner]]] = {}
 
     # Reading.
 
@@ -74,13 +76,39 @@
 
     def runners(self, service: str, now: float) -> list[Runner]:
         """Return the runners of a service that may get new work."""
-        return [
-            runner
-            for runner in self._runners.values()
-            if runner.service == service
-            and not runner.draining
-            and now < self._lapse_deadlines.get(runner.id, float("inf"))
-        ]
+        if service not in self._serving:
+            self._serving[service] = [
+                runner
+                for runner in self._runners.values()
+                if runner.service == service and not runner.draining
+            ]
+        found = self._serving[service]
+        if not self._lapse_deadlines:
+            return found
+        return [r for r in found if now < self._lapse_deadlines.get(r.id, float("inf"))]
+
+    def runners_by_domain(self, service: str) -> dict[str, list[Runner]]:
+        """Return the runners of a service that do not drain, by failure domain."""
+        if service not in self._by_domain:
+            found: dict[str, list[Runner]] = {}
+            for runner in self._runners.values():
+                if runner.service == service and not runner.draining:
+                    found.setdefault(runner.domain, []).append(runner)
+            self._by_domain[service] = found
+        return self._by_domain[service]
+
+    def near_count(self, service: str, domain: str) -> int:
+        """Return the number of a service's runners in a domain that do not drain."""
+        return len(self.runners_by_domain(service).get(domain, []))
+
+    def _forget_index(self) -> None:
+        """Work the lists of runners out again when they are next asked for."""
+        self._serving.clear()
+        self._by_domain.clear()
+
+    def is_after_outage(self, now: float) -> bool:
+        """Tell whether removed entries may be back soon."""
+        return now - self.regained_at < REGAIN_WINDOW_S
 
     def all_runners(self) -> list[Runner]:
         """Return every registered runner."""
@@ -148,6 +176,7 @@
     def _apply_runner(self, record: DirectoryRecord, now: float) -> bool:
         known = self._runners.get(record.key)
         self._drop_old_tombstones()
+        self._forget_index()
         if record.runner is None:
             return self._lapse(record.key, now) if known else bool(record.unreadable)
         if known is not None and record.runner.is_older_than(known):
@@ -157,7 +186,7 @@
         return True
 
     def _lapse(self, runner_id: str, now: float) -> bool:
-        if now - self.regained_at < REGAIN_WINDOW_S:
+        if self.is_after_outage(now):
             self._lapse_deadlines.setdefault(runner_id, now + LAPSE_GRACE_S)
             return True
         self._lapse_deadlines.pop(runner_id, None)
@@ -167,6 +196,8 @@
     def expire(self, now: float) -> list[str]:
         """Remove the runners whose lapsed entries did not come back; return them."""
         late = [key for key, at in self._lapse_deadlines.items() if now >= at]
+        if late:
+            self._forget_index()
         for runner_id in late:
             del self._lapse_deadlines[runner_id]
             self._runners.pop(runner_id, None)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
@@ -39,12 +39,39 @@
     down_deadline: float = 0.0
 
 
+@dataclass(slots=True)
+class _Sum:
+    """Sum of the peers' figures of one runner."""
+
+    in_flight: int = 0
+    unread_tokens: int = 0
+    ok: int = 0
+    failed: int = 0
+    slowness: float = 0.0
+    peers: int = 0
+
+    def add(self, view: RunnerView, sign: int) -> None:
+        """Add a peer's figures, or take them out with ``sign`` -1."""
+        self.in_flight += sign * view.in_flight
+        self.unread_tokens += sign * view.unread_tokens
+        self.ok += sign * view.ok
+        self.failed += sign * view.failed
+        self.slowness += sign * view.slowness
+        self.peers += sign
+
+
 class RunnerLoads:
-    """Sums what this VM and its peers have sent to each runner."""
+    """Sums what this VM and its peers have sent to each runner.
+
+    Answers choices on every request over many runners and peers: the sums are kept
+    up to date as figures come, so that reading one costs the same for any number.
+    """
 
     def __init__(self) -> None:
         self._own: dict[str, _Own] = {}
         self._peers: dict[str, tuple[float, dict[str, RunnerView]]] = {}
+        self._sums: dict[str, _Sum] = {}
+        self._told: dict[str, tuple[float, RunnerView]] = {}
 
     def begin(self, runner: str, tokens: int) -> None:
         """Count a request that is sent to a runner."""
@@ -80,8 +107,32 @@
         return own is not None and now < own.down_deadline
 
     def hear(self, peer: str, views: dict[str, RunnerView], now: float) -> None:
-        """Take in the figures of a peer."""
+        """Take in the figures of a peer; the order of hearing is that of time."""
+        self._forget(peer)
         self._peers[peer] = (now, views)
+        for runner, view in views.items():
+            self._sums.setdefault(runner, _Sum()).add(view, 1)
+
+    def hear_owner(self, runner: str, view: RunnerView, now: float) -> None:
+        """Take in the sum that a runner's owner has told with an answer."""
+        self._told[runner] = (now, view)
+
+    def _forget(self, peer: str) -> None:
+        """Take the figures of a peer out of the sums."""
+        _, views = self._peers.pop(peer, (0.0, {}))
+        for runner, view in views.items():
+            known = self._sums[runner]
+            known.add(view, -1)
+            if not known.peers:
+                del self._sums[runner]
+
+    def _forget_old(self, now: float) -> None:
+        """Forget the peers that were not heard for too long, the oldest come first."""
+        while self._peers:
+            peer = next(iter(self._peers))
+            if now - self._peers[peer][0] <= PEER_VIEW_TTL_S:
+                return
+            self._forget(peer)
 
     def own_views(self, now: float) -> dict[str, RunnerView]:
         """Return this VM's figures, runners without any left out."""
@@ -96,18 +147,34 @@
 
     def total(self, runner: str, now: float) -> RunnerView:
         """Return the sum over this VM and the peers heard of lately."""
+        self._forget_old(now)
         own = self._own.setdefault(runner, _Own())
         self._expire(own, now)
-        views = [self._view(own)]
-        for heard_at, peer_views in self._peers.values():
-            if now - heard_at <= PEER_VIEW_TTL_S and runner in peer_views:
-                views.append(peer_views[runner])
+        return self._with_told(runner, self._sum(runner, self._view(own)), now)
+
+    def _sum(self, runner: str, view: RunnerView) -> RunnerView:
+        peers = self._sums.get(runner)
+        if peers is None:
+            return view
+        return RunnerView(
+            view.in_flight + peers.in_flight,
+            view.unread_tokens + peers.unread_tokens,
+            view.ok + peers.ok,
+            view.failed + peers.failed,
+            (view.slowness + peers.slowness) / (1 + peers.peers),
+        )
+
+    def _with_told(self, runner: str, view: RunnerView, now: float) -> RunnerView:
+        """Return the owner's figures where they show more work than was heard of."""
+        heard_at, told = self._told.get(runner, (float("-inf"), view))
+        if now - heard_at > PEER_VIEW_TTL_S:
+            return view
         return RunnerView(
-            sum(view.in_flight for view in views),
-            sum(view.unread_tokens for view in views),
-            sum(view.ok for view in views),
-            sum(view.failed for view in views),
-            sum(view.slowness for view in views) / len(views),
+            max(view.in_flight, told.in_flight),
+            max(view.unread_tokens, told.unread_tokens),
+            max(view.ok, told.ok),
+            max(view.failed, told.failed),
+            max(view.slowness, told.slowness),
         )
 
     @staticmethod
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -60,9 +60,18 @@
     """
 
     def __init__(
-        self, vm: str, domain: str, cfg: MembershipSettings, started_at: float
+        self,
+        vm: str,
+        domain: str,
+        cfg: MembershipSettings,
+        started_at: float,
+        group: str | None = None,
     ) -> None:
-        """Start without a view and without a lease."""
+        """Start without a view and without a lease.
+
+        Only the runners of the failure domain ``group`` are dealt; all without one.
+        """
+        self._group = group
         self._started_at = started_at
         self._vm = vm
         self._domain = domain
@@ -88,8 +97,11 @@
 
     def needs_view(self) -> bool:
         """Tell whether the group has changed since the view in force."""
-        is_own = bool(self._adopted) and not self._adopted[-1].is_predecessor
-        return not is_own or self.view.generation < self.generation
+        return not self.has_own_view() or self.view.generation < self.generation
+
+    def has_own_view(self) -> bool:
+        """Tell whether a view was adopted since the start of this process."""
+        return bool(self._adopted) and not self._adopted[-1].is_predecessor
 
     def start_after(self, members: Iterable[Member], now: float) -> None:
         """Take up what an earlier process of this VM held.
@@ -126,6 +138,8 @@
 
     def owner_of(self, runner: Runner) -> Member | None:
         """Return the member that a runner is dealt to."""
+        if self._group is not None and runner.domain != self._group:
+            return None
         if runner.id not in self._owners:
             self._owners[runner.id] = self.view.owner_of(runner)
         return self._owners[runner.id]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
@@ -10,7 +10,7 @@
 import asyncio
 import hmac
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -51,6 +51,8 @@
 RECONNECT_S = 0.2
 WATCH_S = 0.1
 """Pause between looks at the links."""
+IDLE_S = 30.0
+"""Time without use after which a link is closed."""
 KEEPALIVE_S = 5.0
 KEEPALIVE_TIMEOUT_S = 3.0
 
@@ -67,6 +69,7 @@
     liveness: Liveness
     queue: asyncio.Queue[Any] = field(default_factory=asyncio.Queue)
     pending: dict[int, _Pending] = field(default_factory=dict)
+    used_at: float = 0.0
 
     @property
     def oldest_asked_at(self) -> float | None:
@@ -83,9 +86,10 @@
 
 async def _next_frame(queue: asyncio.Queue[Any]) -> Any:
     """Gather everything queued into one frame."""
-    envelopes = [await queue.get()]
+    queued = [await queue.get()]
     while not queue.empty():
-        envelopes.append(queue.get_nowait())
+        queued.append(queue.get_nowait())
+    envelopes = [envelope for envelope in queued if envelope is not None]
     frame = peer_pb2.Frame(envelopes=envelopes)
     PEER_BYTES.labels(direction="out").inc(frame.ByteSize())
     PEER_MESSAGES.labels(direction="out").inc(len(envelopes))
@@ -93,8 +97,9 @@
 
 
 async def _send_all(stream: Any, queue: asyncio.Queue[Any]) -> None:
-    while True:
-        await stream.send_message(await _next_frame(queue))
+    """Send what is queued until an empty frame, which ends the stream."""
+    while (frame := await _next_frame(queue)).envelopes:
+        await stream.send_message(frame)
 
 
 def _count_in(frame: Any) -> None:
@@ -168,8 +173,14 @@
 
     def tell(self, vm: str, message: PeerMessage) -> None:
         """Send a message; it is lost if the peer cannot be reached."""
+        self.tell_all([vm], message)
+
+    def tell_all(self, vms: Iterable[str], message: PeerMessage) -> None:
+        """Send one message to several VMs; it is encoded once."""
         kind, body = encode_message(message)
-        _put(self._link(vm).queue, peer_pb2.Envelope(kind=kind, body=body))
+        envelope = peer_pb2.Envelope(kind=kind, body=body)
+        for vm in vms:
+            _put(self._link(vm).queue, envelope)
 
     def ask(
         self, vm: str, message: PeerMessage, deadline: float
@@ -196,6 +207,7 @@
             link = _Link(vm, Liveness(self._cfg.peer.connect_timeout_s))
             self._links[vm] = link
             spawn_for_awaitable(self._keep_open(link))
+        link.used_at = self._clock.monotonic()
         return link
 
     async def _keep_open(self, link: _Link) -> None:
@@ -226,6 +238,9 @@
         while True:
             now = self._clock.monotonic()
             for link in list(self._links.values()):
+                if now - link.used_at > IDLE_S and not link.pending:
+                    self._close(link)
+                    continue
                 verdict = link.liveness.judge(link.oldest_asked_at, now)
                 if verdict is Verdict.SILENT:
                     log_event("peer_silent", peer=link.vm)
@@ -234,6 +249,11 @@
                     _put(link.queue, peer_pb2.Envelope(id=0, kind=kind, body=body))
             eventlet.sleep(WATCH_S)
 
+    def _close(self, link: _Link) -> None:
+        """Close a link that is not used; the next message opens another one."""
+        del self._links[link.vm]
+        link.queue.put_nowait(None)
+
     async def _run_link(self, link: _Link, vm: Vm) -> None:
         config = Configuration(
             _keepalive_time=KEEPALIVE_S, _keepalive_timeout=KEEPALIVE_TIMEOUT_S
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -40,6 +40,15 @@
 """Idle time after which a connection is closed if the runner names no other."""
 MAX_STRAY_ANSWERS = 3
 """Answers to other requests that are skipped on a connection."""
+MAX_SKIPPED_BYTES = 1 << 20
+"""Bytes of a stray answer that are read to get to the next one."""
+MAX_INFORMATIONAL = 8
+"""Informational answers that are skipped before a final one."""
+MAX_WHOLE_ANSWER_BYTES = 16 << 20
+"""Longest body that is read whole before it is passed on."""
+READS_PER_TURN = 16
+"""Reads after which other green threads and timeouts get their turn, since a socket
+that always has bytes never blocks."""
 PROBE_TIMEOUT_S = 0.25
 
 
@@ -159,6 +168,7 @@
         self.idle_s = DEFAULT_IDLE_S
         self._is_writing = False
         self._ends_with_connection = False
+        self._reads = 0
 
     def close(self) -> None:
         """Close the socket."""
@@ -232,8 +242,11 @@
 
     def _skip_answer(self, request: OutboundRequest) -> None:
         """Read a stray answer to its end and wait for the next one."""
-        while self.read_piece() is not None:
-            pass
+        skipped = 0
+        while (piece := self.read_piece()) is not None:
+            skipped += len(piece)
+            if skipped > MAX_SKIPPED_BYTES:
+                raise _ConnectionLostError("too long an answer to another request")
         if self._http.their_state is not h11.DONE:
             raise _ConnectionLostError("closed after an answer to another request")
         rest, _ = self._http.trailing_data
@@ -245,7 +258,7 @@
             self._http.receive_data(rest)
 
     def _read_head(self) -> tuple[int, Headers]:
-        while True:
+        for _ in range(MAX_INFORMATIONAL):
             event = self._next_event()
             if isinstance(event, h11.Response):
                 self._ends_with_connection = _ends_with_connection(event)
@@ -257,6 +270,7 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             raise _ConnectionLostError("closed before an answer")
+        raise _ConnectionLostError("only informational answers")
 
     def read_piece(self) -> bytes | None:
         """Return the next piece of the body, None at its end."""
@@ -272,11 +286,17 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = receive(self._sock)
+            data = self._receive()
             if not data and self._is_body_open():
                 raise _ConnectionLostError("closed within an answer")
             self._http.receive_data(data)
 
+    def _receive(self) -> bytes:
+        self._reads += 1
+        if self._reads % READS_PER_TURN == 0:
+            eventlet.sleep(0)
+        return receive(self._sock)
+
     def _is_body_open(self) -> bool:
         """Tell whether an end of the connection now cuts an answer off."""
         if self._http.their_state is not h11.SEND_BODY:
@@ -333,6 +353,8 @@
             if isinstance(piece, Err):
                 return piece
             body += piece.ok_value
+            if len(body) > MAX_WHOLE_ANSWER_BYTES:
+                return Err(AttemptFault(AttemptFailure.SPOILED, "too long a body"))
         return Ok(bytes(body))
 
     def pieces(self, deadline: float) -> Iterator[Result[bytes, AttemptFault]]:
@@ -348,6 +370,8 @@
 
     def _read_piece(self, deadline: float) -> Result[bytes | None, AttemptFault]:
         left_s = deadline - self._pool._clock.monotonic()
+        if left_s <= 0:
+            return Err(AttemptFault(AttemptFailure.LATE, "the deadline passed"))
         try:
             with Timeout(left_s if math.isfinite(left_s) else None):
                 return Ok(self._conn.read_piece())
--- /dev/null
+++ b/tests/unit/serving/test_endless_answers.py
@@ -0,0 +1,155 @@
+"""Runners that send bytes that are no answer, more than anybody could use."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+from gooseberryrun._internal.coordination.serving import (
+    AttemptFailure,
+    OutboundRequest,
+    RunnerAnswer,
+)
+from gooseberryrun._internal.coordination.serving._event_stream import (
+    MAX_EVENT_BYTES,
+    EventBuffer,
+)
+from gooseberryrun._internal.state import ServingSettings, SystemClock
+from gooseberryrun._internal.state.serving import Runner
+from gooseberryrun._internal.transport.serving import HttpRunners
+from gooseberryrun_platform._control import PlatformControl
+from gooseberryrun_platform._headers import PlatformHeaders
+from result import Err, Ok
+
+REQUEST_ID = "r1"
+OWN_HEAD = f"HTTP/1.1 200 OK\r\nX-Gooseberryrun-Request-Id: {REQUEST_ID}\r\n".encode()
+STRAY_HEAD = b"HTTP/1.1 200 OK\r\nX-Gooseberryrun-Request-Id: other\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+SENT_CHUNKS = 1200
+"""Chunks of 64 KiB sent at most: far more than may be read."""
+
+
+class EndlessServer:
+    """Answers each connection with a head and then the same bytes many times."""
+
+    def __init__(self, head: bytes, repeated: bytes) -> None:
+        self._head = head
+        self._repeated = repeated
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self._listener.getsockname()[1]
+        self.sent = 0
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                conn, _ = self._listener.accept()
+                self._answer(conn)
+
+    def _answer(self, conn: socket.socket) -> None:
+        with contextlib.suppress(OSError), conn:
+            conn.recv(65536)
+            conn.sendall(self._head)
+            for self.sent in range(SENT_CHUNKS):
+                conn.sendall(self._repeated)
+
+    def runner(self) -> Runner:
+        return Runner(
+            "i-1",
+            "s",
+            "127.0.0.1",
+            self.port,
+            "d",
+            6,
+            False,
+            born_ms=1,
+            order_seq=0,
+            models=(),
+        )
+
+    def close(self) -> None:
+        self._listener.close()
+
+
+@pytest.fixture
+def clock() -> SystemClock:
+    return SystemClock()
+
+
+@contextlib.contextmanager
+def endless(head: bytes, repeated: bytes = CHUNK) -> Iterator[EndlessServer]:
+    server = EndlessServer(head, repeated)
+    yield server
+    server.close()
+
+
+def request() -> OutboundRequest:
+    headers = [("host", "h"), ("x-gooseberryrun-request-id", REQUEST_ID)]
+    return OutboundRequest("GET", "/", headers, b"", REQUEST_ID)
+
+
+def ask(server: EndlessServer, clock: SystemClock) -> RunnerAnswer | AttemptFailure:
+    runners = HttpRunners(clock, PlatformHeaders())
+    sent = runners.send(server.runner(), request(), clock.monotonic() + 60)
+    return sent.ok_value if isinstance(sent, Ok) else sent.err_value.failure
+
+
+def test_body_without_end_is_given_up(clock: SystemClock) -> None:
+    with endless(OWN_HEAD + CHUNKED) as server:
+        answer = ask(server, clock)
+        assert isinstance(answer, RunnerAnswer)
+        body = answer.read_all(clock.monotonic() + 60)
+        answer.close()
+        assert isinstance(body, Err)
+        assert body.err_value.failure is AttemptFailure.SPOILED
+
+
+def test_body_that_never_pauses_ends_at_the_deadline(clock: SystemClock) -> None:
+    with endless(OWN_HEAD + CHUNKED) as server:
+        answer = ask(server, clock)
+        assert isinstance(answer, RunnerAnswer)
+        pieces = list(answer.pieces(clock.monotonic() - 1))
+        answer.close()
+        assert [isinstance(piece, Err) for piece in pieces] == [True]
+
+
+def test_stray_answer_without_end_is_given_up(clock: SystemClock) -> None:
+    with endless(STRAY_HEAD + CHUNKED) as server:
+        assert ask(server, clock) is AttemptFailure.SENT
+        assert server.sent < SENT_CHUNKS - 1
+
+
+def test_head_without_end_is_given_up(clock: SystemClock) -> None:
+    with endless(OWN_HEAD, b"x-more: " + b"y" * 65536) as server:
+        assert ask(server, clock) is AttemptFailure.SPOILED
+
+
+def test_informational_answers_without_end_are_given_up(clock: SystemClock) -> None:
+    with endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100) as server:
+        assert ask(server, clock) is AttemptFailure.SENT
+        assert server.sent < SENT_CHUNKS - 1
+
+
+def test_event_without_end_is_noticed() -> None:
+    events = EventBuffer()
+    assert events.take(b"data: " + b"x" * MAX_EVENT_BYTES) == b""
+    assert events.is_too_long
+
+
+def test_report_without_end_is_given_up() -> None:
+    cfg = ServingSettings.model_validate(
+        {
+            "vm": {"id": "vm-a", "domain": "d", "address": "127.0.0.1"},
+            "peer": {"port": 1, "secret": "s"},
+            "entry": {"callers": "a:1", "readiness": "a:2", "metrics_port": 3},
+            "store": {"address": "a:4"},
+        }
+    )
+    with endless(b"HTTP/1.1 200 OK\r\n" + CHUNKED) as server:
+        report = PlatformControl(cfg).read_report(server.runner())
+        assert isinstance(report, Err)
+        assert "too long" in report.err_value
--- a/tests/unit/serving/test_membership.py
+++ b/tests/unit/serving/test_membership.py
@@ -53,15 +53,17 @@
     def _answer(self, value: Any) -> Any:
         return Err(REFUSED) if self.is_refusing else Ok(value)
 
-    def renew(self, member: Member, generation: int) -> Result[int, StoreFault]:
+    def renew(
+        self, group: str, member: Member, generation: int
+    ) -> Result[int, StoreFault]:
         result: Result[int, StoreFault] = self._answer(self.generation)
         return result
 
-    def leave(self, member: Member) -> Result[None, StoreFault]:
+    def leave(self, group: str, member: Member) -> Result[None, StoreFault]:
         result: Result[None, StoreFault] = self._answer(None)
         return result
 
-    def members(self) -> Result[list[Member], StoreFault]:
+    def members(self, group: str) -> Result[list[Member], StoreFault]:
         result: Result[list[Member], StoreFault] = self._answer(self.listed)
         return result
 
@@ -136,7 +138,7 @@
     assert membership._renew_lease()
     assert ctx.has_store
     assert ctx.ownership.generation == 7
-    assert asked == [("vm-b", RenewRequest(BOTH[0], 6))]
+    assert asked == [("vm-b", RenewRequest("d", BOTH[0], 6))]
 
 
 @pytest.mark.parametrize("has_store", [False, True])
@@ -151,7 +153,7 @@
 def test_renewal_for_a_neighbour_answers_what_the_store_said() -> None:
     replies: list[PeerMessage] = []
     membership, _ = make_membership(FakeStore(9), FakePeers(lambda *_: None))
-    question = RenewRequest(BOTH[1], 6)
+    question = RenewRequest("d", BOTH[1], 6)
     inbound = Inbound("vm-b", question, replies.append)
     membership._answer_renewal(inbound, question)
     assert replies == [RenewAnswer(9)]
@@ -162,7 +164,7 @@
     membership, ctx = make_membership(FakeStore(6), peers)
     runner = add_own_runner(ctx)
     membership.leave()
-    assert ("vm-b", HandoverNotice([runner.id], 7)) in peers.told
+    assert ("vm-b", HandoverNotice("d", [runner.id], 7)) in peers.told
     assert peers.kinds_told()[-1] == ("vm-b", "LeavingNotice")
 
 
@@ -177,10 +179,10 @@
 
 def test_view_without_this_vm_is_not_adopted_while_it_reaches_the_store() -> None:
     membership, ctx = make_membership(FakeStore(8), FakePeers(lambda *_: None))
-    membership.hear_view("vm-b", ViewNotice(View(8, BOTH[1:])))
+    membership.hear_view("vm-b", ViewNotice("d", View(8, BOTH[1:])))
     assert ctx.ownership.view.generation == 6
     ctx.has_store = False
-    membership.hear_view("vm-b", ViewNotice(View(8, BOTH[1:])))
+    membership.hear_view("vm-b", ViewNotice("d", View(8, BOTH[1:])))
     assert ctx.ownership.view.generation == 8
 
 
@@ -203,5 +205,5 @@
     runner = add_own_runner(ctx)
     store.listed = [Member("vm-a", "d", "127.0.0.1", 1, is_new=True), BOTH[1]]
     membership._renew()
-    assert ("vm-b", HandoverNotice([runner.id], 8)) in peers.told
+    assert ("vm-b", HandoverNotice("d", [runner.id], 8)) in peers.told
     assert ("vm-b", "ViewNotice") in peers.kinds_told()
