Count what a VM tells and reads at 9 to 440 VMs; read the store after a suspension

A reader's word from before a suspension says nothing of now: its age counts on the clock that counts suspension (the test failed on the clock that does not). Exact counts of messages and readers by fleet size, guards of a domain without VMs, sums of load against the figures heard.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -90,7 +90,8 @@
     def _is_due(self, topic: Topic) -> bool:
         """Tell whether this VM reads the store itself, and log when that changes."""
         heard_at = self._heard_at.get(topic, float("-inf"))
-        now = self._ctx.clock.monotonic()
+        # Counts suspension: what was heard before it may be out of date.
+        now = self._ctx.clock.boottime()
         rank = self._ctx.reader_rank()
         is_due = reads_store(rank, heard_at, now)
         if is_due is not self._is_reading[topic]:
@@ -132,7 +133,7 @@
         """Take in what a reader of this domain has read."""
         ctx = self._ctx
         now = ctx.clock.monotonic()
-        self._heard_at[notice.topic] = now
+        self._heard_at[notice.topic] = ctx.clock.boottime()
         if notice.topic in self._lost_at and not self._is_reading[notice.topic]:
             self._note_regained(notice.topic)
         if notice.is_after_outage and not ctx.directory.is_after_outage(now):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_clock.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_clock.py
@@ -43,14 +43,19 @@
 
     def __init__(self, now: float = 0.0) -> None:
         self.now = now
+        self._suspended_s = 0.0
+
+    def suspend(self, seconds: float) -> None:
+        """Let time pass that only the clocks that count suspension show."""
+        self._suspended_s += seconds
 
     def monotonic(self) -> float:
         """Return the time that was set."""
         return self.now
 
     def boottime(self) -> float:
-        """Return the time that was set."""
-        return self.now
+        """Return the time that was set, with the time of suspensions."""
+        return self.now + self._suspended_s
 
     def unix(self) -> float:
         """Return the time that was set."""
--- /dev/null
+++ b/tests/lib/fleet.py
@@ -0,0 +1,116 @@
+"""Entry VMs of many failure domains without sockets: contexts, store and messages."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from gooseberryrun._internal.coordination import PeerError, PeerMessage, Peers
+from gooseberryrun._internal.coordination.serving import (
+    Context,
+    Ports,
+    StoreFault,
+    StoreFaultKind,
+    make_context,
+)
+from gooseberryrun._internal.state import ManualClock, ServingSettings
+from gooseberryrun._internal.state.serving import (
+    DirectoryRecord,
+    Member,
+    Runner,
+    Topic,
+    View,
+)
+from result import Err, Ok, Result
+
+REFUSED = StoreFault(StoreFaultKind.REFUSED, "503")
+
+
+class GroupStore:
+    """Store with the members of each group; counts its calls."""
+
+    def __init__(self, members: dict[str, list[Member]]) -> None:
+        self.groups = members
+        self.calls: Counter[str] = Counter()
+        self.is_refusing = False
+
+    def renew(
+        self, group: str, member: Member, generation: int
+    ) -> Result[int, StoreFault]:
+        self.calls["renew"] += 1
+        if self.is_refusing:
+            return Err(REFUSED)
+        listed = self.groups.setdefault(group, [])
+        if member not in listed:
+            listed.append(member)
+        return Ok(len(listed))
+
+    def leave(self, group: str, member: Member) -> Result[None, StoreFault]:
+        self.calls["leave"] += 1
+        if member in self.groups.get(group, []):
+            self.groups[group].remove(member)
+        return Ok(None)
+
+    def members(self, group: str) -> Result[list[Member], StoreFault]:
+        self.calls["members"] += 1
+        return Err(REFUSED) if self.is_refusing else Ok(list(self.groups[group]))
+
+
+class CountingPeers(Peers):
+    """Peers that keep what they are told, and answer nothing."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[str, PeerMessage]] = []
+
+    def tell(self, vm: str, message: PeerMessage) -> None:
+        self.told.append((vm, message))
+
+    def ask(
+        self, vm: str, message: PeerMessage, deadline: float
+    ) -> Result[PeerMessage, PeerError]:
+        return Err(PeerError(vm, "silent"))
+
+
+def make_members(domains: int, vms: int) -> dict[str, list[Member]]:
+    """Return the members of each domain, ``vms`` in all."""
+    found: dict[str, list[Member]] = {f"d{n}": [] for n in range(domains)}
+    for number in range(vms):
+        domain = f"d{number % domains}"
+        found[domain].append(Member(f"vm-{number:03}", domain, "127.0.0.1", 1))
+    return found
+
+
+def make_vm(
+    member: Member, store: GroupStore, runners: list[Runner], clock: ManualClock
+) -> tuple[Context, CountingPeers]:
+    """Return the context of a VM that acts by the members that the store lists."""
+    cfg = ServingSettings.model_validate(
+        {
+            "vm": {"id": member.vm, "domain": member.domain, "address": member.host},
+            "peer": {"port": 1, "secret": "s"},
+            "entry": {"callers": "a:1", "readiness": "a:2", "metrics_port": 3},
+            "store": {"address": "a:4"},
+        }
+    )
+    peers = CountingPeers()
+    nothing: Any = None
+    fake: Any = store
+    ctx = make_context(cfg, clock, Ports(fake, nothing, nothing, nothing), peers)
+    ctx.is_new = False
+    own = store.groups[member.domain]
+    ctx.ownership.renew(len(own), 0.0, 0.0)
+    ctx.ownership.adopt(View(len(own), tuple(own)), 0.0)
+    for domain, members in store.groups.items():
+        ctx.hear_far_view(domain, View(len(members), tuple(members)))
+    for offset, runner in enumerate(runners):
+        record = DirectoryRecord(Topic.RUNNERS, offset, runner.id, runner=runner)
+        ctx.directory.apply(record, 0.0)
+    return ctx, peers
+
+
+def make_runners(domains: int, runners: int) -> list[Runner]:
+    """Return runners of one service, spread over the domains."""
+    return [
+        Runner(f"i-{n}", "s", "h", 1, f"d{n % domains}", 64, False, 1, 0, ())
+        for n in range(runners)
+    ]
--- /dev/null
+++ b/tests/unit/serving/test_fleets.py
@@ -0,0 +1,242 @@
+"""What a VM keeps, tells and reads at 9, 72, 195 and 440 VMs, in exact counts."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from gooseberryrun._internal.coordination._serving_messages import (
+    DirectoryNotice,
+    ViewNotice,
+)
+from gooseberryrun._internal.coordination.serving._far_domains import FarDomains
+from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
+from gooseberryrun._internal.coordination.serving._gossip import FANOUT, Gossip
+from gooseberryrun._internal.coordination.serving._membership import (
+    FAR_TOLD,
+    Membership,
+)
+from gooseberryrun._internal.state import ManualClock
+from gooseberryrun._internal.state.serving import (
+    READERS,
+    DirectoryRecord,
+    RunnerLoads,
+    RunnerView,
+    Topic,
+    View,
+    reads_store,
+)
+
+from tests.lib.fleet import GroupStore, make_members, make_runners, make_vm
+
+# Domains, VMs, model runners.
+FLEETS = [(3, 9, 5), (3, 72, 45), (5, 195, 78), (20, 440, 600)]
+
+
+@pytest.mark.parametrize(("domains", "vms", "runners"), FLEETS)
+def test_changes_of_a_runner_are_told_within_its_domain(
+    domains: int, vms: int, runners: int
+) -> None:
+    """Telling everybody made the messages of an owner grow with the fleet."""
+    members = make_members(domains, vms)
+    ctx, _ = make_vm(
+        members["d0"][0],
+        GroupStore(members),
+        make_runners(domains, runners),
+        ManualClock(),
+    )
+    near = next(r for r in ctx.directory.all_runners() if r.domain == "d0")
+    followers = ctx.followers(near)
+    if runners // domains >= 6:
+        assert len(followers) == len(members["d0"]) - 1
+    else:
+        assert len(followers) == vms - 1
+
+
+@pytest.mark.parametrize(("domains", "vms", "runners"), FLEETS)
+def test_a_round_of_gossip_costs_the_same_in_any_fleet(
+    domains: int, vms: int, runners: int
+) -> None:
+    members = make_members(domains, vms)
+    ctx, _ = make_vm(members["d0"][0], GroupStore(members), [], ManualClock())
+    gossip = Gossip(ctx, list, lambda vm, notice: None)
+    assert len(gossip._pick_peers()) == min(FANOUT, vms - 1)
+
+
+@pytest.mark.parametrize(("domains", "vms", "runners"), FLEETS)
+def test_a_view_is_told_to_the_domain_and_a_few_elsewhere(
+    domains: int, vms: int, runners: int
+) -> None:
+    members = make_members(domains, vms)
+    ctx, peers = make_vm(members["d0"][0], GroupStore(members), [], ManualClock())
+    Membership(ctx)._pass_on(ctx.ownership.view)
+    told = len(members["d0"]) - 1 + FAR_TOLD * (domains - 1)
+    assert len(peers.told) == min(told, vms - 1)
+
+
+@pytest.mark.parametrize(("domains", "vms", "runners"), FLEETS)
+def test_a_few_vms_of_a_domain_read_the_store(
+    domains: int, vms: int, runners: int
+) -> None:
+    """195 VMs that each followed both topics read the same records 195 times."""
+    members = make_members(domains, vms)
+    store = GroupStore(members)
+    readers = 0
+    for member in members["d0"]:
+        ctx, _ = make_vm(member, store, [], ManualClock())
+        readers += reads_store(ctx.reader_rank(), heard_at=0.0, now=1.0)
+    assert readers == READERS
+
+
+def test_others_read_the_store_when_its_readers_fall_silent() -> None:
+    assert not reads_store(READERS, heard_at=0.0, now=2.0)
+    assert reads_store(READERS, heard_at=0.0, now=2.5)
+    # They do not all take over at the same moment.
+    assert not reads_store(READERS + 9, heard_at=0.0, now=2.3)
+    assert reads_store(READERS + 200, heard_at=0.0, now=3.0)
+
+
+def make_follower(place: int) -> tuple[DirectoryFollower, GroupStore]:
+    members = make_members(1, 9)
+    store = GroupStore(members)
+    ctx, _ = make_vm(members["d0"][place], store, [], ManualClock(10.0))
+    return DirectoryFollower(ctx), store
+
+
+def record(offset: int, key: str) -> DirectoryRecord:
+    return DirectoryRecord(Topic.RUNNERS, offset, key, runner=make_runners(1, 1)[0])
+
+
+def test_records_of_a_reader_are_taken_in_order() -> None:
+    follower, _ = make_follower(8)
+    ctx = follower._ctx
+    follower.hear_notice(
+        "vm-000", DirectoryNotice(Topic.RUNNERS, 0, 2, [record(1, "a")], False)
+    )
+    assert ctx.directory.ends[Topic.RUNNERS] == 2
+    # An older notice of another reader changes nothing.
+    follower.hear_notice(
+        "vm-001", DirectoryNotice(Topic.RUNNERS, 0, 1, [record(0, "a")], False)
+    )
+    assert ctx.directory.ends[Topic.RUNNERS] == 2
+    assert ctx.directory.runner("a") is not None
+
+
+def test_a_gap_in_the_records_of_a_reader_is_not_passed_over() -> None:
+    follower, _ = make_follower(8)
+    follower.hear_notice(
+        "vm-000", DirectoryNotice(Topic.RUNNERS, 7, 9, [record(8, "a")], False)
+    )
+    assert follower._ctx.directory.ends[Topic.RUNNERS] == 0
+
+
+def test_those_who_do_not_read_learn_that_the_store_was_away() -> None:
+    """Else entries that lapsed in the outage would be taken as gone at once."""
+    follower, _ = make_follower(8)
+    follower.hear_notice("vm-000", DirectoryNotice(Topic.RUNNERS, 0, 0, [], True))
+    assert follower._ctx.directory.is_after_outage(10.0)
+
+
+# Domains without VMs.
+
+
+def test_a_domain_without_vms_is_guarded_through_its_own_group() -> None:
+    """Fencing tokens of a domain's runners come from one group, whoever owns them."""
+    members = make_members(2, 6)
+    members["d1"] = []
+    store = GroupStore(members)
+    runners = make_runners(2, 4)
+    ctx, _ = make_vm(members["d0"][0], store, runners, ManualClock(1.0))
+    far = FarDomains(ctx)
+    far._check()
+    assert list(ctx.guarded) == ["d1"]
+    guard = far._guards["d1"]
+    guard._renew()
+    lost = next(runner for runner in runners if runner.domain == "d1")
+    owner = ctx.owner_of(lost)
+    assert owner is not None
+    assert owner.vm == ctx.vm
+    # A member of the lost domain may still hold its lease.
+    assert ctx.rights_to(lost).fencing_token(lost, 5.0) is None
+
+
+def test_guarding_ends_when_vms_of_the_domain_are_back() -> None:
+    members = make_members(2, 6)
+    back, members["d1"] = members["d1"], []
+    store = GroupStore(members)
+    ctx, _ = make_vm(members["d0"][0], store, make_runners(2, 4), ManualClock(1.0))
+    far = FarDomains(ctx)
+    far._check()
+    far._guards["d1"]._renew()
+    store.groups["d1"] += back
+    far._check()
+    assert not ctx.guarded
+    assert [member.domain for member in store.groups["d1"]] == ["d1"] * 3
+
+
+def test_only_one_vm_of_a_domain_reads_the_other_domains() -> None:
+    members = make_members(3, 72)
+    store = GroupStore(members)
+    for member in members["d0"]:
+        ctx, _ = make_vm(member, store, [], ManualClock(1.0))
+        far = FarDomains(ctx)
+        if far._is_checker():
+            far._check()
+    assert store.calls["members"] == 2
+
+
+def test_news_of_another_domain_are_passed_on_to_neighbours_once() -> None:
+    members = make_members(2, 8)
+    ctx, peers = make_vm(members["d0"][0], GroupStore(members), [], ManualClock())
+    far = FarDomains(ctx)
+    news = ViewNotice("d1", View(99, tuple(members["d1"][:2])))
+    far.hear_view("vm-001", news)
+    far.hear_view("vm-001", news)
+    assert [vm for vm, _ in peers.told] == ctx.near_peer_ids()
+
+
+# Sums of load.
+
+
+def test_sums_of_load_are_those_of_the_figures_heard() -> None:
+    """The sums are kept as figures come; they must never drift from the figures."""
+    rng = random.Random(7)
+    loads = RunnerLoads()
+    heard: dict[str, tuple[float, dict[str, RunnerView]]] = {}
+    for step in range(2000):
+        now = step * 0.05
+        peer = f"vm-{rng.randrange(40)}"
+        views = {
+            f"r{rng.randrange(9)}": RunnerView(
+                rng.randrange(9), rng.randrange(5000), rng.randrange(4), 1, 1.0
+            )
+            for _ in range(3)
+        }
+        loads.hear(peer, views, now)
+        heard[peer] = (now, views)
+        runner = f"r{rng.randrange(9)}"
+        fresh = [
+            v[runner] for at, v in heard.values() if now - at <= 2.5 and runner in v
+        ]
+        total = loads.total(runner, now)
+        assert total.in_flight == sum(view.in_flight for view in fresh)
+        assert total.unread_tokens == sum(view.unread_tokens for view in fresh)
+        assert total.failed == sum(view.failed for view in fresh)
+
+
+def test_the_owners_word_counts_where_little_was_heard() -> None:
+    loads = RunnerLoads()
+    loads.hear_owner("r1", RunnerView(40, 30000, 5, 0, 1.0), 1.0)
+    assert loads.total("r1", 2.0).unread_tokens == 30000
+    assert loads.total("r1", 9.0).unread_tokens == 0
+
+
+def test_a_vm_that_was_suspended_reads_the_store_at_once() -> None:
+    """The word of a reader from before the suspension says nothing of now."""
+    follower, _ = make_follower(8)
+    follower.hear_notice("vm-000", DirectoryNotice(Topic.RUNNERS, 0, 0, [], False))
+    assert not follower._is_due(Topic.RUNNERS)
+    clock = follower._ctx.clock
+    assert isinstance(clock, ManualClock)
+    clock.suspend(5.0)
+    assert follower._is_due(Topic.RUNNERS)
