Read a stream's events under one registration and one deadline

Cause: each event of a stream registered the socket with the loop, armed a timer and took both back.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -257,9 +257,17 @@
     def send_event(self, *events: Any) -> None:
         """Send the bytes of some events at once."""
         data = b"".join(self.http.send(event) or b"" for event in events)
-        if data:
+        sent = self._send_now(data)
+        if sent < len(data):
             with Timeout(SEND_TIMEOUT_S):
-                self._sock.sendall(data)
+                self._sock.sendall(data[sent:])
+
+    def _send_now(self, data: bytes) -> int:
+        """Send what the socket takes without waiting; return how much that was."""
+        try:
+            return int(self._sock.fd.send(data, socket.MSG_DONTWAIT)) if data else 0
+        except BlockingIOError:
+            return 0
 
     def _reject(self, exc: _BadRequestError) -> None:
         """Answer what could not be read, then close."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -32,7 +32,7 @@
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import Runner
 
-from ._sockets import receive
+from ._sockets import DeadlinePassedError, SocketReader
 
 CONNECT_TIMEOUT_S = 0.4
 """Time for a new connection: under the first retransmission of a lost packet."""
@@ -90,12 +90,13 @@
     ) -> Result[RunnerAnswer, AttemptFault]:
         answered = False
         try:
-            with Timeout(max(0.001, deadline - self._clock.monotonic())):
-                conn.send(request)
-                status, headers, facts = conn.read_own_head(request, self._codec)
+            conn.set_deadline(max(0.001, deadline - self._clock.monotonic()))
+            conn.send(request)
+            status, headers, facts = conn.read_own_head(request, self._codec)
+            conn.set_deadline(None)
             answered = True
             return Ok(_HttpAnswer(self, runner, conn, status, headers, facts))
-        except Timeout:
+        except DeadlinePassedError:
             return Err(AttemptFault(AttemptFailure.LATE, "no answer in time"))
         except (_ConnectionLostError, OSError) as exc:
             return Err(AttemptFault(AttemptFailure.SENT, repr(exc)))
@@ -164,6 +165,7 @@
 
     def __init__(self, sock: Any) -> None:
         self._sock = sock
+        self._reader = SocketReader(sock)
         self._http = h11.Connection(h11.CLIENT)
         self.idle_s = DEFAULT_IDLE_S
         self._is_writing = False
@@ -172,8 +174,13 @@
 
     def close(self) -> None:
         """Close the socket."""
+        self._reader.close()
         self._sock.close()
 
+    def set_deadline(self, seconds: float | None) -> None:
+        """Bound the reads that follow by one deadline."""
+        self._reader.set_deadline(seconds)
+
     def has_input(self) -> bool:
         """Tell whether bytes or an end are waiting although nothing was asked."""
         if self._http.trailing_data[0]:
@@ -295,7 +302,7 @@
         self._reads += 1
         if self._reads % READS_PER_TURN == 0:
             eventlet.sleep(0)
-        return receive(self._sock)
+        return self._reader.receive()
 
     def _is_body_open(self) -> bool:
         """Tell whether an end of the connection now cuts an answer off."""
@@ -346,6 +353,7 @@
         self.headers = headers
         self.facts = facts
         self._is_read = False
+        self._deadline: float | None = None
 
     def read_all(self, deadline: float) -> Result[bytes, AttemptFault]:
         body = bytearray()
@@ -372,10 +380,12 @@
         left_s = deadline - self._pool._clock.monotonic()
         if left_s <= 0:
             return Err(AttemptFault(AttemptFailure.LATE, "the deadline passed"))
+        if deadline != self._deadline:
+            self._deadline = deadline
+            self._conn.set_deadline(left_s if math.isfinite(left_s) else None)
         try:
-            with Timeout(left_s if math.isfinite(left_s) else None):
-                return Ok(self._conn.read_piece())
-        except Timeout:
+            return Ok(self._conn.read_piece())
+        except DeadlinePassedError:
             return Err(AttemptFault(AttemptFailure.LATE, "the deadline passed"))
         except (_ConnectionLostError, OSError) as exc:
             return Err(AttemptFault(AttemptFailure.SENT, repr(exc)))
@@ -383,6 +393,7 @@
             return Err(AttemptFault(AttemptFailure.SPOILED, repr(exc)))
 
     def close(self) -> None:
+        self._conn.set_deadline(None)
         if self._is_read and self._conn.is_reusable():
             self._pool.keep(self._runner, self._conn)
         else:
