--- a/packages/gooseberryrun/src/gooseberryrun/__main__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/__main__.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import warnings
 
+# Nothing that the imports make is garbage; each face enables the collector after them.
+gc.disable()
+
 # VMs are known by IP numbers, so the resolver of eventlet would only cost memory.
 os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/app.py
@@ -15,6 +15,7 @@
 from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SimpleSpanProcessor
 
 from gooseberryrun._internal.coordination import Node, log_event
+from gooseberryrun._internal.garbage import collect_from_now_on
 from gooseberryrun._internal.logs import line_format
 from gooseberryrun._internal.state import Settings, SystemClock
 from gooseberryrun._internal.transport import (
@@ -53,6 +54,7 @@
     peers.find_vm = node.membership.get
     peers.dispatch = node.dispatch
     node.membership.poll()
+    collect_from_now_on()
     peers.start()
     node.start()
     HttpServer(cfg, node).serve()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -21,6 +21,7 @@
     Serving,
     make_context,
 )
+from gooseberryrun._internal.garbage import collect_from_now_on
 from gooseberryrun._internal.logs import start_stdout_logs
 from gooseberryrun._internal.state import Clock, ServingSettings, SystemClock
 from gooseberryrun._internal.state.serving import ClientLimits
@@ -97,6 +98,7 @@
     def run(self) -> None:
         """Start, wait for SIGTERM, stop."""
         self._catch_signals()
+        collect_from_now_on()
         self._peers.find_vm = self._ctx.find_vm
         self._peers.dispatch = self._serving.dispatch
         self._peers.start()
