Send what may run once on a connection of its own

Cause: a runner may drop an idle connection without notice (grown sites); the next request on it is reset, and whether it ran stays unknown, so that an order ends as 502. Idle connections are bounded to two a runner.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -89,7 +89,12 @@
         if request.body or request.method != "GET":
             headers = [*headers, ("content-length", str(len(request.body)))]
         return OutboundRequest(
-            request.method, request.target, headers, request.body, job.facts.request_id
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            job.facts.request_id,
+            job.route.is_repeatable,
         )
 
     def _note_answer(self, job: Job, runner: Runner, answer: RunnerAnswer) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
@@ -255,13 +255,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OutboundRequest:
-    """Request for a runner."""
+    """Request for a runner; one that is not repeatable may run once only."""
 
     method: str
     target: str
     headers: Headers
     body: bytes
     request_id: str
+    is_repeatable: bool
 
 
 class RunnerRequests(ABC):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -38,6 +38,8 @@
 """Time for a new connection: under the first retransmission of a lost packet."""
 DEFAULT_IDLE_S = 3.0
 """Idle time after which a connection is closed if the runner names no other."""
+MAX_KEPT = 2
+"""Idle connections to a runner that are kept."""
 MAX_STRAY_ANSWERS = 3
 """Answers to other requests that are skipped on a connection."""
 MAX_SKIPPED_BYTES = 1 << 20
@@ -73,7 +75,9 @@
     def send(
         self, runner: Runner, request: OutboundRequest, deadline: float
     ) -> Result[RunnerAnswer, AttemptFault]:
-        conn = self._take(runner)
+        # A runner may have dropped a kept connection; a reset would leave it unknown
+        # whether a request ran that must not be sent again.
+        conn = self._take(runner) if request.is_repeatable else None
         if conn is None:
             opened = self._open(runner, deadline)
             if isinstance(opened, Err):
@@ -121,7 +125,10 @@
         """Keep a connection for the next request."""
         key = (runner.id, runner.host, runner.port)
         idle_deadline = self._clock.monotonic() + conn.idle_s
-        self._kept.setdefault(key, []).append(_Kept(conn, idle_deadline))
+        kept = self._kept.setdefault(key, [])
+        kept.append(_Kept(conn, idle_deadline))
+        if len(kept) > MAX_KEPT:
+            kept.pop(0).conn.close()
 
     def sweep(self) -> None:
         """Close the connections that were idle for too long."""
--- a/tests/unit/serving/test_endless_answers.py
+++ b/tests/unit/serving/test_endless_answers.py
@@ -89,7 +89,7 @@
 
 def request() -> OutboundRequest:
     headers = [("host", "h"), ("x-gooseberryrun-request-id", REQUEST_ID)]
-    return OutboundRequest("GET", "/", headers, b"", REQUEST_ID)
+    return OutboundRequest("GET", "/", headers, b"", REQUEST_ID, True)
 
 
 def ask(server: EndlessServer, clock: SystemClock) -> RunnerAnswer | AttemptFailure:
