Let a VM that is behind the newest view take no right, and give no orders for long

Cause: neighbours wait up to 0.8 s for a view that a reader passes on, so that a VM may renew, know of a newer generation and still take a runner by the view before it; one that stays behind for longer than a lease would order beside the new owner.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -15,6 +15,9 @@
 """Adopted views that are remembered; neighbours with the same members are one."""
 FORMER_S = 12.0
 """Time for which a member that left the view is still told what happens."""
+MAX_BEHIND_S = 2.0
+"""Time for which a VM that knows of a newer view goes on by the one that it has: less
+than the lease that whoever the newer one deals a runner to waits."""
 HANDOVER_S = 3.0
 """Age up to which a handover counts: less than the wait of an owner without one."""
 
@@ -84,6 +87,7 @@
         self._handovers: dict[str, _Handover] = {}
         self._lost_at: dict[str, float] = {}
         self._renewed_at = float("-inf")
+        self._behind_deadline = float("inf")
         self._lease_deadline = float("-inf")
         self._extended_deadline = float("-inf")
         self.generation = 0
@@ -129,8 +133,16 @@
             self._adopted.append(_Adopted(view, view.generation, now))
             del self._adopted[:-HISTORY]
         self._owners.clear()
+        self._behind_deadline = float("inf")
+        self._note_behind(now)
         return True
 
+    def _note_behind(self, now: float) -> None:
+        """Remember since when a newer view than the one in force is known of."""
+        is_behind = self.view.generation < self.generation
+        if is_behind and math.isinf(self._behind_deadline):
+            self._behind_deadline = now + MAX_BEHIND_S
+
     def former_members(self, now: float) -> list[Member]:
         """Return the members that left the view a short time ago."""
         self._former = {vm: kept for vm, kept in self._former.items() if now < kept[1]}
@@ -230,6 +242,7 @@
             self._rights.clear()
             self._handovers.clear()
         self.generation = max(self.generation, generation)
+        self._note_behind(now)
         self._renewed_at = max(self._renewed_at, asked_at)
         lease_s = self._cfg.lease_s - self._cfg.margin_s
         self._lease_deadline = self._renewed_at + lease_s
@@ -271,7 +284,7 @@
         It stays the same while the right is held, so that an order that is held up on
         the way does not arrive with a lower one than its successor.
         """
-        if now >= self._deadline_for(runner):
+        if now >= self._deadline_for(runner) or now >= self._behind_deadline:
             return None
         tenure = self._tenure(runner)
         if tenure is None:
@@ -298,8 +311,11 @@
         if self._has_handover(runner, now):
             del self._handovers[runner.id]
             self._rights[runner.id] = self.view.generation
-        # A renewal after the wait shows that this VM's view is still the newest.
-        elif self._renewed_at >= tenure.since + self._wait_s(runner):
+        # A renewal after the wait shows whether this VM's view is still the newest.
+        elif (
+            self._renewed_at >= tenure.since + self._wait_s(runner)
+            and not self.needs_view()
+        ):
             self._rights[runner.id] = tenure.generation
 
     def _has_handover(self, runner: Runner, now: float) -> bool:
--- a/tests/unit/serving/test_ownership.py
+++ b/tests/unit/serving/test_ownership.py
@@ -370,3 +370,28 @@
     change(state, make_view(6, "a1"), 1.0)
     assert [member.vm for member in state.former_members(2.0)] == ["a2"]
     assert state.former_members(20.0) == []
+
+
+def test_a_vm_that_stays_behind_the_newest_view_gives_no_orders() -> None:
+    """Whoever the newer view deals the runner to has waited for a lease by then."""
+    state, runner = owned_alone()
+    assert state.fencing_token(runner, 1.0) is not None
+    for at in (2.0, 2.7, 3.4, 4.1):
+        state.renew(6, at, at)
+    assert state.fencing_token(runner, 3.9) is not None
+    assert state.fencing_token(runner, 4.2) is None
+    state.adopt(make_view(6, "a1", "b1"), 4.3)
+    assert state.fencing_token(runner, 4.4) is not None
+
+
+def test_no_right_is_taken_by_a_view_that_is_known_to_be_old() -> None:
+    """A neighbour may be about to pass on a view that deals the runner elsewhere."""
+    state = make_state()
+    state.renew(5, 10.0, 10.0)
+    state.adopt(make_view(5, "a1"), 10.0)
+    runner = make_runner(1)
+    state.renew(5, 13.0, 13.0)
+    state.renew(6, 14.1, 14.1)
+    assert state.fencing_token(runner, 14.2) is None
+    state.adopt(make_view(6, "a1"), 14.3)
+    assert state.fencing_token(runner, 14.4) is not None
