--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
@@ -56,6 +56,11 @@
 KEEPALIVE_S = 5.0
 KEEPALIVE_TIMEOUT_S = 3.0
 
+_BYTES_IN = PEER_BYTES.labels(direction="in")
+_BYTES_OUT = PEER_BYTES.labels(direction="out")
+_MESSAGES_IN = PEER_MESSAGES.labels(direction="in")
+_MESSAGES_OUT = PEER_MESSAGES.labels(direction="out")
+
 
 @dataclass(frozen=True, slots=True)
 class _Pending:
@@ -91,8 +96,8 @@
         queued.append(queue.get_nowait())
     envelopes = [envelope for envelope in queued if envelope is not None]
     frame = peer_pb2.Frame(envelopes=envelopes)
-    PEER_BYTES.labels(direction="out").inc(frame.ByteSize())
-    PEER_MESSAGES.labels(direction="out").inc(len(envelopes))
+    _BYTES_OUT.inc(frame.ByteSize())
+    _MESSAGES_OUT.inc(len(envelopes))
     return frame
 
 
@@ -103,8 +108,8 @@
 
 
 def _count_in(frame: Any) -> None:
-    PEER_BYTES.labels(direction="in").inc(frame.ByteSize())
-    PEER_MESSAGES.labels(direction="in").inc(len(frame.envelopes))
+    _BYTES_IN.inc(frame.ByteSize())
+    _MESSAGES_IN.inc(len(frame.envelopes))
 
 
 class _PeerService(peer_grpc.PeerBase):
