--- a/fakes/src/gooseberry_fakes/measure/__main__.py
+++ b/fakes/src/gooseberry_fakes/measure/__main__.py
@@ -6,6 +6,7 @@
 
 from .confirm import measure_confirm
 from .disturbances import measure_faults, measure_overload, measure_quick_rates
+from .growth import measure_growth
 from .overhead import measure_overhead
 from .policy import measure_policy
 from .recovery import measure_recovery
@@ -32,6 +33,12 @@
     measure_slopes(only, as_json)
 
 
+@main.command()
+def growth() -> None:
+    """Measure a choice of a runner and a message against the size of the fleet."""
+    measure_growth()
+
+
 @main.command()
 def recovery() -> None:
     """Measure the time from a failure until work flows again."""
