--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -52,6 +52,7 @@
         self._heard_at: dict[Topic, float] = {}
         self._read_at: dict[Topic, float] = {}
         self._is_reading = dict.fromkeys(Topic, True)
+        self._logged: dict[str, tuple[object, ...]] = {}
 
     def start(self) -> None:
         """Follow each topic in a green thread of its own."""
@@ -247,6 +248,8 @@
         for record in news:
             if record.configuration is not None:
                 CONFIGURATION_VERSION.set(record.configuration.version)
+            if self._is_routine(record):
+                continue
             log_event(
                 "record_applied",
                 topic=record.topic,
@@ -256,6 +259,22 @@
                 says=_describe(record),
             )
 
+    def _is_routine(self, record: DirectoryRecord) -> bool:
+        """Tell whether only a runner's adapters and order count have changed.
+
+        Each runner says so with every heartbeat; the owner's orders are logged.
+        """
+        runner = record.runner
+        if runner is None:
+            self._logged.pop(record.key, None)
+            return False
+        place = (runner.service, runner.host, runner.port, runner.domain)
+        models = tuple(model.name for model in runner.models)
+        said = (*place, runner.draining, runner.born_ms, models)
+        is_known = self._logged.get(record.key) == said
+        self._logged[record.key] = said
+        return is_known
+
 
 def _describe(record: DirectoryRecord) -> str:
     """Return what a record changes, in a few words."""
--- a/tests/unit/serving/test_fleets.py
+++ b/tests/unit/serving/test_fleets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import pytest
@@ -9,6 +10,7 @@
     DirectoryNotice,
     ViewNotice,
 )
+from gooseberryrun._internal.coordination.serving import _follower
 from gooseberryrun._internal.coordination.serving._far_domains import FarDomains
 from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
 from gooseberryrun._internal.coordination.serving._gossip import FANOUT, Gossip
@@ -240,3 +242,25 @@
     assert isinstance(clock, ManualClock)
     clock.suspend(5.0)
     assert follower._is_due(Topic.RUNNERS)
+
+
+def test_heartbeats_that_only_count_orders_are_not_logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each of 34 runners changes its entry every second, and every VM applied it."""
+    lines: list[object] = []
+    monkeypatch.setattr(
+        _follower, "log_event", lambda event, **fields: lines.append(fields["says"])
+    )
+    follower, _ = make_follower(0)
+    runner = make_runners(1, 1)[0]
+    for seq in range(5):
+        changed = dataclasses.replace(runner, order_seq=seq)
+        entry = DirectoryRecord(Topic.RUNNERS, seq, "a", runner=changed)
+        follower._log_news([entry], "store")
+    leaving = dataclasses.replace(runner, draining=True)
+    follower._log_news(
+        [DirectoryRecord(Topic.RUNNERS, 9, "a", runner=leaving)], "store"
+    )
+    follower._log_news([DirectoryRecord(Topic.RUNNERS, 10, "a")], "store")
+    assert lines == ["serving", "draining", "removed"]
