--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -30,7 +30,7 @@
 BATCH_S = {Topic.CONFIGURATION: 0.0, Topic.RUNNERS: 0.8}
 """Pause after records came, so that later ones come together: runners write at each
 heartbeat, and a leaving one has to be known within 2 s."""
-PEER_LEAD_S = {Topic.CONFIGURATION: 0.15, Topic.RUNNERS: 1.0}
+PEER_LEAD_S = {Topic.CONFIGURATION: 0.6, Topic.RUNNERS: 1.0}
 """Time for the store's own word before records are fetched from a peer."""
 FETCH_TIMEOUT_S = 1.0
 SWEEP_S = 0.4
@@ -52,6 +52,7 @@
         self._heard_at: dict[Topic, float] = {}
         self._read_at: dict[Topic, float] = {}
         self._is_reading = dict.fromkeys(Topic, True)
+        self._announced: dict[Topic, int] = {}
         self._logged: dict[str, tuple[object, ...]] = {}
 
     def start(self) -> None:
@@ -94,7 +95,8 @@
         # Counts suspension: what was heard before it may be out of date.
         now = self._ctx.clock.boottime()
         rank = self._ctx.reader_rank()
-        is_due = reads_store(rank, heard_at, now)
+        is_announced = self._announced.get(topic, 0) > self._ctx.directory.ends[topic]
+        is_due = is_announced or reads_store(rank, heard_at, now)
         if is_due is not self._is_reading[topic]:
             self._is_reading[topic] = is_due
             age_s = now - heard_at
@@ -120,9 +122,15 @@
                     self._tell(topic, self._ctx.directory.ends[topic], [])
 
     def _tell(self, topic: Topic, start: int, records: list[DirectoryRecord]) -> None:
-        """Pass on what was read to those of this domain that need not read it."""
+        """Pass on what was read to those of this domain that need not read it.
+
+        A whole configuration is only announced, and each VM reads it: sent to every VM
+        of a domain, a long one fills the link of a small VM for seconds.
+        """
         if not self._serves_others():
             return
+        if any(record.configuration is not None for record in records):
+            start, records = self._ctx.directory.ends[topic], []
         directory = self._ctx.directory
         is_after_outage = directory.is_after_outage(self._ctx.clock.monotonic())
         notice = DirectoryNotice(
@@ -140,7 +148,7 @@
         if notice.is_after_outage and not ctx.directory.is_after_outage(now):
             ctx.directory.regained_at = now
         if notice.start > ctx.directory.ends[notice.topic]:
-            self.hear_ends(peer, {notice.topic: notice.end})
+            self._announced[notice.topic] = notice.end
             return
         news = DirectoryReply(notice.topic, notice.end, notice.records)
         self._take_reply(peer, news)
@@ -205,7 +213,7 @@
 
     def _fetch(self, peer: str, topic: Topic, end: int) -> None:
         try:
-            if self._is_reading[topic] and topic not in self._lost_at:
+            if topic not in self._lost_at:
                 eventlet.sleep(PEER_LEAD_S[topic])
             known_end = self._ctx.directory.ends[topic]
             if known_end >= end:
--- a/tests/unit/serving/test_fleets.py
+++ b/tests/unit/serving/test_fleets.py
@@ -21,6 +21,8 @@
 from gooseberryrun._internal.state import ManualClock
 from gooseberryrun._internal.state.serving import (
     READERS,
+    ClientLimits,
+    Configuration,
     DirectoryRecord,
     RunnerLoads,
     RunnerView,
@@ -29,7 +31,13 @@
     reads_store,
 )
 
-from tests.lib.fleet import GroupStore, make_members, make_runners, make_vm
+from tests.lib.fleet import (
+    CountingPeers,
+    GroupStore,
+    make_members,
+    make_runners,
+    make_vm,
+)
 
 # Domains, VMs, model runners.
 FLEETS = [(3, 9, 5), (3, 72, 45), (5, 195, 78), (20, 440, 600)]
@@ -130,6 +138,28 @@
         "vm-000", DirectoryNotice(Topic.RUNNERS, 7, 9, [record(8, "a")], False)
     )
     assert follower._ctx.directory.ends[Topic.RUNNERS] == 0
+    assert follower._is_due(Topic.RUNNERS)
+
+
+def test_a_whole_configuration_is_announced_and_read_by_each_vm() -> None:
+    """Replays trouble-1 of laug-ordre-grown: three readers sent a configuration of many
+    routes to VMs with 5 Mbit/s, and what was sent next came 2 to 3 s late.
+    """
+    reader, _ = make_follower(0)
+    table = Configuration(7, (), {}, ClientLimits())
+    entry = DirectoryRecord(Topic.CONFIGURATION, 3, "config", configuration=table)
+    reader._ctx.directory.apply(entry, 0.0)
+    reader._tell(Topic.CONFIGURATION, 3, [entry])
+    peers = reader._ctx.peers
+    assert isinstance(peers, CountingPeers)
+    announced = DirectoryNotice(Topic.CONFIGURATION, 4, 4, [], False)
+    assert [message for _, message in peers.told] == [announced] * 8
+    other, _ = make_follower(8)
+    other.hear_notice("vm-000", DirectoryNotice(Topic.CONFIGURATION, 0, 0, [], False))
+    assert not other._is_due(Topic.CONFIGURATION)
+    other.hear_notice("vm-000", announced)
+    assert other._is_due(Topic.CONFIGURATION)
+    assert other._ctx.directory.ends[Topic.CONFIGURATION] == 0
 
 
 def test_those_who_do_not_read_learn_that_the_store_was_away() -> None:
