--- a/tests/unit/serving/test_fleets.py
+++ b/tests/unit/serving/test_fleets.py
@@ -142,11 +142,12 @@
 
 
 def test_a_whole_configuration_is_announced_and_read_by_each_vm() -> None:
-    """Replays trouble-1 of laug-ordre-grown: three readers sent a configuration of many
-    routes to VMs with 5 Mbit/s, and what was sent next came 2 to 3 s late.
+    """Replays trouble-1 of laug-ordre-grown: readers sent long configurations on.
+
+    What was sent next to VMs with links of 5 Mbit/s came 2 to 3 s late.
     """
     reader, _ = make_follower(0)
-    table = Configuration(7, (), {}, ClientLimits())
+    table = Configuration(7, (), (), ClientLimits())
     entry = DirectoryRecord(Topic.CONFIGURATION, 3, "config", configuration=table)
     reader._ctx.directory.apply(entry, 0.0)
     reader._tell(Topic.CONFIGURATION, 3, [entry])
