Admit long prompts one after another through the runner's owner

Cause: of the streams that started in time a third was late all the same. Several VMs started long prompts at one runner within a quarter of a second, and every stream there paused for 0.5 to 0.8 s: what a VM knew of a runner (gossip each 0.5 s) was older than a prefill takes (0.25 s). The pause that a route bears was read nowhere.

Change: a request with a long prompt asks the runner's owner, which it asks on a miss anyway, to start. The owner grants prompts as long as those in progress fit into the longest pause that the routes allow, by the pace that it observes at this runner; the first event returns the grant, a lost return lapses. Notices of residency carry what is being read and waits, so that VMs choose by it. If the owner cannot be reached, a runner that holds the adapter is used without a grant. First event and longest pause are in the request's log line and in the metrics.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -26,6 +26,9 @@
     ``cut`` (a stream is reset within an event), ``crash`` (the connection closes within
     a stream and the address accepts no more).
 
+    A prompt takes ``prompt_token_s`` a token before the first event; ``most_reading``
+    is the largest number of prompts that were being read at the same time.
+
     ``ran`` are the ids of the requests that ran, ``resumed`` the last event ids of
     resumed streams, ``abandoned`` the ids of streams whose client disconnected.
     """
@@ -37,6 +40,9 @@
     fault: str = ""
     fault_count: int = 0
     event_pause_s: float = 0.01
+    prompt_token_s: float = 0.0
+    reading: int = 0
+    most_reading: int = 0
     adapters: dict[str, int] = field(default_factory=dict)
     coming: dict[str, tuple[float, int]] = field(default_factory=dict)
     seq: int = 0
@@ -122,6 +128,17 @@
             last_order_at[holder], highest_token, previous = at, order["fence"], holder
         return False
 
+    def read_prompt(self, tokens: int) -> None:
+        """Take the time that a prompt needs before its first event."""
+        if not self.prompt_token_s:
+            return
+        with self.lock:
+            self.reading += 1
+            self.most_reading = max(self.most_reading, self.reading)
+        time.sleep(tokens * self.prompt_token_s)
+        with self.lock:
+            self.reading -= 1
+
     def take_fault(self) -> str:
         """Use up one count of the fault; return its name, or an empty string."""
         with self.lock:
@@ -212,6 +229,8 @@
         if last:
             self.runner.resumed.append(last)
         first = int(last or 0) + 1
+        counts = self.headers.get("X-Gooseberryrun-Token-Count", "0,0")
+        self.runner.read_prompt(int(counts.partition(",")[0]))
         self.send_response(200)
         self._add_header("X-Gooseberryrun-Server-Stamp", "s")
         self._add_header("Content-Type", "text/event-stream")
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -20,6 +20,16 @@
     ["kind", "status"],
     buckets=_SECONDS,
 )
+FIRST_EVENT_SECONDS = Histogram(
+    PREFIX + "first_event_seconds",
+    "Time from a request read to the first event of its stream",
+    buckets=_SECONDS,
+)
+LONGEST_PAUSE_SECONDS = Histogram(
+    PREFIX + "longest_pause_seconds",
+    "Longest pause between two events of a stream",
+    buckets=_SECONDS,
+)
 ORDERS = Counter(PREFIX + "orders", "Orders to runners, by outcome", ["op", "outcome"])
 ORDER_SECONDS = Histogram(
     PREFIX + "order_seconds", "Time until an order was answered", buckets=_SECONDS
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -5,6 +5,7 @@
 from gooseberryrun._internal.state.serving import (
     DirectoryRecord,
     Member,
+    PrefillLoad,
     RunnerView,
     Topic,
     View,
@@ -18,7 +19,8 @@
 
     ``adapter`` is ``model/adapter``; version 0 accepts any. The first event is late
     after ``target_s``. ``is_missing`` is set if the runner has just responded that it
-    lacks the adapter.
+    lacks the adapter. With ``prefill_tokens``, the request also asks for a grant to
+    start a long prompt, which a PrefillNotice returns.
     """
 
     runner: str
@@ -29,6 +31,18 @@
     priority: int
     request_id: str
     is_missing: bool
+    prefill_tokens: int = 0
+
+
+class PrefillNotice(Message, frozen=True, array_like=True):
+    """Returns the grant of a long prompt, or withdraws the request for one.
+
+    ``took_s`` is the time from the attempt to its first event, negative without one.
+    """
+
+    runner: str
+    request_id: str
+    took_s: float
 
 
 class UseNotice(Message, frozen=True, array_like=True):
@@ -82,6 +96,7 @@
 
     ``idle`` slots can take another adapter at once, and ``waiting`` requests wait for
     one; while they do, a slot becomes free every ``mean_slot_wait_s`` on average.
+    ``prefill`` is the load of prompts as of the sending of the notice.
     """
 
     runner: str
@@ -91,6 +106,7 @@
     idle: int
     waiting: int
     mean_slot_wait_s: float
+    prefill: PrefillLoad = PrefillLoad()
 
 
 class AcquireAnswer(Message, frozen=True, array_like=True):
@@ -163,6 +179,7 @@
     AcquireRequest
     | AcquireAnswer
     | UseNotice
+    | PrefillNotice
     | ViewNotice
     | HandoverNotice
     | LeavingNotice
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from gooseberryrun._internal.state.serving import Route
+from gooseberryrun._internal.state.serving import Route, StreamTiming
 
 from ._ports import Caller, InboundRequest, RequestMetadata
 
@@ -19,7 +19,9 @@
 
     The final response is due at ``deadline``. ``may_have_run`` is set once a runner
     may have started the request and has not proved otherwise. ``missing_on`` is the
-    runner that last responded that it lacks the adapter.
+    runner that last responded that it lacks the adapter. ``has_grant`` is set while the
+    owner of a runner counts the prompt as being read there; ``ungranted`` are runners
+    whose owner let it wait in vain.
     """
 
     request: InboundRequest
@@ -35,6 +37,9 @@
     tried: set[str] = field(default_factory=set)
     missing_on: str = ""
     unloadable: set[str] = field(default_factory=set)
+    ungranted: set[str] = field(default_factory=set)
+    has_grant: bool = False
+    timing: StreamTiming = field(default_factory=StreamTiming)
 
     @property
     def content_hash(self) -> str:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -7,33 +7,33 @@
 
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import DEFAULT_SLOT_WAIT_S, Runner
+from gooseberryrun._internal.state.serving import (
+    DEFAULT_SLOT_WAIT_S,
+    PrefillLoad,
+    Runner,
+)
 
 from .._events import log_event
 from .._serving_messages import (
     AcquireAnswer,
     AcquireRequest,
+    PrefillNotice,
     ResidencyNotice,
     UseNotice,
 )
 from ._context import Context
 from ._membership import Membership
 from ._owner import OwnedRunners
-from ._runner_owner import Refusal, adapter_key
-
-_OWNER_FAULTS = {
-    "no_owner",
-    "not_owner",
-    "owner_unreachable",
-    "no_lease",
-    "owner_left",
-    "runner_down",
-}
+from ._ports import CallerDisconnectedError
+from ._runner_owner import Refusal, adapter_key, is_base_model
+
 RESPONSE_MARGIN_S = 0.05
 """Part of the deadline reserved for the transfer of the owner's reply."""
 MIN_PAUSE_S = 0.3
 """Shortest time for which no load is requested after the owner could not order one."""
 MAX_PAUSE_S = 1.5
+WITHDRAWN_S = -1.0
+"""Time to the first event in the notice of a prompt that got none."""
 OWNER_STATE_TTL_S = 0.6
 """Age up to which the residency in an owner's reply is used for a runner that this VM
 does not follow."""
@@ -43,7 +43,8 @@
 class AdapterRequirement:
     """Adapter, by its key, and the lowest version of it that a request needs.
 
-    The first event is late after ``target_deadline``.
+    The first event is late after ``target_deadline``. ``prefill_tokens`` is the length
+    of a prompt that needs a grant to start, otherwise 0.
     """
 
     adapter: str
@@ -52,6 +53,7 @@
     priority: int
     request_id: str
     is_missing: bool
+    prefill_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +108,24 @@
             return SlotQueue(1, 0, DEFAULT_SLOT_WAIT_S)
         return SlotQueue(notice.idle, notice.waiting, notice.mean_slot_wait_s)
 
+    def prefill_load(self, runner: Runner) -> PrefillLoad:
+        """Return the load of prompts that is expected at a runner now."""
+        notice = self._current_notice(runner)
+        if notice is None:
+            return PrefillLoad()
+        received_at = self._ctx.residency_received_at[runner.id]
+        return notice.prefill.after(self._ctx.clock.monotonic() - received_at)
+
+    def end_prefill(self, runner: Runner, request_id: str, took_s: float) -> None:
+        """Return a prompt's grant to the runner's owner.
+
+        ``took_s`` is the time to the first event, negative without one.
+        """
+        owner = self._ctx.owner_of(runner)
+        if owner is not None:
+            notice = PrefillNotice(runner.id, request_id, took_s)
+            self._send_to_owner(owner.vm, notice)
+
     def handle_residency_notice(self, sender: str, notice: ResidencyNotice) -> None:
         """Store a residency notice; report this VM's uses if the owner is a new one."""
         known = self._ctx.residency.get(notice.runner)
@@ -148,6 +168,7 @@
             queue.idle,
             queue.waiting,
             queue.mean_slot_wait_s,
+            self.prefill_load(runner),
         )
         self._ctx.record_residency(notice)
 
@@ -169,11 +190,13 @@
         if owner is not None:
             self._send_to_owner(owner.vm, notice)
 
-    def _send_to_owner(self, owner: str, notice: UseNotice) -> None:
-        if owner == self._ctx.vm:
+    def _send_to_owner(self, owner: str, notice: UseNotice | PrefillNotice) -> None:
+        if owner != self._ctx.vm:
+            self._ctx.peers.send_to(owner, notice)
+        elif isinstance(notice, UseNotice):
             self._owned_runners.handle_use_notice(owner, notice)
         else:
-            self._ctx.peers.send_to(owner, notice)
+            self._owned_runners.handle_prefill_notice(notice)
 
     def acquire(
         self, runner: Runner, requirement: AdapterRequirement, deadline: float
@@ -193,11 +216,16 @@
             priority=requirement.priority,
             request_id=requirement.request_id,
             is_missing=requirement.is_missing,
+            prefill_tokens=requirement.prefill_tokens,
         )
-        if owner.vm == self._ctx.vm:
-            acquired = self._owned_runners.acquire(request, deadline)
-        else:
-            acquired = self._request_from_owner(owner.vm, request, deadline)
+        try:
+            if owner.vm == self._ctx.vm:
+                acquired = self._owned_runners.acquire(request, deadline)
+            else:
+                acquired = self._request_from_owner(owner.vm, request, deadline)
+        except CallerDisconnectedError:
+            self.end_prefill(runner, requirement.request_id, WITHDRAWN_S)
+            raise
         self._record_outcome(runner, requirement.adapter, acquired)
         return acquired
 
@@ -233,10 +261,12 @@
         self, runner: Runner, adapter: str, acquired: Result[int, Refusal]
     ) -> None:
         if isinstance(acquired, Ok):
+            if is_base_model(adapter):
+                return
             self.record_held(runner, adapter, acquired.ok_value)
             return
         refusal = acquired.err_value
-        if refusal.reason not in _OWNER_FAULTS:
+        if not refusal.is_owner_fault:
             return
         pause_s = min(MAX_PAUSE_S, max(MIN_PAUSE_S, refusal.retry_in_s))
         self._blocked_until[runner.id] = self._ctx.clock.monotonic() + pause_s
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -10,6 +10,7 @@
 from gooseberryrun._internal.state.serving import (
     Candidate,
     Choice,
+    PrefillPace,
     Runner,
     choose_model_runner,
     expected_first_event_s,
@@ -18,7 +19,7 @@
 from .._events import log_event
 from .._metrics import LOAD_STALL
 from ._active_request import ActiveRequest, LocalResponse, Round, run_rounds
-from ._adapters import AdapterRequirement, Adapters
+from ._adapters import WITHDRAWN_S, AdapterRequirement, Adapters
 from ._attempts import Attempts
 from ._context import Context
 from ._event_stream import EventBuffer
@@ -99,12 +100,20 @@
         if choice.expected_s > self._longest_wait_s(active, now):
             _log_overload(active, choice)
             return failure_response(active, "overload", BUSY_RETRY_S)
-        runner = choice.candidate.runner
-        if not choice.candidate.has_adapter and not self._acquire(active, runner):
+        if self._needs_owner(choice) and not self._acquire(active, choice):
             return Round.AGAIN
-        if not self._attempts.withdraw_attempt(active):
-            return failure_response(active, "repeat_budget", BUSY_RETRY_S)
-        return self._attempt(active, runner, choice, progress)
+        return self._attempt(active, choice, progress)
+
+    @staticmethod
+    def _needs_owner(choice: Choice) -> bool:
+        """Return whether the runner's owner must be asked before the attempt."""
+        return not choice.candidate.has_adapter or choice.candidate.needs_grant
+
+    def _needs_grant(self, active: ActiveRequest, pace: PrefillPace) -> bool:
+        """Return whether the prompt is so long that its start must be granted."""
+        table = self._ctx.directory.table
+        max_pause_s = table.max_pause_s(active.service) if table else 0.0
+        return pace.needs_grant(active.metadata.prompt_tokens, max_pause_s)
 
     @staticmethod
     def _longest_wait_s(active: ActiveRequest, now: float) -> float:
@@ -116,7 +125,9 @@
         adapter = self._adapter_key(active)
         candidates = []
         for runner in self._eligible(active, adapter, now):
-            if runner.id in active.tried or self._ctx.loads.is_down(runner.id, now):
+            if runner.id in active.tried | active.ungranted or self._ctx.loads.is_down(
+                runner.id, now
+            ):
                 continue
             if all(model.name != active.metadata.model for model in runner.models):
                 continue
@@ -150,6 +161,7 @@
             held = self._adapters.held(runner).get(adapter, -1)
             has_adapter = held >= self._wanted_version(active)
         queue = self._adapters.queue(runner)
+        prefill = self._adapters.prefill_load(runner)
         return Candidate(
             runner=runner,
             view=self._ctx.loads.total(runner.id, now),
@@ -160,6 +172,8 @@
             available_slots=queue.idle,
             waiting=queue.waiting,
             slot_wait_s=queue.mean_slot_wait_s,
+            prefill=prefill,
+            needs_grant=self._needs_grant(active, prefill.pace),
         )
 
     def _can_load(self, active: ActiveRequest, runner: Runner) -> bool:
@@ -173,8 +187,15 @@
             active.metadata.model, active.metadata.adapter
         )
 
-    def _acquire(self, active: ActiveRequest, runner: Runner) -> bool:
-        """Wait until the runner has the adapter; return False if it is not loaded."""
+    def _acquire(self, active: ActiveRequest, choice: Choice) -> bool:
+        """Wait until the adapter is loaded and a long prompt may start.
+
+        Return False if the request should go elsewhere. A runner that is believed to
+        hold the adapter is used also if its owner cannot be reached.
+        """
+        runner = choice.candidate.runner
+        active.has_grant = False
+        needs_grant = choice.candidate.needs_grant
         requested_at = self._ctx.clock.monotonic()
         deadline = requested_at + self._longest_wait_s(active, requested_at)
         requirement = AdapterRequirement(
@@ -184,6 +205,7 @@
             active.route.priority,
             active.metadata.request_id,
             active.missing_on == runner.id,
+            active.metadata.prompt_tokens if needs_grant else 0,
         )
         acquired = self._adapters.acquire(runner, requirement, deadline)
         stalled_s = self._ctx.clock.monotonic() - requested_at
@@ -195,24 +217,29 @@
             runner=runner.id,
             adapter=active.metadata.adapter,
             took_s=stalled_s,
+            prefill_tokens=requirement.prefill_tokens,
+            expected_s=choice.expected_s,
             outcome=reason,
         )
-        if isinstance(acquired, Err):
-            active.unloadable.add(runner.id)
-            return False
-        return True
+        active.has_grant = needs_grant and not isinstance(acquired, Err)
+        if not isinstance(acquired, Err):
+            return True
+        if choice.candidate.has_adapter and acquired.err_value.is_owner_fault:
+            return True
+        refused = active.ungranted if needs_grant else active.unloadable
+        refused.add(runner.id)
+        return False
 
     def _attempt(
-        self,
-        active: ActiveRequest,
-        runner: Runner,
-        choice: Choice,
-        progress: _StreamProgress,
+        self, active: ActiveRequest, choice: Choice, progress: _StreamProgress
     ) -> LocalResponse | Round:
-        tracker = _LoadTracker(self._ctx, runner, active.metadata.prompt_tokens, choice)
+        runner = choice.candidate.runner
+        tracker = _LoadTracker(self._ctx, self._adapters, active, choice)
         adapter = self._adapter_key(active)
         self._adapters.begin_use(runner, adapter)
         try:
+            if not self._attempts.withdraw_attempt(active):
+                return failure_response(active, "repeat_budget", BUSY_RETRY_S)
             return self._send(active, runner, progress, tracker)
         finally:
             tracker.end()
@@ -340,6 +367,7 @@
         if not progress.is_started:
             progress.is_started = True
             active.caller.start(response.status, end_to_end(response.headers))
+        active.timing.record_event(self._ctx.clock.monotonic())
         active.caller.send(events)
 
     def _finish(
@@ -379,16 +407,18 @@
     """Counts a request's load on a runner: its prompt until read, itself until done."""
 
     def __init__(
-        self, ctx: Context, runner: Runner, tokens: int, choice: Choice
+        self, ctx: Context, adapters: Adapters, active: ActiveRequest, choice: Choice
     ) -> None:
         self._ctx = ctx
-        self._runner = runner
-        self._tokens = tokens
-        self._expected_s = expected_first_event_s(choice.candidate, tokens)
+        self._adapters = adapters
+        self._active = active
+        self._runner = choice.candidate.runner
+        self._tokens = active.metadata.prompt_tokens
+        self._expected_s = expected_first_event_s(choice.candidate, self._tokens)
         self._slowness = choice.candidate.view.slowness
         self._sent_at = ctx.clock.monotonic()
         self._is_prompt_unread = True
-        ctx.loads.begin(runner.id, tokens)
+        ctx.loads.begin(self._runner.id, self._tokens)
 
     def mark_prompt_read(self) -> None:
         """Record that the prompt was read, and how slow the runner was."""
@@ -397,6 +427,7 @@
         self._is_prompt_unread = False
         now = self._ctx.clock.monotonic()
         self._ctx.loads.record_first_event(self._runner.id, self._tokens)
+        self._return_grant(now - self._sent_at)
         nominal_s = self._expected_s / max(self._slowness, 0.1)
         if nominal_s >= MIN_SLOWNESS_SAMPLE_S:
             ratio = (now - self._sent_at) / nominal_s
@@ -407,4 +438,11 @@
         if self._is_prompt_unread:
             self._is_prompt_unread = False
             self._ctx.loads.record_first_event(self._runner.id, self._tokens)
+            self._return_grant(WITHDRAWN_S)
         self._ctx.loads.end(self._runner.id)
+
+    def _return_grant(self, took_s: float) -> None:
+        if self._active.has_grant:
+            self._active.has_grant = False
+            request_id = self._active.metadata.request_id
+            self._adapters.end_prefill(self._runner, request_id, took_s)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -15,6 +15,7 @@
 from .._serving_messages import (
     AcquireAnswer,
     AcquireRequest,
+    PrefillNotice,
     ResidencyNotice,
     UseNotice,
 )
@@ -113,6 +114,12 @@
         if task is not None:
             task.record_use(vm, notice.adapter, notice.count)
 
+    def handle_prefill_notice(self, notice: PrefillNotice) -> None:
+        """Take back the grant of a long prompt."""
+        task = self._tasks.get(notice.runner)
+        if task is not None:
+            task.end_prefill(notice.request_id, notice.took_s)
+
     def refresh(self) -> None:
         """Start and stop tasks according to the view in force, and wake all of them."""
         if self._is_closed:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 from .._events import log_event
-from .._metrics import REFUSALS, SERVED_SECONDS
+from .._metrics import (
+    FIRST_EVENT_SECONDS,
+    LONGEST_PAUSE_SECONDS,
+    REFUSALS,
+    SERVED_SECONDS,
+)
 from ._active_request import ActiveRequest, LocalResponse
 from ._context import Context
 from ._ports import Headers, RunnerResponse
@@ -101,4 +107,24 @@
             left_s=active.deadline - now,
             sends=active.sends,
             attempts=active.attempts,
+            **_stream_fields(active),
         )
+
+
+def _stream_fields(active: ActiveRequest) -> dict[str, Any]:
+    """Return the timing of a stream for its log line, and count it in the metrics."""
+    if not active.metadata.model:
+        return {}
+    fields: dict[str, Any] = {"prompt_tokens": active.metadata.prompt_tokens}
+    timing = active.timing
+    if timing.first_at is None:
+        return fields
+    first_event_s = timing.first_at - active.request.read_at
+    FIRST_EVENT_SECONDS.observe(first_event_s)
+    LONGEST_PAUSE_SECONDS.observe(timing.longest_pause_s)
+    return fields | {
+        "target_s": active.route.target_latency_s,
+        "first_event_s": first_event_s,
+        "longest_pause_s": timing.longest_pause_s,
+        "max_pause_s": active.route.max_pause_s,
+    }
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -13,6 +13,7 @@
     EXPECTED_LOAD_S,
     EXPECTED_RELOAD_S,
     AdapterSlots,
+    PrefillAdmission,
     Runner,
     SlotWait,
     SlotWaitEstimator,
@@ -46,6 +47,18 @@
 """Largest number of requests that wait for slots of one runner."""
 
 
+_OWNER_FAULTS = frozenset(
+    {
+        "no_owner",
+        "not_owner",
+        "owner_unreachable",
+        "no_lease",
+        "owner_left",
+        "runner_down",
+    }
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """Reason why an adapter is not made ready, and when to retry."""
@@ -53,12 +66,19 @@
     reason: str
     retry_in_s: float
 
+    @property
+    def is_owner_fault(self) -> bool:
+        """Return whether there is no owner that could answer."""
+        return self.reason in _OWNER_FAULTS
+
 
 @dataclass(slots=True)
 class _Waiter:
     adapter: str
     version: int
     wait: SlotWait
+    request_id: str
+    prefill_tokens: int
     completed: Event = field(default_factory=Event)
 
 
@@ -75,6 +95,11 @@
     return f"{model}/{adapter}"
 
 
+def is_base_model(key: str) -> bool:
+    """Return whether a key names a model itself, without an adapter."""
+    return key.endswith("/")
+
+
 class RunnerOwner:
     """Task that sends all orders to one incarnation of a runner.
 
@@ -97,6 +122,7 @@
         self._pending_loads: dict[str, _PendingLoad] = {}
         self._orders = RunnerOrders(ctx, runner)
         self._slot_waits = SlotWaitEstimator()
+        self._prefills = PrefillAdmission()
         self._evictions_allowed_at = float("inf")
         self._suspected_missing: set[str] = set()
         self._models: set[str] = set()
@@ -130,6 +156,17 @@
         if not count and self._waiters:
             self.wake()
 
+    def end_prefill(self, request_id: str, took_s: float) -> None:
+        """Take back the grant of a prompt, or withdraw its request for one."""
+        if self._prefills.end(request_id, took_s if took_s >= 0 else None):
+            self._admit_prompts()
+            self._on_change()
+            return
+        for waiter in list(self._waiters):
+            if waiter.request_id == request_id:
+                waiter.completed.send(Err(Refusal("withdrawn", 0.0)))
+                self._remove_waiter(waiter)
+
     def residency(self) -> ResidencyNotice | None:
         """Return the adapters that the runner holds; None while they are not known."""
         token = self._orders.fencing_token()
@@ -148,8 +185,11 @@
             token,
             held,
             self._slots.idle_count(now),
-            len(self._waiters),
+            len(self._slot_waiters()),
             round(self._slot_waits.mean_s, 3),
+            self._prefills.load(
+                [w.prefill_tokens for w in self._prompt_waiters()], now
+            ),
         )
 
     def acquire(self, request: AcquireRequest, deadline: float) -> Result[int, Refusal]:
@@ -166,18 +206,26 @@
         if request.is_missing and adapter in self._slots.held:
             log_event("belief_doubted", runner=self._runner.id, adapter=adapter)
             self._suspected_missing.add(adapter)
-        is_held = self._slots.held.get(adapter, -1) >= version
-        if is_held and adapter not in self._suspected_missing:
+        waiter = _Waiter(
+            adapter,
+            version,
+            SlotWait(request.priority, now + request.target_s, deadline),
+            request.request_id,
+            request.prefill_tokens,
+        )
+        if is_base_model(adapter) and not request.prefill_tokens:
+            return Ok(0)
+        if self._is_present(waiter) and not request.prefill_tokens:
             self._slots.reserve(adapter, now + RESERVATION_S)
             return Ok(self._slots.held[adapter])
         if len(self._waiters) >= MAX_WAITERS:
             return Err(Refusal("many_waiting", 1.0))
-        wait = SlotWait(request.priority, now + request.target_s, deadline)
-        waiter = _Waiter(adapter, version, wait)
         self._waiters.append(waiter)
-        self._slot_waits.record_waiting(now)
+        if not self._is_present(waiter):
+            self._slot_waits.record_waiting(now)
+            self.wake()
+        self._admit_prompts()
         self._on_change()
-        self.wake()
         try:
             with Timeout(max(0.001, deadline - now), False):
                 result: Result[int, Refusal] = waiter.completed.wait()
@@ -188,9 +236,62 @@
             self._on_change()
         return Err(Refusal("too_late", 0.5))
 
+    def _is_present(self, waiter: _Waiter) -> bool:
+        """Return whether the waiter's adapter is loaded and not in doubt."""
+        if is_base_model(waiter.adapter):
+            return True
+        held = self._slots.held.get(waiter.adapter, -1)
+        return held >= waiter.version and waiter.adapter not in self._suspected_missing
+
+    def _slot_waiters(self) -> list[_Waiter]:
+        """Return the waiters whose adapter is not loaded."""
+        return [waiter for waiter in self._waiters if not self._is_present(waiter)]
+
+    def _prompt_waiters(self) -> list[_Waiter]:
+        """Return the waiters with a long prompt."""
+        return [waiter for waiter in self._waiters if waiter.prefill_tokens]
+
+    def _admit_prompts(self) -> None:
+        """Grant long prompts whose adapter is loaded, in order of their ranks.
+
+        A prompt that may not start yet holds back those behind it, so that a long one
+        is not overtaken for ever by shorter ones.
+        """
+        now = self._ctx.clock.monotonic()
+        max_pause_s = self._max_pause_s()
+        for waiter in sorted(self._prompt_waiters(), key=lambda w: w.wait.rank(now)):
+            if not self._is_present(waiter):
+                continue
+            if not self._prefills.may_begin(waiter.prefill_tokens, max_pause_s, now):
+                return
+            self._log_admission(waiter)
+            self._prefills.begin(waiter.request_id, waiter.prefill_tokens, now)
+            self._complete(waiter)
+
+    def _log_admission(self, waiter: _Waiter) -> None:
+        log_event(
+            "prompt_admitted",
+            request=waiter.request_id,
+            runner=self._runner.id,
+            tokens=waiter.prefill_tokens,
+            tokens_before=self._prefills.granted_tokens,
+            prompts_waiting=len(self._prompt_waiters()),
+            token_s=self._prefills.pace.token_s,
+        )
+
+    def _reserve_for_prompts(self, now: float) -> None:
+        """Keep the adapters of long prompts that wait to start."""
+        for waiter in self._prompt_waiters():
+            if self._is_present(waiter) and not is_base_model(waiter.adapter):
+                self._slots.reserve(waiter.adapter, now + RESERVATION_S)
+
+    def _max_pause_s(self) -> float:
+        table = self._ctx.directory.table
+        return table.max_pause_s(self._runner.service) if table else 0.0
+
     def _remove_waiter(self, waiter: _Waiter) -> None:
         self._waiters.remove(waiter)
-        if not self._waiters:
+        if not self._slot_waiters():
             self._slot_waits.record_idle()
 
     def _run(self) -> None:
@@ -217,10 +318,13 @@
         now = self._ctx.clock.monotonic()
         if self._waiters and now < self._evictions_allowed_at:
             return self._evictions_allowed_at - now
-        if not self._pending_loads:
+        due = [pending.check_at for pending in self._pending_loads.values()]
+        lapse_at = self._prefills.next_lapse_at()
+        if lapse_at is not None and self._waiters:
+            due.append(lapse_at)
+        if not due:
             return CHECK_INTERVAL_S if self._orders.has_unanswered else IDLE_CHECK_S
-        check_at = min(pending.check_at for pending in self._pending_loads.values())
-        return max(0.001, check_at - now)
+        return max(0.001, min(due) - now)
 
     def _check_pending_loads(self, token: int) -> None:
         """Check overdue loads by repeating the order, since the report lags.
@@ -257,8 +361,10 @@
         self._slots.loading.pop(adapter, None)
         self._slots.held[adapter] = max(1, version, self._slots.held.get(adapter, 0))
         for waiter in list(self._waiters):
-            if waiter.adapter == adapter and version >= waiter.version:
+            is_ready = waiter.adapter == adapter and version >= waiter.version
+            if is_ready and not waiter.prefill_tokens:
                 self._complete(waiter)
+        self._admit_prompts()
         self._on_change()
 
     def _sleep(self, seconds: float) -> None:
@@ -277,24 +383,31 @@
     def _serve_waiters(self, token: int) -> None:
         """Complete the waiters whose adapter is loaded; order loads for the others."""
         now = self._ctx.clock.monotonic()
+        self._reserve_for_prompts(now)
+        self._admit_prompts()
         for waiter in sorted(self._waiters, key=lambda w: w.wait.rank(now)):
-            if waiter not in self._waiters:
-                continue
-            if waiter.adapter in self._suspected_missing:
-                self._reload_suspected(waiter.adapter, token)
+            if waiter in self._waiters:
+                self._serve_waiter(waiter, token, now)
+
+    def _serve_waiter(self, waiter: _Waiter, token: int, now: float) -> None:
+        """Take the next steps towards a waiter's adapter."""
+        if is_base_model(waiter.adapter):
+            return
+        if waiter.adapter in self._suspected_missing:
+            self._reload_suspected(waiter.adapter, token)
+        plan = self._slots.plan(waiter.adapter, waiter.version, now)
+        if plan.step is Step.EVICT:
+            if now < self._evictions_allowed_at:
+                return
+            if not self._unload(plan.victim, token):
+                return
             plan = self._slots.plan(waiter.adapter, waiter.version, now)
-            if plan.step is Step.EVICT and now < self._evictions_allowed_at:
-                continue
-            if plan.step is Step.EVICT:
-                if not self._unload(plan.victim, token):
-                    continue
-                plan = self._slots.plan(waiter.adapter, waiter.version, now)
-            if plan.step is Step.LOAD:
-                self._load(waiter.adapter, waiter.version, token)
-                self._slot_waits.record_taken(now)
-                plan = self._slots.plan(waiter.adapter, waiter.version, now)
-            if plan.step is Step.PRESENT:
-                self._complete(waiter)
+        if plan.step is Step.LOAD:
+            self._load(waiter.adapter, waiter.version, token)
+            self._slot_waits.record_taken(now)
+            plan = self._slots.plan(waiter.adapter, waiter.version, now)
+        if plan.step is Step.PRESENT and not waiter.prefill_tokens:
+            self._complete(waiter)
 
     def _reload_suspected(self, adapter: str, token: int) -> None:
         """Reload an adapter that the runner reported missing; its slot stays taken."""
@@ -311,6 +424,9 @@
         if waiter in self._waiters:
             self._remove_waiter(waiter)
             now = self._ctx.clock.monotonic()
+            if is_base_model(waiter.adapter):
+                waiter.completed.send(Ok(0))
+                return
             self._slots.reserve(waiter.adapter, now + RESERVATION_S)
             waiter.completed.send(Ok(self._slots.held[waiter.adapter]))
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -13,6 +13,7 @@
     DirectoryRequest,
     HandoverNotice,
     LeavingNotice,
+    PrefillNotice,
     RenewRequest,
     ResidencyNotice,
     ServingGossip,
@@ -102,6 +103,9 @@
             LeavingNotice: lambda inbound, _: self.membership.handle_leaving_notice(
                 inbound.sender
             ),
+            PrefillNotice: lambda _, notice: self.owned_runners.handle_prefill_notice(
+                notice
+            ),
             RenewRequest: self.membership.handle_renew_request,
             ResidencyNotice: _by_sender(self._adapters.handle_residency_notice),
             ServingGossip: self._handle_gossip,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -27,6 +27,7 @@
     expected_first_event_s,
     failure_rate,
 )
+from ._prefill import PrefillAdmission, PrefillLoad, PrefillPace
 from ._response_times import ResponseTimes
 from ._routes import (
     ClientLimits,
@@ -40,6 +41,7 @@
     WeightedService,
 )
 from ._runners import HeldModel, Runner
+from ._stream_timing import StreamTiming
 from ._views import Member, View
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S, SlotWait
 
@@ -64,6 +66,9 @@
     "OwnershipState",
     "SlotWaitEstimator",
     "Plan",
+    "PrefillAdmission",
+    "PrefillLoad",
+    "PrefillPace",
     "ServiceRetryBudget",
     "ResponseTimes",
     "Route",
@@ -74,6 +79,7 @@
     "RunnerView",
     "Service",
     "Step",
+    "StreamTiming",
     "Topic",
     "View",
     "SlotWait",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -12,13 +12,10 @@
 from .._hashing import rank_nodes
 from ._adapter_slots import DEFAULT_SLOT_WAIT_S
 from ._loads import RunnerView
+from ._prefill import PrefillLoad
 from ._runners import Runner
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S
 
-PROMPT_TOKENS_PER_S = 15000.0
-"""Prompt tokens per second that a runner prefills between the steps of its batch."""
-BATCH_STEP_S = 0.025
-"""Time of one step of a batch, network overhead included."""
 RANK_COST_S = 0.3
 """Cost per rank in an adapter's ranking of runners, so that repeated loads go to the
 same runner, which still caches the adapter in its memory."""
@@ -38,6 +35,7 @@
 
     ``available_slots`` counts its available adapter slots and ``waiting`` the requests
     waiting for one; ``slot_wait_s`` is the expected time until one more slot is free.
+    ``needs_grant`` is set if the prompt is so long that it waits for those before it.
     """
 
     runner: Runner
@@ -50,6 +48,8 @@
     slot_wait_s: float = DEFAULT_SLOT_WAIT_S
     can_load: bool = True
     cached_tokens: int = 0
+    prefill: PrefillLoad = PrefillLoad()
+    needs_grant: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +70,10 @@
     view = candidate.view
     unread = view.unread_tokens + max(0, prompt_tokens - candidate.cached_tokens)
     overflow = max(0, view.in_flight + 1 - candidate.runner.slots)
-    prefill_s = unread / PROMPT_TOKENS_PER_S + BATCH_STEP_S
+    load = candidate.prefill
+    wait_s = load.running_s + (load.waiting_s if candidate.needs_grant else 0.0)
+    own_s = load.pace.prefill_s(max(0, prompt_tokens - candidate.cached_tokens))
+    prefill_s = max(load.pace.prefill_s(unread), wait_s + own_s)
     return view.slowness * prefill_s + overflow * BATCH_OVERFLOW_COST_S
 
 
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_prefill.py
@@ -0,0 +1,174 @@
+"""Admission of long prompts to a model runner.
+
+Made for loads in which several VMs send long prompts to one runner within a fraction of
+a second. A runner prefills prompts in pieces between the tokens of its streams, so all
+of these pause together: one prompt at a time delays each of them a little, several at
+once delay all of them by more than their callers bear. Waiting prompts also start no
+later in sum, since the runner prefills them one after another anyway.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+USABLE_PAUSE_SHARE = 0.85
+"""Share of the longest allowed pause that prompts may fill; the rest is left to the
+tokens of the streams themselves and to short prompts."""
+SMALL_PROMPT_SHARE = 0.25
+"""Share of the usable pause up to which a prompt needs no grant."""
+GRANT_MARGIN_S = 0.5
+"""Time beyond the expected one after which an unreturned grant lapses."""
+GRANT_FACTOR = 3.0
+"""Multiple of the expected prefill time after which an unreturned grant lapses."""
+
+
+class PrefillPace(msgspec.Struct, frozen=True, array_like=True):
+    """Observed speed of a runner: seconds to the first event for a prompt token."""
+
+    token_s: float = 1 / 15000
+
+    def prefill_s(self, tokens: int) -> float:
+        """Return the time to the first event of a prompt that is prefilled alone."""
+        return tokens * self.token_s
+
+    def needs_grant(self, tokens: int, max_pause_s: float) -> bool:
+        """Return whether a prompt is long enough to make streams pause noticeably.
+
+        ``max_pause_s`` is the longest allowed pause, 0 if none is declared.
+        """
+        usable_s = USABLE_PAUSE_SHARE * max_pause_s
+        return usable_s > 0 and self.prefill_s(tokens) > SMALL_PROMPT_SHARE * usable_s
+
+
+class PrefillLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Pace of a runner and the prefill work before a prompt that arrives now.
+
+    ``running_s`` is left of the prompts being read; ``waiting_s`` more is due to long
+    prompts that wait for a grant.
+    """
+
+    pace: PrefillPace = PrefillPace()
+    running_s: float = 0.0
+    waiting_s: float = 0.0
+
+    def after(self, elapsed_s: float) -> PrefillLoad:
+        """Return the load left after some time if no more prompts arrive."""
+        running_s = max(0.0, self.running_s - elapsed_s)
+        waiting_s = max(0.0, self.running_s + self.waiting_s - elapsed_s) - running_s
+        return PrefillLoad(self.pace, running_s, waiting_s)
+
+
+class PaceEstimator:
+    """Pace of one runner: the time of the latest long prompts over their tokens.
+
+    Both sums decay with each prompt, so that the pace follows a runner that turns slow.
+    They start with a prompt of the prior pace.
+    """
+
+    DECAY = 0.9
+    """Weight that the earlier prompts keep when one is added."""
+    PRIOR_TOKENS = 10000
+    """Weight of the prior pace, as the length of a prompt."""
+
+    def __init__(self, prior: PrefillPace) -> None:
+        self._tokens = float(self.PRIOR_TOKENS)
+        self._took_s = prior.prefill_s(self.PRIOR_TOKENS)
+
+    @property
+    def pace(self) -> PrefillPace:
+        """Return the present pace."""
+        return PrefillPace(self._took_s / self._tokens)
+
+    def record(self, tokens: int, took_s: float) -> None:
+        """Record the time to the first event of a prompt that was prefilled alone."""
+        self._tokens = self.DECAY * self._tokens + tokens
+        self._took_s = self.DECAY * self._took_s + took_s
+
+
+@dataclass(slots=True)
+class _Grant:
+    """Prompt that is being prefilled; ``is_alone`` unless it met another one."""
+
+    tokens: int
+    done_at: float
+    lapses_at: float
+    is_alone: bool
+
+
+class PrefillAdmission:
+    """Prompts that are being prefilled at one runner, and whether another may start.
+
+    A grant is returned with the first event of its prompt. One whose return is lost
+    lapses, so that a lost message or VM delays the others only for a bounded time.
+    """
+
+    def __init__(self, prior: PrefillPace | None = None) -> None:
+        self._estimator = PaceEstimator(prior or PrefillPace())
+        self._grants: dict[str, _Grant] = {}
+
+    @property
+    def pace(self) -> PrefillPace:
+        """Return the observed pace of the runner."""
+        return self._estimator.pace
+
+    @property
+    def granted_tokens(self) -> int:
+        """Return the prompt tokens of all grants in force."""
+        return sum(grant.tokens for grant in self._grants.values())
+
+    def may_begin(self, tokens: int, max_pause_s: float, now: float) -> bool:
+        """Return whether a prompt may start now without too long a pause.
+
+        A prompt that is too long by itself may start once no other one is being read.
+        """
+        self._expire(now)
+        if not self._grants:
+            return True
+        pause_s = self.pace.prefill_s(self.granted_tokens + tokens)
+        return pause_s <= USABLE_PAUSE_SHARE * max_pause_s
+
+    def begin(self, request_id: str, tokens: int, now: float) -> None:
+        """Count a prompt as being prefilled until its grant is returned or lapses."""
+        is_alone = not self._grants
+        for grant in self._grants.values():
+            grant.is_alone = False
+        expected_s = self.pace.prefill_s(self.granted_tokens + tokens)
+        self._grants[request_id] = _Grant(
+            tokens,
+            done_at=now + expected_s,
+            lapses_at=now + GRANT_FACTOR * expected_s + GRANT_MARGIN_S,
+            is_alone=is_alone,
+        )
+
+    def end(self, request_id: str, took_s: float | None) -> bool:
+        """Return a grant; ``took_s`` is the time to the first event, if there was one.
+
+        Return whether the grant was in force.
+        """
+        grant = self._grants.pop(request_id, None)
+        if grant is None:
+            return False
+        if took_s is not None and grant.is_alone:
+            self._estimator.record(grant.tokens, took_s)
+        return True
+
+    def load(self, waiting_tokens: list[int], now: float) -> PrefillLoad:
+        """Return the load, given the tokens of each prompt that waits for a grant."""
+        done_at = max((grant.done_at for grant in self._grants.values()), default=now)
+        waiting_s = sum(self.pace.prefill_s(tokens) for tokens in waiting_tokens)
+        return PrefillLoad(
+            PrefillPace(round(self.pace.token_s, 8)),
+            round(max(0.0, done_at - now), 3),
+            round(waiting_s, 3),
+        )
+
+    def next_lapse_at(self) -> float | None:
+        """Return when the next grant lapses, None without grants."""
+        return min((g.lapses_at for g in self._grants.values()), default=None)
+
+    def _expire(self, now: float) -> None:
+        lapsed = [key for key, grant in self._grants.items() if now >= grant.lapses_at]
+        for key in lapsed:
+            del self._grants[key]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_routes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_routes.py
@@ -31,7 +31,8 @@
 class Route:
     """Rule that maps a host and a path prefix to services.
 
-    Times are in seconds; ``priority`` 0 is the highest.
+    Times are in seconds; ``priority`` 0 is the highest. A stream with a pause of more
+    than ``max_pause_s`` between two events is late; 0 stands for no such bound.
     """
 
     name: str
@@ -44,6 +45,7 @@
     services: tuple[WeightedService, ...]
     max_attempts: int
     resumable: bool
+    max_pause_s: float = 0.0
 
     @property
     def is_idempotent(self) -> bool:
@@ -122,12 +124,26 @@
         self.configuration = configuration
         self.services = {service.name: service for service in configuration.services}
         self._by_host: dict[str, list[Route]] = {}
+        self._max_pauses: dict[str, float] = {}
+        for route in configuration.routes:
+            self._add_max_pause(route)
         by_prefix_length = sorted(
             configuration.routes, key=lambda route: -len(route.path_prefix)
         )
         for route in by_prefix_length:
             self._by_host.setdefault(_host_key(route.host), []).append(route)
 
+    def _add_max_pause(self, route: Route) -> None:
+        if not route.max_pause_s:
+            return
+        for target in route.services:
+            known = self._max_pauses.get(target.service, route.max_pause_s)
+            self._max_pauses[target.service] = min(known, route.max_pause_s)
+
+    def max_pause_s(self, service: str) -> float:
+        """Return the shortest ``max_pause_s`` of a service's routes, 0 without any."""
+        return self._max_pauses.get(service, 0.0)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of ``path``, None if none."""
         for route in self._by_host.get(_host_key(host), ()):
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_stream_timing.py
@@ -0,0 +1,22 @@
+"""Times of a stream's events as its caller gets them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class StreamTiming:
+    """First event and longest pause of one stream; times are monotonic seconds."""
+
+    first_at: float | None = None
+    last_at: float | None = None
+    longest_pause_s: float = 0.0
+
+    def record_event(self, now: float) -> None:
+        """Record that one or more events have just been relayed."""
+        if self.last_at is None:
+            self.first_at = now
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.last_at)
+        self.last_at = now
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -65,6 +65,7 @@
                 "service": service,
                 "max_attempts": 2,
                 "resumable": resumable,
+                "gap_aim_ms": 500 if kind == "stream" else 0,
             }
             for path, (kind, service, resumable) in kinds.items()
         ],
