Be ready only once the runners are read; take tests' ports below those of connections

Change: readiness asks for the runners too; ports of tests lie below the system's range for connections, a range for each worker.

--- a/fakes/src/gooseberry_fakes/platform_store.py
+++ b/fakes/src/gooseberry_fakes/platform_store.py
@@ -23,11 +23,15 @@
 
 @dataclass
 class PlatformStore:
-    """Records and group members; requests of ``refused`` members get 503."""
+    """Records and group members; requests of ``refused`` members get 503.
+
+    ``snapshot_delays_s`` delays the reads of a topic's newest records.
+    """
 
     topics: dict[str, list[tuple[str, bytes]]] = field(default_factory=dict)
     members: dict[str, _Member] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
+    snapshot_delays_s: dict[str, float] = field(default_factory=dict)
     is_down: bool = False
     generation: int = 0
     changed: threading.Condition = field(default_factory=threading.Condition)
@@ -153,6 +157,7 @@
         self, path: str, query: dict[str, str], body: dict[str, Any]
     ) -> dict[str, Any]:
         if path == "/v1/log-newest":
+            time.sleep(self.store.snapshot_delays_s.get(query["topic"], 0.0))
             return self.store.newest(query["topic"])
         if path == "/v1/log-owners":
             return self.store.owners()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -64,8 +64,10 @@
         spawn_until_done("directory_signs", self._send_keepalives)
 
     def is_ready(self) -> bool:
-        """Return whether a configuration is known."""
-        return self._ctx.directory.table is not None
+        """Return whether a configuration is known and the runners have been read."""
+        directory = self._ctx.directory
+        has_runners = Topic.RUNNERS in self._read_at or directory.ends[Topic.RUNNERS]
+        return directory.table is not None and bool(has_runners)
 
     def _follow(self, topic: Topic) -> None:
         needs_snapshot = True
--- a/tests/functional/serving/test_serving.py
+++ b/tests/functional/serving/test_serving.py
@@ -96,6 +96,21 @@
         site.close()
 
 
+def test_vm_is_ready_only_once_it_knows_the_runners(tmp_path: Path) -> None:
+    """Guards against requests that are refused since no runner has been read yet."""
+    site = Site(tmp_path, configured=False)
+    try:
+        site.store.snapshot_delays_s["keyed.servers"] = 0.6
+        site.store.put("keyed.op", "config", make_config())
+        vm = site.vms[0]
+        vm.kill()
+        vm.restart()
+        wait_for(vm.is_ready, "ready")
+        assert vm.send_request("POST", "/order/1", "r1", b"kit")[0] == 200
+    finally:
+        site.close()
+
+
 @pytest.mark.parametrize("fault", ["reset", "unframed_reset"])
 def test_broken_answers_are_repeated_only_where_that_is_safe(
     site: Site, fault: str
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import http.client
+import itertools
+import os
 import signal
 import socket
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -21,12 +23,34 @@
 WAIT_S = 15.0
 
 
+FIRST_PORT = 20000
+"""Lowest port of the tests; all are below those that the system gives connections, so
+that no connection takes a port between its choice and its use."""
+PORTS_PER_WORKER = 3000
+
+
+def _worker_ports() -> Iterator[int]:
+    """Return the ports of this test worker without end, starting at one of its own."""
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    first = FIRST_PORT + worker % 4 * PORTS_PER_WORKER
+    offset = os.getpid() * 41
+    numbers = range(PORTS_PER_WORKER)
+    return itertools.cycle(first + (n + offset) % PORTS_PER_WORKER for n in numbers)
+
+
+_PORTS = _worker_ports()
+
+
 def free_port() -> int:
-    """Return a TCP port that is currently free."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a TCP port that is currently free and was not returned lately."""
+    for port in _PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("no ports")
 
 
 def wait_for(found: Callable[[], Any], what: str, within_s: float = WAIT_S) -> Any:
