Keep the waiting requests of a runner in one class without input or output

Cause: the owner's task held the queue, the order of service and the admission of prompts between its orders; a model could not play them. Change: RunnerQueue in state/serving decides, RunnerOwner sends orders and completes what is ready; the log line of an admission says how long it waited and since when its adapter was there.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -11,6 +11,8 @@
     DEFAULT_SLOT_WAIT_S,
     PrefillLoad,
     Runner,
+    adapter_key,
+    is_base_model,
 )
 
 from .._events import log_event
@@ -25,7 +27,7 @@
 from ._membership import Membership
 from ._owner import OwnedRunners
 from ._ports import CallerDisconnectedError
-from ._runner_owner import Refusal, adapter_key, is_base_model
+from ._runner_owner import Refusal
 
 RESPONSE_MARGIN_S = 0.05
 """Part of the deadline reserved for the transfer of the owner's reply."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -12,6 +12,7 @@
     Choice,
     PrefillPace,
     Runner,
+    adapter_key,
     choose_model_runner,
     expected_first_event_s,
 )
@@ -25,7 +26,6 @@
 from ._event_stream import EventBuffer
 from ._ports import AttemptFailure, AttemptFault, ForwardingMetadata, RunnerResponse
 from ._responses import ResponseWriter, end_to_end, failure_response, is_valid_response
-from ._runner_owner import adapter_key
 
 HOME_RUNNERS = 2
 """Runners of an adapter's home domain that are candidates in all other domains."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -12,12 +12,13 @@
 from gooseberryrun._internal.state.serving import (
     EXPECTED_LOAD_S,
     EXPECTED_RELOAD_S,
-    AdapterSlots,
-    PrefillAdmission,
     Runner,
+    RunnerQueue,
     SlotWait,
-    SlotWaitEstimator,
     Step,
+    Waiter,
+    adapter_key,
+    is_base_model,
 )
 
 from .._events import log_event
@@ -37,16 +38,10 @@
 """Time after which a load that has not completed is considered lost."""
 LEASE_CHECK_S = 0.2
 """Pause of an owner without a valid lease."""
-RESERVATION_S = 0.15
-"""Time for which a ready adapter is kept for the request it was acquired for."""
 UNLOAD_RETRY_S = 3.0
 """Time before an unload order for the same adapter is repeated."""
 USE_REPORT_WAIT_S = 0.08
 """Time for peers to report their uses to a new owner before it evicts adapters."""
-MAX_WAITERS = 12
-"""Largest number of requests that wait for slots of one runner."""
-
-
 _OWNER_FAULTS = frozenset(
     {
         "no_owner",
@@ -72,13 +67,10 @@
         return self.reason in _OWNER_FAULTS
 
 
-@dataclass(slots=True)
-class _Waiter:
-    adapter: str
-    version: int
-    wait: SlotWait
-    request_id: str
-    prefill_tokens: int
+@dataclass(slots=True, eq=False)
+class _Waiter(Waiter):
+    """Waiting request; ``completed`` gets the version held or the refusal."""
+
     completed: Event = field(default_factory=Event)
 
 
@@ -90,16 +82,6 @@
     check_at: float
 
 
-def adapter_key(model: str, adapter: str) -> str:
-    """Return the key of an adapter, unique across models."""
-    return f"{model}/{adapter}"
-
-
-def is_base_model(key: str) -> bool:
-    """Return whether a key names a model itself, without an adapter."""
-    return key.endswith("/")
-
-
 class RunnerOwner:
     """Task that sends all orders to one incarnation of a runner.
 
@@ -117,14 +99,11 @@
         self._ctx = ctx
         self._runner = runner
         self._on_change = on_change
-        self._slots = AdapterSlots(max_adapters)
-        self._waiters: list[_Waiter] = []
+        self._queue: RunnerQueue[_Waiter] = RunnerQueue(max_adapters)
+        self._slots = self._queue.slots
         self._pending_loads: dict[str, _PendingLoad] = {}
         self._orders = RunnerOrders(ctx, runner)
-        self._slot_waits = SlotWaitEstimator()
-        self._prefills = PrefillAdmission()
         self._evictions_allowed_at = float("inf")
-        self._suspected_missing: set[str] = set()
         self._models: set[str] = set()
         self._wake: Event = Event()
         self._is_closed = False
@@ -153,19 +132,19 @@
     def record_use(self, vm: str, adapter: str, count: int) -> None:
         """Record how many requests of a VM use an adapter."""
         self._slots.record_use(vm, adapter, count, self._ctx.clock.monotonic())
-        if not count and self._waiters:
+        if not count and self._queue.waiters:
             self.wake()
 
     def end_prefill(self, request_id: str, took_s: float) -> None:
         """Take back the grant of a prompt, or withdraw its request for one."""
-        if self._prefills.end(request_id, took_s if took_s >= 0 else None):
-            self._admit_prompts()
+        if self._queue.prefills.end(request_id, took_s if took_s >= 0 else None):
+            self._complete_ready()
             self._on_change()
             return
-        for waiter in list(self._waiters):
-            if waiter.request_id == request_id:
-                waiter.completed.send(Err(Refusal("withdrawn", 0.0)))
-                self._remove_waiter(waiter)
+        waiter = self._queue.find(request_id)
+        if waiter is not None:
+            self._queue.remove(waiter)
+            waiter.completed.send(Err(Refusal("withdrawn", 0.0)))
 
     def residency(self) -> ResidencyNotice | None:
         """Return the adapters that the runner holds; None while they are not known."""
@@ -185,11 +164,9 @@
             token,
             held,
             self._slots.idle_count(now),
-            len(self._slot_waiters()),
-            round(self._slot_waits.mean_s, 3),
-            self._prefills.load(
-                [w.prefill_tokens for w in self._prompt_waiters()], now
-            ),
+            len(self._queue.slot_waiters()),
+            round(self._queue.slot_waits.mean_s, 3),
+            self._queue.prefill_load(now),
         )
 
     def acquire(self, request: AcquireRequest, deadline: float) -> Result[int, Refusal]:
@@ -205,95 +182,61 @@
             return Err(Refusal("no_lease", wait_s))
         if request.is_missing and adapter in self._slots.held:
             log_event("belief_doubted", runner=self._runner.id, adapter=adapter)
-            self._suspected_missing.add(adapter)
+            self._queue.suspected.add(adapter)
+        if not request.prefill_tokens and self._queue.is_present(adapter, version):
+            self._queue.reserve(adapter, now)
+            return Ok(self._slots.held.get(adapter, 0))
         waiter = _Waiter(
+            request.request_id,
             adapter,
             version,
             SlotWait(request.priority, now + request.target_s, deadline),
-            request.request_id,
             request.prefill_tokens,
+            now,
         )
-        if is_base_model(adapter) and not request.prefill_tokens:
-            return Ok(0)
-        if self._is_present(waiter) and not request.prefill_tokens:
-            self._slots.reserve(adapter, now + RESERVATION_S)
-            return Ok(self._slots.held[adapter])
-        if len(self._waiters) >= MAX_WAITERS:
+        if not self._queue.add(waiter, now):
             return Err(Refusal("many_waiting", 1.0))
-        self._waiters.append(waiter)
-        if not self._is_present(waiter):
-            self._slot_waits.record_waiting(now)
-            self.wake()
-        self._admit_prompts()
+        self._complete_ready()
         self._on_change()
+        self.wake()
+        return self._wait_for(waiter, deadline - now)
+
+    def _wait_for(self, waiter: _Waiter, timeout_s: float) -> Result[int, Refusal]:
+        """Wait until a request is completed or refused."""
         try:
-            with Timeout(max(0.001, deadline - now), False):
+            with Timeout(max(0.001, timeout_s), False):
                 result: Result[int, Refusal] = waiter.completed.wait()
                 return result
         finally:
-            if waiter in self._waiters:
-                self._remove_waiter(waiter)
+            self._queue.remove(waiter)
             self._on_change()
         return Err(Refusal("too_late", 0.5))
 
-    def _is_present(self, waiter: _Waiter) -> bool:
-        """Return whether the waiter's adapter is loaded and not in doubt."""
-        if is_base_model(waiter.adapter):
-            return True
-        held = self._slots.held.get(waiter.adapter, -1)
-        return held >= waiter.version and waiter.adapter not in self._suspected_missing
-
-    def _slot_waiters(self) -> list[_Waiter]:
-        """Return the waiters whose adapter is not loaded."""
-        return [waiter for waiter in self._waiters if not self._is_present(waiter)]
-
-    def _prompt_waiters(self) -> list[_Waiter]:
-        """Return the waiters with a long prompt."""
-        return [waiter for waiter in self._waiters if waiter.prefill_tokens]
-
-    def _admit_prompts(self) -> None:
-        """Grant long prompts whose adapter is loaded, in order of their ranks.
-
-        A prompt that may not start yet holds back those behind it, so that a long one
-        is not overtaken for ever by shorter ones.
-        """
+    def _complete_ready(self) -> None:
+        """Complete the requests that may go to the runner now."""
+        table = self._ctx.directory.table
+        service = self._runner.service
+        self._queue.max_pause_s = table.max_pause_s(service) if table else 0.0
         now = self._ctx.clock.monotonic()
-        max_pause_s = self._max_pause_s()
-        for waiter in sorted(self._prompt_waiters(), key=lambda w: w.wait.rank(now)):
-            if not self._is_present(waiter):
-                continue
-            if not self._prefills.may_begin(waiter.prefill_tokens, max_pause_s, now):
-                return
-            self._log_admission(waiter)
-            self._prefills.begin(waiter.request_id, waiter.prefill_tokens, now)
-            self._complete(waiter)
+        for waiter in self._queue.take_ready(now):
+            if waiter.prefill_tokens:
+                self._log_admission(waiter, now)
+            waiter.completed.send(Ok(self._slots.held.get(waiter.adapter, 0)))
 
-    def _log_admission(self, waiter: _Waiter) -> None:
+    def _log_admission(self, waiter: _Waiter, now: float) -> None:
+        present_at = now if waiter.present_at is None else waiter.present_at
         log_event(
             "prompt_admitted",
             request=waiter.request_id,
             runner=self._runner.id,
             tokens=waiter.prefill_tokens,
-            tokens_before=self._prefills.granted_tokens,
-            prompts_waiting=len(self._prompt_waiters()),
-            token_s=self._prefills.pace.token_s,
+            tokens_read=self._queue.prefills.granted_tokens,
+            waiting=len(self._queue.waiters),
+            token_s=self._queue.prefills.pace.token_s,
+            waited_s=now - waiter.asked_at,
+            ready_s=now - present_at,
         )
 
-    def _reserve_for_prompts(self, now: float) -> None:
-        """Keep the adapters of long prompts that wait to start."""
-        for waiter in self._prompt_waiters():
-            if self._is_present(waiter) and not is_base_model(waiter.adapter):
-                self._slots.reserve(waiter.adapter, now + RESERVATION_S)
-
-    def _max_pause_s(self) -> float:
-        table = self._ctx.directory.table
-        return table.max_pause_s(self._runner.service) if table else 0.0
-
-    def _remove_waiter(self, waiter: _Waiter) -> None:
-        self._waiters.remove(waiter)
-        if not self._slot_waiters():
-            self._slot_waits.record_idle()
-
     def _run(self) -> None:
         while not self._is_closed:
             token = self._orders.fencing_token()
@@ -316,11 +259,11 @@
         if not self._orders.is_seq_known:
             return REPORT_RETRY_S
         now = self._ctx.clock.monotonic()
-        if self._waiters and now < self._evictions_allowed_at:
+        if self._queue.waiters and now < self._evictions_allowed_at:
             return self._evictions_allowed_at - now
         due = [pending.check_at for pending in self._pending_loads.values()]
-        lapse_at = self._prefills.next_lapse_at()
-        if lapse_at is not None and self._waiters:
+        lapse_at = self._queue.prefills.next_lapse_at()
+        if lapse_at is not None and self._queue.waiters:
             due.append(lapse_at)
         if not due:
             return CHECK_INTERVAL_S if self._orders.has_unanswered else IDLE_CHECK_S
@@ -360,11 +303,7 @@
         self._pending_loads.pop(adapter, None)
         self._slots.loading.pop(adapter, None)
         self._slots.held[adapter] = max(1, version, self._slots.held.get(adapter, 0))
-        for waiter in list(self._waiters):
-            is_ready = waiter.adapter == adapter and version >= waiter.version
-            if is_ready and not waiter.prefill_tokens:
-                self._complete(waiter)
-        self._admit_prompts()
+        self._complete_ready()
         self._on_change()
 
     def _sleep(self, seconds: float) -> None:
@@ -375,25 +314,24 @@
             self._wake = Event()
 
     def _refuse_all(self, reason: str) -> None:
-        waiters, self._waiters = self._waiters, []
-        self._slot_waits.record_idle()
-        for waiter in waiters:
+        for waiter in self._queue.clear():
             waiter.completed.send(Err(Refusal(reason, 0.5)))
 
     def _serve_waiters(self, token: int) -> None:
         """Complete the waiters whose adapter is loaded; order loads for the others."""
         now = self._ctx.clock.monotonic()
-        self._reserve_for_prompts(now)
-        self._admit_prompts()
-        for waiter in sorted(self._waiters, key=lambda w: w.wait.rank(now)):
-            if waiter in self._waiters:
+        self._queue.reserve_for_prompts(now)
+        self._complete_ready()
+        for waiter in self._queue.by_rank(now):
+            if waiter in self._queue.waiters:
                 self._serve_waiter(waiter, token, now)
+        self._complete_ready()
 
     def _serve_waiter(self, waiter: _Waiter, token: int, now: float) -> None:
         """Take the next steps towards a waiter's adapter."""
         if is_base_model(waiter.adapter):
             return
-        if waiter.adapter in self._suspected_missing:
+        if waiter.adapter in self._queue.suspected:
             self._reload_suspected(waiter.adapter, token)
         plan = self._slots.plan(waiter.adapter, waiter.version, now)
         if plan.step is Step.EVICT:
@@ -404,14 +342,11 @@
             plan = self._slots.plan(waiter.adapter, waiter.version, now)
         if plan.step is Step.LOAD:
             self._load(waiter.adapter, waiter.version, token)
-            self._slot_waits.record_taken(now)
-            plan = self._slots.plan(waiter.adapter, waiter.version, now)
-        if plan.step is Step.PRESENT and not waiter.prefill_tokens:
-            self._complete(waiter)
+            self._queue.slot_waits.record_taken(now)
 
     def _reload_suspected(self, adapter: str, token: int) -> None:
         """Reload an adapter that the runner reported missing; its slot stays taken."""
-        self._suspected_missing.discard(adapter)
+        self._queue.suspected.discard(adapter)
         if adapter not in self._slots.held:
             return
         version = self._slots.held[adapter]
@@ -420,16 +355,6 @@
             self._slots.held.pop(adapter, None)
             self._on_change()
 
-    def _complete(self, waiter: _Waiter) -> None:
-        if waiter in self._waiters:
-            self._remove_waiter(waiter)
-            now = self._ctx.clock.monotonic()
-            if is_base_model(waiter.adapter):
-                waiter.completed.send(Ok(0))
-                return
-            self._slots.reserve(waiter.adapter, now + RESERVATION_S)
-            waiter.completed.send(Ok(self._slots.held[waiter.adapter]))
-
     def _load(self, adapter: str, version: int, token: int) -> None:
         outcome = self._orders.send_order(OrderOp.LOAD, adapter, version, token)
         if outcome is OrderOutcome.HOLDS:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -40,6 +40,7 @@
     Service,
     WeightedService,
 )
+from ._runner_queue import RunnerQueue, Waiter, adapter_key, is_base_model
 from ._runners import HeldModel, Runner
 from ._stream_timing import StreamTiming
 from ._views import Member, View
@@ -76,18 +77,22 @@
     "RouteTable",
     "Runner",
     "RunnerLoads",
+    "RunnerQueue",
     "RunnerView",
     "Service",
     "Step",
     "StreamTiming",
     "Topic",
     "View",
+    "Waiter",
     "SlotWait",
     "WeightedService",
+    "adapter_key",
     "choose_model_runner",
     "choose_plain_server",
     "expected_first_event_s",
     "failure_rate",
+    "is_base_model",
     "is_followed_from",
     "reader_rank",
     "reads_store",
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
@@ -0,0 +1,156 @@
+"""Requests that wait at a runner's owner for an adapter or for their prompt to start.
+
+Made for loads in which more adapters are wanted than a runner has slots and long
+prompts meet there: a request gets its adapter first, and its long prompt is admitted
+while it still could go elsewhere.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from ._adapter_slots import AdapterSlots, SlotWaitEstimator
+from ._prefill import PrefillAdmission, PrefillLoad
+from ._waiting import SlotWait
+
+RESERVATION_S = 0.15
+"""Time for which a ready adapter is kept for the request it was acquired for."""
+MAX_WAITERS = 12
+"""Largest number of requests that wait at one runner."""
+
+
+def adapter_key(model: str, adapter: str) -> str:
+    """Return the key of an adapter, unique across models."""
+    return f"{model}/{adapter}"
+
+
+def is_base_model(key: str) -> bool:
+    """Return whether a key names a model itself, without an adapter."""
+    return key.endswith("/")
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """Request that waits; ``present_at`` is when its adapter was found loaded.
+
+    ``prefill_tokens`` is the length of a prompt that needs a grant, otherwise 0.
+    """
+
+    request_id: str
+    adapter: str
+    version: int
+    wait: SlotWait
+    prefill_tokens: int
+    asked_at: float
+    present_at: float | None = None
+
+
+WaiterT = TypeVar("WaiterT", bound=Waiter)
+
+
+class RunnerQueue(Generic[WaiterT]):
+    """Waiting requests of one runner, its adapter slots and its prompts.
+
+    ``suspected`` are adapters that the runner may have lost. ``max_pause_s`` is the
+    longest pause that the streams of the runner may make.
+    """
+
+    def __init__(self, max_adapters: int) -> None:
+        self.slots = AdapterSlots(max_adapters)
+        self.prefills = PrefillAdmission()
+        self.slot_waits = SlotWaitEstimator()
+        self.suspected: set[str] = set()
+        self.waiters: list[WaiterT] = []
+        self.max_pause_s = 0.0
+
+    def is_present(self, adapter: str, version: int) -> bool:
+        """Return whether an adapter is loaded at a version or newer, beyond doubt."""
+        if is_base_model(adapter):
+            return True
+        held = self.slots.held.get(adapter, -1)
+        return held >= version and adapter not in self.suspected
+
+    def add(self, waiter: WaiterT, now: float) -> bool:
+        """Add a request; return False if too many wait."""
+        if len(self.waiters) >= MAX_WAITERS:
+            return False
+        self.waiters.append(waiter)
+        if not self._has_adapter(waiter):
+            self.slot_waits.record_waiting(now)
+        return True
+
+    def remove(self, waiter: WaiterT) -> None:
+        """Remove a request that no longer waits."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+        if not self.slot_waiters():
+            self.slot_waits.record_idle()
+
+    def clear(self) -> list[WaiterT]:
+        """Remove and return all requests."""
+        waiters, self.waiters = self.waiters, []
+        self.slot_waits.record_idle()
+        return waiters
+
+    def find(self, request_id: str) -> WaiterT | None:
+        """Return the waiting request with this id, None if there is none."""
+        return next((w for w in self.waiters if w.request_id == request_id), None)
+
+    def by_rank(self, now: float) -> list[WaiterT]:
+        """Return the requests in the order in which they are served."""
+        return sorted(self.waiters, key=lambda waiter: waiter.wait.rank(now))
+
+    def slot_waiters(self) -> list[WaiterT]:
+        """Return the requests whose adapter is not loaded."""
+        return [waiter for waiter in self.waiters if not self._has_adapter(waiter)]
+
+    def reserve(self, adapter: str, now: float) -> None:
+        """Keep a loaded adapter for the request that is about to use it."""
+        if not is_base_model(adapter):
+            self.slots.reserve(adapter, now + RESERVATION_S)
+
+    def reserve_for_prompts(self, now: float) -> None:
+        """Keep the adapters of long prompts that wait to start."""
+        for waiter in self.waiters:
+            if waiter.prefill_tokens and self._has_adapter(waiter):
+                self.reserve(waiter.adapter, now)
+
+    def take_ready(self, now: float) -> list[WaiterT]:
+        """Remove and return the requests that may go to the runner now.
+
+        A long prompt that may not start yet holds back those behind it, so that it is
+        not overtaken for ever by shorter ones.
+        """
+        ready = []
+        is_held_back = False
+        for waiter in self.by_rank(now):
+            if not self._has_adapter(waiter):
+                continue
+            if waiter.present_at is None:
+                waiter.present_at = now
+            if waiter.prefill_tokens:
+                is_held_back = is_held_back or not self._begin(waiter, now)
+                if is_held_back:
+                    continue
+            ready.append(waiter)
+        for waiter in ready:
+            self.remove(waiter)
+            self.reserve(waiter.adapter, now)
+        return ready
+
+    def prefill_load(self, now: float) -> PrefillLoad:
+        """Return the load of prompts, those that wait for an adapter included."""
+        tokens = [w.prefill_tokens for w in self.waiters if w.prefill_tokens]
+        return self.prefills.load(tokens, now)
+
+    def _has_adapter(self, waiter: WaiterT) -> bool:
+        return self.is_present(waiter.adapter, waiter.version)
+
+    def _begin(self, waiter: WaiterT, now: float) -> bool:
+        """Start a long prompt if the streams of the runner bear it."""
+        tokens = waiter.prefill_tokens
+        if not self.prefills.may_begin(tokens, self.max_pause_s, now):
+            return False
+        self.prefills.begin(waiter.request_id, tokens, now)
+        return True
