Learn the wait for a slot from requests that wait, and part long streams from long prompts

(2) A prompt that is longer than the pause allows by itself breaks every stream that runs beside it. Change: a sample is the wait of a request that found no idle slot over its position; only adapters without a slot count as waiting. A choice pays for each stream that a placement is expected to break; owners tell the rate of such prompts and the streams at their runner.

--- a/fakes/src/gooseberry_fakes/measure/growth.py
+++ b/fakes/src/gooseberry_fakes/measure/growth.py
@@ -14,6 +14,7 @@
     Runner,
     RunnerLoads,
     RunnerView,
+    ServingPolicy,
     choose_model_runner,
     follows_all_domains,
 )
@@ -81,7 +82,7 @@
             Candidate(runner, loads.total(runner.id, 1.0), True, n % 7 == 0)
             for n, runner in enumerate(runners)
         ]
-        return choose_model_runner(candidates, "m0/a1", 1800)
+        return choose_model_runner(candidates, "m0/a1", 1800, ServingPolicy())
 
     return choose
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -94,8 +94,8 @@
 class ResidencyNotice(Message, frozen=True, array_like=True):
     """Adapters that a runner holds according to its owner, with versions.
 
-    ``idle`` slots can take another adapter at once, and ``waiting`` requests wait for
-    one; while they do, a slot becomes free every ``mean_slot_wait_s`` on average.
+    ``idle`` slots can take another adapter at once, and ``waiting`` adapters wait for
+    one; each of them has to wait ``mean_slot_wait_s`` longer than the one before.
     ``prefill`` is the load of prompts as of the sending of the notice.
     """
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -18,6 +18,7 @@
     RecentAdapters,
     Runner,
     RunnerLoads,
+    ServingPolicy,
     View,
     is_followed_from,
     reader_rank,
@@ -56,6 +57,7 @@
     ownership: OwnershipState
     loads: RunnerLoads
     suspects: SuspectState
+    policy: ServingPolicy = ServingPolicy()
     can_reach_store: bool = True
     is_new: bool = True
     store_statuses: dict[str, StoreStatus] = field(default_factory=dict)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -164,7 +164,7 @@
             token,
             held,
             self._slots.idle_count(now),
-            len(self._queue.slot_waiters()),
+            len(self._queue.adapters_without_slot()),
             round(self._queue.slot_waits.mean_s, 3),
             self._queue.prefill_load(now),
         )
@@ -342,7 +342,7 @@
             plan = self._slots.plan(waiter.adapter, waiter.version, now)
         if plan.step is Step.LOAD:
             self._load(waiter.adapter, waiter.version, token)
-            self._queue.slot_waits.record_taken(now)
+            self._queue.record_slot(waiter, now)
 
     def _reload_suspected(self, adapter: str, token: int) -> None:
         """Reload an adapter that the runner reported missing; its slot stays taken."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -27,6 +27,7 @@
     expected_first_event_s,
     failure_rate,
 )
+from ._policy import ServingPolicy
 from ._prefill import PrefillAdmission, PrefillLoad, PrefillPace
 from ._response_times import ResponseTimes
 from ._routes import (
@@ -42,7 +43,7 @@
 )
 from ._runner_queue import RunnerQueue, Waiter, adapter_key, is_base_model
 from ._runners import HeldModel, Runner
-from ._stream_timing import StreamTiming
+from ._stream_timing import StreamPace, StreamTiming
 from ._views import Member, View
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S, SlotWait
 
@@ -65,6 +66,7 @@
     "Member",
     "ModelSpec",
     "OwnershipState",
+    "ServingPolicy",
     "SlotWaitEstimator",
     "Plan",
     "PrefillAdmission",
@@ -81,6 +83,7 @@
     "RunnerView",
     "Service",
     "Step",
+    "StreamPace",
     "StreamTiming",
     "Topic",
     "View",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_adapter_slots.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_adapter_slots.py
@@ -16,7 +16,7 @@
 DEFAULT_SLOT_WAIT_S = 0.17
 """Expected wait for a free slot before the first sample."""
 MAX_SLOT_WAIT_S = 1.5
-"""Upper bound of a sample, the time between two slots becoming free."""
+"""Upper bound of a sample."""
 SLOT_WAIT_WEIGHT = 0.15
 """Weight of the newest sample in the mean."""
 MAX_CONCURRENT_LOADS = 4
@@ -99,6 +99,11 @@
         """Keep an adapter until the deadline for a request that is about to use it."""
         self._reserved[adapter] = deadline
 
+    def use_count(self, now: float) -> int:
+        """Return the number of requests that use an adapter of the runner."""
+        recent = [n for n, at in self._uses.values() if now - at < USE_TTL_S]
+        return sum(recent)
+
     def in_use(self, adapter: str, now: float) -> bool:
         """Return whether the adapter is reserved or a request of any VM uses it."""
         if now < self._reserved.get(adapter, 0.0):
@@ -147,32 +152,20 @@
 
 
 class SlotWaitEstimator:
-    """Mean time until one more slot becomes free while requests wait for one.
+    """Mean wait for a slot per request that waits before, itself included.
 
     Measured rather than fixed, since with more demand than slots the wait in the queue
-    depends on how long current requests use their adapters.
+    depends on how long current requests use their adapters. Requests that find an idle
+    slot are no samples: they would make a full runner look as fast as an idle one.
     """
 
     def __init__(self) -> None:
         self.mean_s = DEFAULT_SLOT_WAIT_S
-        self._since: float | None = None
-
-    def record_waiting(self, now: float) -> None:
-        """Record that a request waits; the first one starts the measurement."""
-        if self._since is None:
-            self._since = now
-
-    def record_idle(self) -> None:
-        """Record that no request waits, which ends the measurement."""
-        self._since = None
-
-    def record_taken(self, now: float) -> None:
-        """Record that a waiting request got a slot, and start the next sample."""
-        if self._since is None:
-            return
-        sample_s = min(MAX_SLOT_WAIT_S, now - self._since)
+
+    def record(self, waited_s: float, position: int) -> None:
+        """Record the wait of a request that was at a position of the queue, from 1."""
+        sample_s = min(MAX_SLOT_WAIT_S, waited_s / position)
         self.mean_s += SLOT_WAIT_WEIGHT * (sample_s - self.mean_s)
-        self._since = now
 
 
 class RecentAdapters:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -7,24 +7,17 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from .._hashing import rank_nodes
 from ._adapter_slots import DEFAULT_SLOT_WAIT_S
 from ._loads import RunnerView
+from ._policy import ServingPolicy
 from ._prefill import PrefillLoad
 from ._runners import Runner
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S
 
-RANK_COST_S = 0.3
-"""Cost per rank in an adapter's ranking of runners, so that repeated loads go to the
-same runner, which still caches the adapter in its memory."""
-REMOTE_COST_S = 0.03
-"""Cost of a runner in another failure domain."""
-FAILURE_COST_S = 2.0
-"""Cost of a runner all of whose recent attempts failed."""
-BATCH_OVERFLOW_COST_S = 0.05
-"""Cost of each request beyond a runner's batch size."""
 RESULT_PRIOR = 2
 """Successes assumed for every runner, so that few results do not decide."""
 
@@ -35,7 +28,9 @@
 
     ``available_slots`` counts its available adapter slots and ``waiting`` the requests
     waiting for one; ``slot_wait_s`` is the expected time until one more slot is free.
-    ``needs_grant`` is set if the prompt is so long that it waits for those before it.
+    ``needs_grant`` is set if the prompt is so long that it waits for those before it,
+    ``breaks_streams`` if it makes running streams pause for too long; ``stream_s`` is
+    the expected time from the request's first to its last event.
     """
 
     runner: Runner
@@ -50,6 +45,8 @@
     cached_tokens: int = 0
     prefill: PrefillLoad = PrefillLoad()
     needs_grant: bool = False
+    breaks_streams: bool = False
+    stream_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +62,9 @@
     return view.failed / (view.ok + view.failed + RESULT_PRIOR)
 
 
-def expected_first_event_s(candidate: Candidate, prompt_tokens: int) -> float:
+def expected_first_event_s(
+    candidate: Candidate, prompt_tokens: int, policy: ServingPolicy
+) -> float:
     """Return the expected seconds until the first event, adapter load excluded."""
     view = candidate.view
     unread = view.unread_tokens + max(0, prompt_tokens - candidate.cached_tokens)
@@ -74,7 +73,8 @@
     wait_s = load.running_s + (load.waiting_s if candidate.needs_grant else 0.0)
     own_s = load.pace.prefill_s(max(0, prompt_tokens - candidate.cached_tokens))
     prefill_s = max(load.pace.prefill_s(unread), wait_s + own_s)
-    return view.slowness * prefill_s + overflow * BATCH_OVERFLOW_COST_S
+    slowness = view.slowness if policy.follows_slowness else 1.0
+    return slowness * prefill_s + overflow * policy.overflow_cost_s
 
 
 def expected_load_s(candidate: Candidate) -> float:
@@ -87,7 +87,10 @@
 
 
 def choose_model_runner(
-    candidates: list[Candidate], adapter: str, prompt_tokens: int
+    candidates: list[Candidate],
+    adapter: str,
+    prompt_tokens: int,
+    policy: ServingPolicy,
 ) -> Choice | None:
     """Return the runner with the lowest expected time to the first event plus costs.
 
@@ -99,21 +102,51 @@
             rank_nodes(adapter, [c.runner.id for c in candidates])
         )
     }
+    is_held = any(candidate.has_adapter for candidate in candidates)
     best: tuple[float, Choice] | None = None
     for candidate in candidates:
         if not candidate.has_adapter and not candidate.can_load:
             continue
-        expected_s = expected_first_event_s(candidate, prompt_tokens)
+        expected_s = expected_first_event_s(candidate, prompt_tokens, policy)
         expected_s += expected_load_s(candidate)
-        cost_s = expected_s + FAILURE_COST_S * failure_rate(candidate.view) ** 2
-        cost_s += 0.0 if candidate.is_local else REMOTE_COST_S
-        if not candidate.has_adapter and not candidate.held_recently:
-            cost_s += RANK_COST_S * ranking[candidate.runner.id]
+        cost_s = expected_s + _runner_cost_s(candidate, policy)
+        cost_s += policy.pause_cost_s * expected_pauses(candidate)
+        if not candidate.has_adapter:
+            rank = ranking[candidate.runner.id]
+            cost_s += _load_cost_s(candidate, rank, is_held, policy)
         if best is None or cost_s < best[0]:
             best = (cost_s, Choice(candidate, expected_s))
     return best[1] if best else None
 
 
+def expected_pauses(candidate: Candidate) -> float:
+    """Return the expected number of streams that pause for too long by a placement.
+
+    A prompt that is too long by itself breaks each stream that runs there, and the
+    request's own stream may meet such a prompt. Very long prompts and long streams thus
+    go to different runners.
+    """
+    load = candidate.prefill
+    others = load.streams if candidate.breaks_streams else 0
+    own = 1.0 - math.exp(-load.breaks_per_s * candidate.stream_s)
+    return others + own
+
+
+def _runner_cost_s(candidate: Candidate, policy: ServingPolicy) -> float:
+    """Return the cost of a runner that fails or is far away."""
+    cost_s = policy.failure_cost_s * failure_rate(candidate.view) ** 2
+    return cost_s + (0.0 if candidate.is_local else policy.remote_cost_s)
+
+
+def _load_cost_s(
+    candidate: Candidate, rank: int, is_held: bool, policy: ServingPolicy
+) -> float:
+    """Return the cost of a load from the store; reloads from memory are free."""
+    if candidate.held_recently and policy.knows_recent:
+        return 0.0
+    return policy.rank_cost_s * rank + (policy.copy_cost_s if is_held else 0.0)
+
+
 def choose_plain_server(candidates: list[Candidate], request_id: str) -> Choice | None:
     """Return the least loaded server; one in another domain costs half its slots."""
     best: tuple[float, int, Choice] | None = None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_prefill.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_prefill.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 import msgspec
@@ -18,6 +19,8 @@
 tokens of the streams themselves and to short prompts."""
 SMALL_PROMPT_SHARE = 0.25
 """Share of the usable pause up to which a prompt needs no grant."""
+BREAKS_WINDOW_S = 6.0
+"""Time constant of the rate of prompts that make streams pause for too long."""
 GRANT_MARGIN_S = 0.5
 """Time beyond the expected one after which an unreturned grant lapses."""
 GRANT_FACTOR = 3.0
@@ -33,6 +36,11 @@
         """Return the time to the first event of a prompt that is prefilled alone."""
         return tokens * self.token_s
 
+    def breaks_streams(self, tokens: int, max_pause_s: float) -> bool:
+        """Return whether a prompt alone makes streams pause for too long."""
+        usable_s = USABLE_PAUSE_SHARE * max_pause_s
+        return usable_s > 0 and self.prefill_s(tokens) > usable_s
+
     def needs_grant(self, tokens: int, max_pause_s: float) -> bool:
         """Return whether a prompt is long enough to make streams pause noticeably.
 
@@ -46,18 +54,24 @@
     """Pace of a runner and the prefill work before a prompt that arrives now.
 
     ``running_s`` is left of the prompts being read; ``waiting_s`` more is due to long
-    prompts that wait for a grant.
+    prompts that wait for a grant. ``breaks_per_s`` is the recent rate of prompts that
+    each make the streams of the runner pause for too long; ``streams`` are the requests
+    that run there.
     """
 
     pace: PrefillPace = PrefillPace()
     running_s: float = 0.0
     waiting_s: float = 0.0
+    breaks_per_s: float = 0.0
+    streams: int = 0
 
     def after(self, elapsed_s: float) -> PrefillLoad:
         """Return the load left after some time if no more prompts arrive."""
         running_s = max(0.0, self.running_s - elapsed_s)
         waiting_s = max(0.0, self.running_s + self.waiting_s - elapsed_s) - running_s
-        return PrefillLoad(self.pace, running_s, waiting_s)
+        return PrefillLoad(
+            self.pace, running_s, waiting_s, self.breaks_per_s, self.streams
+        )
 
 
 class PaceEstimator:
@@ -107,6 +121,8 @@
     def __init__(self, prior: PrefillPace | None = None) -> None:
         self._estimator = PaceEstimator(prior or PrefillPace())
         self._grants: dict[str, _Grant] = {}
+        self._breaks = 0.0
+        self._breaks_at = 0.0
 
     @property
     def pace(self) -> PrefillPace:
@@ -129,8 +145,13 @@
         pause_s = self.pace.prefill_s(self.granted_tokens + tokens)
         return pause_s <= USABLE_PAUSE_SHARE * max_pause_s
 
-    def begin(self, request_id: str, tokens: int, now: float) -> None:
+    def begin(
+        self, request_id: str, tokens: int, max_pause_s: float, now: float
+    ) -> None:
         """Count a prompt as being prefilled until its grant is returned or lapses."""
+        if self.pace.breaks_streams(tokens, max_pause_s):
+            self._breaks = self._decayed_breaks(now) + 1.0
+            self._breaks_at = now
         is_alone = not self._grants
         for grant in self._grants.values():
             grant.is_alone = False
@@ -154,7 +175,7 @@
             self._estimator.record(grant.tokens, took_s)
         return True
 
-    def load(self, waiting_tokens: list[int], now: float) -> PrefillLoad:
+    def load(self, waiting_tokens: list[int], streams: int, now: float) -> PrefillLoad:
         """Return the load, given the tokens of each prompt that waits for a grant."""
         done_at = max((grant.done_at for grant in self._grants.values()), default=now)
         waiting_s = sum(self.pace.prefill_s(tokens) for tokens in waiting_tokens)
@@ -162,8 +183,14 @@
             PrefillPace(round(self.pace.token_s, 8)),
             round(max(0.0, done_at - now), 3),
             round(waiting_s, 3),
+            round(self._decayed_breaks(now) / BREAKS_WINDOW_S, 3),
+            streams,
         )
 
+    def _decayed_breaks(self, now: float) -> float:
+        """Return the number of recent prompts that broke streams, older ones less."""
+        return self._breaks * math.exp((self._breaks_at - now) / BREAKS_WINDOW_S)
+
     def next_lapse_at(self) -> float | None:
         """Return when the next grant lapses, None without grants."""
         return min((g.lapses_at for g in self._grants.values()), default=None)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
@@ -35,6 +35,8 @@
     """Request that waits; ``present_at`` is when its adapter was found loaded.
 
     ``prefill_tokens`` is the length of a prompt that needs a grant, otherwise 0.
+    ``position`` is the request's position among those that wait for a slot, 0 if it
+    needs none or found an idle one.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     prefill_tokens: int
     asked_at: float
     present_at: float | None = None
+    position: int = 0
 
 
 WaiterT = TypeVar("WaiterT", bound=Waiter)
@@ -75,22 +78,31 @@
         """Add a request; return False if too many wait."""
         if len(self.waiters) >= MAX_WAITERS:
             return False
+        waiter.position = self._position(waiter, now)
         self.waiters.append(waiter)
-        if not self._has_adapter(waiter):
-            self.slot_waits.record_waiting(now)
         return True
 
+    def _position(self, waiter: WaiterT, now: float) -> int:
+        """Return the position of a new request among those that wait for a slot."""
+        is_served = self._has_adapter(waiter) or waiter.adapter in self.slots.loading
+        ahead = self.adapters_without_slot()
+        if is_served or waiter.adapter in ahead or self.slots.idle_count(now) > 0:
+            return 0
+        return len(ahead) + 1
+
+    def record_slot(self, waiter: WaiterT, now: float) -> None:
+        """Record that a slot has been taken for a request."""
+        if waiter.position:
+            self.slot_waits.record(now - waiter.asked_at, waiter.position)
+
     def remove(self, waiter: WaiterT) -> None:
         """Remove a request that no longer waits."""
         if waiter in self.waiters:
             self.waiters.remove(waiter)
-        if not self.slot_waiters():
-            self.slot_waits.record_idle()
 
     def clear(self) -> list[WaiterT]:
         """Remove and return all requests."""
         waiters, self.waiters = self.waiters, []
-        self.slot_waits.record_idle()
         return waiters
 
     def find(self, request_id: str) -> WaiterT | None:
@@ -101,9 +113,14 @@
         """Return the requests in the order in which they are served."""
         return sorted(self.waiters, key=lambda waiter: waiter.wait.rank(now))
 
-    def slot_waiters(self) -> list[WaiterT]:
-        """Return the requests whose adapter is not loaded."""
-        return [waiter for waiter in self.waiters if not self._has_adapter(waiter)]
+    def adapters_without_slot(self) -> set[str]:
+        """Return the adapters that are waited for and have no slot yet."""
+        return {
+            waiter.adapter
+            for waiter in self.waiters
+            if not self._has_adapter(waiter)
+            and waiter.adapter not in self.slots.loading
+        }
 
     def reserve(self, adapter: str, now: float) -> None:
         """Keep a loaded adapter for the request that is about to use it."""
@@ -142,7 +159,7 @@
     def prefill_load(self, now: float) -> PrefillLoad:
         """Return the load of prompts, those that wait for an adapter included."""
         tokens = [w.prefill_tokens for w in self.waiters if w.prefill_tokens]
-        return self.prefills.load(tokens, now)
+        return self.prefills.load(tokens, self.slots.use_count(now), now)
 
     def _has_adapter(self, waiter: WaiterT) -> bool:
         return self.is_present(waiter.adapter, waiter.version)
@@ -152,5 +169,5 @@
         tokens = waiter.prefill_tokens
         if not self.prefills.may_begin(tokens, self.max_pause_s, now):
             return False
-        self.prefills.begin(waiter.request_id, tokens, now)
+        self.prefills.begin(waiter.request_id, tokens, self.max_pause_s, now)
         return True
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_stream_timing.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_stream_timing.py
@@ -20,3 +20,20 @@
         else:
             self.longest_pause_s = max(self.longest_pause_s, now - self.last_at)
         self.last_at = now
+
+
+class StreamPace:
+    """Mean time of a stream for each token that its request asked for."""
+
+    WEIGHT = 0.05
+    """Weight of the newest stream in the mean."""
+
+    def __init__(self) -> None:
+        self.token_s = 0.01
+
+    def record(self, timing: StreamTiming, tokens: int) -> None:
+        """Record a complete stream."""
+        if tokens <= 0 or timing.first_at is None or timing.last_at is None:
+            return
+        sample_s = (timing.last_at - timing.first_at) / tokens
+        self.token_s += self.WEIGHT * (sample_s - self.token_s)
