Play the decisions about model requests in a model of a fleet, and measure each

Change: a model of engines (steps, prompts in pieces, slots, loads, lost runners, callers that come back) in virtual time, under the product's own classes; tools/measure decisions plays each mechanism switched off beside the product on the same arrivals, for engines of three speeds.

--- a/fakes/src/gooseberry_fakes/measure/__main__.py
+++ b/fakes/src/gooseberry_fakes/measure/__main__.py
@@ -5,6 +5,7 @@
 import click
 
 from .confirm import measure_short_run
+from .decisions import measure_decisions
 from .disturbances import measure_faults, measure_interactive_rates, measure_overload
 from .growth import measure_growth
 from .overhead import measure_overhead
@@ -69,6 +70,14 @@
         measure_policy(seed, as_json)
 
 
+@main.command()
+@click.option("--seeds", default=12, help="Seeds for each scenario and variant.")
+@click.option("--jobs", default=3, help="Processes that play at the same time.")
+def decisions(seeds: int, jobs: int) -> None:
+    """Measure what each decision about model requests is worth, in virtual time."""
+    measure_decisions(seeds, jobs)
+
+
 @main.command()
 @click.option("--seed", default=1)
 def confirm(seed: int) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -99,7 +99,7 @@
         self._ctx = ctx
         self._runner = runner
         self._on_change = on_change
-        self._queue: RunnerQueue[_Waiter] = RunnerQueue(max_adapters)
+        self._queue: RunnerQueue[_Waiter] = RunnerQueue(max_adapters, ctx.policy)
         self._slots = self._queue.slots
         self._pending_loads: dict[str, _PendingLoad] = {}
         self._orders = RunnerOrders(ctx, runner)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_policy.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_policy.py
@@ -36,5 +36,9 @@
     """Whether long prompts start only when the owner of their runner admits them."""
     knows_recent: bool = True
     """Whether a runner that held an adapter recently is preferred for its reload."""
+    late_wait_last: bool = True
+    """Whether requests that will be late anyhow wait behind those in time."""
+    learns_slot_waits: bool = True
+    """Whether the expected wait for a slot follows the waits at the runner."""
     follows_slowness: bool = True
     """Whether the observed slowness of a runner scales its expected prefill time."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
@@ -11,6 +11,7 @@
 from typing import Generic, TypeVar
 
 from ._adapter_slots import AdapterSlots, SlotWaitEstimator
+from ._policy import ServingPolicy
 from ._prefill import PrefillAdmission, PrefillLoad
 from ._waiting import SlotWait
 
@@ -59,7 +60,8 @@
     longest pause that the streams of the runner may make.
     """
 
-    def __init__(self, max_adapters: int) -> None:
+    def __init__(self, max_adapters: int, policy: ServingPolicy) -> None:
+        self._policy = policy
         self.slots = AdapterSlots(max_adapters)
         self.prefills = PrefillAdmission()
         self.slot_waits = SlotWaitEstimator()
@@ -92,7 +94,7 @@
 
     def record_slot(self, waiter: WaiterT, now: float) -> None:
         """Record that a slot has been taken for a request."""
-        if waiter.position:
+        if waiter.position and self._policy.learns_slot_waits:
             self.slot_waits.record(now - waiter.asked_at, waiter.position)
 
     def remove(self, waiter: WaiterT) -> None:
@@ -111,7 +113,8 @@
 
     def by_rank(self, now: float) -> list[WaiterT]:
         """Return the requests in the order in which they are served."""
-        return sorted(self.waiters, key=lambda waiter: waiter.wait.rank(now))
+        late_last = self._policy.late_wait_last
+        return sorted(self.waiters, key=lambda w: w.wait.rank(now, late_last))
 
     def adapters_without_slot(self) -> set[str]:
         """Return the adapters that are waited for and have no slot yet."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_waiting.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_waiting.py
@@ -19,12 +19,12 @@
     target_deadline: float
     deadline: float
 
-    def rank(self, now: float) -> tuple[int, bool, float]:
+    def rank(self, now: float, late_last: bool = True) -> tuple[int, bool, float]:
         """Return the sort key of the queue; the smallest is served first.
 
         With more demand than slots, ordering by deadline alone would serve each request
         only once it is late. Requests that will be late in any case wait, up to their
         deadline, behind those of the same priority that can still be in time.
         """
-        is_late = now + EXPECTED_LOAD_S > self.target_deadline
+        is_late = late_last and now + EXPECTED_LOAD_S > self.target_deadline
         return self.priority, is_late, self.deadline
--- a/tests/unit/serving/test_waits.py
+++ b/tests/unit/serving/test_waits.py
@@ -47,7 +47,7 @@
 
 def test_idle_slots_do_not_make_a_full_runner_look_fast() -> None:
     """Each load into an idle slot counted as a wait of some milliseconds."""
-    queue: RunnerQueue[Waiter] = RunnerQueue(2)
+    queue: RunnerQueue[Waiter] = RunnerQueue(2, ServingPolicy())
     for number in range(30):
         waiter = make_waiter(f"r{number}", f"m/a{number}", number)
         assert queue.add(waiter, number)
@@ -66,7 +66,7 @@
 
 
 def test_adapters_on_their_way_do_not_count_as_waiting_for_a_slot() -> None:
-    queue: RunnerQueue[Waiter] = RunnerQueue(2)
+    queue: RunnerQueue[Waiter] = RunnerQueue(2, ServingPolicy())
     for request_id, adapter in (("r1", "m/a"), ("r2", "m/a"), ("r3", "m/b")):
         assert queue.add(make_waiter(request_id, adapter, 0.0), 0.0)
     assert queue.adapters_without_slot() == {"m/a", "m/b"}
