--- a/packages/gooseberryctl/src/gooseberryctl/_internal/commands/__init__.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/commands/__init__.py
@@ -4,6 +4,7 @@
 
 from .apply import ApplyCommand
 from .ask import AskCommand
+from .causes import CausesCommand
 from .diff import DiffCommand
 from .explain import ExplainCommand
 
@@ -12,4 +13,5 @@
     DiffCommand,
     ApplyCommand,
     ExplainCommand,
+    CausesCommand,
 )
