--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from gooseberryrun._internal.state.serving import Route, StreamTiming
+from gooseberryrun._internal.state.serving import Route, StreamTiming, adapter_key
 
 from ._ports import Caller, InboundRequest, RequestMetadata
 
@@ -41,6 +41,11 @@
     has_grant: bool = False
     timing: StreamTiming = field(default_factory=StreamTiming)
 
+    @property
+    def adapter_key(self) -> str:
+        """Return the key of the request's model and adapter."""
+        return adapter_key(self.metadata.model, self.metadata.adapter)
+
     @property
     def content_hash(self) -> str:
         """Return a hash of the request's method, target, model and body."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -6,34 +6,22 @@
 
 from result import Err
 
-from gooseberryrun._internal.state import rank_nodes
-from gooseberryrun._internal.state.serving import (
-    Candidate,
-    Choice,
-    PrefillPace,
-    Runner,
-    StreamPace,
-    adapter_key,
-    choose_model_runner,
-    expected_first_event_s,
-)
+from gooseberryrun._internal.state.serving import Choice, Runner
 
 from .._events import log_event
 from .._metrics import LOAD_STALL
 from ._active_request import ActiveRequest, LocalResponse, Round, run_rounds
-from ._adapters import WITHDRAWN_S, AdapterRequirement, Adapters
+from ._adapters import AdapterRequirement, Adapters
 from ._attempts import Attempts
 from ._context import Context
 from ._event_stream import EventBuffer
+from ._load_tracker import LoadTracker
 from ._ports import AttemptFailure, AttemptFault, ForwardingMetadata, RunnerResponse
 from ._responses import ResponseWriter, end_to_end, failure_response, is_valid_response
+from ._runner_choice import RunnerChooser
 
-HOME_RUNNERS = 2
-"""Runners of an adapter's home domain that are candidates in all other domains."""
 MAX_ROUNDS = 6
 """Largest number of rounds for one request; each round chooses a runner."""
-MIN_SLOWNESS_SAMPLE_S = 0.03
-"""Shortest expected time for which the observed time is a slowness sample."""
 URGENCY_STEP = 2
 """Difference in engine urgency between two adjacent route priorities."""
 MAX_URGENCY = 9
@@ -63,7 +51,7 @@
         self._adapters = adapters
         self._attempts = attempts
         self._responses = responses
-        self._stream_pace = StreamPace()
+        self._chooser = RunnerChooser(ctx, adapters)
 
     def serve(self, active: ActiveRequest) -> None:
         """Serve a request and respond to its caller."""
@@ -90,7 +78,7 @@
         now = self._ctx.clock.monotonic()
         if now >= active.deadline:
             return failure_response(active, "deadline")
-        choice = self._choose(active, now)
+        choice = self._chooser.choose(active, now)
         if choice is None:
             return failure_response(active, "no_runner", BUSY_RETRY_S)
         if choice.expected_s > self._longest_wait_s(active, now):
@@ -105,95 +93,12 @@
         """Return whether the runner's owner must be asked before the attempt."""
         return not choice.candidate.has_adapter or choice.candidate.needs_grant
 
-    def _breaks_streams(self, active: ActiveRequest, pace: PrefillPace) -> bool:
-        """Return whether the prompt makes running streams pause for too long."""
-        table = self._ctx.directory.table
-        max_pause_s = table.max_pause_s(active.service) if table else 0.0
-        return pace.breaks_streams(active.metadata.prompt_tokens, max_pause_s)
-
-    def _needs_grant(self, active: ActiveRequest, pace: PrefillPace) -> bool:
-        """Return whether the prompt is so long that its start must be granted."""
-        table = self._ctx.directory.table
-        if table is None or not self._ctx.policy.admits_prompts:
-            return False
-        max_pause_s = table.max_pause_s(active.service)
-        return pace.needs_grant(active.metadata.prompt_tokens, max_pause_s)
-
     def _longest_wait_s(self, active: ActiveRequest, now: float) -> float:
         """Return the longest acceptable wait for the first event."""
         policy = self._ctx.policy
         left_s = policy.max_wait_share * (active.deadline - now)
         return min(left_s, policy.max_wait_per_target * active.route.target_latency_s)
 
-    def _choose(self, active: ActiveRequest, now: float) -> Choice | None:
-        adapter = self._adapter_key(active)
-        candidates = []
-        for runner in self._eligible(active, adapter, now):
-            if runner.id in active.tried | active.ungranted or self._ctx.loads.is_down(
-                runner.id, now
-            ):
-                continue
-            if all(model.name != active.metadata.model for model in runner.models):
-                continue
-            candidates.append(self._candidate(active, runner, adapter, now))
-        tokens = active.metadata.prompt_tokens
-        return choose_model_runner(candidates, adapter, tokens, self._ctx.policy)
-
-    def _eligible(
-        self, active: ActiveRequest, adapter: str, now: float
-    ) -> list[Runner]:
-        """Return the runners that this VM follows, and an adapter's home runners.
-
-        All domains agree on the home runners, so that loads of a rare adapter are
-        shared between domains.
-        """
-        runners = self._ctx.directory.runners(active.service, now)
-        found = [runner for runner in runners if self._ctx.follows(runner)]
-        if len(found) == len(runners):
-            return found
-        by_domain = self._ctx.directory.runners_by_domain(active.service)
-        home = by_domain[rank_nodes(adapter, by_domain)[0]]
-        ranking = rank_nodes(adapter, [runner.id for runner in home])
-        homes = set(ranking[:HOME_RUNNERS])
-        known = {runner.id for runner in found}
-        return found + [r for r in home if r.id in homes and r.id not in known]
-
-    def _candidate(
-        self, active: ActiveRequest, runner: Runner, adapter: str, now: float
-    ) -> Candidate:
-        has_adapter = not active.metadata.adapter
-        if active.metadata.adapter:
-            held = self._adapters.held(runner).get(adapter, -1)
-            has_adapter = held >= self._wanted_version(active)
-        queue = self._adapters.queue(runner)
-        prefill = self._adapters.prefill_load(runner)
-        return Candidate(
-            runner=runner,
-            view=self._ctx.loads.total(runner.id, now),
-            is_local=runner.domain == self._ctx.cfg.vm.domain,
-            has_adapter=has_adapter,
-            can_load=self._can_load(active, runner),
-            held_recently=self._adapters.recently_held(runner, adapter),
-            available_slots=queue.idle,
-            waiting=queue.waiting,
-            slot_wait_s=queue.mean_slot_wait_s,
-            prefill=prefill,
-            needs_grant=self._needs_grant(active, prefill.pace),
-            breaks_streams=self._breaks_streams(active, prefill.pace),
-            stream_s=active.metadata.output_tokens * self._stream_pace.token_s,
-        )
-
-    def _can_load(self, active: ActiveRequest, runner: Runner) -> bool:
-        return runner.id not in active.unloadable and self._adapters.can_acquire(runner)
-
-    def _adapter_key(self, active: ActiveRequest) -> str:
-        return adapter_key(active.metadata.model, active.metadata.adapter)
-
-    def _wanted_version(self, active: ActiveRequest) -> int:
-        return self._ctx.directory.version_of(
-            active.metadata.model, active.metadata.adapter
-        )
-
     def _acquire(self, active: ActiveRequest, choice: Choice) -> bool:
         """Wait until the adapter is loaded and a long prompt may start.
 
@@ -206,8 +111,8 @@
         requested_at = self._ctx.clock.monotonic()
         deadline = requested_at + self._longest_wait_s(active, requested_at)
         requirement = AdapterRequirement(
-            self._adapter_key(active),
-            self._wanted_version(active),
+            active.adapter_key,
+            self._chooser.wanted_version(active),
             active.request.read_at + active.route.target_latency_s,
             active.route.priority,
             active.metadata.request_id,
@@ -241,8 +146,8 @@
         self, active: ActiveRequest, choice: Choice, progress: _StreamProgress
     ) -> LocalResponse | Round:
         runner = choice.candidate.runner
-        tracker = _LoadTracker(self._ctx, self._adapters, active, choice)
-        adapter = self._adapter_key(active)
+        tracker = LoadTracker(self._ctx, self._adapters, active, choice)
+        adapter = active.adapter_key
         self._adapters.begin_use(runner, adapter)
         try:
             if not self._attempts.withdraw_attempt(active):
@@ -257,7 +162,7 @@
         active: ActiveRequest,
         runner: Runner,
         progress: _StreamProgress,
-        tracker: _LoadTracker,
+        tracker: LoadTracker,
     ) -> LocalResponse | Round:
         forwarding = self._forwarding(active, runner, progress)
         sent = self._attempts.send(active, runner, forwarding, active.deadline)
@@ -275,8 +180,8 @@
         self, active: ActiveRequest, runner: Runner, progress: _StreamProgress
     ) -> ForwardingMetadata:
         version = 0
-        if active.metadata.adapter and self._wanted_version(active):
-            version = self._adapters.held(runner).get(self._adapter_key(active), 0)
+        if active.metadata.adapter and self._chooser.wanted_version(active):
+            version = self._adapters.held(runner).get(active.adapter_key, 0)
         return ForwardingMetadata(
             runner.id,
             active.deadline - self._ctx.clock.monotonic(),
@@ -289,7 +194,7 @@
         self, active: ActiveRequest, runner: Runner, response: RunnerResponse
     ) -> Round:
         if response.metadata.is_misdirected:
-            self._adapters.record_missing(runner, self._adapter_key(active))
+            self._adapters.record_missing(runner, active.adapter_key)
             active.missing_on = runner.id
             active.tried.discard(runner.id)
         return Round.AGAIN
@@ -308,7 +213,7 @@
         runner: Runner,
         response: RunnerResponse,
         progress: _StreamProgress,
-        tracker: _LoadTracker,
+        tracker: LoadTracker,
     ) -> LocalResponse | Round:
         if not is_valid_response(response):
             fault = AttemptFault(AttemptFailure.INVALID_RESPONSE, "unsigned or encoded")
@@ -345,7 +250,7 @@
         runner: Runner,
         response: RunnerResponse,
         progress: _StreamProgress,
-        tracker: _LoadTracker,
+        tracker: LoadTracker,
     ) -> LocalResponse | Round:
         for chunk in response.body_chunks(active.deadline):
             if isinstance(chunk, Err):
@@ -385,7 +290,7 @@
         progress: _StreamProgress,
     ) -> None:
         self._attempts.record_success(runner)
-        self._stream_pace.record(active.timing, active.metadata.output_tokens)
+        self._chooser.stream_pace.record(active.timing, active.metadata.output_tokens)
         remainder = progress.events.remainder()
         if remainder or not progress.is_started:
             self._send_events(active, response, progress, remainder)
@@ -409,50 +314,3 @@
         waiting=candidate.waiting,
         turn_s=candidate.slot_wait_s,
     )
-
-
-class _LoadTracker:
-    """Counts a request's load on a runner: its prompt until read, itself until done."""
-
-    def __init__(
-        self, ctx: Context, adapters: Adapters, active: ActiveRequest, choice: Choice
-    ) -> None:
-        self._ctx = ctx
-        self._adapters = adapters
-        self._active = active
-        self._runner = choice.candidate.runner
-        self._tokens = active.metadata.prompt_tokens
-        self._expected_s = expected_first_event_s(
-            choice.candidate, self._tokens, ctx.policy
-        )
-        self._slowness = choice.candidate.view.slowness
-        self._sent_at = ctx.clock.monotonic()
-        self._is_prompt_unread = True
-        ctx.loads.begin(self._runner.id, self._tokens)
-
-    def mark_prompt_read(self) -> None:
-        """Record that the prompt was read, and how slow the runner was."""
-        if not self._is_prompt_unread:
-            return
-        self._is_prompt_unread = False
-        now = self._ctx.clock.monotonic()
-        self._ctx.loads.record_first_event(self._runner.id, self._tokens)
-        self._return_grant(now - self._sent_at)
-        nominal_s = self._expected_s / max(self._slowness, 0.1)
-        if nominal_s >= MIN_SLOWNESS_SAMPLE_S:
-            ratio = (now - self._sent_at) / nominal_s
-            self._ctx.loads.record_slowness(self._runner.id, ratio, now)
-
-    def end(self) -> None:
-        """Remove the request from the runner's load."""
-        if self._is_prompt_unread:
-            self._is_prompt_unread = False
-            self._ctx.loads.record_first_event(self._runner.id, self._tokens)
-            self._return_grant(WITHDRAWN_S)
-        self._ctx.loads.end(self._runner.id)
-
-    def _return_grant(self, took_s: float) -> None:
-        if self._active.has_grant:
-            self._active.has_grant = False
-            request_id = self._active.metadata.request_id
-            self._adapters.end_prefill(self._runner, request_id, took_s)
