--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -10,8 +10,6 @@
 from result import Err, Ok, Result
 
 from gooseberryrun._internal.state.serving import (
-    EXPECTED_LOAD_S,
-    EXPECTED_RELOAD_S,
     Runner,
     RunnerQueue,
     SlotWait,
@@ -24,22 +22,17 @@
 from .._events import log_event
 from .._serving_messages import AcquireRequest, ResidencyNotice
 from .._tasks import spawn_until_done
+from ._adapter_orders import CHECK_INTERVAL_S, AdapterOrders
 from ._context import Context
 from ._orders import RunnerOrders
-from ._ports import OrderOp, OrderOutcome, RunnerReport
+from ._ports import OrderOp, RunnerReport
 
-CHECK_INTERVAL_S = 0.03
-"""Interval of the checks of a load that takes longer than expected."""
 IDLE_CHECK_S = 2.0
 """Pause of an idle owner."""
 REPORT_RETRY_S = 0.1
 """Pause before another attempt to read a runner's report."""
-LOAD_TIMEOUT_S = 5.0
-"""Time after which a load that has not completed is considered lost."""
 LEASE_CHECK_S = 0.2
 """Pause of an owner without a valid lease."""
-UNLOAD_RETRY_S = 3.0
-"""Time before an unload order for the same adapter is repeated."""
 USE_REPORT_WAIT_S = 0.08
 """Time for peers to report their uses to a new owner before it evicts adapters."""
 _OWNER_FAULTS = frozenset(
@@ -74,14 +67,6 @@
     completed: Event = field(default_factory=Event)
 
 
-@dataclass(slots=True)
-class _PendingLoad:
-    """Load in progress: when it was ordered and when to check it next."""
-
-    ordered_at: float
-    check_at: float
-
-
 class RunnerOwner:
     """Task that sends all orders to one incarnation of a runner.
 
@@ -101,8 +86,10 @@
         self._on_change = on_change
         self._queue: RunnerQueue[_Waiter] = RunnerQueue(max_adapters, ctx.policy)
         self._slots = self._queue.slots
-        self._pending_loads: dict[str, _PendingLoad] = {}
         self._orders = RunnerOrders(ctx, runner)
+        self._adapter_orders = AdapterOrders(
+            ctx, self._orders, self._slots, self._handle_loaded, on_change
+        )
         self._evictions_allowed_at = float("inf")
         self._models: set[str] = set()
         self._wake: Event = Event()
@@ -223,6 +210,10 @@
                 self._log_admission(waiter, now)
             waiter.completed.send(Ok(self._slots.held.get(waiter.adapter, 0)))
 
+    def _handle_loaded(self) -> None:
+        self._complete_ready()
+        self._on_change()
+
     def _log_admission(self, waiter: _Waiter, now: float) -> None:
         present_at = now if waiter.present_at is None else waiter.present_at
         log_event(
@@ -249,8 +240,8 @@
                 self._sleep(REPORT_RETRY_S)
                 continue
             self._order_missing_model(token)
-            self._check_pending_loads(token)
-            self._replace_old_versions(token)
+            self._adapter_orders.check_loads(token)
+            self._adapter_orders.replace_old_versions(token)
             self._serve_waiters(token)
             self._sleep(self._pause_s())
 
@@ -261,51 +252,13 @@
         now = self._ctx.clock.monotonic()
         if self._queue.waiters and now < self._evictions_allowed_at:
             return self._evictions_allowed_at - now
-        due = [pending.check_at for pending in self._pending_loads.values()]
-        lapse_at = self._queue.prefills.next_lapse_at()
-        if lapse_at is not None and self._queue.waiters:
-            due.append(lapse_at)
+        lapse_at = self._queue.prefills.next_lapse_at() if self._queue.waiters else None
+        times = (self._adapter_orders.next_check_at(), lapse_at)
+        due = [at for at in times if at is not None]
         if not due:
             return CHECK_INTERVAL_S if self._orders.has_unanswered else IDLE_CHECK_S
         return max(0.001, min(due) - now)
 
-    def _check_pending_loads(self, token: int) -> None:
-        """Check overdue loads by repeating the order, since the report lags.
-
-        The outcome of a repeated order is "holds" once the adapter is loaded; while it
-        is still being loaded, the order has no effect.
-        """
-        now = self._ctx.clock.monotonic()
-        self._slots.expire_unloading(now)
-        for adapter, pending in list(self._pending_loads.items()):
-            if now < pending.check_at:
-                continue
-            if now - pending.ordered_at > LOAD_TIMEOUT_S:
-                self._orders.invalidate_seq()
-                del self._pending_loads[adapter]
-                continue
-            self._check_pending_load(adapter, pending, token)
-
-    def _check_pending_load(
-        self, adapter: str, pending: _PendingLoad, token: int
-    ) -> None:
-        version = self._slots.loading.get(adapter, 0)
-        outcome = self._orders.repeat_load(adapter, version, token)
-        if outcome is OrderOutcome.HOLDS:
-            self._record_loaded(adapter, version)
-        elif outcome is OrderOutcome.ACCEPTED:
-            loaded_at = pending.ordered_at + EXPECTED_LOAD_S
-            now = self._ctx.clock.monotonic()
-            pending.check_at = max(loaded_at, now + CHECK_INTERVAL_S)
-
-    def _record_loaded(self, adapter: str, version: int) -> None:
-        """Record that an adapter is loaded and complete its waiters."""
-        self._pending_loads.pop(adapter, None)
-        self._slots.loading.pop(adapter, None)
-        self._slots.held[adapter] = max(1, version, self._slots.held.get(adapter, 0))
-        self._complete_ready()
-        self._on_change()
-
     def _sleep(self, seconds: float) -> None:
         """Sleep for the given time or until woken."""
         with Timeout(seconds, False):
@@ -337,11 +290,11 @@
         if plan.step is Step.EVICT:
             if now < self._evictions_allowed_at:
                 return
-            if not self._unload(plan.victim, token):
+            if not self._adapter_orders.unload(plan.victim, token):
                 return
             plan = self._slots.plan(waiter.adapter, waiter.version, now)
         if plan.step is Step.LOAD:
-            self._load(waiter.adapter, waiter.version, token)
+            self._adapter_orders.load(waiter.adapter, waiter.version, token)
             self._queue.record_slot(waiter, now)
 
     def _reload_suspected(self, adapter: str, token: int) -> None:
@@ -350,33 +303,11 @@
         if adapter not in self._slots.held:
             return
         version = self._slots.held[adapter]
-        self._load(adapter, version, token)
+        self._adapter_orders.load(adapter, version, token)
         if adapter in self._slots.loading:
             self._slots.held.pop(adapter, None)
             self._on_change()
 
-    def _load(self, adapter: str, version: int, token: int) -> None:
-        outcome = self._orders.send_order(OrderOp.LOAD, adapter, version, token)
-        if outcome is OrderOutcome.HOLDS:
-            self._record_loaded(adapter, version)
-        elif outcome is OrderOutcome.ACCEPTED:
-            now = self._ctx.clock.monotonic()
-            self._slots.loading[adapter] = version
-            self._pending_loads[adapter] = _PendingLoad(now, now + EXPECTED_RELOAD_S)
-
-    def _unload(self, adapter: str, token: int) -> bool:
-        """Order an adapter evicted; return whether its slot is free."""
-        outcome = self._orders.send_order(OrderOp.UNLOAD, adapter, 0, token)
-        if outcome is OrderOutcome.HOLDS:
-            self._slots.held.pop(adapter, None)
-            self._on_change()
-            return True
-        if outcome is OrderOutcome.ACCEPTED:
-            now = self._ctx.clock.monotonic()
-            self._slots.unloading[adapter] = now + UNLOAD_RETRY_S
-            self._on_change()
-        return False
-
     def _order_missing_model(self, token: int) -> None:
         """Order a runner without a model to load the model of its service."""
         now = self._ctx.clock.monotonic()
@@ -391,18 +322,6 @@
             OrderOp.LOAD, service.engine.models[0].name + "/", 0, token
         )
 
-    def _replace_old_versions(self, token: int) -> None:
-        """Load newly declared versions, the adapter with the most demand first."""
-        now = self._ctx.clock.monotonic()
-        old = []
-        for adapter, version in self._slots.held.items():
-            model, _, name = adapter.partition("/")
-            newest = self._ctx.directory.version_of(model, name)
-            if newest > version and adapter not in self._slots.loading:
-                old.append((-self._slots.demand(adapter, now), adapter, newest))
-        for _, adapter, newest in sorted(old):
-            self._load(adapter, newest, token)
-
     def _read_report(self) -> bool:
         """Read the report once it is recent enough to reflect every order sent."""
         read = self._orders.read_report()
@@ -422,17 +341,12 @@
             for model in report.models
             for name, version in model.adapters.items()
         }
-        loading = dict(report.loading)
         now = self._ctx.clock.monotonic()
         self._evictions_allowed_at = min(
             self._evictions_allowed_at, now + USE_REPORT_WAIT_S
         )
-        new_load = _PendingLoad(now, now)
-        self._pending_loads = {
-            key: self._pending_loads.get(key, new_load) for key in loading
-        }
         changed = held != self._slots.held
         self._slots.held = held
-        self._slots.loading = loading
+        self._adapter_orders.adopt(dict(report.loading))
         if changed:
             self._on_change()
