--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
 
 import eventlet
@@ -55,6 +56,7 @@
         self._is_reading = dict.fromkeys(Topic, True)
         self._announced_ends: dict[Topic, int] = {}
         self._last_logged: dict[str, tuple[object, ...]] = {}
+        self.on_snapshot: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Start one green thread per topic, the sweep and the keepalives."""
@@ -190,6 +192,8 @@
             applied = [r for r in records.records if directory.apply(r, now)]
             directory.ends[topic] = max(directory.ends[topic], records.end)
         self._log_applied(applied, "store")
+        if needs_snapshot:
+            self.on_snapshot()
         if records.records and not needs_snapshot:
             self._send_notice(topic, start, records.records)
         if records.records:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -59,6 +59,7 @@
             ModelRequests(ctx, adapters, attempts, responses),
         )
         self.membership.on_change = self.owned_runners.refresh
+        self.follower.on_snapshot = self.owned_runners.refresh
         self.remote_domains.on_change = self.owned_runners.refresh
         self._handlers = self._make_handlers()
         self.is_stopping = False
--- a/tests/unit/serving/test_fleets.py
+++ b/tests/unit/serving/test_fleets.py
@@ -10,7 +10,11 @@
     DirectoryNotice,
     ViewNotice,
 )
-from gooseberryrun._internal.coordination.serving import _follower
+from gooseberryrun._internal.coordination.serving import (
+    Records,
+    StoreFault,
+    _follower,
+)
 from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
 from gooseberryrun._internal.coordination.serving._gossip import FANOUT, Gossip
 from gooseberryrun._internal.coordination.serving._membership import (
@@ -30,6 +34,7 @@
     View,
     reads_store,
 )
+from result import Ok, Result
 
 from tests.lib.fleet import (
     CountingPeers,
@@ -275,6 +280,24 @@
     assert follower._must_read(Topic.RUNNERS)
 
 
+class SnapshotStore(GroupStore):
+    """Store whose topics are empty."""
+
+    def read_snapshot(self, topic: Topic) -> Result[Records, StoreFault]:
+        return Ok(Records([], 1))
+
+
+def test_runners_are_owned_as_soon_as_they_have_been_read() -> None:
+    """A VM that starts looked for its runners only 0.3 s after it had read them."""
+    members = make_members(1, 3)
+    ctx, _ = make_vm(members["d0"][0], SnapshotStore(members), [], ManualClock(10.0))
+    follower = DirectoryFollower(ctx)
+    seen: list[int] = []
+    follower.on_snapshot = lambda: seen.append(ctx.directory.ends[Topic.RUNNERS])
+    assert follower._read(Topic.RUNNERS, needs_snapshot=True) is None
+    assert seen == [1]
+
+
 def test_heartbeats_that_only_count_orders_are_not_logged(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
