--- a/tests/functional/serving/test_long_prompts.py
+++ b/tests/functional/serving/test_long_prompts.py
@@ -9,7 +9,13 @@
 
 import pytest
 
-from tests.lib.platform_site import MODEL, EntryVm, Site, wait_for
+from tests.lib.platform_site import (
+    MODEL,
+    EntryVm,
+    Site,
+    request_headers,
+    wait_for,
+)
 
 LONG = "9000,50"
 SHORT = "200,50"
@@ -37,6 +43,11 @@
     return ask(vm, f"warm-{vm.name}", "a1", "5,5") == 200
 
 
+def has_logged(vm: EntryVm, text: str) -> bool:
+    """Return whether a VM has logged a text."""
+    return text in vm.log.read_text()
+
+
 def ask_together(site: Site, prefix: str, tokens: str) -> list[int]:
     """Send two requests to each VM at once; return their statuses."""
     statuses: list[int] = []
@@ -96,3 +107,26 @@
     site.models[0].fault, site.models[0].fault_count = "reset", 1
     ask(site.vms[0], "broken", "a1", LONG)
     wait_for(lambda: ask(site.vms[1], "next", "a1", LONG) == 200, "the next prompt", 3)
+
+
+def test_prompt_of_a_caller_that_left_never_starts(site: Site) -> None:
+    """The request waits at the owner, which is another VM for one of the two."""
+    warm_up(site)
+    runner = site.models[0]
+    runner.prompt_token_s = 1 / 6000
+    first = threading.Thread(target=ask, args=(site.vms[0], "first", "a1", LONG))
+    first.start()
+    wait_for(lambda: runner.reading == 1, "a prompt being read")
+    for number, vm in enumerate(site.vms):
+        conn = vm.connect()
+        headers = request_headers(
+            f"gone-{number}",
+            X_Gooseberryrun_Model=f"{MODEL}/a1",
+            X_Gooseberryrun_Token_Count=LONG,
+        )
+        conn.request("POST", "/chat/1", b"p", headers)
+        conn.close()
+        wait_for(partial(has_logged, vm, f"request=gone-{number}"), "the end")
+    first.join()
+    assert ask(site.vms[1], "last", "a1", LONG) == 200
+    assert not [name for name in runner.ran if name.startswith("gone")]
