--- a/fakes/src/gooseberry_fakes/measure/decisions.py
+++ b/fakes/src/gooseberry_fakes/measure/decisions.py
@@ -13,35 +13,55 @@
 from functools import partial
 
 import click
-from gooseberryrun._internal.state.serving import ServingPolicy
+from gooseberryrun._internal.state.serving import AdapterSlots, ServingPolicy
 
+from .decision_baselines import (
+    LeastRecentlyUsedSlots,
+    ProductChoice,
+    RoundRobinChoice,
+    RunnerChoice,
+)
 from .engine_model import EngineSpeed
 from .fleet_model import FleetModel, FleetResult, FleetScenario, RequestKind
 
 PRODUCT = ServingPolicy()
+CLEAR_ERRORS = 2.0
+"""Standard errors from which a mean difference is called better or worse."""
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """Decisions under which a scenario is played."""
+
+    policy: ServingPolicy = PRODUCT
+    choice: type[RunnerChoice] = ProductChoice
+    slots: type[AdapterSlots] = AdapterSlots
+
+
 VARIANTS = {
-    "product": PRODUCT,
-    "no admission of prompts": replace(PRODUCT, admits_prompts=False),
-    "no cost of broken streams": replace(PRODUCT, pause_cost_s=0.0),
-    "no cost of ranks": replace(PRODUCT, rank_cost_s=0.0),
-    "no recent adapters": replace(PRODUCT, knows_recent=False),
-    "late requests not last": replace(PRODUCT, late_wait_last=False),
-    "fixed waits for slots": replace(PRODUCT, learns_slot_waits=False),
-    "waits without limit": replace(
-        PRODUCT, max_wait_share=1.0, max_wait_per_target=100.0
+    "product": Variant(),
+    "no admission of prompts": Variant(replace(PRODUCT, admits_prompts=False)),
+    "no cost of broken streams": Variant(replace(PRODUCT, pause_cost_s=0.0)),
+    "no cost of ranks": Variant(replace(PRODUCT, rank_cost_s=0.0)),
+    "no recent adapters": Variant(replace(PRODUCT, knows_recent=False)),
+    "late requests not last": Variant(replace(PRODUCT, late_wait_last=False)),
+    "fixed waits for slots": Variant(replace(PRODUCT, learns_slot_waits=False)),
+    "waits without limit": Variant(
+        replace(PRODUCT, max_wait_share=1.0, max_wait_per_target=100.0)
     ),
+    "least recently used": Variant(slots=LeastRecentlyUsedSlots),
+    "round robin": Variant(choice=RoundRobinChoice),
 }
-"""Policies by name; the first one is compared with each of the others."""
-CLEAR_ERRORS = 2.0
-"""Standard errors from which a mean difference is called better or worse."""
+"""Variants by name; the first one is compared with each of the others."""
 
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """Figures of one run."""
+    """Figures of one run; ``distinct`` adapters were asked for."""
 
     worth: float
     store_loads: int
+    distinct: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,9 +134,10 @@
     return FleetModel(scenario, policy, seed).run()
 
 
-def _outcome(scenario: FleetScenario, policy: ServingPolicy, seed: int) -> Outcome:
-    result = play(scenario, policy, seed)
-    return Outcome(result.worth(), result.store_loads)
+def _outcome(scenario: FleetScenario, variant: Variant, seed: int) -> Outcome:
+    model = FleetModel(scenario, variant.policy, seed, variant.choice(), variant.slots)
+    result = model.run()
+    return Outcome(result.worth(), result.store_loads, result.distinct_adapters())
 
 
 def compare(product: list[Outcome], variant: list[Outcome]) -> Comparison:
@@ -142,11 +163,13 @@
     with ProcessPoolExecutor(jobs) as pool:
         for scenario in scenarios:
             product: list[Outcome] = []
-            for name, policy in VARIANTS.items():
-                run = partial(_outcome, scenario, policy)
+            for name, variant in VARIANTS.items():
+                run = partial(_outcome, scenario, variant)
                 outcomes = list(pool.map(run, range(seeds)))
                 product = product or outcomes
                 _print_row(scenario.name, name, compare(product, outcomes))
+            fewest = statistics.fmean(outcome.distinct for outcome in product)
+            click.echo(f"{scenario.name:18} {'fewest loads possible':50} {fewest:5.0f}")
 
 
 def _print_row(scenario: str, variant: str, found: Comparison) -> None:
--- a/fakes/src/gooseberry_fakes/measure/fleet_model.py
+++ b/fakes/src/gooseberry_fakes/measure/fleet_model.py
@@ -16,6 +16,7 @@
 from functools import partial
 
 from gooseberryrun._internal.state.serving import (
+    AdapterSlots,
     Candidate,
     Choice,
     PrefillLoad,
@@ -27,9 +28,9 @@
     SlotWait,
     Step,
     Waiter,
-    choose_model_runner,
 )
 
+from .decision_baselines import ProductChoice, RunnerChoice
 from .engine_model import EngineModel, EngineSpeed, ModelStream
 
 MODEL = "m"
@@ -181,6 +182,10 @@
         share = 1.0 if self.is_in_time(request) else LATE_WORTH
         return share * request.worth
 
+    def distinct_adapters(self) -> int:
+        """Return how many adapters were asked for: the fewest loads there can be."""
+        return len({request.adapter for request in self.requests})
+
     def worth(self, kind: str = "") -> float:
         """Return the worth earned over the worth owed, of one kind or of all."""
         chosen = [r for r in self.requests if kind in ("", r.kind.name)]
@@ -210,8 +215,15 @@
     """Plays one scenario with one seed and one policy."""
 
     def __init__(
-        self, scenario: FleetScenario, policy: ServingPolicy, seed: int
+        self,
+        scenario: FleetScenario,
+        policy: ServingPolicy,
+        seed: int,
+        choice: RunnerChoice | None = None,
+        slots: type[AdapterSlots] = AdapterSlots,
     ) -> None:
+        self._choice = choice or ProductChoice()
+        self._slots = slots
         self._scenario = scenario
         self._policy = policy
         self._rng = random.Random(seed)
@@ -219,7 +231,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._runners = [
-            _ModelRunner(n, scenario, policy) for n in range(scenario.runners)
+            self._make_runner(number) for number in range(scenario.runners)
         ]
         self._by_id = {runner.id: runner for runner in self._runners}
         self._requests: list[ModelRequest] = []
@@ -228,6 +240,11 @@
         for runner in self._runners:
             self._publish(runner)
 
+    def _make_runner(self, number: int) -> _ModelRunner:
+        runner = _ModelRunner(number, self._scenario, self._policy)
+        runner.queue.slots = self._slots(self._scenario.slots)
+        return runner
+
     def run(self) -> FleetResult:
         """Play the scenario to its end."""
         self._schedule_arrivals()
@@ -309,7 +326,7 @@
             and not runner.is_lost
             and runner.seen is not None
         ]
-        return choose_model_runner(
+        return self._choice.choose(
             candidates, request.adapter, request.prompt_tokens, self._policy
         )
 
@@ -555,7 +572,7 @@
 
     def _return(self, number: int) -> None:
         """Bring a lost runner back, empty."""
-        fresh = _ModelRunner(number, self._scenario, self._policy)
+        fresh = self._make_runner(number)
         self._runners[number] = fresh
         self._by_id[fresh.id] = fresh
         self._publish(fresh)
