--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -290,9 +290,7 @@
         progress: _StreamProgress,
     ) -> None:
         self._attempts.record_success(runner)
-        self._chooser.streams.record(
-            active.timing, active.metadata.output_tokens, active.route.max_pause_s
-        )
+        self._chooser.stream_pace.record(active.timing, active.metadata.output_tokens)
         remainder = progress.events.remainder()
         if remainder or not progress.is_started:
             self._send_events(active, response, progress, remainder)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -7,7 +7,7 @@
     Candidate,
     Choice,
     Runner,
-    StreamHistory,
+    StreamPace,
     choose_model_runner,
 )
 
@@ -25,7 +25,7 @@
     def __init__(self, ctx: Context, adapters: Adapters) -> None:
         self._ctx = ctx
         self._adapters = adapters
-        self.streams = StreamHistory()
+        self.stream_pace = StreamPace()
 
     def wanted_version(self, active: ActiveRequest) -> int:
         """Return the newest declared version of the request's adapter, or 0."""
@@ -81,7 +81,6 @@
         prefill = self._adapters.prefill_load(runner)
         max_pause_s = self._max_pause_s(active)
         tokens = active.metadata.prompt_tokens
-        has_pauses = self.streams.has_long_pauses
         return Candidate(
             runner=runner,
             view=self._ctx.loads.total(runner.id, now),
@@ -93,12 +92,10 @@
             waiting=queue.waiting,
             slot_wait_s=queue.mean_slot_wait_s,
             prefill=prefill,
-            needs_grant=has_pauses
-            and self._ctx.policy.admits_prompts
+            needs_grant=self._ctx.policy.admits_prompts
             and prefill.pace.needs_grant(tokens, max_pause_s),
-            breaks_streams=has_pauses
-            and prefill.pace.breaks_streams(tokens, max_pause_s),
-            stream_s=active.metadata.output_tokens * self.streams.token_s,
+            breaks_streams=prefill.pace.breaks_streams(tokens, max_pause_s),
+            stream_s=active.metadata.output_tokens * self.stream_pace.token_s,
         )
 
     def _can_load(self, active: ActiveRequest, runner: Runner) -> bool:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -43,7 +43,7 @@
 )
 from ._runner_queue import RunnerQueue, Waiter, adapter_key, is_base_model
 from ._runners import HeldModel, Runner
-from ._stream_timing import StreamHistory, StreamTiming
+from ._stream_timing import StreamPace, StreamTiming
 from ._views import Member, View
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S, SlotWait
 
@@ -83,7 +83,7 @@
     "RunnerView",
     "Service",
     "Step",
-    "StreamHistory",
+    "StreamPace",
     "StreamTiming",
     "Topic",
     "View",
