Name the request, its adapter and prompt parts at each crash in the log

The lines of a crash could not tell whether the requests that met crashes share something: only a hash of the whole request was logged. No logic changes.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -132,7 +132,7 @@
         active.attempts += 1
         active.may_have_run = True
         if fault.failure is AttemptFailure.SENT:
-            spawn("crash_check", lambda: self._check_crash(active.content_hash, runner))
+            spawn("crash_check", lambda: self._check_crash(active, runner))
 
     def record_invalid_response(
         self, active: ActiveRequest, runner: Runner, fault: AttemptFault
@@ -148,15 +148,16 @@
             why=fault.detail,
         )
         if fault.failure is AttemptFailure.SENT:
-            spawn("crash_check", lambda: self._check_crash(active.content_hash, runner))
+            spawn("crash_check", lambda: self._check_crash(active, runner))
 
     def record_success(self, runner: Runner) -> None:
         """Record a complete response."""
         now = self._ctx.clock.monotonic()
         self._ctx.loads.record_result(runner.id, ok=True, now=now)
 
-    def _check_crash(self, content_hash: str, runner: Runner) -> None:
+    def _check_crash(self, active: ActiveRequest, runner: Runner) -> None:
         """Count a crash against a request if its runner refuses connections."""
+        content_hash = active.content_hash
         if not self._ctx.ports.requests.refuses_connections(runner):
             return
         now = self._ctx.clock.monotonic()
@@ -164,7 +165,17 @@
         report = CrashReport(content_hash, runner.id, runner.born_ms)
         self._ctx.record_crash(report)
         count = self._ctx.suspects.crash_count(content_hash, now)
-        log_event("crash_seen", runner=runner.id, content=content_hash, crashes=count)
+        log_event(
+            "crash_seen",
+            request=active.metadata.request_id,
+            runner=runner.id,
+            born_ms=runner.born_ms,
+            content=content_hash,
+            adapter=active.metadata.adapter,
+            parts=",".join(part.id for part in active.metadata.prompt),
+            is_answered=active.timing.first_at is not None,
+            crashes=count,
+        )
 
 
 def _describe(sent: Result[RunnerResponse, AttemptFault]) -> str:
