Failing test: a prompt part that crashes its runners is refused

The stand-in runner crashes on a deadly part and is back, empty and as another incarnation, after half a second.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import socket
 import struct
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
@@ -29,6 +31,10 @@
     A prompt takes ``prompt_token_s`` a token before the first event; ``most_reading``
     is the largest number of prompts that were being read at the same time.
 
+    A prompt with one of ``deadly_parts`` crashes the server once the head of its
+    response is sent: all connections close, and the server is back, empty and as
+    another incarnation, after ``restart_s``.
+
     ``ran`` are the ids of the requests that ran, ``resumed`` the last event ids of
     resumed streams, ``abandoned`` the ids of streams whose client disconnected.
     """
@@ -41,6 +47,11 @@
     fault_count: int = 0
     event_pause_s: float = 0.01
     prompt_token_s: float = 0.0
+    deadly_parts: set[str] = field(default_factory=set)
+    restart_s: float = 0.5
+    born_ms: int = 1
+    crashes: int = 0
+    on_restart: Callable[[], None] = lambda: None
     reading: int = 0
     most_reading: int = 0
     adapters: dict[str, int] = field(default_factory=dict)
@@ -64,7 +75,7 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": self.seq,
-            "born": 1,
+            "born": self.born_ms,
             "models": self.models() if self.model else [],
         }
 
@@ -128,6 +139,20 @@
             last_order_at[holder], highest_token, previous = at, order["fence"], holder
         return False
 
+    def restart(self) -> None:
+        """Lose all adapters and become another incarnation."""
+        with self.lock:
+            self.adapters.clear()
+            self.coming.clear()
+            self.seq = 0
+            self.born_ms += 1
+
+    def is_deadly(self, prompt: str) -> bool:
+        """Return whether a prompt, as ``ID:TOKENS`` pairs, crashes the server."""
+        return any(
+            part.partition(":")[0] in self.deadly_parts for part in prompt.split(",")
+        )
+
     def read_prompt(self, tokens: int) -> None:
         """Take the time that a prompt needs before its first event."""
         if not self.prompt_token_s:
@@ -152,12 +177,49 @@
     """Server whose handlers share the runner."""
 
     daemon_threads = True
+    allow_reuse_address = True
     runner: PlatformRunner
 
+    def __init__(self, address: tuple[str, int], runner: PlatformRunner) -> None:
+        self.runner = runner
+        self._connections: set[socket.socket] = set()
+        super().__init__(address, _Handler)
+
+    def start(self) -> None:
+        """Serve in a thread."""
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Remember the connection, so that a crash can close it."""
+        self._connections.add(request)
+        super().process_request(request, client_address)
+
+    def crash(self) -> None:
+        """Close all connections and the listening socket; restart later."""
+        with self.runner.lock:
+            self.runner.crashes += 1
+        host, port = self.server_address[0], self.server_address[1]
+        self.socket.close()
+        for conn in list(self._connections):
+            with contextlib.suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+        restart = threading.Timer(
+            self.runner.restart_s, _restart, (self.runner, (str(host), port))
+        )
+        restart.daemon = True
+        restart.start()
+
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Ignore connections that a fault closed."""
 
 
+def _restart(runner: PlatformRunner, address: tuple[str, int]) -> None:
+    """Serve a crashed runner again at its address."""
+    runner.restart()
+    _Server(address, runner).start()
+    runner.on_restart()
+
+
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     server: _Server
@@ -239,6 +301,10 @@
             "X-Gooseberryrun-Request-Id", self.headers["X-Gooseberryrun-Request-Id"]
         )
         self.end_headers()
+        if self.runner.is_deadly(self.headers.get("X-Gooseberryrun-Prompt-Prefix", "")):
+            self.server.crash()
+            self.close_connection = True
+            return
         try:
             self._send_events(first, fault)
         except OSError:
@@ -298,7 +364,6 @@
 
 def serve_runner(runner: PlatformRunner) -> ThreadingHTTPServer:
     """Serve a backend server on a free port of the loopback address."""
-    server = _Server(("127.0.0.1", 0), _Handler)
-    server.runner = runner
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    server = _Server(("127.0.0.1", 0), runner)
+    server.start()
     return server
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -11,6 +11,7 @@
 import sys
 import time
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -224,9 +225,8 @@
         for runner in [*self.models, *self.plain]:
             server = serve_runner(runner)
             self.addresses[runner.id] = f"127.0.0.1:{server.server_address[1]}"
-            self.store.put(
-                "keyed.servers", runner.id, runner.entry(self.addresses[runner.id])
-            )
+            runner.on_restart = partial(self.register, runner)
+            self.register(runner)
         if configured:
             self.store.put("keyed.op", "config", make_config())
         port = self._store_server.server_address[1]
@@ -235,6 +235,11 @@
             for vm in self.vms:
                 wait_for(vm.is_ready, f"{vm.name} ready")
 
+    def register(self, runner: PlatformRunner) -> None:
+        """Write the registry entry of a server."""
+        entry = runner.entry(self.addresses[runner.id])
+        self.store.put("keyed.servers", runner.id, entry)
+
     def close(self) -> None:
         """Kill the entry VM processes and stop the store."""
         for vm in self.vms:
