--- a/fakes/src/gooseberry_fakes/measure/growth.py
+++ b/fakes/src/gooseberry_fakes/measure/growth.py
@@ -89,5 +89,5 @@
 
 def _make_gossip_round() -> Callable[[], object]:
     """Return a function that encodes and decodes one gossip message."""
-    gossip = ServingGossip("vm-1", True, {}, _make_views(0), [], [])
+    gossip = ServingGossip("vm-1", True, {}, _make_views(0), [])
     return lambda: decode_message(*encode_message(gossip))
--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -199,6 +199,8 @@
         with self.runner.lock:
             self.runner.crashes += 1
         host, port = self.server_address[0], self.server_address[1]
+        # A thread that polls the socket would keep it open.
+        self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
         for conn in list(self._connections):
             with contextlib.suppress(OSError):
--- a/fakes/src/gooseberry_fakes/platform_store.py
+++ b/fakes/src/gooseberry_fakes/platform_store.py
@@ -25,13 +25,15 @@
 class PlatformStore:
     """Records and group members; requests of ``refused`` members get 503.
 
-    ``snapshot_delays_s`` delays the reads of a topic's newest records.
+    ``snapshot_delays_s`` delays the reads of a topic's newest records, those of
+    ``unreadable_topics`` get 503.
     """
 
     topics: dict[str, list[tuple[str, bytes]]] = field(default_factory=dict)
     members: dict[str, _Member] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
     snapshot_delays_s: dict[str, float] = field(default_factory=dict)
+    unreadable_topics: set[str] = field(default_factory=set)
     is_down: bool = False
     generation: int = 0
     changed: threading.Condition = field(default_factory=threading.Condition)
@@ -39,6 +41,10 @@
     def put(self, topic: str, key: str, value: Any) -> None:
         """Append a record; the value None marks the key as removed."""
         data = b"" if value is None else json.dumps(value).encode()
+        self.append(topic, key, data)
+
+    def append(self, topic: str, key: str, data: bytes) -> None:
+        """Append a record of bytes; an empty one marks the key as removed."""
         with self.changed:
             self.topics.setdefault(topic, []).append((key, data))
             self.changed.notify_all()
@@ -138,12 +144,31 @@
 
     def do_POST(self) -> None:  # noqa: N802
         length = int(self.headers.get("Content-Length") or 0)
-        self._handle(json.loads(self.rfile.read(length) or b"{}"))
+        data = self.rfile.read(length)
+        if self.path.startswith("/v1/log-append?"):
+            self._append(data)
+            return
+        self._handle(json.loads(data or b"{}"))
+
+    def _append(self, data: bytes) -> None:
+        """Append keyed records, each with its length before it."""
+        if self.store.is_down:
+            self._send(503, b"")
+            return
+        topic = dict(parse_qsl(urlsplit(self.path).query))["topic"]
+        while data:
+            (length,) = struct.unpack_from(">I", data)
+            content, data = data[4 : 4 + length], data[4 + length :]
+            key_end = 1 + content[0]
+            self.store.append(topic, content[1:key_end].decode(), content[key_end:])
+        self._send(200, b"{}")
 
     def _handle(self, body: dict[str, Any]) -> None:
         url = urlsplit(self.path)
         query = dict(parse_qsl(url.query))
-        if self.store.is_down or body.get("member") in self.store.refused:
+        is_refused = body.get("member") in self.store.refused
+        is_unreadable = query.get("topic") in self.store.unreadable_topics
+        if self.store.is_down or is_refused or is_unreadable:
             self._send(503, b"")
             return
         if url.path == "/v1/log-read":
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -34,6 +34,9 @@
 ORDER_SECONDS = Histogram(
     PREFIX + "order_seconds", "Time until an order was answered", buckets=_SECONDS
 )
+CRASH_REPORTS = Counter(
+    PREFIX + "crash_reports", "Crashes blamed on a trait of requests", ["kind"]
+)
 STORE_CALLS = Counter(
     PREFIX + "store_calls", "Calls to the operators' store", ["call", "outcome"]
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -8,6 +8,7 @@
     PrefillLoad,
     RunnerView,
     Topic,
+    Trait,
     View,
 )
 
@@ -124,17 +125,42 @@
 
 
 class CrashReport(Message, frozen=True, array_like=True):
-    """A runner crashed while serving a request; ``content`` is the request's hash."""
+    """A runner crashed ``age_s`` ago before it answered requests with these traits.
+
+    ``is_begun`` is set if it had started the response of such a request.
+    """
 
-    content: str
     runner: str
     born_ms: int
+    traits: list[Trait]
+    age_s: float
+    is_begun: bool
+
+
+class AnswerReport(Message, frozen=True, array_like=True):
+    """A runner began to answer requests with these traits ``age_s`` ago."""
+
+    traits: list[Trait]
+    age_s: float
+
+
+class EvidenceNotice(Message, frozen=True, array_like=True):
+    """Crashes of runners, and answers that speak against what these are blamed on."""
+
+    crashes: list[CrashReport]
+    answers: list[AnswerReport]
+
+
+class EvidenceRequest(Message, frozen=True, array_like=True):
+    """Request to a peer for an EvidenceNotice with all that it knows."""
 
 
 class ServingGossip(Message, frozen=True, array_like=True):
     """Status and load figures that an entry VM sends to others at intervals.
 
     ``can_reach_store`` is set if its last membership renewal succeeded.
+    ``evidence_digest`` differs between VMs that blame crashes on different traits; it
+    is 0 if there are none.
     """
 
     vm: str
@@ -142,7 +168,7 @@
     ends: dict[Topic, int]
     views: dict[str, RunnerView]
     residency: list[ResidencyNotice]
-    crashes: list[CrashReport]
+    evidence_digest: int = 0
 
 
 class DirectoryRequest(Message, frozen=True, array_like=True):
@@ -190,4 +216,6 @@
     | DirectoryNotice
     | DirectoryRequest
     | DirectoryReply
+    | EvidenceNotice
+    | EvidenceRequest
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -8,7 +8,15 @@
 
 import xxhash
 
-from gooseberryrun._internal.state.serving import Route, StreamTiming, adapter_key
+from gooseberryrun._internal.state.serving import (
+    MAX_PARTS,
+    Route,
+    StreamTiming,
+    Trait,
+    TraitKind,
+    Verdict,
+    adapter_key,
+)
 
 from ._ports import Caller, InboundRequest, RequestMetadata
 
@@ -21,7 +29,10 @@
     may have started the request and has not proved otherwise. ``missing_on`` is the
     runner that last responded that it lacks the adapter. ``has_grant`` is set while the
     owner of a runner counts the prompt as being read there; ``ungranted`` are runners
-    whose owner let it wait in vain.
+    whose owner let it wait in vain. ``traits`` are what it shares with other requests
+    and might crash runners, ``verdict`` what was last made of them. ``is_begun`` and
+    ``answered_at`` are of the present attempt: whether its response has started, and
+    the time of its first event.
     """
 
     request: InboundRequest
@@ -40,18 +51,22 @@
     ungranted: set[str] = field(default_factory=set)
     has_grant: bool = False
     timing: StreamTiming = field(default_factory=StreamTiming)
+    traits: tuple[Trait, ...] = ()
+    verdict: Verdict | None = None
+    is_begun: bool = False
+    answered_at: float | None = None
+    is_answer_recorded: bool = False
 
     @property
     def adapter_key(self) -> str:
         """Return the key of the request's model and adapter."""
         return adapter_key(self.metadata.model, self.metadata.adapter)
 
-    @property
-    def content_hash(self) -> str:
-        """Return a hash of the request's method, target, model and body."""
-        text = f"{self.request.method} {self.request.target}\n"
-        text += f"{self.metadata.model}/{self.metadata.adapter}\n"
-        return xxhash.xxh3_128_hexdigest(text.encode() + self.request.body)
+    def begin_attempt(self) -> None:
+        """Reset what is known of the response of the previous attempt."""
+        self.is_begun = False
+        self.answered_at = None
+        self.is_answer_recorded = False
 
     @property
     def may_retry(self) -> bool:
@@ -61,6 +76,29 @@
         return self.route.is_idempotent and self.attempts < self.route.max_attempts
 
 
+def request_traits(
+    request: InboundRequest, metadata: RequestMetadata, adapter_version: int
+) -> tuple[Trait, ...]:
+    """Return the traits of a request: its content, its adapter and its shared parts.
+
+    The last part of a prompt belongs to the request or its session alone.
+    """
+    traits = [Trait(TraitKind.CONTENT, _content_hash(request, metadata))]
+    if metadata.adapter:
+        key = adapter_key(metadata.model, metadata.adapter)
+        traits.append(Trait(TraitKind.ADAPTER, f"{key}@{adapter_version}"))
+    shared = metadata.prompt[:-1][:MAX_PARTS]
+    traits += [Trait(TraitKind.PART, part.id) for part in shared]
+    return tuple(traits)
+
+
+def _content_hash(request: InboundRequest, metadata: RequestMetadata) -> str:
+    """Return a hash of a request's method, target, model and body."""
+    text = f"{request.method} {request.target}\n"
+    text += f"{metadata.model}/{metadata.adapter}\n"
+    return xxhash.xxh3_128_hexdigest(text.encode() + request.body)
+
+
 class Round(Enum):
     """Result of a round that ended without a local response."""
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -7,10 +7,9 @@
 from gooseberryrun._internal.state.serving import Runner, ServiceRetryBudget
 
 from .._events import log_event
-from .._serving_messages import CrashReport
-from .._tasks import spawn
 from ._active_request import ActiveRequest
 from ._context import Context
+from ._crash_guard import CrashGuard
 from ._ports import (
     AttemptFailure,
     AttemptFault,
@@ -24,13 +23,16 @@
 """Time for which an unreachable runner gets no new requests."""
 FULL_PAUSE_S = 0.15
 """Time for which a runner that declined a request gets no new ones."""
+SETTLED_S = 0.15
+"""Time from the first event after which a crash is not blamed on its request."""
 
 
 class Attempts:
     """Sends requests to runners, within the retry budget of each service."""
 
-    def __init__(self, ctx: Context) -> None:
+    def __init__(self, ctx: Context, guard: CrashGuard) -> None:
         self._ctx = ctx
+        self._guard = guard
         self._budgets: dict[str, ServiceRetryBudget] = {}
 
     def count_request(self, service: str) -> None:
@@ -73,6 +75,7 @@
     ) -> Result[RunnerResponse, AttemptFault]:
         """Send the request once; a "not run" response is returned as well."""
         active.tried.add(runner.id)
+        active.begin_attempt()
         outbound = self._outbound(active, forwarding)
         requested_at = self._ctx.clock.monotonic()
         sent = self._ctx.ports.requests.send(runner, outbound, deadline)
@@ -118,6 +121,7 @@
             return
         active.may_have_run = True
         active.attempts += 1
+        active.is_begun = True
 
     def record_fault(
         self, active: ActiveRequest, runner: Runner, fault: AttemptFault
@@ -132,7 +136,7 @@
         active.attempts += 1
         active.may_have_run = True
         if fault.failure is AttemptFailure.SENT:
-            spawn("crash_check", lambda: self._check_crash(active, runner))
+            self._check_crash(active, runner)
 
     def record_invalid_response(
         self, active: ActiveRequest, runner: Runner, fault: AttemptFault
@@ -148,34 +152,45 @@
             why=fault.detail,
         )
         if fault.failure is AttemptFailure.SENT:
-            spawn("crash_check", lambda: self._check_crash(active, runner))
+            self._check_crash(active, runner)
 
-    def record_success(self, runner: Runner) -> None:
+    def record_success(self, active: ActiveRequest, runner: Runner) -> None:
         """Record a complete response."""
         now = self._ctx.clock.monotonic()
         self._ctx.loads.record_result(runner.id, ok=True, now=now)
+        self.record_answer(active)
+
+    def record_answer(self, active: ActiveRequest) -> None:
+        """Record that a runner has answered and lives on."""
+        if not active.is_answer_recorded:
+            answered_at = active.answered_at or self._ctx.clock.monotonic()
+            self._guard.record_answer(active, answered_at)
+
+    def record_events(self, active: ActiveRequest) -> None:
+        """Record that events of a stream have arrived."""
+        now = self._ctx.clock.monotonic()
+        if active.answered_at is None:
+            active.answered_at = now
+        elif now - active.answered_at >= SETTLED_S:
+            self.record_answer(active)
 
     def _check_crash(self, active: ActiveRequest, runner: Runner) -> None:
-        """Count a crash against a request if its runner refuses connections."""
-        content_hash = active.content_hash
+        """Blame a crash on a request that the runner had not begun to answer."""
         if not self._ctx.ports.requests.refuses_connections(runner):
             return
         now = self._ctx.clock.monotonic()
         self._ctx.loads.mark_down(runner.id, now + UNREACHABLE_PAUSE_S)
-        report = CrashReport(content_hash, runner.id, runner.born_ms)
-        self._ctx.record_crash(report)
-        count = self._ctx.suspects.crash_count(content_hash, now)
-        log_event(
-            "crash_seen",
-            request=active.metadata.request_id,
-            runner=runner.id,
-            born_ms=runner.born_ms,
-            content=content_hash,
-            adapter=active.metadata.adapter,
-            parts=",".join(part.id for part in active.metadata.prompt),
-            is_answered=active.timing.first_at is not None,
-            crashes=count,
-        )
+        answered_at = active.answered_at
+        is_answered = answered_at is not None and now - answered_at >= SETTLED_S
+        if not is_answered and self._is_expected_to_run(runner):
+            self._guard.record_crash(active, runner, now)
+
+    def _is_expected_to_run(self, runner: Runner) -> bool:
+        """Return whether a runner had no reason to end but a crash."""
+        known = self._ctx.directory.runner(runner.id)
+        if known is None or known.born_ms != runner.born_ms:
+            return False
+        return not known.draining
 
 
 def _describe(sent: Result[RunnerResponse, AttemptFault]) -> str:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -7,11 +7,12 @@
 from gooseberryrun._internal.state import (
     Clock,
     ServingSettings,
-    SuspectState,
     Vm,
     VmKind,
 )
 from gooseberryrun._internal.state.serving import (
+    Crash,
+    CrashEvidence,
     DirectoryState,
     Member,
     OwnershipState,
@@ -25,15 +26,11 @@
 )
 
 from .._ports import Peers
-from .._serving_messages import CrashReport, ResidencyNotice
+from .._serving_messages import ResidencyNotice
 from ._ports import Ports
 
-CRASHES_TO_REFUSE = 3
-"""Runner crashes after which requests with the same content are refused."""
 STORE_STATUS_TTL_S = 1.3
 """Age up to which a member's store status is used: two rounds of gossip."""
-SUSPECT_TTL_S = 120.0
-"""Time for which a crash is counted against a request's content."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +53,7 @@
     directory: DirectoryState
     ownership: OwnershipState
     loads: RunnerLoads
-    suspects: SuspectState
+    evidence: CrashEvidence
     policy: ServingPolicy = ServingPolicy()
     can_reach_store: bool = True
     is_new: bool = True
@@ -66,7 +63,6 @@
     covered_domains: dict[str, OwnershipState] = field(default_factory=dict)
     residency_received_at: dict[str, float] = field(default_factory=dict)
     recent_adapters: dict[str, RecentAdapters] = field(default_factory=dict)
-    crashes: list[tuple[float, CrashReport]] = field(default_factory=list)
 
     @property
     def vm(self) -> str:
@@ -209,28 +205,26 @@
         memory = self.recent_adapters.setdefault(notice.runner, RecentAdapters())
         memory.record(notice.born_ms, notice.held)
 
-    def record_crash(self, report: CrashReport) -> None:
-        """Count a crash against a request's content, once per runner incarnation."""
-        now = self.clock.monotonic()
-        incarnation = str(report.born_ms)
-        content = [report.content]
-        if self.suspects.record_crash(report.runner, incarnation, content, now):
-            self.crashes.append((now, report))
-
 
 def make_context(
     cfg: ServingSettings, clock: Clock, ports: Ports, peers: Peers
 ) -> Context:
     """Return the initial context of a process."""
+    directory = DirectoryState()
+
+    def has_returned(crash: Crash) -> bool:
+        runner = directory.runner(crash.runner)
+        return runner is None or runner.born_ms > crash.born_ms
+
     return Context(
         cfg,
         clock,
         ports,
         peers,
-        DirectoryState(),
+        directory,
         OwnershipState(
             cfg.vm.id, cfg.vm.domain, cfg.membership, clock.boottime(), cfg.vm.domain
         ),
         RunnerLoads(),
-        SuspectState(CRASHES_TO_REFUSE, SUSPECT_TTL_S),
+        CrashEvidence(has_returned),
     )
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
@@ -0,0 +1,311 @@
+"""Keeps requests that crash runners away from them, whichever VM they come to."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+import eventlet
+from result import Err
+
+from gooseberryrun._internal.state.serving import (
+    RECENT_ANSWER_S,
+    Crash,
+    Handling,
+    Runner,
+    StoredCrash,
+    Suspicion,
+    Trait,
+    Verdict,
+)
+
+from .._events import log_event
+from .._metrics import CRASH_REPORTS, STORE_CALLS
+from .._ports import InboundMessage
+from .._serving_messages import (
+    AnswerReport,
+    CrashReport,
+    EvidenceNotice,
+    EvidenceRequest,
+)
+from .._tasks import spawn, spawn_until_done
+from ._active_request import ActiveRequest, LocalResponse
+from ._context import Context
+from ._responses import failure_response
+
+FANOUT = 8
+"""Peers that a VM tells at once; each passes on what is new to it."""
+MIN_CRASHES_TO_KEEP = 2
+"""Crashes of a trait from which on the store keeps them."""
+START_RETRY_S = 0.3
+START_LIMIT_S = 3.0
+"""Longest time for which a new VM waits for what others know before it is ready."""
+PEER_TIMEOUT_S = 0.5
+MAX_TRAITS_SENT = 256
+"""Traits in one message; those with the most crashes go first."""
+KEEP_TRIES = 3
+"""Attempts to write to the store; others and the next crash may write again."""
+KEEP_RETRY_S = 1.0
+
+
+def suspect_response(
+    active: ActiveRequest, verdict: Verdict, now: float
+) -> LocalResponse:
+    """Return the response to a request that may not go to a runner now."""
+    is_refused = verdict.handling is Handling.REFUSED
+    reason = "crashes_runners" if is_refused else "suspected_of_crash"
+    return failure_response(active, reason, max(0.1, verdict.retry_at - now))
+
+
+class CrashGuard:
+    """Records crashes and answers, and shares them with the other VMs and the store."""
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        self._evidence = ctx.evidence
+        self._compared: dict[str, tuple[int, int]] = {}
+        self.is_informed = False
+
+    def start(self) -> None:
+        """Learn in a green thread what is known already."""
+        spawn_until_done("crash_evidence", self._learn)
+
+    def judge(self, active: ActiveRequest, now: float) -> Verdict:
+        """Return how a request is handled because of what it may do to runners."""
+        verdict = self._evidence.verdict(active.traits, now)
+        is_new = active.verdict is None or verdict != active.verdict
+        active.verdict = verdict
+        if verdict.trait is not None and is_new:
+            log_event(
+                "request_suspected",
+                request=active.metadata.request_id,
+                kind=verdict.trait.kind,
+                trait=verdict.trait.key,
+                crashes=verdict.crashes,
+                handling=verdict.handling.name.lower(),
+                retry_in_s=max(0.0, verdict.retry_at - now),
+            )
+        return verdict
+
+    def record_crash(self, active: ActiveRequest, runner: Runner, now: float) -> None:
+        """Blame a crash on the traits of a request, and tell others."""
+        crash = Crash(runner.id, runner.born_ms, now, active.is_begun)
+        log_event(
+            "crash_seen",
+            request=active.metadata.request_id,
+            runner=runner.id,
+            born_ms=runner.born_ms,
+            is_begun=active.is_begun,
+            traits=",".join(f"{trait.kind}:{trait.key}" for trait in active.traits),
+        )
+        fresh = self._add_crash(active.traits, crash, self._ctx.vm)
+        if not fresh:
+            return
+        self._spread(EvidenceNotice([self._report(fresh, crash)], []))
+        self._keep(fresh)
+
+    def record_answer(self, active: ActiveRequest, answered_at: float) -> None:
+        """Clear the traits of a request that a living runner began to answer."""
+        active.is_answer_recorded = True
+        kept = self._worth_keeping(active.traits)
+        cleared = self._clear(active.traits, answered_at, self._ctx.vm)
+        if not cleared:
+            return
+        self._spread(EvidenceNotice([], [self._answer(cleared, answered_at)]))
+        withdrawn = [Suspicion(trait) for trait in cleared if trait in kept]
+        if withdrawn:
+            spawn("crash_evidence_keep", lambda: self._write(withdrawn))
+
+    def _add_crash(
+        self, traits: Iterable[Trait], crash: Crash, source: str
+    ) -> list[Trait]:
+        """Record a crash; log and return the traits for which it is new."""
+        fresh = self._evidence.record_crash(traits, crash)
+        for trait in fresh:
+            crashes = self._evidence.crash_count(trait)
+            if not crashes:
+                continue
+            CRASH_REPORTS.labels(kind=trait.kind).inc()
+            log_event(
+                "trait_suspected",
+                kind=trait.kind,
+                trait=trait.key,
+                runner=crash.runner,
+                crashes=crashes,
+                age_s=self._ctx.clock.monotonic() - crash.at,
+                source=source,
+            )
+        return fresh
+
+    def _clear(
+        self, traits: Iterable[Trait], answered_at: float, source: str
+    ) -> list[Trait]:
+        """Record an answer; log and return the traits that it clears."""
+        cleared = self._evidence.record_answer(traits, answered_at)
+        for trait in cleared:
+            age_s = self._ctx.clock.monotonic() - answered_at
+            log_event(
+                "trait_cleared",
+                kind=trait.kind,
+                trait=trait.key,
+                age_s=age_s,
+                source=source,
+            )
+        return cleared
+
+    def _report(self, traits: list[Trait], crash: Crash) -> CrashReport:
+        age_s = self._ctx.clock.monotonic() - crash.at
+        return CrashReport(crash.runner, crash.born_ms, traits, age_s, crash.is_begun)
+
+    def _answer(self, traits: list[Trait], answered_at: float) -> AnswerReport:
+        return AnswerReport(traits, self._ctx.clock.monotonic() - answered_at)
+
+    def _spread(self, notice: EvidenceNotice) -> None:
+        """Tell random peers, who pass on what is new to them."""
+        peers = self._ctx.peer_ids()
+        chosen = random.sample(peers, min(FANOUT, len(peers)))
+        self._ctx.peers.send_to_all(chosen, notice)
+
+    def handle_evidence_notice(self, sender: str, notice: EvidenceNotice) -> None:
+        """Record what a peer reports; pass on what is new here."""
+        fresh = self._apply(sender, notice)
+        if fresh.crashes or fresh.answers:
+            self._spread(fresh)
+
+    def _apply(self, source: str, notice: EvidenceNotice) -> EvidenceNotice:
+        """Record a notice; return what is new, and answers that contradict it."""
+        now = self._ctx.clock.monotonic()
+        crashes: list[CrashReport] = []
+        answers: list[AnswerReport] = []
+        for report in notice.crashes:
+            crash = Crash(
+                report.runner, report.born_ms, now - report.age_s, report.is_begun
+            )
+            fresh = self._add_crash(report.traits, crash, source)
+            if fresh:
+                crashes.append(self._report(fresh, crash))
+                answers += self._recent_answers(fresh, now)
+        for answer in notice.answers:
+            answered_at = now - answer.age_s
+            cleared = self._clear(answer.traits, answered_at, source)
+            if cleared:
+                answers.append(self._answer(cleared, answered_at))
+        return EvidenceNotice(crashes, answers)
+
+    def _recent_answers(self, traits: list[Trait], now: float) -> list[AnswerReport]:
+        """Return the answers that this VM knows and that speak for these traits."""
+        known = [(trait, self._evidence.answered_at(trait)) for trait in traits]
+        return [
+            AnswerReport([trait], now - at)
+            for trait, at in known
+            if now - at < RECENT_ANSWER_S
+        ]
+
+    def handle_evidence_request(
+        self, inbound: InboundMessage, _request: EvidenceRequest
+    ) -> None:
+        """Reply with all suspicions of this VM."""
+        inbound.reply(self._all())
+
+    def _all(self) -> EvidenceNotice:
+        suspected = self._evidence.suspected()
+        ranked = sorted(suspected, key=lambda trait: -len(suspected[trait]))
+        crashes = [
+            self._report([trait], crash)
+            for trait in ranked[:MAX_TRAITS_SENT]
+            for crash in suspected[trait]
+        ]
+        return EvidenceNotice(crashes, [])
+
+    def compare(self, peer: str, digest: int) -> None:
+        """Fetch the suspicions of a peer that has others than this VM."""
+        own = self._evidence.digest()
+        if not digest or digest == own or self._compared.get(peer) == (digest, own):
+            return
+        self._compared[peer] = (digest, own)
+
+        def fetch() -> None:
+            self._fetch(peer)
+
+        spawn("crash_evidence_fetch", fetch)
+
+    def _fetch(self, peer: str) -> bool:
+        """Fetch a peer's suspicions; return whether it replied."""
+        deadline = self._ctx.clock.monotonic() + PEER_TIMEOUT_S
+        reply = self._ctx.peers.request_from(peer, EvidenceRequest(), deadline)
+        if isinstance(reply, Err):
+            log_event("peer_evidence_failed", peer=peer, why=reply.err_value.detail)
+            return False
+        if isinstance(reply.ok_value, EvidenceNotice):
+            self.handle_evidence_notice(peer, reply.ok_value)
+        return True
+
+    def _learn(self) -> None:
+        """Read what is known from the store, or from peers while it is away."""
+        started_at = self._ctx.clock.monotonic()
+        while not self._read():
+            peers = self._ctx.peer_ids()
+            if peers and self._fetch(random.choice(peers)):
+                self.is_informed = True
+            waited_s = self._ctx.clock.monotonic() - started_at
+            if waited_s >= START_LIMIT_S and not self.is_informed:
+                log_event("crash_evidence_unknown", level="warning", waited_s=waited_s)
+                self.is_informed = True
+            eventlet.sleep(START_RETRY_S)
+        self.is_informed = True
+
+    def _read(self) -> bool:
+        """Read the kept suspicions; return whether the store answered."""
+        read = self._ctx.ports.store.read_suspicions()
+        outcome = read.err_value.kind if isinstance(read, Err) else "ok"
+        STORE_CALLS.labels(call="read_suspicions", outcome=outcome).inc()
+        if isinstance(read, Err):
+            return False
+        now, unix_now = self._ctx.clock.monotonic(), self._ctx.clock.unix()
+        for suspicion in read.ok_value:
+            for stored in suspicion.crashes:
+                at = now - max(0.0, unix_now - stored.unix_s)
+                crash = Crash(stored.runner, stored.born_ms, at, stored.is_begun)
+                self._add_crash([suspicion.trait], crash, "store")
+        self._drop_expired([suspicion.trait for suspicion in read.ok_value], now)
+        return True
+
+    def _drop_expired(self, traits: list[Trait], now: float) -> None:
+        """Remove the kept suspicions that no longer count."""
+        self._evidence.expire(now)
+        expired = [t for t in traits if not self._evidence.crash_count(t)]
+        if expired:
+            log_event("suspicions_expired", traits=len(expired))
+            self._write([Suspicion(trait) for trait in expired])
+
+    def _worth_keeping(self, traits: Iterable[Trait]) -> set[Trait]:
+        return {
+            trait
+            for trait in traits
+            if self._evidence.crash_count(trait) >= MIN_CRASHES_TO_KEEP
+        }
+
+    def _keep(self, traits: list[Trait]) -> None:
+        """Write the traits with several crashes to the store in a green thread."""
+        kept = self._worth_keeping(traits)
+        if kept:
+            suspicions = [self._suspicion(trait) for trait in sorted(kept, key=str)]
+            spawn("crash_evidence_keep", lambda: self._write(suspicions))
+
+    def _suspicion(self, trait: Trait) -> Suspicion:
+        now, unix_now = self._ctx.clock.monotonic(), self._ctx.clock.unix()
+        crashes = tuple(
+            StoredCrash(c.runner, c.born_ms, unix_now - (now - c.at), c.is_begun)
+            for c in self._evidence.suspected()[trait]
+        )
+        return Suspicion(trait, crashes)
+
+    def _write(self, suspicions: list[Suspicion]) -> None:
+        for _ in range(KEEP_TRIES):
+            written = self._ctx.ports.store.write_suspicions(suspicions)
+            outcome = written.err_value.kind if isinstance(written, Err) else "ok"
+            STORE_CALLS.labels(call="write_suspicions", outcome=outcome).inc()
+            log_event("suspicions_kept", traits=len(suspicions), outcome=outcome)
+            if not isinstance(written, Err):
+                return
+            eventlet.sleep(KEEP_RETRY_S)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -4,13 +4,14 @@
 
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import Route, RouteTable
+from gooseberryrun._internal.state.serving import Handling, Route, RouteTable
 
 from .._events import bind_request, log_event
 from .._metrics import REFUSALS
-from ._active_request import ActiveRequest, LocalResponse
+from ._active_request import ActiveRequest, LocalResponse, request_traits
 from ._attempts import Attempts
 from ._context import Context
+from ._crash_guard import CrashGuard, suspect_response
 from ._model_requests import ModelRequests
 from ._plain_requests import PlainRequests
 from ._ports import (
@@ -20,7 +21,7 @@
     RequestHandler,
     RequestMetadata,
 )
-from ._responses import ResponseWriter, failure_response
+from ._responses import ResponseWriter
 
 NOT_READY_RETRY_S = 0.5
 """Retry delay sent by a VM that has no configuration yet."""
@@ -32,12 +33,14 @@
     def __init__(
         self,
         ctx: Context,
+        guard: CrashGuard,
         attempts: Attempts,
         responses: ResponseWriter,
         plain: PlainRequests,
         models: ModelRequests,
     ) -> None:
         self._ctx = ctx
+        self._guard = guard
         self._attempts = attempts
         self._responses = responses
         self._plain = plain
@@ -76,6 +79,7 @@
         route: Route,
     ) -> ActiveRequest:
         wait_s = min(metadata.wait_s, route.timeout_s)
+        version = self._ctx.directory.version_of(metadata.model, metadata.adapter)
         return ActiveRequest(
             request,
             metadata,
@@ -83,15 +87,15 @@
             route,
             route.pick_service(metadata.request_id),
             request.read_at + wait_s,
+            traits=request_traits(request, metadata, version),
         )
 
     def _serve(self, active: ActiveRequest) -> None:
         self._attempts.count_request(active.service)
         now = self._ctx.clock.monotonic()
-        if self._ctx.suspects.is_refused(active.content_hash, now):
-            self._responses.send_local(
-                active, failure_response(active, "crashes_runners")
-            )
+        verdict = self._guard.judge(active, now)
+        if verdict.handling is Handling.REFUSED:
+            self._responses.send_local(active, suspect_response(active, verdict, now))
             return
         try:
             if active.metadata.model:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -21,12 +21,10 @@
 """Rounds between two repetitions of the owned runners' residency."""
 CONTACT_ROUNDS = 40
 """Rounds after which the contacts in other failure domains are chosen anew."""
-CRASH_GOSSIP_S = 5.0
-"""Time for which a crash is included in gossip."""
 
 
 class Gossip:
-    """Sends this VM's offsets, load figures and crash reports to random peers."""
+    """Sends this VM's offsets and load figures to random peers."""
 
     def __init__(
         self,
@@ -82,14 +80,13 @@
     def _make_gossip(self) -> ServingGossip:
         ctx = self._ctx
         now = ctx.clock.monotonic()
-        ctx.crashes = [item for item in ctx.crashes if now - item[0] < CRASH_GOSSIP_S]
         return ServingGossip(
             vm=ctx.vm,
             can_reach_store=ctx.can_reach_store,
             ends=dict(ctx.directory.ends),
             views=ctx.loads.own_views(now),
             residency=self._residency(),
-            crashes=[report for _, report in ctx.crashes],
+            evidence_digest=ctx.evidence.digest(),
         )
 
     def _residency(self) -> list[ResidencyNotice]:
@@ -106,5 +103,3 @@
             runner = ctx.directory.runner(notice.runner)
             if runner is None or ctx.follows(runner):
                 self._handle_residency_notice(gossip.vm, notice)
-        for report in gossip.crashes:
-            ctx.record_crash(report)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -6,7 +6,7 @@
 
 from result import Err
 
-from gooseberryrun._internal.state.serving import Choice, Runner
+from gooseberryrun._internal.state.serving import Choice, Handling, Runner, Verdict
 
 from .._events import log_event
 from .._metrics import LOAD_STALL
@@ -14,6 +14,7 @@
 from ._adapters import AdapterRequirement, Adapters
 from ._attempts import Attempts
 from ._context import Context
+from ._crash_guard import CrashGuard, suspect_response
 from ._event_stream import EventBuffer
 from ._load_tracker import LoadTracker
 from ._ports import AttemptFailure, AttemptFault, ForwardingMetadata, RunnerResponse
@@ -43,11 +44,13 @@
     def __init__(
         self,
         ctx: Context,
+        guard: CrashGuard,
         adapters: Adapters,
         attempts: Attempts,
         responses: ResponseWriter,
     ) -> None:
         self._ctx = ctx
+        self._guard = guard
         self._adapters = adapters
         self._attempts = attempts
         self._responses = responses
@@ -78,7 +81,10 @@
         now = self._ctx.clock.monotonic()
         if now >= active.deadline:
             return failure_response(active, "deadline")
-        choice = self._chooser.choose(active, now)
+        verdict = self._guard.judge(active, now)
+        if verdict.handling.value >= Handling.PAUSED.value:
+            return suspect_response(active, verdict, now)
+        choice = self._chooser.choose(active, now, verdict)
         if choice is None:
             return failure_response(active, "no_runner", BUSY_RETRY_S)
         if choice.expected_s > self._longest_wait_s(active, now):
@@ -86,7 +92,17 @@
             return failure_response(active, "overload", BUSY_RETRY_S)
         if self._needs_owner(choice) and not self._acquire(active, choice):
             return Round.AGAIN
-        return self._attempt(active, choice, progress)
+        return self._attempt(active, choice, progress, verdict)
+
+    def _may_send(self, active: ActiveRequest, chosen_by: Verdict) -> bool:
+        """Return whether a request may still go to a runner after a wait.
+
+        A crash elsewhere may have made it suspect since the runner was chosen.
+        """
+        verdict = self._guard.judge(active, self._ctx.clock.monotonic())
+        if verdict.handling is Handling.CONFINED:
+            return chosen_by.trait == verdict.trait
+        return verdict.handling is Handling.FREE
 
     @staticmethod
     def _needs_owner(choice: Choice) -> bool:
@@ -143,13 +159,19 @@
         return False
 
     def _attempt(
-        self, active: ActiveRequest, choice: Choice, progress: _StreamProgress
+        self,
+        active: ActiveRequest,
+        choice: Choice,
+        progress: _StreamProgress,
+        chosen_by: Verdict,
     ) -> LocalResponse | Round:
         runner = choice.candidate.runner
         tracker = LoadTracker(self._ctx, self._adapters, active, choice)
         adapter = active.adapter_key
         self._adapters.begin_use(runner, adapter)
         try:
+            if not self._may_send(active, chosen_by):
+                return Round.AGAIN
             if not self._attempts.withdraw_attempt(active):
                 return failure_response(active, "repeat_budget", BUSY_RETRY_S)
             return self._send(active, runner, progress, tracker)
@@ -280,6 +302,7 @@
             progress.is_started = True
             active.caller.start(response.status, end_to_end(response.headers))
         active.timing.record_event(self._ctx.clock.monotonic())
+        self._attempts.record_events(active)
         active.caller.send(events)
 
     def _finish(
@@ -289,7 +312,7 @@
         response: RunnerResponse,
         progress: _StreamProgress,
     ) -> None:
-        self._attempts.record_success(runner)
+        self._attempts.record_success(active, runner)
         self._chooser.stream_pace.record(active.timing, active.metadata.output_tokens)
         remainder = progress.events.remainder()
         if remainder or not progress.is_started:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -91,6 +91,7 @@
         self._ctx.loads.record_result(runner.id, ok=not is_failure, now=now)
         if is_failure and self._can_retry(active, now):
             return Round.AGAIN
+        self._attempts.record_answer(active)
         self._responses.relay(active, response, body.ok_value)
         return Round.DONE
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
@@ -14,6 +14,7 @@
     HeldModel,
     Member,
     Runner,
+    Suspicion,
     Topic,
 )
 
@@ -75,6 +76,14 @@
     def members(self, group: str) -> Result[list[Member], StoreFault]:
         """Read the members of a group."""
 
+    @abstractmethod
+    def read_suspicions(self) -> Result[list[Suspicion], StoreFault]:
+        """Read the traits of requests that are suspected of crashing runners."""
+
+    @abstractmethod
+    def write_suspicions(self, suspicions: list[Suspicion]) -> Result[None, StoreFault]:
+        """Keep suspicions beyond the life of VMs; remove those without crashes."""
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -6,8 +6,10 @@
 from gooseberryrun._internal.state.serving import (
     Candidate,
     Choice,
+    Handling,
     Runner,
     StreamPace,
+    Verdict,
     choose_model_runner,
 )
 
@@ -17,6 +19,8 @@
 
 HOME_RUNNERS = 2
 """Runners of an adapter's home domain that are candidates in all other domains."""
+SPARE_MARGIN = 3
+"""Requests by which a runner has to be the busiest to be spared suspect requests."""
 
 
 class RunnerChooser:
@@ -33,16 +37,44 @@
             active.metadata.model, active.metadata.adapter
         )
 
-    def choose(self, active: ActiveRequest, now: float) -> Choice | None:
+    def choose(
+        self, active: ActiveRequest, now: float, verdict: Verdict
+    ) -> Choice | None:
         """Return the best runner that was not tried yet, None if there is none."""
         adapter = active.adapter_key
+        eligible = self._eligible(active, adapter, now)
+        if verdict.handling is Handling.CONFINED:
+            confined_to = self.confined_runner(active, verdict, now)
+            eligible = [confined_to] if confined_to else []
         candidates = []
-        for runner in self._eligible(active, adapter, now):
+        for runner in eligible:
             if self._may_serve(active, runner, now):
                 candidates.append(self._candidate(active, runner, adapter, now))
         tokens = active.metadata.prompt_tokens
         return choose_model_runner(candidates, adapter, tokens, self._ctx.policy)
 
+    def confined_runner(
+        self, active: ActiveRequest, verdict: Verdict, now: float
+    ) -> Runner | None:
+        """Return the only runner that a suspect request may go to.
+
+        All VMs agree on it by a ranking, but for the busiest runner, which is spared.
+        """
+        loads = self._ctx.loads
+        runners = {
+            runner.id: runner
+            for runner in self._ctx.directory.runners(active.service, now)
+            if not loads.is_down(runner.id, now) and self._adapters.can_acquire(runner)
+        }
+        if not runners or verdict.trait is None:
+            return None
+        ranking = rank_nodes(verdict.trait.key, runners)
+        busy = {key: loads.total(key, now).in_flight for key in ranking}
+        most_elsewhere = max((busy[key] for key in ranking[1:]), default=0)
+        if len(ranking) > 1 and busy[ranking[0]] > most_elsewhere + SPARE_MARGIN:
+            return runners[ranking[1]]
+        return runners[ranking[0]]
+
     def _may_serve(self, active: ActiveRequest, runner: Runner, now: float) -> bool:
         """Return whether a runner has the model and may get the request now."""
         if runner.id in active.tried or runner.id in active.ungranted:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -11,6 +11,8 @@
     AcquireRequest,
     DirectoryNotice,
     DirectoryRequest,
+    EvidenceNotice,
+    EvidenceRequest,
     HandoverNotice,
     LeavingNotice,
     PrefillNotice,
@@ -23,6 +25,7 @@
 from ._adapters import Adapters
 from ._attempts import Attempts
 from ._context import Context
+from ._crash_guard import CrashGuard
 from ._follower import DirectoryFollower
 from ._gateway import Gateway
 from ._gossip import Gossip
@@ -43,7 +46,8 @@
         self.membership = Membership(ctx)
         self.remote_domains = RemoteDomains(ctx)
         self.owned_runners = OwnedRunners(ctx)
-        attempts = Attempts(ctx)
+        self.guard = CrashGuard(ctx)
+        attempts = Attempts(ctx, self.guard)
         responses = ResponseWriter(ctx)
         adapters = Adapters(ctx, self.owned_runners, self.membership)
         self._adapters = adapters
@@ -53,10 +57,11 @@
         self.owned_runners.residency_listener = adapters.handle_residency_notice
         self.gateway = Gateway(
             ctx,
+            self.guard,
             attempts,
             responses,
             PlainRequests(ctx, attempts, responses),
-            ModelRequests(ctx, adapters, attempts, responses),
+            ModelRequests(ctx, self.guard, adapters, attempts, responses),
         )
         self.membership.on_change = self.owned_runners.refresh
         self.follower.on_snapshot = self.owned_runners.refresh
@@ -72,10 +77,12 @@
         self.remote_domains.start()
         self.owned_runners.start()
         self._gossip.start()
+        self.guard.start()
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send this VM new connections."""
-        return not self.is_stopping and self.follower.is_ready()
+        is_informed = self.follower.is_ready() and self.guard.is_informed
+        return not self.is_stopping and is_informed
 
     def release(self) -> None:
         """Release all runners and leave all groups before a stop; idempotent."""
@@ -100,6 +107,8 @@
             AcquireRequest: self.owned_runners.handle_acquire_request,
             DirectoryNotice: _by_sender(self.follower.handle_directory_notice),
             DirectoryRequest: self.follower.handle_directory_request,
+            EvidenceNotice: _by_sender(self.guard.handle_evidence_notice),
+            EvidenceRequest: self.guard.handle_evidence_request,
             HandoverNotice: self._handle_handover_notice,
             LeavingNotice: lambda inbound, _: self.membership.handle_leaving_notice(
                 inbound.sender
@@ -128,6 +137,7 @@
 
     def _handle_gossip(self, inbound: InboundMessage, gossip: ServingGossip) -> None:
         self._gossip.receive(gossip)
+        self.guard.compare(inbound.sender, gossip.evidence_digest)
         self.follower.fetch_missing(inbound.sender, gossip.ends)
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -9,6 +9,19 @@
     Step,
 )
 from ._budget import ServiceRetryBudget
+from ._crash_evidence import (
+    CRASHES_TO_REFUSE,
+    MAX_PARTS,
+    RECENT_ANSWER_S,
+    Crash,
+    CrashEvidence,
+    Handling,
+    StoredCrash,
+    Suspicion,
+    Trait,
+    TraitKind,
+    Verdict,
+)
 from ._directory import AdapterVersion, DirectoryRecord, DirectoryState, Topic
 from ._distribution import (
     READERS_PER_DOMAIN,
@@ -48,6 +61,17 @@
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S, SlotWait
 
 __all__ = [
+    "CRASHES_TO_REFUSE",
+    "MAX_PARTS",
+    "RECENT_ANSWER_S",
+    "Crash",
+    "CrashEvidence",
+    "Handling",
+    "StoredCrash",
+    "Suspicion",
+    "Trait",
+    "TraitKind",
+    "Verdict",
     "DEFAULT_SLOT_WAIT_S",
     "EXPECTED_LOAD_S",
     "READERS_PER_DOMAIN",
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
@@ -0,0 +1,305 @@
+"""Which traits of requests crash the runners that serve them.
+
+Made for loads in which no two requests are alike and one trait that many of them share
+crashes each runner: a part of the prompt, an adapter's weights or the whole content. A
+trait is blamed for the crashes of runners that had not yet answered a request with it,
+and cleared as soon as an answer with it begins at a runner that lives on.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum, StrEnum
+
+import msgspec
+import xxhash
+
+CRASHES_TO_REFUSE = 3
+"""Crashes without an answer after which requests with a trait are refused."""
+BURST_S = 1.0
+"""Time within which several crashes blamed on a shared trait count as one, since
+runners may also crash together for a reason of their own."""
+RECENT_ANSWER_S = 60.0
+"""Age up to which an answer before the first crash speaks against blaming it."""
+RESTART_WAIT_S = 4.0
+"""Longest time for which a trait waits for the runner that it crashed to be back."""
+SUSPICION_TTL_S = 120.0
+"""Time after the last crash for which a trait that is not refused stays suspected."""
+MIN_REFUSAL_S = 60.0
+"""Time for which a trait is refused before one more request may try it; doubles with
+each crash."""
+MAX_REFUSAL_S = 3600.0
+MAX_CRASHES = 10
+"""Crashes remembered of one trait: enough to reach the longest refusal."""
+MAX_TRAITS = 8192
+"""Traits remembered, blamed or not; the longest unused are forgotten first."""
+MAX_PARTS = 32
+"""Shared prompt parts of one request that are considered."""
+
+
+class TraitKind(StrEnum):
+    """What several requests may have in common."""
+
+    CONTENT = "content"
+    PART = "part"
+    ADAPTER = "adapter"
+
+
+class Trait(msgspec.Struct, frozen=True, array_like=True):
+    """Property of a request that may crash runners.
+
+    ``key`` is a hash of the whole content, the id of a shared prompt part, or an
+    adapter with its version.
+    """
+
+    kind: TraitKind
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """Crash of one incarnation of a runner, at ``at`` in monotonic seconds.
+
+    ``is_begun`` is set if the runner had started the response of a request with the
+    trait, so that the request is more likely to be the cause.
+    """
+
+    runner: str
+    born_ms: int
+    at: float
+    is_begun: bool
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Return the key of the runner's incarnation."""
+        return (self.runner, self.born_ms)
+
+
+class StoredCrash(msgspec.Struct, frozen=True):
+    """Crash as it is kept in the store, with its Unix time in seconds."""
+
+    runner: str
+    born_ms: int
+    unix_s: float
+    is_begun: bool
+
+
+class Suspicion(msgspec.Struct, frozen=True):
+    """What the store keeps of a trait; without crashes it is cleared."""
+
+    trait: Trait
+    crashes: tuple[StoredCrash, ...] = ()
+
+
+class Handling(Enum):
+    """How a request is handled because of its traits, least strict first."""
+
+    FREE = 0
+    CONFINED = 1
+    """It may go to one runner only, the same for all VMs."""
+    PAUSED = 2
+    """It has to wait until the runner that it crashed is back."""
+    REFUSED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Handling of a request, with the trait that decides it and its crashes."""
+
+    handling: Handling
+    trait: Trait | None = None
+    crashes: int = 0
+    retry_at: float = 0.0
+
+
+FREE = Verdict(Handling.FREE)
+
+
+@dataclass(slots=True)
+class _Record:
+    """Crashes of one trait by incarnation, and when an answer with it last began.
+
+    Crashes up to ``forgotten_until`` have expired; like those before the last answer,
+    they stay known, so that a late report of one is not taken for a new crash.
+    """
+
+    answered_at: float = float("-inf")
+    forgotten_until: float = float("-inf")
+    crashes: dict[tuple[str, int], Crash] = field(default_factory=dict)
+
+    def add(self, crash: Crash) -> None:
+        """Add a crash; the oldest of too many is dropped, which may be this one."""
+        self.crashes[crash.incarnation] = crash
+        if len(self.crashes) > MAX_CRASHES:
+            oldest = min(self.crashes.values(), key=lambda c: c.at)
+            del self.crashes[oldest.incarnation]
+
+    def blamed(self) -> list[Crash]:
+        """Return the crashes that count, those since the last answer, oldest first."""
+        since = max(self.answered_at, self.forgotten_until)
+        later = [c for c in self.crashes.values() if c.at > since]
+        return sorted(later, key=lambda crash: crash.at)
+
+    def count(self, burst_s: float) -> int:
+        """Return the crashes to blame; those close together count as one.
+
+        A first crash shortly after an answer is not blamed: most likely something else
+        caused it.
+        """
+        starts: list[float] = []
+        for crash in self.blamed():
+            if not starts or crash.at - starts[-1] > burst_s:
+                starts.append(crash.at)
+        if starts and starts[0] - self.answered_at < RECENT_ANSWER_S:
+            return len(starts) - 1
+        return len(starts)
+
+
+class CrashEvidence:
+    """Crashes and answers by trait; both may be recorded in any order and repeatedly.
+
+    ``has_returned`` tells whether another incarnation of a crashed runner is known, or
+    the runner is gone.
+    """
+
+    def __init__(self, has_returned: Callable[[Crash], bool]) -> None:
+        self._has_returned = has_returned
+        self._records: OrderedDict[Trait, _Record] = OrderedDict()
+        self._blamed: set[Trait] = set()
+
+    def record_crash(self, traits: Iterable[Trait], crash: Crash) -> list[Trait]:
+        """Record a crash; return the traits for which it is new."""
+        fresh = []
+        for trait in traits:
+            record = self._record(trait)
+            if crash.incarnation in record.crashes:
+                continue
+            record.add(crash)
+            if crash.incarnation in record.crashes:
+                fresh.append(trait)
+            if record.blamed():
+                self._blamed.add(trait)
+        return fresh
+
+    def record_answer(self, traits: Iterable[Trait], at: float) -> list[Trait]:
+        """Record that answers began at ``at``; return the traits that this clears."""
+        cleared = []
+        for trait in traits:
+            record = self._records.get(trait)
+            if record is None and trait.kind is TraitKind.CONTENT:
+                continue
+            record = record or self._record(trait)
+            was_blamed = self.crash_count(trait) > 0
+            record.answered_at = max(record.answered_at, at)
+            self._records.move_to_end(trait)
+            if not record.blamed():
+                self._blamed.discard(trait)
+            if was_blamed and not self.crash_count(trait):
+                cleared.append(trait)
+        return cleared
+
+    def answered_at(self, trait: Trait) -> float:
+        """Return when an answer with a trait last began, minus infinity if never."""
+        record = self._records.get(trait)
+        return record.answered_at if record else float("-inf")
+
+    def crash_count(self, trait: Trait) -> int:
+        """Return the number of crashes for which a trait is to blame."""
+        record = self._records.get(trait)
+        if record is None or not record.crashes:
+            return 0
+        return record.count(0.0 if trait.kind is TraitKind.CONTENT else BURST_S)
+
+    def verdict(self, traits: Iterable[Trait], now: float) -> Verdict:
+        """Return how a request with these traits is handled now."""
+        if not self._blamed:
+            return FREE
+        self.expire(now)
+        present = set(traits)
+        verdicts = [
+            self._judge(trait, present, now) for trait in present & self._blamed
+        ]
+        return max(
+            verdicts,
+            key=lambda v: (v.handling.value, v.crashes, v.retry_at),
+            default=FREE,
+        )
+
+    def _judge(self, trait: Trait, present: set[Trait], now: float) -> Verdict:
+        crashes = self.crash_count(trait)
+        if not crashes:
+            return FREE
+        last = self._records[trait].blamed()[-1]
+        if not self._suspects_with(trait) <= present:
+            return Verdict(Handling.CONFINED, trait, crashes)
+        refused_until = last.at + refusal_s(crashes)
+        if now < refused_until:
+            return Verdict(Handling.REFUSED, trait, crashes, refused_until)
+        is_likely = crashes > 1 or last.is_begun
+        paused_until = last.at + RESTART_WAIT_S
+        if is_likely and now < paused_until and not self._has_returned(last):
+            return Verdict(Handling.PAUSED, trait, crashes, paused_until)
+        return Verdict(Handling.CONFINED, trait, crashes)
+
+    def _suspects_with(self, trait: Trait) -> set[Trait]:
+        """Return the traits that may have caused all crashes blamed on a trait.
+
+        A request with only some of them may show which of them is the cause, so it is
+        not kept waiting. An adapter is suspected only where the parts are not.
+        """
+        if trait.kind is TraitKind.CONTENT:
+            return {trait}
+        kinds = {trait.kind, TraitKind.PART}
+        incarnations = {crash.incarnation for crash in self._records[trait].blamed()}
+        return {
+            other
+            for other in self._blamed
+            if other.kind in kinds
+            and incarnations <= {c.incarnation for c in self._records[other].blamed()}
+        }
+
+    def suspected(self) -> dict[Trait, list[Crash]]:
+        """Return the crashes of each trait that is to blame for some."""
+        return {
+            trait: self._records[trait].blamed()
+            for trait in self._blamed
+            if self.crash_count(trait)
+        }
+
+    def digest(self) -> int:
+        """Return a number that depends on all blamed crashes, 0 without any."""
+        digest = 0
+        for trait, crashes in self.suspected().items():
+            for crash in crashes:
+                text = f"{trait.kind} {trait.key} {crash.runner} {crash.born_ms}"
+                digest ^= xxhash.xxh3_64_intdigest(text.encode())
+        return digest
+
+    def _record(self, trait: Trait) -> _Record:
+        record = self._records.setdefault(trait, _Record())
+        self._records.move_to_end(trait)
+        while len(self._records) > MAX_TRAITS:
+            oldest, _ = self._records.popitem(last=False)
+            self._blamed.discard(oldest)
+        return record
+
+    def expire(self, now: float) -> None:
+        """Forget the crashes of traits that have not crashed a runner for long."""
+        for trait in list(self._blamed):
+            record = self._records[trait]
+            last = max(crash.at for crash in record.crashes.values())
+            if now - last > max(
+                SUSPICION_TTL_S, 2 * refusal_s(self.crash_count(trait))
+            ):
+                record.crashes.clear()
+                self._blamed.discard(trait)
+
+
+def refusal_s(crashes: int) -> float:
+    """Return for how long a trait is refused after its last crash."""
+    if crashes < CRASHES_TO_REFUSE:
+        return 0.0
+    doublings = crashes - CRASHES_TO_REFUSE
+    return float(min(MAX_REFUSAL_S, MIN_REFUSAL_S * 2**doublings))
--- a/packages/gooseberryrun/src/gooseberryrun/serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/serving.py
@@ -34,7 +34,11 @@
     RouteKind,
     Runner,
     Service,
+    StoredCrash,
+    Suspicion,
     Topic,
+    Trait,
+    TraitKind,
     WeightedService,
 )
 
@@ -68,7 +72,11 @@
     "ServingSettings",
     "StoreFault",
     "StoreFaultKind",
+    "StoredCrash",
+    "Suspicion",
     "Topic",
+    "Trait",
+    "TraitKind",
     "WeightedService",
     "load_settings_as",
     "log_event",
