Tell a stream without framing that breaks off from a whole one

Callers would get a stream that ends within an event as complete if its runner sends neither a length nor chunks: the close of the connection was taken for its end. Cause: h11 reports the close as the end of the message, and the remainder of the event was passed on. Such a stream is now whole only after a whole event, otherwise it is resumed or cut like any broken one; a whole response without framing is served as before, its connection never reused.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -25,8 +25,10 @@
     Faults: ``reset`` (the request runs, then the connection is reset),
     ``unframed_reset`` (half a body without a length, then a reset), ``stray`` (a
     response to another request comes first), ``error`` (500), ``full`` (503, not run),
-    ``cut`` (a stream is reset within an event), ``crash`` (the connection closes within
-    a stream and the address accepts no more).
+    ``cut`` (a stream is reset within an event), ``unframed`` (a whole response without
+    a length that ends with the connection), ``unframed_cut`` (such a stream ends within
+    an event), ``half_head`` (the connection closes within the head), ``crash`` (the
+    connection closes within a stream and the address accepts no more).
 
     A prompt takes ``prompt_token_s`` a token before the first event; ``most_reading``
     is the largest number of prompts that were being read at the same time.
@@ -225,6 +227,7 @@
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     server: _Server
+    is_framed = True
 
     @property
     def runner(self) -> PlatformRunner:
@@ -275,6 +278,9 @@
             self.wfile.write(status_and_headers.encode() + b"half")
             time.sleep(0.05)
             self._reset()
+        elif fault == "half_head":
+            self.wfile.write(f"HTTP/1.1 200 OK\r\n{self._identity_headers()}".encode())
+            self.close_connection = True
         elif fault == "error":
             self._send(500, b"failed", {"X-Gooseberryrun-Server-Stamp": "s"})
         elif self.headers.get("X-Gooseberryrun-Model"):
@@ -286,6 +292,11 @@
                 )
                 self.wfile.write(f"HTTP/1.1 200 OK\r\n{stray_headers}\r\nx".encode())
             body = f"body of {self.path}".encode()
+            if fault == "unframed":
+                head = f"HTTP/1.1 200 OK\r\n{self._identity_headers()}\r\n"
+                self.wfile.write(head.encode() + body)
+                self.close_connection = True
+                return
             self._send(200, body, {"X-Gooseberryrun-Server-Stamp": "s"})
 
     def _stream(self, fault: str) -> None:
@@ -298,7 +309,9 @@
         self.send_response(200)
         self._add_header("X-Gooseberryrun-Server-Stamp", "s")
         self._add_header("Content-Type", "text/event-stream")
-        self._add_header("Transfer-Encoding", "chunked")
+        self.is_framed = not fault.startswith("unframed")
+        if self.is_framed:
+            self._add_header("Transfer-Encoding", "chunked")
         self._add_header(
             "X-Gooseberryrun-Request-Id", self.headers["X-Gooseberryrun-Request-Id"]
         )
@@ -321,15 +334,23 @@
                 self.server.socket.shutdown(socket.SHUT_RDWR)
                 self.close_connection = True
                 return
+            if fault == "unframed_cut" and number == 5:
+                self._send_chunk(event[:-4])
+                self.close_connection = True
+                return
             if fault == "cut" and number == 5:
                 self._send_chunk(event[:-4])
                 self._reset()
                 return
             self._send_chunk(event)
-        self.wfile.write(b"0\r\n\r\n")
+        if self.is_framed:
+            self.wfile.write(b"0\r\n\r\n")
+        self.close_connection = not self.is_framed
 
     def _send_chunk(self, data: bytes) -> None:
-        self.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        if self.is_framed:
+            data = f"{len(data):x}\r\n".encode() + data + b"\r\n"
+        self.wfile.write(data)
         self.wfile.flush()
 
     def _add_header(self, name: str, value: str) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -288,6 +288,11 @@
             if events:
                 tracker.mark_prompt_read()
                 self._send_events(active, response, progress, events)
+        if response.ends_with_connection and not _ends_after_event(active, progress):
+            fault = AttemptFault(AttemptFailure.SENT, "closed within an event")
+            progress.events.discard_partial()
+            self._attempts.record_invalid_response(active, runner, fault)
+            return self._after_fault(active, fault)
         self._finish(active, runner, response, progress)
         return Round.DONE
 
@@ -321,6 +326,11 @@
         active.caller.finish()
 
 
+def _ends_after_event(active: ActiveRequest, progress: _StreamProgress) -> bool:
+    """Return whether an attempt's stream has events and ends with a whole one."""
+    return active.answered_at is not None and not progress.events.remainder()
+
+
 def _log_overload(active: ActiveRequest, choice: Choice) -> None:
     """Log the figures by which even the best runner is too slow for a request."""
     candidate = choice.candidate
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
@@ -238,11 +238,16 @@
 
 
 class RunnerResponse(ABC):
-    """Response of a runner whose head has been read."""
+    """Response of a runner whose head has been read.
+
+    ``ends_with_connection`` is set if it has no framing of its own, so that only the
+    close of the connection ends it.
+    """
 
     status: int
     headers: Headers
     metadata: ResponseMetadata
+    ends_with_connection: bool
 
     @abstractmethod
     def read_all(self, deadline: float) -> Result[bytes, AttemptFault]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -178,7 +178,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._is_writing = False
-        self._ends_with_connection = False
+        self.ends_with_connection = False
         self._reads = 0
 
     def close(self) -> None:
@@ -277,7 +277,7 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
             event = self._next_event()
             if isinstance(event, h11.Response):
-                self._ends_with_connection = _ends_with_connection(event)
+                self.ends_with_connection = _ends_with_connection(event)
                 headers = [
                     (name.decode("latin-1"), value.decode("latin-1"))
                     for name, value in event.headers.raw_items()
@@ -317,7 +317,7 @@
         """Return whether closing the connection now would truncate the response."""
         if self._http.their_state is not h11.SEND_BODY:
             return True
-        return not self._ends_with_connection
+        return not self.ends_with_connection
 
     def is_reusable(self) -> bool:
         """Return whether another request may be sent on the connection."""
@@ -361,6 +361,7 @@
         self.status = status
         self.headers = headers
         self.metadata = metadata
+        self.ends_with_connection = conn.ends_with_connection
         self._is_read = False
         self._deadline: float | None = None
 
