Log the rate limits that runners name in their responses

The logs could not tell whether a VM had heard of a limit at all, how old its knowledge was and which VM had heard it. Nothing is decided by it yet.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -37,6 +37,9 @@
 CRASH_REPORTS = Counter(
     PREFIX + "crash_reports", "Crashes blamed on a trait of requests", ["kind"]
 )
+RUNNER_LIMIT_CHANGES = Counter(
+    PREFIX + "runner_limit_changes", "Changes of the rate limits that runners name"
+)
 STORE_CALLS = Counter(
     PREFIX + "store_calls", "Calls to the operators' store", ["call", "outcome"]
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -19,6 +19,7 @@
     RecentAdapters,
     Runner,
     RunnerLoads,
+    RunnerStatements,
     ServingPolicy,
     View,
     is_followed_from,
@@ -54,6 +55,7 @@
     ownership: OwnershipState
     loads: RunnerLoads
     evidence: CrashEvidence
+    statements: RunnerStatements = field(default_factory=RunnerStatements)
     policy: ServingPolicy = ServingPolicy()
     can_reach_store: bool = True
     is_new: bool = True
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
@@ -145,6 +145,8 @@
 
     ``is_not_run`` means that the runner has not run the request and never will;
     ``is_misdirected`` that it is not the expected runner or lacks the adapter version.
+    ``limit_per_s`` is the rate of requests that the runner takes from all VMs together,
+    None if it names no limit.
     """
 
     request_id: str
@@ -152,6 +154,7 @@
     is_not_run: bool
     is_misdirected: bool
     is_encoded: bool
+    limit_per_s: float | None = None
 
 
 class HeaderCodec(ABC):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -56,6 +56,7 @@
 )
 from ._runner_queue import RunnerQueue, Waiter, adapter_key, is_base_model
 from ._runners import HeldModel, Runner
+from ._statements import RateLimit, RunnerStatements
 from ._stream_timing import StreamPace, StreamTiming
 from ._views import Member, View
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S, SlotWait
@@ -76,6 +77,7 @@
     "EXPECTED_LOAD_S",
     "READERS_PER_DOMAIN",
     "EXPECTED_RELOAD_S",
+    "RateLimit",
     "RecentAdapters",
     "AdapterSlots",
     "AdapterVersion",
@@ -104,6 +106,7 @@
     "Runner",
     "RunnerLoads",
     "RunnerQueue",
+    "RunnerStatements",
     "RunnerView",
     "Service",
     "Step",
