--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -37,6 +37,9 @@
     response is sent: all connections close, and the server is back, empty and as
     another incarnation, after ``restart_s``.
 
+    ``own_headers`` are added to all responses, to say what the server says of itself;
+    ``arrivals`` are the times of all requests, those that are turned away included.
+
     ``ran`` are the ids of the requests that ran, ``resumed`` the last event ids of
     resumed streams, ``abandoned`` the ids of streams whose client disconnected.
     """
@@ -54,6 +57,8 @@
     born_ms: int = 1
     crashes: int = 0
     on_restart: Callable[[], None] = lambda: None
+    own_headers: list[tuple[str, str]] = field(default_factory=list)
+    arrivals: list[float] = field(default_factory=list)
     reading: int = 0
     most_reading: int = 0
     adapters: dict[str, int] = field(default_factory=dict)
@@ -149,6 +154,14 @@
             self.seq = 0
             self.born_ms += 1
 
+    def most_arrivals(self, span_s: float, since: float) -> int:
+        """Return the most requests that arrived in any span of time."""
+        times = [at for at in list(self.arrivals) if at >= since]
+        return max(
+            (sum(at <= other <= at + span_s for other in times) for at in times),
+            default=0,
+        )
+
     def is_deadly(self, prompt: str) -> bool:
         """Return whether a prompt, as ``ID:TOKENS`` pairs, crashes the server."""
         return any(
@@ -258,6 +271,7 @@
 
     def _handle_request(self) -> None:
         self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        self.runner.arrivals.append(time.monotonic())
         fault = self.runner.take_fault()
         name = self.headers.get("X-Gooseberryrun-Model", "").partition("/")[2]
         self.runner.models()
@@ -307,6 +321,7 @@
         counts = self.headers.get("X-Gooseberryrun-Token-Count", "0,0")
         self.runner.read_prompt(int(counts.partition(",")[0]))
         self.send_response(200)
+        self._add_own_headers()
         self._add_header("X-Gooseberryrun-Server-Stamp", "s")
         self._add_header("Content-Type", "text/event-stream")
         self.is_framed = not fault.startswith("unframed")
@@ -353,6 +368,10 @@
         self.wfile.write(data)
         self.wfile.flush()
 
+    def _add_own_headers(self) -> None:
+        for name, value in self.runner.own_headers:
+            self._add_header(name, value)
+
     def _add_header(self, name: str, value: str) -> None:
         self.send_header(name, value)
 
@@ -378,6 +397,7 @@
         request_id = self.headers.get("X-Gooseberryrun-Request-Id")
         if request_id:
             self._add_header("X-Gooseberryrun-Request-Id", request_id)
+        self._add_own_headers()
         for name, value in (headers or {}).items():
             self._add_header(name, value)
         self._add_header("Content-Length", str(len(data)))
