Retry a declined request on another connection to its runner

Reported by other operators: a faulty runner writes an earlier refusal once more on a kept connection. Here a request that a runner had declined (no adapter) goes to the same runner again, and could take the connection that carried the refusal: the copy names the same request, so it was taken for the response to the retry, which ran. Callers of repeatable requests were told "not run", and the work was done twice.

Ruled out: copies that answer another request (skipped by their id), copies on idle connections (closed when they have input), requests that may run once (always on a new connection). Connections now know the requests that were declined on them.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -44,6 +44,8 @@
 """Responses to other requests that are skipped on a connection."""
 MAX_SKIPPED_BYTES = 1 << 20
 """Largest stray response in bytes that is read to get to the next one."""
+MAX_DECLINED_REQUESTS = 64
+"""Requests that a runner may decline on one connection before it is closed."""
 MAX_INFORMATIONAL_RESPONSES = 8
 """Informational (1xx) responses that are skipped before a final one."""
 MAX_BUFFERED_RESPONSE_BYTES = 16 << 20
@@ -79,7 +81,7 @@
     ) -> Result[RunnerResponse, AttemptFault]:
         # The runner may have closed an idle connection. After a reset it is unknown
         # whether the request ran, so a non-idempotent one gets a new connection.
-        conn = self._take_idle(runner) if request.is_idempotent else None
+        conn = self._take_idle(runner, request) if request.is_idempotent else None
         if conn is None:
             opened = self._open(runner, deadline)
             if isinstance(opened, Err):
@@ -146,10 +148,19 @@
             if not usable:
                 del self._idle[key]
 
-    def _take_idle(self, runner: Runner) -> _RunnerConn | None:
+    def _take_idle(
+        self, runner: Runner, request: OutboundRequest
+    ) -> _RunnerConn | None:
+        """Take an idle connection on which this request was not declined before.
+
+        A faulty runner may repeat the earlier response, which could not be told from
+        the response to the retry.
+        """
         idle = self._idle.get((runner.id, runner.host, runner.port), [])
-        while idle:
-            entry = idle.pop()
+        for entry in idle[::-1]:
+            if request.request_id in entry.conn.declined:
+                continue
+            idle.remove(entry)
             is_idle = not entry.conn.has_input()
             if is_idle and self._clock.monotonic() < entry.idle_deadline:
                 return entry.conn
@@ -170,13 +181,17 @@
 
 
 class _RunnerConn:
-    """Connection to a runner that carries one request at a time."""
+    """Connection to a runner that carries one request at a time.
+
+    ``declined`` are the requests that the runner said it did not run.
+    """
 
     def __init__(self, sock: Any) -> None:
         self._sock = sock
         self._reader = SocketReader(sock)
         self._http = h11.Connection(h11.CLIENT)
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        self.declined: set[str] = set()
         self._is_writing = False
         self.ends_with_connection = False
         self._reads = 0
@@ -245,6 +260,8 @@
             metadata = codec.decode_response(status, headers)
             if metadata.request_id == request.request_id:
                 self._read_idle_timeout(headers)
+                if metadata.is_not_run:
+                    self.declined.add(metadata.request_id)
                 return status, headers, metadata
             log_event(
                 "stray_answer",
@@ -327,6 +344,7 @@
             and not self._is_writing
             and not self.has_input()
             and self.idle_timeout_s > 0
+            and len(self.declined) < MAX_DECLINED_REQUESTS
         )
 
     def _read_idle_timeout(self, headers: Headers) -> None:
--- a/tests/unit/serving/test_kept_connections.py
+++ b/tests/unit/serving/test_kept_connections.py
@@ -1,4 +1,4 @@
-"""Runners that reset idle persistent connections without notice."""
+"""Persistent connections that runners reset, or on which they repeat a response."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import struct
 import threading
 
+import pytest
 from gooseberryrun._internal.coordination.serving import OutboundRequest
 from gooseberryrun._internal.state import SystemClock
 from gooseberryrun._internal.state.serving import Runner
@@ -14,6 +15,8 @@
 from gooseberryrun_platform._headers import PlatformHeaders
 from result import Ok
 
+from tests.lib.scripted_server import ScriptedServer
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -81,3 +84,80 @@
     assert not is_answered(runners, server.port, "second", is_idempotent=True)
     assert server.connections == 1
     server.close()
+
+
+def answer(status: int, request_id: str, body: str = "ok", head: str = "") -> bytes:
+    """Return a whole response of a runner."""
+    return (
+        f"HTTP/1.1 {status} X\r\nX-Gooseberryrun-Request-Id: {request_id}\r\n{head}"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+def ask(
+    runners: RunnerConnectionPool, port: int, name: str, is_idempotent: bool = True
+) -> tuple[int, bool]:
+    """Send a request; return the status and whether it says that it was not run."""
+    clock = SystemClock()
+    runner = Runner("i-1", "s", "127.0.0.1", port, "d", 6, False, 1, 0, ())
+    headers = [("host", "h"), ("x-gooseberryrun-request-id", name)]
+    request = OutboundRequest("GET", "/", headers, b"", name, is_idempotent)
+    sent = runners.send(runner, request, clock.monotonic() + 30)
+    if not isinstance(sent, Ok):
+        return 0, False
+    sent.ok_value.read_all(clock.monotonic() + 30)
+    sent.ok_value.close()
+    return sent.ok_value.status, sent.ok_value.metadata.is_not_run
+
+
+@pytest.mark.parametrize("status", [421, 429, 503])
+@pytest.mark.parametrize("between", [0, 1, 3])
+def test_refusal_that_comes_again_is_not_taken_for_that_of_a_retry(
+    status: int, between: int
+) -> None:
+    """A request was refused, sent again on the connection, and ran.
+
+    The faulty runner wrote the earlier refusal once more before the response, so the
+    caller was told that the request had not run.
+    """
+
+    def script(number: int, request_id: str) -> bytes:
+        refusal = answer(status, "r1", "", "X-Gooseberryrun-Not-Run: 1\r\n")
+        if number == 1 and server.connections == 1:
+            return refusal
+        again = refusal if request_id == "r1" and server.connections == 1 else b""
+        return again + answer(200, request_id)
+
+    server = ScriptedServer(script)
+    runners = RunnerConnectionPool(SystemClock(), PlatformHeaders())
+    assert ask(runners, server.port, "r1") == (status, True)
+    for other in range(between):
+        assert ask(runners, server.port, f"other{other}") == (200, False)
+    assert ask(runners, server.port, "r1") == (200, False)
+    server.close()
+
+
+def test_refusal_of_another_request_is_skipped() -> None:
+    def script(number: int, request_id: str) -> bytes:
+        refusal = answer(503, "r1", "", "X-Gooseberryrun-Not-Run: 1\r\n")
+        return refusal if number == 1 else refusal + answer(200, request_id)
+
+    server = ScriptedServer(script)
+    runners = RunnerConnectionPool(SystemClock(), PlatformHeaders())
+    assert ask(runners, server.port, "r1") == (503, True)
+    assert ask(runners, server.port, "r2") == (200, False)
+    assert server.connections == 1
+    server.close()
+
+
+HEAD = answer(200, "r1").partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+
+
+@pytest.mark.parametrize("before", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+@pytest.mark.parametrize("length", range(1, len(HEAD)))
+def test_head_that_breaks_off_is_no_response(before: bytes, length: int) -> None:
+    """A head that ended early would be a 200 with a short body and no framing."""
+    server = ScriptedServer(lambda *_: before + HEAD[:length], closes_after_answer=True)
+    runners = RunnerConnectionPool(SystemClock(), PlatformHeaders())
+    assert ask(runners, server.port, "r1") == (0, False)
+    server.close()
