--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -297,6 +297,10 @@
             self.close_connection = True
         elif fault == "error":
             self._send(500, b"failed", {"X-Gooseberryrun-Server-Stamp": "s"})
+        elif fault == "error_404":
+            self._send(404, b"failed", {"X-Gooseberryrun-Server-Stamp": "s"})
+        elif fault == "unsigned":
+            self._send(200, b"failed")
         elif self.headers.get("X-Gooseberryrun-Model"):
             self._stream(fault)
         else:
--- a/tests/functional/serving/test_broken_answers.py
+++ b/tests/functional/serving/test_broken_answers.py
@@ -51,3 +51,27 @@
     holder.fault, holder.fault_count = "unframed_cut", 1
     assert stream(site, "/plan/1", "r1", "a1") == (200, whole_stream())
     assert other.resumed == ["4"]
+
+
+@pytest.mark.parametrize(
+    "fault", ["error", "error_404", "unsigned", "half_head", "full", "reset"]
+)
+def test_failure_of_the_next_runner_never_enters_a_stream(
+    site: Site, fault: str
+) -> None:
+    """A stream broke off, and the runner that was to go on with it failed.
+
+    Callers would find the text of the failure in their stream, or an end that makes it
+    look complete.
+    """
+    holder, other = warm_up(site)
+    holder.fault, holder.fault_count = "cut", 1
+    other.fault, other.fault_count = fault, 9
+    try:
+        found = stream(site, "/plan/1", "r1", "a1")
+    except http.client.IncompleteRead as exc:
+        assert exc.partial == b"".join(
+            f"id: {n}\ndata: {n}\n\n".encode() for n in range(1, 5)
+        )
+    else:
+        assert found == (200, whole_stream())
