Take a response head that breaks off for no response, on the own face

Reported by other operators: a runner stops within the head of its answer and closes, and clients get a 200 with an empty body, framed as whole. On the users' platform h11 tells such a head; the own face reads it through http.client, which takes the end of the connection for the end of the head: a service that broke off after any header line before its length was relayed as a complete empty 200. Engines were safe by the model that their bodies name and by the end mark of streams.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_client.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextvars
+import http.client
 import socket
 from dataclasses import dataclass
 from typing import Any
@@ -36,9 +37,46 @@
 )
 
 
+class _LineReader:
+    """Reads lines of a response head and keeps the last one."""
+
+    def __init__(self, raw: Any) -> None:
+        self.raw = raw
+        self.last = b""
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Read one line."""
+        self.last = self.raw.readline(limit)
+        return self.last
+
+    def __getattr__(self, name: str) -> Any:
+        """Delegate everything else."""
+        return getattr(self.raw, name)
+
+
+class _WholeHeadResponse(http.client.HTTPResponse):
+    """Response whose head has to end with an empty line.
+
+    The base class takes the end of the connection for the end of the head.
+    """
+
+    def begin(self) -> None:
+        """Read the head; raise ConnectionResetError if it breaks off."""
+        reader = _LineReader(self.fp)
+        self.fp: Any = reader
+        super().begin()
+        if self.fp is reader:
+            self.fp = reader.raw
+        if reader.last not in (b"\r\n", b"\n"):
+            self.close()
+            raise ConnectionResetError("closed within the response head")
+
+
 class _CheckedConnection(HTTPConnection):
     """Connection that runs the send check just before the first byte of a request."""
 
+    response_class = _WholeHeadResponse
+
     def send(self, data: Any) -> None:
         """Send bytes of a request; raise SendCheckFailedError if rejected."""
         call = _CURRENT_CALL.get()
--- /dev/null
+++ b/tests/unit/test_http_client.py
@@ -0,0 +1,54 @@
+"""Responses of backend servers that break off, as the own face's client reads them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from gooseberryrun._internal.transport._http_client import HttpClient
+from result import Err, Ok
+
+from tests.lib.scripted_server import ScriptedServer
+
+WHOLE = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Engine-Boot: 7\r\n"
+    b"Content-Length: 2\r\n\r\n{}"
+)
+HEAD_BYTES = WHOLE.index(b"{}")
+
+
+@pytest.fixture(name="client")
+def _client() -> HttpClient:
+    cfg: Any = type("Cfg", (), {"vm": type("Vm", (), {"address": "127.0.0.1"})})
+    return HttpClient(cfg)
+
+
+def get(client: HttpClient, data: bytes, closes: bool = True) -> Any:
+    server = ScriptedServer(lambda *_: data, closes_after_answer=closes)
+    exchange = client.request("127.0.0.1", server.port, "GET", "/", timeout_s=5.0)
+    server.close()
+    return exchange
+
+
+@pytest.mark.parametrize("length", range(1, len(WHOLE)))
+def test_response_that_breaks_off_is_no_response(
+    client: HttpClient, length: int
+) -> None:
+    """A head that ended within its headers was taken for a whole one.
+
+    It named no length, so that callers got a 200 with an empty body.
+    """
+    exchange = get(client, WHOLE[:length])
+    assert isinstance(exchange, Err)
+    assert exchange.err_value.sent
+
+
+@pytest.mark.parametrize("before", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+def test_whole_responses_are_read(client: HttpClient, before: bytes) -> None:
+    exchange = get(client, before + WHOLE)
+    assert isinstance(exchange, Ok)
+    assert exchange.ok_value.data == b"{}"
+    unframed = WHOLE.replace(b"Content-Length: 2\r\n", b"")
+    exchange = get(client, before + unframed)
+    assert isinstance(exchange, Ok)
+    assert exchange.ok_value.data == b"{}"
