Treat a runner that says it leaves as draining, whatever the registry says

A runner that leaves says so in all its responses; this was read nowhere, so with the store away, or late, a VM went on sending to it until it was gone.

The header is decoded with the rate limit into one statement of a runner. The directory keeps the incarnations that said so and shows their entries as draining: one field and one rule for both sources, for choice, owners, orders, resumed streams and the check after a wait. It ends with the next incarnation, not with a response or an entry that takes it back, is bounded in number, and is told to peers while the registry does not know it.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -40,6 +40,10 @@
 RUNNER_LIMIT_CHANGES = Counter(
     PREFIX + "runner_limit_changes", "Changes of the rate limits that runners name"
 )
+RUNNERS_LEAVING = Counter(
+    PREFIX + "runners_leaving",
+    "Incarnations of runners that said in a response that they leave",
+)
 TURNS = Counter(
     PREFIX + "turns", "Turns asked for at runners with a rate limit", ["outcome"]
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -185,7 +185,8 @@
     ``can_reach_store`` is set if its last membership renewal succeeded.
     ``evidence_digest`` differs between VMs that blame crashes on different traits; it
     is 0 if there are none. ``limits`` are the rate limits that runners stated lately,
-    each with its age in seconds.
+    each with its age in seconds, ``leaving`` the incarnations of runners that said that
+    they leave, by runner.
     """
 
     vm: str
@@ -195,6 +196,7 @@
     residency: list[ResidencyNotice]
     evidence_digest: int = 0
     limits: dict[str, tuple[float, RateLimit]] = {}
+    leaving: dict[str, int] = {}
 
 
 class DirectoryRequest(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import RateLimit, Runner, ServiceRetryBudget
+from gooseberryrun._internal.state.serving import Runner, ServiceRetryBudget
 
 from .._events import log_event
 from ._active_request import ActiveRequest
@@ -18,7 +18,7 @@
     RunnerResponse,
 )
 from ._responses import end_to_end
-from ._statements import record_limit
+from ._statements import record_statement
 
 UNREACHABLE_PAUSE_S = 0.8
 """Time for which an unreachable runner gets no new requests."""
@@ -116,7 +116,7 @@
     ) -> None:
         active.sends += 1
         now = self._ctx.clock.monotonic()
-        self._record_statement(runner, response, now)
+        record_statement(self._ctx, runner, response.metadata.statement)
         if response.metadata.is_not_run:
             if not response.metadata.is_misdirected:
                 self._ctx.loads.mark_down(runner.id, now + FULL_PAUSE_S)
@@ -125,13 +125,6 @@
         active.attempts += 1
         active.is_begun = True
 
-    def _record_statement(
-        self, runner: Runner, response: RunnerResponse, now: float
-    ) -> None:
-        """Record what a runner says of itself in a response."""
-        limit = RateLimit(runner.born_ms, response.metadata.limit_per_s)
-        record_limit(self._ctx, runner.id, limit, now, self._ctx.vm)
-
     def record_fault(
         self, active: ActiveRequest, runner: Runner, fault: AttemptFault
     ) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -88,6 +88,7 @@
             residency=self._residency(),
             evidence_digest=ctx.evidence.digest(),
             limits=ctx.statements.recent(now),
+            leaving=ctx.directory.stated_leaving(),
         )
 
     def _residency(self) -> list[ResidencyNotice]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_ports.py
@@ -14,6 +14,7 @@
     HeldModel,
     Member,
     Runner,
+    RunnerStatement,
     Suspicion,
     Topic,
 )
@@ -145,8 +146,7 @@
 
     ``is_not_run`` means that the runner has not run the request and never will;
     ``is_misdirected`` that it is not the expected runner or lacks the adapter version.
-    ``limit_per_s`` is the rate of requests that the runner takes from all VMs together,
-    None if it names no limit.
+    ``statement`` is what the runner says of itself.
     """
 
     request_id: str
@@ -154,7 +154,7 @@
     is_not_run: bool
     is_misdirected: bool
     is_encoded: bool
-    limit_per_s: float | None = None
+    statement: RunnerStatement = RunnerStatement()
 
 
 class HeaderCodec(ABC):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -36,6 +36,7 @@
 from ._plain_requests import PlainRequests
 from ._remote_domains import RemoteDomains
 from ._responses import ResponseWriter
+from ._statements import record_gossip
 from ._turns import Turns
 
 
@@ -141,7 +142,7 @@
 
     def _handle_gossip(self, inbound: InboundMessage, gossip: ServingGossip) -> None:
         self._gossip.receive(gossip)
-        self._turns.handle_limits(inbound.sender, gossip.limits)
+        record_gossip(self._ctx, inbound.sender, gossip)
         self.guard.compare(inbound.sender, gossip.evidence_digest)
         self.follower.fetch_missing(inbound.sender, gossip.ends)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_statements.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_statements.py
@@ -2,19 +2,37 @@
 
 from __future__ import annotations
 
-from gooseberryrun._internal.state.serving import RateLimit
+from gooseberryrun._internal.state.serving import RateLimit, Runner, RunnerStatement
 
 from .._events import log_event
-from .._metrics import RUNNER_LIMIT_CHANGES
+from .._metrics import RUNNER_LIMIT_CHANGES, RUNNERS_LEAVING
+from .._serving_messages import ServingGossip
 from ._context import Context
 
 
+def record_statement(ctx: Context, runner: Runner, statement: RunnerStatement) -> None:
+    """Record what a runner says of itself in a response that has just arrived."""
+    limit = RateLimit(runner.born_ms, statement.limit_per_s)
+    record_limit(ctx, runner.id, limit, ctx.clock.monotonic(), ctx.vm)
+    if statement.is_leaving:
+        record_leaving(ctx, runner.id, runner.born_ms, ctx.vm)
+
+
+def record_gossip(ctx: Context, sender: str, gossip: ServingGossip) -> None:
+    """Record what runners said to a peer, or to the peers of it."""
+    now = ctx.clock.monotonic()
+    for runner, (age_s, limit) in gossip.limits.items():
+        record_limit(ctx, runner, limit, now - max(0.0, age_s), sender)
+    for runner, born_ms in gossip.leaving.items():
+        record_leaving(ctx, runner, born_ms, sender)
+
+
 def record_limit(
     ctx: Context, runner: str, limit: RateLimit, at: float, source: str
 ) -> None:
     """Record a runner's rate limit as stated at ``at``; log a change.
 
-    ``source`` is the VM that received the runner's response.
+    ``source`` is the VM that received the runner's response, or the peer that told it.
     """
     if not ctx.statements.record(runner, limit, at):
         return
@@ -27,3 +45,11 @@
         age_s=ctx.clock.monotonic() - at,
         source=source,
     )
+
+
+def record_leaving(ctx: Context, runner: str, born_ms: int, source: str) -> None:
+    """Record that an incarnation of a runner is leaving; log it if that is new."""
+    if not ctx.directory.record_leaving(runner, born_ms):
+        return
+    RUNNERS_LEAVING.inc()
+    log_event("runner_leaving", runner=runner, born_ms=born_ms, source=source)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
@@ -193,13 +193,6 @@
         turn = self._granted.take(request.runner, limit.per_s, request.max_wait_s, now)
         inbound.reply(TurnAnswer(turn, limit, age_s))
 
-    def handle_limits(
-        self, sender: str, limits: dict[str, tuple[float, RateLimit]]
-    ) -> None:
-        """Record the limits that a peer tells of."""
-        for runner, (age_s, limit) in limits.items():
-            self._record(sender, runner, limit, age_s)
-
     def _record(self, source: str, runner: str, limit: RateLimit, age_s: float) -> None:
         at = self._ctx.clock.monotonic() - max(0.0, age_s)
         record_limit(self._ctx, runner, limit, at, source)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -56,7 +56,7 @@
 )
 from ._runner_queue import RunnerQueue, Waiter, adapter_key, is_base_model
 from ._runners import HeldModel, Runner
-from ._statements import RateLimit, RunnerStatements
+from ._statements import RateLimit, RunnerStatement, RunnerStatements
 from ._stream_timing import StreamPace, StreamTiming
 from ._turns import (
     MAX_TURN_WAIT_S,
@@ -118,6 +118,7 @@
     "Runner",
     "RunnerLoads",
     "RunnerQueue",
+    "RunnerStatement",
     "RunnerStatements",
     "RunnerView",
     "Service",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from enum import StrEnum
 
 import msgspec
@@ -16,6 +17,9 @@
 than the 2 s that an entry takes to return and that a removed runner keeps serving."""
 MAX_TOMBSTONES = 500
 """Records of removed entries that are kept to be sent to peers."""
+MAX_LEAVING = 1000
+"""Runners that said that they leave and are remembered, also once removed, since an
+entry may return after an outage of the store."""
 
 
 class Topic(StrEnum):
@@ -65,6 +69,7 @@
         self._versions: dict[tuple[str, str], int] = {}
         self._runners: dict[str, Runner] = {}
         self._expiry_deadlines: dict[str, float] = {}
+        self._leaving: dict[str, int] = {}
         self._by_service: dict[str, list[Runner]] = {}
         self._by_domain: dict[str, dict[str, list[Runner]]] = {}
 
@@ -200,9 +205,41 @@
         if known is not None and record.runner.is_older_than(known):
             return False
         self._expiry_deadlines.pop(record.key, None)
-        self._runners[record.key] = record.runner
+        self._runners[record.key] = self._with_leaving(record.runner)
         return True
 
+    def record_leaving(self, runner_id: str, born_ms: int) -> bool:
+        """Record that an incarnation said that it leaves; return whether that is new.
+
+        It counts as draining whatever the registry says, until another incarnation is
+        registered.
+        """
+        if self._leaving.get(runner_id, -1) >= born_ms:
+            return False
+        self._leaving.pop(runner_id, None)
+        self._leaving[runner_id] = born_ms
+        while len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        known = self._runners.get(runner_id)
+        if known is not None:
+            self._runners[runner_id] = self._with_leaving(known)
+            self._clear_index()
+        return True
+
+    def stated_leaving(self) -> dict[str, int]:
+        """Return the incarnations that said that they leave and are registered."""
+        return {
+            runner_id: born_ms
+            for runner_id, born_ms in self._leaving.items()
+            if runner_id in self._runners
+        }
+
+    def _with_leaving(self, runner: Runner) -> Runner:
+        """Return a runner as draining if it said that it leaves."""
+        if runner.born_ms > self._leaving.get(runner.id, -1):
+            return runner
+        return dataclasses.replace(runner, draining=True)
+
     def _remove(self, runner_id: str, now: float) -> bool:
         """Remove a runner, after a grace period if the store was just unreachable."""
         if self.is_after_outage(now):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_statements.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_statements.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import msgspec
 
 from ._runners import Runner
@@ -18,6 +20,18 @@
 """Statements in one message, the newest ones."""
 
 
+@dataclass(frozen=True, slots=True)
+class RunnerStatement:
+    """What a runner says of itself in one response.
+
+    ``limit_per_s`` is the rate of requests that it takes from all VMs together, None if
+    it names no limit. A runner that is leaving wants no new requests.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
 class RateLimit(msgspec.Struct, frozen=True, array_like=True):
     """Requests per second that a runner takes from all VMs together.
 
--- a/tests/unit/serving/test_statements.py
+++ b/tests/unit/serving/test_statements.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 import pytest
-from gooseberryrun._internal.state.serving import RateLimit, Runner, RunnerStatements
+from gooseberryrun._internal.state.serving import (
+    DirectoryRecord,
+    DirectoryState,
+    RateLimit,
+    Runner,
+    RunnerStatements,
+    Topic,
+)
+from gooseberryrun._internal.state.serving._directory import MAX_LEAVING
 from gooseberryrun._internal.state.serving._statements import STATEMENT_TTL_S
 from gooseberryrun_platform._headers import PlatformHeaders
 from hypothesis import given
@@ -37,7 +45,51 @@
 ) -> None:
     headers = [("SERVER-limit", value) for value in values]
     for status in (200, 421, 500, 503):
-        assert CODEC.decode_response(status, headers).limit_per_s == limit
+        assert CODEC.decode_response(status, headers).statement.limit_per_s == limit
+
+
+@pytest.mark.parametrize(
+    ("values", "is_leaving"),
+    [([], False), (["1"], True), (["0"], False), (["0", " 1 "], True), (["x"], False)],
+)
+def test_leaving_runner_says_so_on_every_status(
+    values: list[str], is_leaving: bool
+) -> None:
+    headers = [("Server-LEAVING", value) for value in values]
+    for status in (200, 421, 500, 503):
+        assert CODEC.decode_response(status, headers).statement.is_leaving == is_leaving
+
+
+@given(st.permutations(["said", "ready", "ready", "removed", "returned"]))
+def test_runner_that_leaves_stays_draining_whatever_its_entry_says(
+    steps: list[str],
+) -> None:
+    """The entry may be late, expire in an outage and return."""
+    directory = DirectoryState()
+    for offset, step in enumerate(steps):
+        if step == "said":
+            assert directory.record_leaving("i-1", 1)
+            continue
+        entry = None if step == "removed" else make_runner()
+        record = DirectoryRecord(Topic.RUNNERS, offset, "i-1", runner=entry)
+        directory.apply(record, 10.0)
+    last = DirectoryRecord(Topic.RUNNERS, 9, "i-1", runner=make_runner())
+    directory.apply(last, 10.0)
+    assert not directory.runners("s", 10.0)
+    assert not directory.takes_new_work(make_runner(), 10.0)
+    assert directory.stated_leaving() == {"i-1": 1}
+    reborn = DirectoryRecord(Topic.RUNNERS, 10, "i-1", runner=make_runner(born_ms=2))
+    directory.apply(reborn, 10.0)
+    assert directory.runners("s", 10.0) == [make_runner(born_ms=2)]
+    assert not directory.record_leaving("i-1", 1)
+
+
+def test_runners_that_left_are_not_remembered_without_bound() -> None:
+    directory = DirectoryState()
+    for number in range(MAX_LEAVING + 5):
+        directory.record_leaving(f"i-{number}", 1)
+    assert not directory.stated_leaving()
+    assert len(directory._leaving) == MAX_LEAVING
 
 
 def test_limit_ends_with_a_response_without_one() -> None:
