Give runners that turn a request away the pause that they ask for

A runner that is full may say with its 503 for how long it wants nothing from this VM. It was read nowhere: a constant of 0.15 s held requests back, then all of them came again.

Nothing is chosen or sent there until the end, also what waited for an adapter or a turn; after it one request at a time tries the runner. If all runners of a service ask for a pause or limit their requests, callers are told so at once with the first time at which one takes more.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -38,7 +38,8 @@
     another incarnation, after ``restart_s``.
 
     ``own_headers`` are added to all responses, to say what the server says of itself;
-    ``arrivals`` are the times of all requests, those that are turned away included.
+    ``arrivals`` are the times of all requests, those that are turned away included;
+    ``refused_at`` are the times of refusals that ask for a pause.
 
     ``ran`` are the ids of the requests that ran, ``resumed`` the last event ids of
     resumed streams, ``abandoned`` the ids of streams whose client disconnected.
@@ -59,6 +60,7 @@
     on_restart: Callable[[], None] = lambda: None
     own_headers: list[tuple[str, str]] = field(default_factory=list)
     arrivals: list[float] = field(default_factory=list)
+    refused_at: list[float] = field(default_factory=list)
     reading: int = 0
     most_reading: int = 0
     adapters: dict[str, int] = field(default_factory=dict)
@@ -280,6 +282,11 @@
             self._send(421, b"")
         elif fault == "full":
             self._send(503, b"", {"X-Gooseberryrun-Not-Run": "1"})
+        elif fault.startswith("busy "):
+            pause = fault.removeprefix("busy ")
+            headers = {"X-Gooseberryrun-Not-Run": "1", "Retry-After": pause}
+            self.runner.refused_at.append(time.monotonic())
+            self._send(503, b"", headers)
         else:
             self.runner.ran.append(self.headers["X-Gooseberryrun-Request-Id"])
             self._respond(fault)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -40,6 +40,9 @@
 RUNNER_LIMIT_CHANGES = Counter(
     PREFIX + "runner_limit_changes", "Changes of the rate limits that runners name"
 )
+RUNNER_PAUSES = Counter(
+    PREFIX + "runner_pauses", "Refusals of runners that ask for a pause"
+)
 RUNNERS_LEAVING = Counter(
     PREFIX + "runners_leaving",
     "Incarnations of runners that said in a response that they leave",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -79,11 +79,12 @@
         active.begin_attempt()
         outbound = self._outbound(active, forwarding)
         requested_at = self._ctx.clock.monotonic()
+        self._ctx.pauses.begin_send(runner, requested_at)
         sent = self._ctx.ports.requests.send(runner, outbound, deadline)
         if isinstance(sent, Err):
             self.record_fault(active, runner, sent.err_value)
         else:
-            self._record_response(active, runner, sent.ok_value)
+            self._record_response(active, runner, sent.ok_value, requested_at)
         log_event(
             "attempt",
             request=active.metadata.request_id,
@@ -112,11 +113,15 @@
         )
 
     def _record_response(
-        self, active: ActiveRequest, runner: Runner, response: RunnerResponse
+        self,
+        active: ActiveRequest,
+        runner: Runner,
+        response: RunnerResponse,
+        requested_at: float,
     ) -> None:
         active.sends += 1
         now = self._ctx.clock.monotonic()
-        record_statement(self._ctx, runner, response.metadata.statement)
+        record_statement(self._ctx, runner, response.metadata.statement, requested_at)
         if response.metadata.is_not_run:
             if not response.metadata.is_misdirected:
                 self._ctx.loads.mark_down(runner.id, now + FULL_PAUSE_S)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -19,6 +19,7 @@
     RecentAdapters,
     Runner,
     RunnerLoads,
+    RunnerPauses,
     RunnerStatements,
     ServingPolicy,
     View,
@@ -56,6 +57,7 @@
     loads: RunnerLoads
     evidence: CrashEvidence
     statements: RunnerStatements = field(default_factory=RunnerStatements)
+    pauses: RunnerPauses = field(default_factory=RunnerPauses)
     policy: ServingPolicy = ServingPolicy()
     can_reach_store: bool = True
     is_new: bool = True
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -13,6 +13,7 @@
 from ._active_request import ActiveRequest, LocalResponse, Round, run_rounds
 from ._adapters import AdapterRequirement, Adapters
 from ._attempts import Attempts
+from ._availability import Availability
 from ._context import Context
 from ._crash_guard import CrashGuard, suspect_response
 from ._event_stream import EventBuffer
@@ -48,6 +49,7 @@
         guard: CrashGuard,
         adapters: Adapters,
         turns: Turns,
+        availability: Availability,
         attempts: Attempts,
         responses: ResponseWriter,
     ) -> None:
@@ -57,7 +59,8 @@
         self._turns = turns
         self._attempts = attempts
         self._responses = responses
-        self._chooser = RunnerChooser(ctx, adapters, turns)
+        self._availability = availability
+        self._chooser = RunnerChooser(ctx, adapters, turns, availability)
 
     def serve(self, active: ActiveRequest) -> None:
         """Serve a request and respond to its caller."""
@@ -90,7 +93,7 @@
         choice = self._chooser.choose(active, now, verdict)
         longest_wait_s = active.longest_wait_s(self._ctx.policy, now)
         if choice is None:
-            return self._no_runner(active, now)
+            return self._availability.refusal(active, "no_runner", BUSY_RETRY_S, now)
         if choice.expected_s > longest_wait_s:
             _log_overload(active, choice)
             retry_in_s = max(BUSY_RETRY_S, choice.candidate.turn_wait_s)
@@ -108,11 +111,11 @@
     ) -> bool:
         """Return whether a request may still go to a runner after a wait.
 
-        Since the runner was chosen, it may have begun to leave, or a crash elsewhere
-        may have made the request suspect.
+        Since the runner was chosen, it may have begun to leave or asked for a pause, or
+        a crash elsewhere may have made the request suspect.
         """
         now = self._ctx.clock.monotonic()
-        if not self._ctx.directory.takes_new_work(runner, now):
+        if not self._availability.may_send(runner, now):
             return False
         verdict = self._guard.judge(active, now)
         if verdict.handling is Handling.CONFINED:
@@ -124,15 +127,6 @@
         """Return whether the runner's owner must be asked before the attempt."""
         return not choice.candidate.has_adapter or choice.candidate.needs_grant
 
-    def _no_runner(self, active: ActiveRequest, now: float) -> LocalResponse:
-        """Return the response to a request that no runner takes in time."""
-        turn_wait_s = self._turns.shortest_wait_s(active.service, now)
-        if turn_wait_s <= 0.0:
-            return failure_response(active, "no_runner", BUSY_RETRY_S)
-        return failure_response(
-            active, "runners_limited", max(BUSY_RETRY_S, turn_wait_s)
-        )
-
     def _acquire(self, active: ActiveRequest, choice: Choice) -> bool:
         """Wait until the adapter is loaded and a long prompt may start.
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -13,6 +13,7 @@
 
 from ._active_request import ActiveRequest, LocalResponse, Round, run_rounds
 from ._attempts import Attempts
+from ._availability import Availability
 from ._context import Context
 from ._ports import AttemptFailure, ForwardingMetadata, RunnerResponse
 from ._responses import ResponseWriter, failure_response, is_valid_response
@@ -33,11 +34,13 @@
         self,
         ctx: Context,
         turns: Turns,
+        availability: Availability,
         attempts: Attempts,
         responses: ResponseWriter,
     ) -> None:
         self._ctx = ctx
         self._turns = turns
+        self._availability = availability
         self._attempts = attempts
         self._responses = responses
 
@@ -58,12 +61,12 @@
             return failure_response(active, "deadline")
         runner = self._choose(active, now)
         if runner is None:
-            return self._no_server(active, now)
+            return self._availability.refusal(active, "no_server", FULL_RETRY_S, now)
         if not self._turns.wait_for(active, runner):
             active.ungranted.add(runner.id)
             return Round.AGAIN
         now = self._ctx.clock.monotonic()
-        if not self._ctx.directory.takes_new_work(runner, now):
+        if not self._availability.may_send(runner, now):
             return Round.AGAIN
         if not self._attempts.withdraw_attempt(active):
             return failure_response(active, "repeat_budget", FULL_RETRY_S)
@@ -123,14 +126,6 @@
         is_late = failure is AttemptFailure.LATE
         return failure_response(active, "deadline" if is_late else "server_failed")
 
-    def _no_server(self, active: ActiveRequest, now: float) -> LocalResponse:
-        """Return the response to a request that no server takes in time."""
-        turn_wait_s = self._turns.shortest_wait_s(active.service, now)
-        if turn_wait_s <= 0.0:
-            return failure_response(active, "no_server", FULL_RETRY_S)
-        retry_in_s = max(FULL_RETRY_S, turn_wait_s)
-        return failure_response(active, "servers_limited", retry_in_s)
-
     def _attempt_deadline(self, active: ActiveRequest) -> float:
         """Return the attempt's deadline, which leaves time for a retry if allowed."""
         now = self._ctx.clock.monotonic()
@@ -149,17 +144,10 @@
                 turn_wait_s=self._turns.expected_wait_s(runner, now),
             )
             for runner in ctx.directory.runners(active.service, now)
-            if self._may_serve(active, runner, now)
+            if self._availability.may_serve(active, runner, now)
         ]
         choice = choose_plain_server(candidates, active.metadata.request_id)
         return choice.candidate.runner if choice else None
 
-    def _may_serve(self, active: ActiveRequest, runner: Runner, now: float) -> bool:
-        if runner.id in active.tried or runner.id in active.ungranted:
-            return False
-        if self._ctx.loads.is_down(runner.id, now):
-            return False
-        return self._turns.is_in_time(active, runner, now)
-
     def _is_local(self, runner: Runner) -> bool:
         return runner.domain == self._ctx.cfg.vm.domain
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -15,6 +15,7 @@
 
 from ._active_request import ActiveRequest
 from ._adapters import Adapters
+from ._availability import Availability
 from ._context import Context
 from ._turns import Turns
 
@@ -27,10 +28,17 @@
 class RunnerChooser:
     """Collects the runners that could serve a request, and chooses one."""
 
-    def __init__(self, ctx: Context, adapters: Adapters, turns: Turns) -> None:
+    def __init__(
+        self,
+        ctx: Context,
+        adapters: Adapters,
+        turns: Turns,
+        availability: Availability,
+    ) -> None:
         self._ctx = ctx
         self._adapters = adapters
         self._turns = turns
+        self._availability = availability
         self.stream_pace = StreamPace()
 
     def wanted_version(self, active: ActiveRequest) -> int:
@@ -79,11 +87,7 @@
 
     def _may_serve(self, active: ActiveRequest, runner: Runner, now: float) -> bool:
         """Return whether a runner has the model and may get the request now."""
-        if runner.id in active.tried or runner.id in active.ungranted:
-            return False
-        if self._ctx.loads.is_down(runner.id, now):
-            return False
-        if not self._turns.is_in_time(active, runner, now):
+        if not self._availability.may_serve(active, runner, now):
             return False
         return any(model.name == active.metadata.model for model in runner.models)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -25,6 +25,7 @@
 )
 from ._adapters import Adapters
 from ._attempts import Attempts
+from ._availability import Availability
 from ._context import Context
 from ._crash_guard import CrashGuard
 from ._follower import DirectoryFollower
@@ -51,6 +52,7 @@
         self.owned_runners = OwnedRunners(ctx)
         self.guard = CrashGuard(ctx)
         self._turns = Turns(ctx)
+        availability = Availability(ctx, self._turns)
         attempts = Attempts(ctx, self.guard)
         responses = ResponseWriter(ctx)
         adapters = Adapters(ctx, self.owned_runners, self.membership)
@@ -64,8 +66,16 @@
             self.guard,
             attempts,
             responses,
-            PlainRequests(ctx, self._turns, attempts, responses),
-            ModelRequests(ctx, self.guard, adapters, self._turns, attempts, responses),
+            PlainRequests(ctx, self._turns, availability, attempts, responses),
+            ModelRequests(
+                ctx,
+                self.guard,
+                adapters,
+                self._turns,
+                availability,
+                attempts,
+                responses,
+            ),
         )
         self.membership.on_change = self.owned_runners.refresh
         self.follower.on_snapshot = self.owned_runners.refresh
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_statements.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_statements.py
@@ -5,17 +5,35 @@
 from gooseberryrun._internal.state.serving import RateLimit, Runner, RunnerStatement
 
 from .._events import log_event
-from .._metrics import RUNNER_LIMIT_CHANGES, RUNNERS_LEAVING
+from .._metrics import RUNNER_LIMIT_CHANGES, RUNNER_PAUSES, RUNNERS_LEAVING
 from .._serving_messages import ServingGossip
 from ._context import Context
 
 
-def record_statement(ctx: Context, runner: Runner, statement: RunnerStatement) -> None:
-    """Record what a runner says of itself in a response that has just arrived."""
+def record_statement(
+    ctx: Context, runner: Runner, statement: RunnerStatement, sent_at: float
+) -> None:
+    """Record what a runner says of itself in a response that has just arrived.
+
+    ``sent_at`` is when the request was sent.
+    """
     limit = RateLimit(runner.born_ms, statement.limit_per_s)
     record_limit(ctx, runner.id, limit, ctx.clock.monotonic(), ctx.vm)
     if statement.is_leaving:
         record_leaving(ctx, runner.id, runner.born_ms, ctx.vm)
+    _record_pause(ctx, runner, statement, sent_at)
+
+
+def _record_pause(
+    ctx: Context, runner: Runner, statement: RunnerStatement, sent_at: float
+) -> None:
+    """Record the pause that a runner asks for, or that one is over."""
+    if statement.pause_s is not None:
+        ctx.pauses.record_refusal(runner, statement.pause_s, ctx.clock.monotonic())
+        RUNNER_PAUSES.inc()
+        log_event("runner_pause", runner=runner.id, pause_s=statement.pause_s)
+    elif ctx.pauses.record_accepted(runner, sent_at):
+        log_event("runner_pause_ended", runner=runner.id)
 
 
 def record_gossip(ctx: Context, sender: str, gossip: ServingGossip) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
@@ -65,12 +65,6 @@
         per_target_s = policy.max_turn_wait_per_target * active.route.target_latency_s
         return min(per_target_s, active.longest_wait_s(policy, now), MAX_TURN_WAIT_S)
 
-    def shortest_wait_s(self, service: str, now: float) -> float:
-        """Return the shortest expected wait for a turn at any runner of a service."""
-        runners = self._ctx.directory.runners(service, now)
-        waits = (self.expected_wait_s(runner, now) for runner in runners)
-        return min(waits, default=0.0)
-
     def take(self, active: ActiveRequest, runner: Runner) -> bool:
         """Get a turn for a request, unless it has one or the runner has no limit.
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -32,6 +32,7 @@
 )
 from ._loads import RunnerLoads, RunnerView
 from ._ownership import OwnershipState
+from ._pauses import RunnerPauses
 from ._placement import (
     Candidate,
     Choice,
@@ -117,6 +118,7 @@
     "RouteTable",
     "Runner",
     "RunnerLoads",
+    "RunnerPauses",
     "RunnerQueue",
     "RunnerStatement",
     "RunnerStatements",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_statements.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_statements.py
@@ -25,11 +25,13 @@
     """What a runner says of itself in one response.
 
     ``limit_per_s`` is the rate of requests that it takes from all VMs together, None if
-    it names no limit. A runner that is leaving wants no new requests.
+    it names no limit. A runner that is leaving wants no new requests; one that turned a
+    request away may want none from this VM for ``pause_s`` seconds.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class RateLimit(msgspec.Struct, frozen=True, array_like=True):
