Grant no prompt to a request that was withdrawn before it was served

Callers of long prompts were refused after 2.15 s although nothing was read at the runner. Found by test_prompt_of_a_caller_that_left_never_starts, which failed beside a busy machine and in one of some eight plain runs.

Cause, from the log of the failing run: an owner serves a request for a grant in a green thread of its own, but handles the withdrawal at once. If the caller leaves within milliseconds, the withdrawal comes first and finds nothing; the request then waits, is granted the prompt, and nobody returns the grant until it lapses.

The owner remembers such withdrawals for a second.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -35,6 +35,9 @@
 """Pause of an owner without a valid lease."""
 USE_REPORT_WAIT_S = 0.08
 """Time for peers to report their uses to a new owner before it evicts adapters."""
+WITHDRAWN_TTL_S = 1.0
+"""Time for which a withdrawn request is remembered that has not been served yet: its
+green thread may start after the withdrawal has been handled."""
 _OWNER_FAULTS = frozenset(
     {
         "no_owner",
@@ -95,6 +98,7 @@
         self._wake: Event = Event()
         self._is_closed = False
         self._model_ordered_at = float("-inf")
+        self._withdrawn_at: dict[str, float] = {}
 
     @property
     def runner(self) -> Runner:
@@ -132,6 +136,22 @@
         if waiter is not None:
             self._queue.remove(waiter)
             waiter.completed.send(Err(Refusal("withdrawn", 0.0)))
+        elif took_s < 0:
+            self._record_withdrawal(request_id)
+
+    def _record_withdrawal(self, request_id: str) -> None:
+        """Remember a withdrawal that came before its request was served."""
+        now = self._ctx.clock.monotonic()
+        self._withdrawn_at = {
+            known: at
+            for known, at in self._withdrawn_at.items()
+            if now - at <= WITHDRAWN_TTL_S
+        }
+        self._withdrawn_at[request_id] = now
+
+    def _is_withdrawn(self, request_id: str, now: float) -> bool:
+        withdrawn_at = self._withdrawn_at.pop(request_id, float("-inf"))
+        return now - withdrawn_at <= WITHDRAWN_TTL_S
 
     def residency(self) -> ResidencyNotice | None:
         """Return the adapters that the runner holds; None while they are not known."""
@@ -161,6 +181,8 @@
         adapter = request.adapter
         version = request.version
         now = self._ctx.clock.monotonic()
+        if self._is_withdrawn(request.request_id, now):
+            return Err(Refusal("withdrawn", 0.0))
         self._slots.record_demand(adapter, now)
         if self._orders.fencing_token() is None:
             boottime = self._ctx.clock.boottime()
