--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 from result import Err
 
 from gooseberryrun._internal.state.serving import Choice, Handling, Runner, Verdict
@@ -16,11 +14,11 @@
 from ._availability import Availability
 from ._context import Context
 from ._crash_guard import CrashGuard, suspect_response
-from ._event_stream import EventBuffer
 from ._load_tracker import LoadTracker
-from ._ports import AttemptFailure, AttemptFault, ForwardingMetadata, RunnerResponse
-from ._responses import ResponseWriter, end_to_end, failure_response, is_valid_response
+from ._ports import ForwardingMetadata, RunnerResponse
+from ._responses import ResponseWriter, failure_response
 from ._runner_choice import RunnerChooser
+from ._stream_relay import StreamProgress, StreamRelay, after_fault
 from ._turns import Turns
 
 MAX_ROUNDS = 6
@@ -32,14 +30,6 @@
 """Retry delay sent with a refusal for lack of capacity."""
 
 
-@dataclass(slots=True)
-class _StreamProgress:
-    """Part of the stream that the caller has received."""
-
-    events: EventBuffer = field(default_factory=EventBuffer)
-    is_started: bool = False
-
-
 class ModelRequests:
     """Serves requests that name a model or one of its adapters."""
 
@@ -61,10 +51,11 @@
         self._responses = responses
         self._availability = availability
         self._chooser = RunnerChooser(ctx, adapters, turns, availability)
+        self._relay = StreamRelay(ctx, attempts, responses, self._chooser.stream_pace)
 
     def serve(self, active: ActiveRequest) -> None:
         """Serve a request and respond to its caller."""
-        progress = _StreamProgress()
+        progress = StreamProgress()
         outcome = run_rounds(MAX_ROUNDS, lambda: self._try_once(active, progress))
         if outcome is Round.AGAIN:
             outcome = failure_response(active, "attempts", BUSY_RETRY_S)
@@ -72,7 +63,7 @@
             self._send_final(active, progress, outcome)
 
     def _send_final(
-        self, active: ActiveRequest, progress: _StreamProgress, response: LocalResponse
+        self, active: ActiveRequest, progress: StreamProgress, response: LocalResponse
     ) -> None:
         """Send a local response, or abort a stream that has started."""
         if not progress.is_started:
@@ -82,7 +73,7 @@
         active.caller.abort()
 
     def _try_once(
-        self, active: ActiveRequest, progress: _StreamProgress
+        self, active: ActiveRequest, progress: StreamProgress
     ) -> LocalResponse | Round:
         now = self._ctx.clock.monotonic()
         if now >= active.deadline:
@@ -174,7 +165,7 @@
         self,
         active: ActiveRequest,
         choice: Choice,
-        progress: _StreamProgress,
+        progress: StreamProgress,
         chosen_by: Verdict,
     ) -> LocalResponse | Round:
         runner = choice.candidate.runner
@@ -199,7 +190,7 @@
         return False
 
     def _send_tracked(
-        self, active: ActiveRequest, choice: Choice, progress: _StreamProgress
+        self, active: ActiveRequest, choice: Choice, progress: StreamProgress
     ) -> LocalResponse | Round:
         tracker = LoadTracker(self._ctx, self._adapters, active, choice)
         try:
@@ -211,23 +202,23 @@
         self,
         active: ActiveRequest,
         runner: Runner,
-        progress: _StreamProgress,
+        progress: StreamProgress,
         tracker: LoadTracker,
     ) -> LocalResponse | Round:
         forwarding = self._forwarding(active, runner, progress)
         sent = self._attempts.send(active, runner, forwarding, active.deadline)
         if isinstance(sent, Err):
-            return self._after_fault(active, sent.err_value)
+            return after_fault(active, sent.err_value)
         response = sent.ok_value
         try:
             if response.metadata.is_not_run:
                 return self._after_not_run(active, runner, response)
-            return self._handle_response(active, runner, response, progress, tracker)
+            return self._relay.handle(active, runner, response, progress, tracker)
         finally:
             response.close()
 
     def _forwarding(
-        self, active: ActiveRequest, runner: Runner, progress: _StreamProgress
+        self, active: ActiveRequest, runner: Runner, progress: StreamProgress
     ) -> ForwardingMetadata:
         version = 0
         if active.metadata.adapter and self._chooser.wanted_version(active):
@@ -249,115 +240,6 @@
             active.tried.discard(runner.id)
         return Round.AGAIN
 
-    def _after_fault(
-        self, active: ActiveRequest, fault: AttemptFault
-    ) -> LocalResponse | Round:
-        if fault.failure is AttemptFailure.NOT_SENT or active.may_retry:
-            return Round.AGAIN
-        is_late = fault.failure is AttemptFailure.LATE
-        return failure_response(active, "deadline" if is_late else "runner_failed")
-
-    def _handle_response(
-        self,
-        active: ActiveRequest,
-        runner: Runner,
-        response: RunnerResponse,
-        progress: _StreamProgress,
-        tracker: LoadTracker,
-    ) -> LocalResponse | Round:
-        if not is_valid_response(response):
-            fault = AttemptFault(AttemptFailure.INVALID_RESPONSE, "unsigned or encoded")
-            self._attempts.record_invalid_response(active, runner, fault)
-            return self._after_fault(active, fault)
-        if response.status != 200:
-            return self._handle_failure(active, runner, response, progress)
-        return self._relay(active, runner, response, progress, tracker)
-
-    def _handle_failure(
-        self,
-        active: ActiveRequest,
-        runner: Runner,
-        response: RunnerResponse,
-        progress: _StreamProgress,
-    ) -> LocalResponse | Round:
-        body = response.read_all(active.deadline)
-        if isinstance(body, Err):
-            self._attempts.record_invalid_response(active, runner, body.err_value)
-            return self._after_fault(active, body.err_value)
-        is_failure = response.status >= 500
-        now = self._ctx.clock.monotonic()
-        self._ctx.loads.record_result(runner.id, ok=not is_failure, now=now)
-        if is_failure and active.may_retry and self._attempts.has_retry_budget(active):
-            return Round.AGAIN
-        if progress.is_started:
-            return failure_response(active, "runner_failed")
-        self._responses.relay(active, response, body.ok_value)
-        return Round.DONE
-
-    def _relay(
-        self,
-        active: ActiveRequest,
-        runner: Runner,
-        response: RunnerResponse,
-        progress: _StreamProgress,
-        tracker: LoadTracker,
-    ) -> LocalResponse | Round:
-        for chunk in response.body_chunks(active.deadline):
-            if isinstance(chunk, Err):
-                progress.events.discard_partial()
-                self._attempts.record_invalid_response(active, runner, chunk.err_value)
-                return self._after_fault(active, chunk.err_value)
-            events = progress.events.feed(chunk.ok_value)
-            if progress.events.exceeds_limit:
-                fault = AttemptFault(AttemptFailure.INVALID_RESPONSE, "event too long")
-                progress.events.discard_partial()
-                self._attempts.record_invalid_response(active, runner, fault)
-                return self._after_fault(active, fault)
-            if events:
-                tracker.mark_prompt_read()
-                self._send_events(active, response, progress, events)
-        if response.ends_with_connection and not _ends_after_event(active, progress):
-            fault = AttemptFault(AttemptFailure.SENT, "closed within an event")
-            progress.events.discard_partial()
-            self._attempts.record_invalid_response(active, runner, fault)
-            return self._after_fault(active, fault)
-        self._finish(active, runner, response, progress)
-        return Round.DONE
-
-    def _send_events(
-        self,
-        active: ActiveRequest,
-        response: RunnerResponse,
-        progress: _StreamProgress,
-        events: bytes,
-    ) -> None:
-        if not progress.is_started:
-            progress.is_started = True
-            active.caller.start(response.status, end_to_end(response.headers))
-        active.timing.record_event(self._ctx.clock.monotonic())
-        self._attempts.record_events(active)
-        active.caller.send(events)
-
-    def _finish(
-        self,
-        active: ActiveRequest,
-        runner: Runner,
-        response: RunnerResponse,
-        progress: _StreamProgress,
-    ) -> None:
-        self._attempts.record_success(active, runner)
-        self._chooser.stream_pace.record(active.timing, active.metadata.output_tokens)
-        remainder = progress.events.remainder()
-        if remainder or not progress.is_started:
-            self._send_events(active, response, progress, remainder)
-        self._responses.log(active, response.status, "relayed")
-        active.caller.finish()
-
-
-def _ends_after_event(active: ActiveRequest, progress: _StreamProgress) -> bool:
-    """Return whether an attempt's stream has events and ends with a whole one."""
-    return active.answered_at is not None and not progress.events.remainder()
-
 
 def _log_overload(active: ActiveRequest, choice: Choice) -> None:
     """Log the figures by which even the best runner is too slow for a request."""
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
@@ -0,0 +1,151 @@
+"""Relays the responses of model runners, which are streams of events, to callers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from result import Err
+
+from gooseberryrun._internal.state.serving import Runner, StreamPace
+
+from ._active_request import ActiveRequest, LocalResponse, Round
+from ._attempts import Attempts
+from ._context import Context
+from ._event_stream import EventBuffer
+from ._load_tracker import LoadTracker
+from ._ports import AttemptFailure, AttemptFault, RunnerResponse
+from ._responses import ResponseWriter, end_to_end, failure_response, is_valid_response
+
+
+@dataclass(slots=True)
+class StreamProgress:
+    """Part of the stream that the caller has received."""
+
+    events: EventBuffer = field(default_factory=EventBuffer)
+    is_started: bool = False
+
+
+class StreamRelay:
+    """Passes whole events on as they arrive, over several attempts of one request."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        attempts: Attempts,
+        responses: ResponseWriter,
+        stream_pace: StreamPace,
+    ) -> None:
+        self._ctx = ctx
+        self._attempts = attempts
+        self._responses = responses
+        self._stream_pace = stream_pace
+
+    def handle(
+        self,
+        active: ActiveRequest,
+        runner: Runner,
+        response: RunnerResponse,
+        progress: StreamProgress,
+        tracker: LoadTracker,
+    ) -> LocalResponse | Round:
+        """Relay a response to the caller; return what to do if it fails."""
+        if not is_valid_response(response):
+            fault = AttemptFault(AttemptFailure.INVALID_RESPONSE, "unsigned or encoded")
+            self._attempts.record_invalid_response(active, runner, fault)
+            return after_fault(active, fault)
+        if response.status != 200:
+            return self._handle_failure(active, runner, response, progress)
+        return self._relay(active, runner, response, progress, tracker)
+
+    def _handle_failure(
+        self,
+        active: ActiveRequest,
+        runner: Runner,
+        response: RunnerResponse,
+        progress: StreamProgress,
+    ) -> LocalResponse | Round:
+        body = response.read_all(active.deadline)
+        if isinstance(body, Err):
+            self._attempts.record_invalid_response(active, runner, body.err_value)
+            return after_fault(active, body.err_value)
+        is_failure = response.status >= 500
+        now = self._ctx.clock.monotonic()
+        self._ctx.loads.record_result(runner.id, ok=not is_failure, now=now)
+        if is_failure and active.may_retry and self._attempts.has_retry_budget(active):
+            return Round.AGAIN
+        if progress.is_started:
+            return failure_response(active, "runner_failed")
+        self._responses.relay(active, response, body.ok_value)
+        return Round.DONE
+
+    def _relay(
+        self,
+        active: ActiveRequest,
+        runner: Runner,
+        response: RunnerResponse,
+        progress: StreamProgress,
+        tracker: LoadTracker,
+    ) -> LocalResponse | Round:
+        for chunk in response.body_chunks(active.deadline):
+            if isinstance(chunk, Err):
+                progress.events.discard_partial()
+                self._attempts.record_invalid_response(active, runner, chunk.err_value)
+                return after_fault(active, chunk.err_value)
+            events = progress.events.feed(chunk.ok_value)
+            if progress.events.exceeds_limit:
+                fault = AttemptFault(AttemptFailure.INVALID_RESPONSE, "event too long")
+                progress.events.discard_partial()
+                self._attempts.record_invalid_response(active, runner, fault)
+                return after_fault(active, fault)
+            if events:
+                tracker.mark_prompt_read()
+                self._send_events(active, response, progress, events)
+        if response.ends_with_connection and not _ends_after_event(active, progress):
+            fault = AttemptFault(AttemptFailure.SENT, "closed within an event")
+            progress.events.discard_partial()
+            self._attempts.record_invalid_response(active, runner, fault)
+            return after_fault(active, fault)
+        self._finish(active, runner, response, progress)
+        return Round.DONE
+
+    def _send_events(
+        self,
+        active: ActiveRequest,
+        response: RunnerResponse,
+        progress: StreamProgress,
+        events: bytes,
+    ) -> None:
+        if not progress.is_started:
+            progress.is_started = True
+            active.caller.start(response.status, end_to_end(response.headers))
+        active.timing.record_event(self._ctx.clock.monotonic())
+        self._attempts.record_events(active)
+        active.caller.send(events)
+
+    def _finish(
+        self,
+        active: ActiveRequest,
+        runner: Runner,
+        response: RunnerResponse,
+        progress: StreamProgress,
+    ) -> None:
+        self._attempts.record_success(active, runner)
+        self._stream_pace.record(active.timing, active.metadata.output_tokens)
+        remainder = progress.events.remainder()
+        if remainder or not progress.is_started:
+            self._send_events(active, response, progress, remainder)
+        self._responses.log(active, response.status, "relayed")
+        active.caller.finish()
+
+
+def after_fault(active: ActiveRequest, fault: AttemptFault) -> LocalResponse | Round:
+    """Return what to do after a failed attempt: try another runner, or give up."""
+    if fault.failure is AttemptFailure.NOT_SENT or active.may_retry:
+        return Round.AGAIN
+    is_late = fault.failure is AttemptFailure.LATE
+    return failure_response(active, "deadline" if is_late else "runner_failed")
+
+
+def _ends_after_event(active: ActiveRequest, progress: StreamProgress) -> bool:
+    """Return whether an attempt's stream has events and ends with a whole one."""
+    return active.answered_at is not None and not progress.events.remainder()
