Stop telling peers of runners that left once another incarnation is registered

VMs would have told one another of such incarnations without end, since the id was still registered. Found by reading the diff; the test failed before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -231,9 +231,14 @@
         return {
             runner_id: born_ms
             for runner_id, born_ms in self._leaving.items()
-            if runner_id in self._runners
+            if self._is_registered(runner_id, born_ms)
         }
 
+    def _is_registered(self, runner_id: str, born_ms: int) -> bool:
+        """Return whether the registry has this incarnation, or an earlier one."""
+        known = self._runners.get(runner_id)
+        return known is not None and known.born_ms <= born_ms
+
     def _with_leaving(self, runner: Runner) -> Runner:
         """Return a runner as draining if it said that it leaves."""
         if runner.born_ms > self._leaving.get(runner.id, -1):
--- a/tests/unit/serving/test_statements.py
+++ b/tests/unit/serving/test_statements.py
@@ -82,6 +82,7 @@
     directory.apply(reborn, 10.0)
     assert directory.runners("s", 10.0) == [make_runner(born_ms=2)]
     assert not directory.record_leaving("i-1", 1)
+    assert not directory.stated_leaving()
 
 
 def test_runners_that_left_are_not_remembered_without_bound() -> None:
