Ask for a turn with the newest limit, which may be forgotten meanwhile

A VM asks the next one if the first does not answer; if the limit became too old in that time, the request failed with an internal error. Found by reading the diff; the test failed before (KeyError).

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
@@ -154,8 +154,7 @@
             return self._granted.take(runner.id, limit_per_s, max_wait_s, now)
         if now < self._silent_until.get(granter, -math.inf):
             return None
-        limit = RateLimit(runner.born_ms, limit_per_s)
-        age_s = self._ctx.statements.age_s(runner, now)
+        limit, age_s = self._ctx.statements.newest(runner.id, now)
         request = TurnRequest(
             runner.id, active.metadata.request_id, max_wait_s, limit, age_s
         )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_statements.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_statements.py
@@ -71,13 +71,8 @@
         stated_at, limit = known
         return limit.per_s if now - stated_at <= STATEMENT_TTL_S else None
 
-    def age_s(self, runner: Runner, now: float) -> float:
-        """Return the age of what is known of a runner's limit."""
-        stated_at, _ = self._limits[runner.id]
-        return now - stated_at
-
     def newest(self, runner: str, now: float) -> tuple[RateLimit, float]:
-        """Return the newest limit stated by any incarnation, and its age."""
+        """Return the newest limit of any incarnation and its age; no limit if none."""
         stated_at, limit = self._limits.get(runner, (now, RateLimit(0, None)))
         return limit, now - stated_at
 
--- a/tests/unit/serving/test_turn_requests.py
+++ b/tests/unit/serving/test_turn_requests.py
@@ -170,3 +170,18 @@
     fleet.clock.suspend(5.0)
     fleet.clock.now += 2.0
     assert turns.take(active, fleet.runner) and active.permit is not permit
+
+
+def test_limit_that_is_forgotten_while_a_vm_is_asked_is_no_fault(fleet: Fleet) -> None:
+    """The first VM did not answer, and meanwhile the limit became too old."""
+    vm = next(vm for vm in fleet.turns if vm != fleet.granter())
+    statements = fleet.contexts[vm].statements
+    ask = fleet.turns[vm]._ask
+
+    def forget_and_ask(*args: Any) -> Any:
+        statements.recent(fleet.clock.now + STATEMENT_TTL_S + 1)
+        return ask(*args)
+
+    fleet.turns[vm]._ask = forget_and_ask  # type: ignore[assignment]
+    active: Any = _Active()
+    assert isinstance(fleet.turns[vm].take(active, fleet.runner), bool)
