--- a/tests/functional/serving/test_named_limits.py
+++ b/tests/functional/serving/test_named_limits.py
@@ -23,8 +23,7 @@
 @pytest.fixture(name="site")
 def _site(tmp_path: Path) -> Iterator[Site]:
     site = Site(tmp_path, vms=2)
-    names = "members=2"
-    wait_for(lambda: all(names in vm.log.read_text() for vm in site.vms), names)
+    site.wait_for_members()
     yield site
     site.close()
 
--- a/tests/functional/serving/test_several_vms.py
+++ b/tests/functional/serving/test_several_vms.py
@@ -20,8 +20,7 @@
     def make(vms: int, models: int = 2) -> Site:
         site = Site(tmp_path, vms=vms, models=models)
         sites.append(site)
-        names = f"members={len(site.vms)}"
-        wait_for(lambda: all(names in vm.log.read_text() for vm in site.vms), names)
+        site.wait_for_members()
         return site
 
     yield make
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -240,6 +240,11 @@
         entry = runner.entry(self.addresses[runner.id])
         self.store.put("keyed.servers", runner.id, entry)
 
+    def wait_for_members(self) -> None:
+        """Wait until every entry VM knows all others."""
+        names = f"members={len(self.vms)}"
+        wait_for(lambda: all(names in vm.log.read_text() for vm in self.vms), names)
+
     def close(self) -> None:
         """Kill the entry VM processes and stop the store."""
         for vm in self.vms:
--- a/tests/unit/serving/test_kept_connections.py
+++ b/tests/unit/serving/test_kept_connections.py
@@ -8,7 +8,7 @@
 import threading
 
 import pytest
-from gooseberryrun._internal.coordination.serving import OutboundRequest
+from gooseberryrun._internal.coordination.serving import OutboundRequest, RunnerResponse
 from gooseberryrun._internal.state import SystemClock
 from gooseberryrun._internal.state.serving import Runner
 from gooseberryrun._internal.transport.serving import RunnerConnectionPool
@@ -51,19 +51,26 @@
         self._listener.close()
 
 
-def is_answered(
+def send(
     runners: RunnerConnectionPool, port: int, name: str, is_idempotent: bool
-) -> bool:
-    """Send a request; return whether the whole response arrived."""
-    clock = SystemClock()
+) -> RunnerResponse | None:
+    """Send a request; return the response, None if there is none."""
     runner = Runner("i-1", "s", "127.0.0.1", port, "d", 6, False, 1, 0, ())
     headers = [("host", "h"), ("x-gooseberryrun-request-id", name)]
     request = OutboundRequest("GET", "/", headers, b"", name, is_idempotent)
-    sent = runners.send(runner, request, clock.monotonic() + 30)
-    if not isinstance(sent, Ok):
+    sent = runners.send(runner, request, SystemClock().monotonic() + 30)
+    return sent.ok_value if isinstance(sent, Ok) else None
+
+
+def is_answered(
+    runners: RunnerConnectionPool, port: int, name: str, is_idempotent: bool
+) -> bool:
+    """Send a request; return whether the whole response arrived."""
+    response = send(runners, port, name, is_idempotent)
+    if response is None:
         return False
-    body = sent.ok_value.read_all(clock.monotonic() + 30)
-    sent.ok_value.close()
+    body = response.read_all(SystemClock().monotonic() + 30)
+    response.close()
     return body == Ok(b"ok")
 
 
@@ -94,20 +101,14 @@
     ).encode()
 
 
-def ask(
-    runners: RunnerConnectionPool, port: int, name: str, is_idempotent: bool = True
-) -> tuple[int, bool]:
+def ask(runners: RunnerConnectionPool, port: int, name: str) -> tuple[int, bool]:
     """Send a request; return the status and whether it says that it was not run."""
-    clock = SystemClock()
-    runner = Runner("i-1", "s", "127.0.0.1", port, "d", 6, False, 1, 0, ())
-    headers = [("host", "h"), ("x-gooseberryrun-request-id", name)]
-    request = OutboundRequest("GET", "/", headers, b"", name, is_idempotent)
-    sent = runners.send(runner, request, clock.monotonic() + 30)
-    if not isinstance(sent, Ok):
+    response = send(runners, port, name, is_idempotent=True)
+    if response is None:
         return 0, False
-    sent.ok_value.read_all(clock.monotonic() + 30)
-    sent.ok_value.close()
-    return sent.ok_value.status, sent.ok_value.metadata.is_not_run
+    response.read_all(SystemClock().monotonic() + 30)
+    response.close()
+    return response.status, response.metadata.is_not_run
 
 
 @pytest.mark.parametrize("status", [421, 429, 503])
