--- a/packages/gooseberryctl/src/gooseberryctl/_internal/commands/explain.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/commands/explain.py
@@ -10,7 +10,18 @@
 from gooseberryctl._internal.log_lines import LogLine, LogReader
 from gooseberryctl._internal.session import Session
 
-RUNNER_EVENTS = frozenset(
+STATEMENT_EVENTS = frozenset(
+    {
+        "runner_limit",
+        "runner_leaving",
+        "runner_pause",
+        "runner_pause_ended",
+    }
+)
+"""Events that tell what a runner said of itself in a response."""
+LIMITED_REASON = "runners_limited"
+"""Reason of a request that was refused for what all its runners had said."""
+RUNNER_EVENTS = STATEMENT_EVENTS | frozenset(
     {
         "record_applied",
         "runner_owned",
@@ -81,11 +92,16 @@
         return []
     runners = {line.fields["runner"] for line in matches if "runner" in line.fields}
     vms = {line.vm for line in matches}
+    is_limited = any(m.fields.get("reason") == LIMITED_REASON for m in matches)
     end = max(line.time for line in matches)
     found = [
         line
         for line in lines
-        if line.time <= end and line.vm in vms and _is_context(line, runners)
+        if line.time <= end
+        and line.vm in vms
+        and (
+            _is_context(line, runners) or is_limited and line.event in STATEMENT_EVENTS
+        )
     ]
     return sorted(found, key=lambda line: line.time)[-MAX_CONTEXT_LINES:]
 
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -51,6 +51,27 @@
     assert output["notes"] == ["1 lines were no events"]
 
 
+LIMITED = """\
+time=2026-04-24T06:02:10.000Z level=INFO event=started vm=vm-a boot=b1
+time=2026-04-24T06:02:11.000Z level=INFO event=runner_limit runner=i-1 limit_per_s=1.5 \
+age_s=0.3 source=vm-b
+time=2026-04-24T06:02:11.500Z level=INFO event=runner_pause runner=i-2 pause_s=4.0
+time=2026-04-24T06:02:12.100Z level=INFO event=request request=r1 status=503 \
+reason=runners_limited
+"""
+
+
+def test_refusal_for_what_all_runners_said_is_shown_with_their_words(
+    tmp_path: Path,
+) -> None:
+    """Such a request was sent nowhere, so its lines name no runner."""
+    log = tmp_path / "a.log"
+    log.write_text(LIMITED, encoding="utf-8")
+    result = CliRunner().invoke(make_cli(), ["--json", "explain", "r1", str(log)])
+    events = [row["event"] for row in json.loads(result.stdout)["rows"]]
+    assert events == ["started", "runner_limit", "runner_pause", "request"]
+
+
 def test_unknown_request_is_said_to_be_unknown(tmp_path: Path) -> None:
     output = json.loads(explain(tmp_path, "nobody").stdout)
     assert output["rows"] == []
