--- a/packages/gooseberryctl/src/gooseberryctl/_internal/commands/explain.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/commands/explain.py
@@ -99,16 +99,16 @@
         for line in lines
         if line.time <= end
         and line.vm in vms
-        and (
-            _is_context(line, runners) or is_limited and line.event in STATEMENT_EVENTS
-        )
+        and _is_context(line, runners, is_limited)
     ]
     return sorted(found, key=lambda line: line.time)[-MAX_CONTEXT_LINES:]
 
 
-def _is_context(line: LogLine, runners: set[str]) -> bool:
+def _is_context(line: LogLine, runners: set[str], is_limited: bool) -> bool:
     if line.event in VM_EVENTS:
         return True
+    if is_limited and line.event in STATEMENT_EVENTS:
+        return True
     runner = line.fields.get("runner") or line.fields.get("key", "")
     return line.event in RUNNER_EVENTS and runner in runners
 
