Bound the work for a request by its own suspects, not by all traits suspected

Found by reading: while anything was suspected, each request looked at every suspected trait, and each message of gossip hashed all of them; the crash of a full runner leaves hundreds, 8,192 may be remembered.

The digest is kept until a suspicion changes, expired ones are looked for once a second, and traits blamed together are found by the incarnation that crashed. The new test failed before: 35,400 records read for ten requests beside 500 suspects, 400 allowed.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -13,8 +13,10 @@
     CRASHES_TO_REFUSE,
     MAX_PARTS,
     RECENT_ANSWER_S,
-    Crash,
     CrashEvidence,
+)
+from ._crash_traits import (
+    Crash,
     Handling,
     StoredCrash,
     Suspicion,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
@@ -11,11 +11,11 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from enum import Enum, StrEnum
 
-import msgspec
 import xxhash
 
+from ._crash_traits import FREE, Crash, Handling, Trait, TraitKind, Verdict
+
 CRASHES_TO_REFUSE = 3
 """Crashes without an answer after which requests with a trait are refused."""
 BURST_S = 1.0
@@ -37,84 +37,8 @@
 """Traits remembered, blamed or not; the longest unused are forgotten first."""
 MAX_PARTS = 32
 """Shared prompt parts of one request that are considered."""
-
-
-class TraitKind(StrEnum):
-    """What several requests may have in common."""
-
-    CONTENT = "content"
-    PART = "part"
-    ADAPTER = "adapter"
-
-
-class Trait(msgspec.Struct, frozen=True, array_like=True):
-    """Property of a request that may crash runners.
-
-    ``key`` is a hash of the whole content, the id of a shared prompt part, or an
-    adapter with its version.
-    """
-
-    kind: TraitKind
-    key: str
-
-
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """Crash of one incarnation of a runner, at ``at`` in monotonic seconds.
-
-    ``is_begun`` is set if the runner had started the response of a request with the
-    trait, so that the request is more likely to be the cause.
-    """
-
-    runner: str
-    born_ms: int
-    at: float
-    is_begun: bool
-
-    @property
-    def incarnation(self) -> tuple[str, int]:
-        """Return the key of the runner's incarnation."""
-        return (self.runner, self.born_ms)
-
-
-class StoredCrash(msgspec.Struct, frozen=True):
-    """Crash as it is kept in the store, with its Unix time in seconds."""
-
-    runner: str
-    born_ms: int
-    unix_s: float
-    is_begun: bool
-
-
-class Suspicion(msgspec.Struct, frozen=True):
-    """What the store keeps of a trait; without crashes it is cleared."""
-
-    trait: Trait
-    crashes: tuple[StoredCrash, ...] = ()
-
-
-class Handling(Enum):
-    """How a request is handled because of its traits, least strict first."""
-
-    FREE = 0
-    CONFINED = 1
-    """It may go to one runner only, the same for all VMs."""
-    PAUSED = 2
-    """It has to wait until the runner that it crashed is back."""
-    REFUSED = 3
-
-
-@dataclass(frozen=True, slots=True)
-class Verdict:
-    """Handling of a request, with the trait that decides it and its crashes."""
-
-    handling: Handling
-    trait: Trait | None = None
-    crashes: int = 0
-    retry_at: float = 0.0
-
-
-FREE = Verdict(Handling.FREE)
+EXPIRY_INTERVAL_S = 1.0
+"""Time between two searches for expired suspicions."""
 
 
 @dataclass(slots=True)
@@ -129,12 +53,13 @@
     forgotten_until: float = float("-inf")
     crashes: dict[tuple[str, int], Crash] = field(default_factory=dict)
 
-    def add(self, crash: Crash) -> None:
-        """Add a crash; the oldest of too many is dropped, which may be this one."""
+    def add(self, crash: Crash) -> Crash | None:
+        """Add a crash; return the oldest of too many, which is dropped."""
         self.crashes[crash.incarnation] = crash
-        if len(self.crashes) > MAX_CRASHES:
-            oldest = min(self.crashes.values(), key=lambda c: c.at)
-            del self.crashes[oldest.incarnation]
+        if len(self.crashes) <= MAX_CRASHES:
+            return None
+        oldest = min(self.crashes.values(), key=lambda c: c.at)
+        return self.crashes.pop(oldest.incarnation)
 
     def blamed(self) -> list[Crash]:
         """Return the crashes that count, those since the last answer, oldest first."""
@@ -168,6 +93,9 @@
         self._has_returned = has_returned
         self._records: OrderedDict[Trait, _Record] = OrderedDict()
         self._blamed: set[Trait] = set()
+        self._by_incarnation: dict[tuple[str, int], set[Trait]] = {}
+        self._expire_at = float("-inf")
+        self._digest: int | None = 0
 
     def record_crash(self, traits: Iterable[Trait], crash: Crash) -> list[Trait]:
         """Record a crash; return the traits for which it is new."""
@@ -176,11 +104,16 @@
             record = self._record(trait)
             if crash.incarnation in record.crashes:
                 continue
-            record.add(crash)
-            if crash.incarnation in record.crashes:
+            dropped = record.add(crash)
+            if dropped is not None:
+                self._remove_from_index(trait, dropped.incarnation)
+            if dropped is not crash:
                 fresh.append(trait)
+                self._by_incarnation.setdefault(crash.incarnation, set()).add(trait)
             if record.blamed():
                 self._blamed.add(trait)
+        if fresh:
+            self._digest = None
         return fresh
 
     def record_answer(self, traits: Iterable[Trait], at: float) -> list[Trait]:
@@ -194,6 +127,8 @@
             was_blamed = self.crash_count(trait) > 0
             record.answered_at = max(record.answered_at, at)
             self._records.move_to_end(trait)
+            if trait in self._blamed:
+                self._digest = None
             if not record.blamed():
                 self._blamed.discard(trait)
             if was_blamed and not self.crash_count(trait):
@@ -216,7 +151,8 @@
         """Return how a request with these traits is handled now."""
         if not self._blamed:
             return FREE
-        self.expire(now)
+        if now >= self._expire_at:
+            self.expire(now)
         present = set(traits)
         verdicts = [
             self._judge(trait, present, now) for trait in present & self._blamed
@@ -253,13 +189,19 @@
             return {trait}
         kinds = {trait.kind, TraitKind.PART}
         incarnations = {crash.incarnation for crash in self._records[trait].blamed()}
+        sharing = [self._by_incarnation[incarnation] for incarnation in incarnations]
         return {
             other
-            for other in self._blamed
-            if other.kind in kinds
-            and incarnations <= {c.incarnation for c in self._records[other].blamed()}
+            for other in set.intersection(*sharing)
+            if other.kind in kinds and incarnations <= self._blamed_for(other)
         }
 
+    def _blamed_for(self, trait: Trait) -> set[tuple[str, int]]:
+        """Return the incarnations whose crashes are blamed on a trait."""
+        if trait not in self._blamed:
+            return set()
+        return {crash.incarnation for crash in self._records[trait].blamed()}
+
     def suspected(self) -> dict[Trait, list[Crash]]:
         """Return the crashes of each trait that is to blame for some."""
         return {
@@ -270,6 +212,11 @@
 
     def digest(self) -> int:
         """Return a number that depends on all blamed crashes, 0 without any."""
+        if self._digest is None:
+            self._digest = self._compute_digest()
+        return self._digest
+
+    def _compute_digest(self) -> int:
         digest = 0
         for trait, crashes in self.suspected().items():
             for crash in crashes:
@@ -281,20 +228,37 @@
         record = self._records.setdefault(trait, _Record())
         self._records.move_to_end(trait)
         while len(self._records) > MAX_TRAITS:
-            oldest, _ = self._records.popitem(last=False)
-            self._blamed.discard(oldest)
+            self._drop_oldest()
         return record
 
+    def _drop_oldest(self) -> None:
+        """Forget the trait that was not used for the longest time."""
+        oldest, record = self._records.popitem(last=False)
+        for incarnation in record.crashes:
+            self._remove_from_index(oldest, incarnation)
+        if oldest in self._blamed:
+            self._blamed.discard(oldest)
+            self._digest = None
+
+    def _remove_from_index(self, trait: Trait, incarnation: tuple[str, int]) -> None:
+        traits = self._by_incarnation.get(incarnation, set())
+        traits.discard(trait)
+        if not traits:
+            self._by_incarnation.pop(incarnation, None)
+
     def expire(self, now: float) -> None:
         """Forget the crashes of traits that have not crashed a runner for long."""
+        self._expire_at = now + EXPIRY_INTERVAL_S
         for trait in list(self._blamed):
             record = self._records[trait]
             last = max(crash.at for crash in record.crashes.values())
-            if now - last > max(
-                SUSPICION_TTL_S, 2 * refusal_s(self.crash_count(trait))
-            ):
+            ttl_s = max(SUSPICION_TTL_S, 2 * refusal_s(self.crash_count(trait)))
+            if now - last > ttl_s:
+                for incarnation in record.crashes:
+                    self._remove_from_index(trait, incarnation)
                 record.crashes.clear()
                 self._blamed.discard(trait)
+                self._digest = None
 
 
 def refusal_s(crashes: int) -> float:
--- a/tests/unit/serving/test_crash_evidence.py
+++ b/tests/unit/serving/test_crash_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from gooseberryrun._internal.state.serving import (
     CRASHES_TO_REFUSE,
     Crash,
@@ -9,6 +10,7 @@
     Handling,
     Trait,
     TraitKind,
+    _crash_evidence,
 )
 from gooseberryrun._internal.state.serving._crash_evidence import (
     MAX_CRASHES,
@@ -150,6 +152,31 @@
     assert not evidence.suspected()
 
 
+def test_work_for_a_request_does_not_grow_with_the_traits_suspected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Crashes of full runners leave hundreds of suspects each."""
+    records_read = 0
+    blamed = _crash_evidence._Record.blamed
+
+    def count_read(record: _crash_evidence._Record) -> list[Crash]:
+        nonlocal records_read
+        records_read += 1
+        return blamed(record)
+
+    evidence = make_evidence()
+    for number in range(500):
+        evidence.record_crash([Trait(TraitKind.PART, f"p{number}")], crash(number, 9.0))
+    evidence.record_crash(deadly_request(0), crash(1000, 10.0))
+    evidence.verdict(deadly_request(1), 10.1)
+    digest = evidence.digest()
+    monkeypatch.setattr(_crash_evidence._Record, "blamed", count_read)
+    for _ in range(10):
+        evidence.verdict(deadly_request(1), 10.2)
+        assert evidence.digest() == digest
+    assert records_read <= 10 * 40
+
+
 def test_traits_remembered_are_bounded() -> None:
     evidence = make_evidence()
     for number in range(MAX_TRAITS + 50):
