Keep expired crashes known, so that late reports do not revive them

Found by reading: the field that marks crashes as forgotten was never set; an expired suspicion was dropped whole, and a VM that had forgotten a crash took it as new from a peer that had not, and passed it on. The new test failed before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
@@ -254,9 +254,7 @@
             last = max(crash.at for crash in record.crashes.values())
             ttl_s = max(SUSPICION_TTL_S, 2 * refusal_s(self.crash_count(trait)))
             if now - last > ttl_s:
-                for incarnation in record.crashes:
-                    self._remove_from_index(trait, incarnation)
-                record.crashes.clear()
+                record.forgotten_until = last
                 self._blamed.discard(trait)
                 self._digest = None
 
--- a/tests/unit/serving/test_crash_evidence.py
+++ b/tests/unit/serving/test_crash_evidence.py
@@ -152,6 +152,16 @@
     assert not evidence.suspected()
 
 
+def test_late_report_of_an_expired_crash_is_not_blamed_again() -> None:
+    """A VM that has forgotten a crash would learn it anew from one that has not."""
+    evidence = make_evidence()
+    evidence.record_crash([DEADLY], crash(0, 10.0))
+    late = 11.0 + SUSPICION_TTL_S
+    evidence.expire(late)
+    assert not evidence.record_crash([DEADLY], crash(0, 10.0))
+    assert not evidence.crash_count(DEADLY)
+
+
 def test_work_for_a_request_does_not_grow_with_the_traits_suspected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
