--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
@@ -13,14 +13,12 @@
     Crash,
     Handling,
     Runner,
-    StoredCrash,
-    Suspicion,
     Trait,
     Verdict,
 )
 
 from .._events import log_event
-from .._metrics import CRASH_REPORTS, STORE_CALLS
+from .._metrics import CRASH_REPORTS
 from .._ports import InboundMessage
 from .._serving_messages import (
     AnswerReport,
@@ -31,21 +29,17 @@
 from .._tasks import spawn, spawn_until_done
 from ._active_request import ActiveRequest, LocalResponse
 from ._context import Context
+from ._kept_suspicions import KeptSuspicions
 from ._responses import failure_response
 
 FANOUT = 8
 """Peers that a VM tells at once; each passes on what is new to it."""
-MIN_CRASHES_TO_KEEP = 2
-"""Crashes of a trait from which on the store keeps them."""
 START_RETRY_S = 0.3
 START_LIMIT_S = 3.0
 """Longest time for which a new VM waits for what others know before it is ready."""
 PEER_TIMEOUT_S = 0.5
 MAX_TRAITS_SENT = 256
 """Traits in one message; those with the most crashes go first."""
-KEEP_TRIES = 3
-"""Attempts to write to the store; others and the next crash may write again."""
-KEEP_RETRY_S = 1.0
 
 
 def suspect_response(
@@ -63,6 +57,7 @@
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
         self._evidence = ctx.evidence
+        self._kept = KeptSuspicions(ctx, self._add_kept_crash)
         self._compared: dict[str, tuple[int, int]] = {}
         self.is_informed = False
 
@@ -102,19 +97,17 @@
         if not fresh:
             return
         self._spread(EvidenceNotice([self._report(fresh, crash)], []))
-        self._keep(fresh)
+        self._kept.keep(fresh)
 
     def record_answer(self, active: ActiveRequest, answered_at: float) -> None:
         """Clear the traits of a request that a living runner began to answer."""
         active.is_answer_recorded = True
-        kept = self._worth_keeping(active.traits)
+        kept = self._kept.worth_keeping(active.traits)
         cleared = self._clear(active.traits, answered_at, self._ctx.vm)
         if not cleared:
             return
         self._spread(EvidenceNotice([], [self._answer(cleared, answered_at)]))
-        withdrawn = [Suspicion(trait) for trait in cleared if trait in kept]
-        if withdrawn:
-            spawn("crash_evidence_keep", lambda: self._write(withdrawn))
+        self._kept.withdraw([trait for trait in cleared if trait in kept])
 
     def _add_crash(
         self, traits: Iterable[Trait], crash: Crash, source: str
@@ -137,6 +130,9 @@
             )
         return fresh
 
+    def _add_kept_crash(self, trait: Trait, crash: Crash) -> None:
+        self._add_crash([trait], crash, "store")
+
     def _clear(
         self, traits: Iterable[Trait], answered_at: float, source: str
     ) -> list[Trait]:
@@ -243,7 +239,7 @@
     def _learn(self) -> None:
         """Read what is known from the store, or from peers while it is away."""
         started_at = self._ctx.clock.monotonic()
-        while not self._read():
+        while not self._kept.read():
             peers = self._ctx.peer_ids()
             if peers and self._fetch(random.choice(peers)):
                 self.is_informed = True
@@ -253,59 +249,3 @@
                 self.is_informed = True
             eventlet.sleep(START_RETRY_S)
         self.is_informed = True
-
-    def _read(self) -> bool:
-        """Read the kept suspicions; return whether the store answered."""
-        read = self._ctx.ports.store.read_suspicions()
-        outcome = read.err_value.kind if isinstance(read, Err) else "ok"
-        STORE_CALLS.labels(call="read_suspicions", outcome=outcome).inc()
-        if isinstance(read, Err):
-            return False
-        now, unix_now = self._ctx.clock.monotonic(), self._ctx.clock.unix()
-        for suspicion in read.ok_value:
-            for stored in suspicion.crashes:
-                at = now - max(0.0, unix_now - stored.unix_s)
-                crash = Crash(stored.runner, stored.born_ms, at, stored.is_begun)
-                self._add_crash([suspicion.trait], crash, "store")
-        self._drop_expired([suspicion.trait for suspicion in read.ok_value], now)
-        return True
-
-    def _drop_expired(self, traits: list[Trait], now: float) -> None:
-        """Remove the kept suspicions that no longer count."""
-        self._evidence.expire(now)
-        expired = [t for t in traits if not self._evidence.crash_count(t)]
-        if expired:
-            log_event("suspicions_expired", traits=len(expired))
-            self._write([Suspicion(trait) for trait in expired])
-
-    def _worth_keeping(self, traits: Iterable[Trait]) -> set[Trait]:
-        return {
-            trait
-            for trait in traits
-            if self._evidence.crash_count(trait) >= MIN_CRASHES_TO_KEEP
-        }
-
-    def _keep(self, traits: list[Trait]) -> None:
-        """Write the traits with several crashes to the store in a green thread."""
-        kept = self._worth_keeping(traits)
-        if kept:
-            suspicions = [self._suspicion(trait) for trait in sorted(kept, key=str)]
-            spawn("crash_evidence_keep", lambda: self._write(suspicions))
-
-    def _suspicion(self, trait: Trait) -> Suspicion:
-        now, unix_now = self._ctx.clock.monotonic(), self._ctx.clock.unix()
-        crashes = tuple(
-            StoredCrash(c.runner, c.born_ms, unix_now - (now - c.at), c.is_begun)
-            for c in self._evidence.suspected()[trait]
-        )
-        return Suspicion(trait, crashes)
-
-    def _write(self, suspicions: list[Suspicion]) -> None:
-        for _ in range(KEEP_TRIES):
-            written = self._ctx.ports.store.write_suspicions(suspicions)
-            outcome = written.err_value.kind if isinstance(written, Err) else "ok"
-            STORE_CALLS.labels(call="write_suspicions", outcome=outcome).inc()
-            log_event("suspicions_kept", traits=len(suspicions), outcome=outcome)
-            if not isinstance(written, Err):
-                return
-            eventlet.sleep(KEEP_RETRY_S)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
@@ -210,6 +210,11 @@
             if self.crash_count(trait)
         }
 
+    def blamed_crashes(self, trait: Trait) -> list[Crash]:
+        """Return the crashes of a trait since its last answer, oldest first."""
+        record = self._records.get(trait)
+        return record.blamed() if record else []
+
     def digest(self) -> int:
         """Return a number that depends on all blamed crashes, 0 without any."""
         if self._digest is None:
