--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -11,6 +11,7 @@
     VmKind,
 )
 from gooseberryrun._internal.state.serving import (
+    FORMER_MEMBER_TTL_S,
     Crash,
     CrashEvidence,
     DirectoryState,
@@ -112,6 +113,19 @@
         self.remote_views[group] = view
         return known is None or known.members != view.members
 
+    def known_vm_count(self) -> int:
+        """Return the number of members and of other VMs that gossip was received from.
+
+        A VM that has started in a partition may know no member yet.
+        """
+        now = self.clock.monotonic()
+        heard = {
+            vm
+            for vm, status in self.store_statuses.items()
+            if now - status.received_at <= FORMER_MEMBER_TTL_S
+        }
+        return len({self.vm, *self.members(), *heard})
+
     def peer_ids(self) -> list[str]:
         """Return the ids of the other members."""
         return [vm for vm in self.members() if vm != self.vm]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -33,7 +33,7 @@
     reads_store,
 )
 from ._loads import RunnerLoads, RunnerView
-from ._ownership import OwnershipState
+from ._ownership import FORMER_MEMBER_TTL_S, OwnershipState
 from ._pauses import RunnerPauses
 from ._placement import (
     Candidate,
@@ -73,6 +73,7 @@
 
 __all__ = [
     "CRASHES_TO_REFUSE",
+    "FORMER_MEMBER_TTL_S",
     "MAX_PARTS",
     "MAX_TURN_WAIT_S",
     "ExpectedTurns",
--- a/tests/unit/serving/test_turn_requests.py
+++ b/tests/unit/serving/test_turn_requests.py
@@ -6,7 +6,7 @@
 
 import pytest
 from gooseberryrun._internal.coordination import PeerError, PeerMessage
-from gooseberryrun._internal.coordination.serving import Context
+from gooseberryrun._internal.coordination.serving import Context, StoreStatus
 from gooseberryrun._internal.coordination.serving._turns import Turns
 from gooseberryrun._internal.state import ManualClock
 from gooseberryrun._internal.state.serving import RateLimit, Runner, ServingPolicy
@@ -138,6 +138,19 @@
     assert 1 <= granted <= RATE_PER_S * STATEMENT_TTL_S / len(fleet.turns) + 2
 
 
+def test_vm_that_knows_no_member_yet_shares_with_those_it_hears(fleet: Fleet) -> None:
+    """It had started in a cut, and took the whole limit for its own share."""
+    alone = "vm-001"
+    ctx = fleet.contexts[alone]
+    fleet.unreachable = set(fleet.turns) - {alone}
+    ctx.remote_views.clear()
+    ctx.ownership.leave([], 0.0)
+    for vm in fleet.unreachable:
+        ctx.store_statuses[vm] = StoreStatus(fleet.clock.now, can_reach_store=True)
+    granted = fleet.press(SPAN_S)
+    assert granted <= RATE_PER_S * SPAN_S / len(fleet.turns) + 1
+
+
 def test_vm_that_grants_turns_learns_the_limit_from_the_requests() -> None:
     fleet = Fleet()
     others = [vm for vm in fleet.turns if vm != fleet.granter()]
