--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -44,9 +44,9 @@
         """Take another attempt from the retry budget; the first one is free."""
         if active.sends == 0:
             return True
-        members = len(self._ctx.members())
+        vms = self._ctx.known_vm_count()
         now = self._ctx.clock.monotonic()
-        granted = self._budget(active.service).try_withdraw(now, members)
+        granted = self._budget(active.service).try_withdraw(now, vms)
         if not granted:
             log_event(
                 "repeat_denied", request=active.metadata.request_id, sends=active.sends
@@ -55,9 +55,9 @@
 
     def has_retry_budget(self, active: ActiveRequest) -> bool:
         """Return whether the retry budget allows another attempt."""
-        members = len(self._ctx.members())
+        vms = self._ctx.known_vm_count()
         now = self._ctx.clock.monotonic()
-        return self._budget(active.service).allows_retry(now, members)
+        return self._budget(active.service).allows_retry(now, vms)
 
     def _budget(self, service: str) -> ServiceRetryBudget:
         if service not in self._budgets:
