--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
@@ -2,36 +2,35 @@
 
 from ._active_request import ActiveRequest, LocalResponse
 from ._context import Context, StoreStatus, make_context
+from ._control_port import (
+    OrderOp,
+    OrderOutcome,
+    RunnerControl,
+    RunnerOrder,
+    RunnerReport,
+)
 from ._event_stream import EventBuffer
-from ._ports import (
+from ._ports import Ports
+from ._request_ports import (
     AttemptFailure,
     AttemptFault,
     Caller,
     CallerDisconnectedError,
-    ControlStore,
     ForwardingMetadata,
     HeaderCodec,
     Headers,
     InboundRequest,
-    OrderOp,
-    OrderOutcome,
     OutboundRequest,
-    Ports,
     PromptPart,
-    Records,
     RequestHandler,
     RequestMetadata,
     ResponseMetadata,
-    RunnerControl,
-    RunnerOrder,
-    RunnerReport,
     RunnerRequests,
     RunnerResponse,
-    StoreFault,
-    StoreFaultKind,
 )
 from ._responses import end_to_end
 from ._serving import Serving
+from ._store_port import ControlStore, Records, StoreFault, StoreFaultKind
 
 __all__ = [
     "ActiveRequest",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -20,7 +20,7 @@
     adapter_key,
 )
 
-from ._ports import Caller, InboundRequest, RequestMetadata
+from ._request_ports import Caller, InboundRequest, RequestMetadata
 
 
 @dataclass(slots=True)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapter_orders.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapter_orders.py
@@ -12,8 +12,8 @@
 )
 
 from ._context import Context
+from ._control_port import OrderOp, OrderOutcome
 from ._orders import RunnerOrders
-from ._ports import OrderOp, OrderOutcome
 
 CHECK_INTERVAL_S = 0.03
 """Interval of the checks of a load that takes longer than expected."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -26,7 +26,7 @@
 from ._context import Context
 from ._membership import Membership
 from ._owner import OwnedRunners
-from ._ports import CallerDisconnectedError
+from ._request_ports import CallerDisconnectedError
 from ._runner_owner import Refusal
 
 RESPONSE_MARGIN_S = 0.05
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -10,7 +10,7 @@
 from ._active_request import ActiveRequest
 from ._context import Context
 from ._crash_guard import CrashGuard
-from ._ports import (
+from ._request_ports import (
     AttemptFailure,
     AttemptFault,
     ForwardingMetadata,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -21,7 +21,7 @@
 from .._serving_messages import DirectoryNotice, DirectoryReply, DirectoryRequest
 from .._tasks import spawn, spawn_until_done
 from ._context import Context
-from ._ports import StoreFault, StoreFaultKind
+from ._store_port import StoreFault, StoreFaultKind
 
 RETRY_S = 0.25
 """Pause after a failed read; doubles up to ``MAX_RETRY_S``."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -14,7 +14,7 @@
 from ._crash_guard import CrashGuard, suspect_response
 from ._model_requests import ModelRequests
 from ._plain_requests import PlainRequests
-from ._ports import (
+from ._request_ports import (
     Caller,
     CallerDisconnectedError,
     InboundRequest,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -22,7 +22,7 @@
 )
 from .._tasks import run_protected, spawn, spawn_until_done
 from ._context import STORE_STATUS_TTL_S, Context, StoreStatus
-from ._ports import StoreFault
+from ._store_port import StoreFault
 
 EXTENSION_S = 0.6
 """Time by which a check of the other members extends the lease."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -15,7 +15,7 @@
 from ._context import Context
 from ._crash_guard import CrashGuard, suspect_response
 from ._load_tracker import LoadTracker
-from ._ports import ForwardingMetadata, RunnerResponse
+from ._request_ports import ForwardingMetadata, RunnerResponse
 from ._responses import ResponseWriter, failure_response
 from ._runner_choice import RunnerChooser
 from ._stream_relay import StreamProgress, StreamRelay, after_fault
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_orders.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_orders.py
@@ -9,7 +9,7 @@
 from .._events import log_event
 from .._metrics import ORDER_SECONDS, ORDERS
 from ._context import Context
-from ._ports import OrderOp, OrderOutcome, RunnerOrder, RunnerReport
+from ._control_port import OrderOp, OrderOutcome, RunnerOrder, RunnerReport
 
 REPORT_LAG_S = 0.25
 """Largest age of a runner's report."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -15,7 +15,7 @@
 from ._attempts import Attempts
 from ._availability import Availability
 from ._context import Context
-from ._ports import AttemptFailure, ForwardingMetadata, RunnerResponse
+from ._request_ports import AttemptFailure, ForwardingMetadata, RunnerResponse
 from ._responses import ResponseWriter, failure_response, is_valid_response
 from ._turns import Turns
 
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -0,0 +1,219 @@
+"""Interfaces of serving by routes to callers and to runners that serve requests."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from result import Result
+
+from gooseberryrun._internal.state.serving import Runner, RunnerStatement
+
+Headers = list[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """Part of a prompt that may be shared with other requests."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestMetadata:
+    """Decoded headers of a request.
+
+    ``wait_s`` is the time the caller waits for a response. ``adapter`` is empty for the
+    base model.
+    """
+
+    request_id: str
+    wait_s: float
+    model: str = ""
+    adapter: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    prompt: tuple[PromptPart, ...] = ()
+    last_event_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class InboundRequest:
+    """Complete request of a caller."""
+
+    method: str
+    target: str
+    host: str
+    headers: Headers
+    body: bytes
+    read_at: float
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query string."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardingMetadata:
+    """Metadata added to the caller's headers of a request to a runner."""
+
+    runner: str
+    left_s: float
+    urgency: int | None = None
+    adapter_version: int = 0
+    last_event_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseMetadata:
+    """Decoded headers of a runner's response.
+
+    ``is_not_run`` means that the runner has not run the request and never will;
+    ``is_misdirected`` that it is not the expected runner or lacks the adapter version.
+    ``statement`` is what the runner says of itself.
+    """
+
+    request_id: str
+    is_signed: bool
+    is_not_run: bool
+    is_misdirected: bool
+    is_encoded: bool
+    statement: RunnerStatement = RunnerStatement()
+
+
+class HeaderCodec(ABC):
+    """Decodes and encodes the platform's own headers."""
+
+    @abstractmethod
+    def decode_request(self, headers: Headers) -> Result[RequestMetadata, str]:
+        """Return a request's metadata, or the reason why it is malformed."""
+
+    @abstractmethod
+    def encode_request(
+        self, headers: Headers, forwarding: ForwardingMetadata
+    ) -> Headers:
+        """Return the headers for a runner; hop-by-hop headers are already removed."""
+
+    @abstractmethod
+    def decode_response(self, status: int, headers: Headers) -> ResponseMetadata:
+        """Return the metadata of a runner's response."""
+
+    @abstractmethod
+    def encode_refusal(self, request_id: str, retry_in_s: float | None) -> Headers:
+        """Return the headers of a locally generated response."""
+
+
+class Caller(ABC):
+    """Caller's side of one request: sends the response, or aborts it."""
+
+    @abstractmethod
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete response."""
+
+    @abstractmethod
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a streamed response."""
+
+    @abstractmethod
+    def send(self, data: bytes) -> None:
+        """Send a chunk of a streamed response immediately."""
+
+    @abstractmethod
+    def finish(self) -> None:
+        """Complete a streamed response."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """Abort the response so that it does not look complete."""
+
+    @abstractmethod
+    def continue_after_disconnect(self) -> None:
+        """Let the request continue even if the caller disconnects."""
+
+
+class RequestHandler(ABC):
+    """Serves complete requests."""
+
+    @abstractmethod
+    def handle(self, request: InboundRequest, caller: Caller) -> None:
+        """Serve a request; CallerDisconnectedError propagates."""
+
+
+class CallerDisconnectedError(Exception):
+    """Raised in the green thread of a request whose caller closed the connection."""
+
+
+class AttemptFailure(Enum):
+    """Stage or cause of a failed attempt."""
+
+    NOT_SENT = "not_sent"
+    """Nothing reached the runner."""
+    SENT = "sent"
+    """The runner may have run the request."""
+    INVALID_RESPONSE = "spoiled"
+    """The runner's response is malformed, unsigned or too long."""
+    LATE = "late"
+    """The attempt's deadline passed; the runner may have run the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFault:
+    """Failed attempt at a runner."""
+
+    failure: AttemptFailure
+    detail: str
+
+
+class RunnerResponse(ABC):
+    """Response of a runner whose head has been read.
+
+    ``ends_with_connection`` is set if it has no framing of its own, so that only the
+    close of the connection ends it.
+    """
+
+    status: int
+    headers: Headers
+    metadata: ResponseMetadata
+    ends_with_connection: bool
+
+    @abstractmethod
+    def read_all(self, deadline: float) -> Result[bytes, AttemptFault]:
+        """Read the rest of the body."""
+
+    @abstractmethod
+    def body_chunks(self, deadline: float) -> Iterator[Result[bytes, AttemptFault]]:
+        """Yield the body as it arrives; an error is the last item."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Return the connection to the pool, or close it if the body is unread."""
+
+
+@dataclass(frozen=True, slots=True)
+class OutboundRequest:
+    """Request to a runner; unless ``is_idempotent`` it may run only once."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    request_id: str
+    is_idempotent: bool
+
+
+class RunnerRequests(ABC):
+    """Sends requests to runners."""
+
+    @abstractmethod
+    def send(
+        self, runner: Runner, request: OutboundRequest, deadline: float
+    ) -> Result[RunnerResponse, AttemptFault]:
+        """Send a request once and wait for the head of the response."""
+
+    @abstractmethod
+    def refuses_connections(self, runner: Runner) -> bool:
+        """Return whether the runner's address refuses connections now."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
@@ -14,7 +14,7 @@
 )
 from ._active_request import ActiveRequest, LocalResponse
 from ._context import Context
-from ._ports import Headers, RunnerResponse
+from ._request_ports import Headers, RunnerResponse
 
 RETRY_JITTER = 0.5
 """Relative jitter of retry delays, so that callers do not retry simultaneously."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -24,8 +24,8 @@
 from .._tasks import spawn_until_done
 from ._adapter_orders import CHECK_INTERVAL_S, AdapterOrders
 from ._context import Context
+from ._control_port import OrderOp, RunnerReport
 from ._orders import RunnerOrders
-from ._ports import OrderOp, RunnerReport
 
 IDLE_CHECK_S = 2.0
 """Pause of an idle owner."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
@@ -13,7 +13,7 @@
 from ._context import Context
 from ._event_stream import EventBuffer
 from ._load_tracker import LoadTracker
-from ._ports import AttemptFailure, AttemptFault, RunnerResponse
+from ._request_ports import AttemptFailure, AttemptFault, RunnerResponse
 from ._responses import ResponseWriter, end_to_end, failure_response, is_valid_response
 
 
