--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_log.py
@@ -0,0 +1,60 @@
+"""Log lines of the store's records that change what this VM believes."""
+
+from __future__ import annotations
+
+from gooseberryrun._internal.state.serving import DirectoryRecord
+
+from .._events import log_event
+from .._metrics import CONFIGURATION_VERSION
+
+
+class DirectoryLog:
+    """Logs applied records, except heartbeats that change nothing worth a line."""
+
+    def __init__(self) -> None:
+        self._last_logged: dict[str, tuple[object, ...]] = {}
+
+    def log_applied(self, applied: list[DirectoryRecord], source: str) -> None:
+        """Log records that were applied, with the store or the peer they came from."""
+        for record in applied:
+            if record.configuration is not None:
+                CONFIGURATION_VERSION.set(record.configuration.version)
+            if self._is_heartbeat(record):
+                continue
+            log_event(
+                "record_applied",
+                topic=record.topic,
+                key=record.key,
+                offset=record.offset,
+                source=source,
+                says=_describe(record),
+            )
+
+    def _is_heartbeat(self, record: DirectoryRecord) -> bool:
+        """Return whether only a runner's adapters and order count have changed.
+
+        Every heartbeat of a runner does that, and the owner logs its orders anyway.
+        """
+        runner = record.runner
+        if runner is None:
+            self._last_logged.pop(record.key, None)
+            return False
+        endpoint = (runner.service, runner.host, runner.port, runner.domain)
+        models = tuple(model.name for model in runner.models)
+        logged_fields = (*endpoint, runner.draining, runner.born_ms, models)
+        is_known = self._last_logged.get(record.key) == logged_fields
+        self._last_logged[record.key] = logged_fields
+        return is_known
+
+
+def _describe(record: DirectoryRecord) -> str:
+    """Return a short description of a record for the log."""
+    if record.unreadable:
+        return f"unreadable:{record.unreadable}"
+    if record.configuration is not None:
+        return f"configuration:{record.configuration.version}"
+    if record.adapter_version is not None:
+        return f"adapter_version:{record.adapter_version.version}"
+    if record.runner is not None:
+        return "draining" if record.runner.draining else "serving"
+    return "removed"
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -16,11 +16,12 @@
 )
 
 from .._events import log_event
-from .._metrics import CONFIGURATION_VERSION, STORE_CALLS
+from .._metrics import STORE_CALLS
 from .._ports import InboundMessage
 from .._serving_messages import DirectoryNotice, DirectoryReply, DirectoryRequest
 from .._tasks import spawn, spawn_until_done
 from ._context import Context
+from ._directory_log import DirectoryLog
 from ._store_port import StoreFault, StoreFaultKind
 
 RETRY_S = 0.25
@@ -55,7 +56,7 @@
         self._read_at: dict[Topic, float] = {}
         self._is_reading = dict.fromkeys(Topic, True)
         self._announced_ends: dict[Topic, int] = {}
-        self._last_logged: dict[str, tuple[object, ...]] = {}
+        self._log = DirectoryLog()
         self.on_snapshot: Callable[[], None] = lambda: None
 
     def start(self) -> None:
@@ -191,7 +192,7 @@
         else:
             applied = [r for r in records.records if directory.apply(r, now)]
             directory.ends[topic] = max(directory.ends[topic], records.end)
-        self._log_applied(applied, "store")
+        self._log.log_applied(applied, "store")
         if needs_snapshot:
             self.on_snapshot()
         if records.records and not needs_snapshot:
@@ -251,7 +252,7 @@
         now = self._ctx.clock.monotonic()
         applied = [record for record in reply.records if directory.apply(record, now)]
         directory.ends[reply.topic] = max(directory.ends[reply.topic], reply.end)
-        self._log_applied(applied, f"peer:{peer}")
+        self._log.log_applied(applied, f"peer:{peer}")
 
     def handle_directory_request(
         self, inbound: InboundMessage, request: DirectoryRequest
@@ -272,47 +273,3 @@
                     runner=runner,
                     why="expired entry was not written again",
                 )
-
-    def _log_applied(self, applied: list[DirectoryRecord], source: str) -> None:
-        for record in applied:
-            if record.configuration is not None:
-                CONFIGURATION_VERSION.set(record.configuration.version)
-            if self._is_heartbeat(record):
-                continue
-            log_event(
-                "record_applied",
-                topic=record.topic,
-                key=record.key,
-                offset=record.offset,
-                source=source,
-                says=_describe(record),
-            )
-
-    def _is_heartbeat(self, record: DirectoryRecord) -> bool:
-        """Return whether only a runner's adapters and order count have changed.
-
-        Every heartbeat of a runner does that, and the owner logs its orders anyway.
-        """
-        runner = record.runner
-        if runner is None:
-            self._last_logged.pop(record.key, None)
-            return False
-        endpoint = (runner.service, runner.host, runner.port, runner.domain)
-        models = tuple(model.name for model in runner.models)
-        logged_fields = (*endpoint, runner.draining, runner.born_ms, models)
-        is_known = self._last_logged.get(record.key) == logged_fields
-        self._last_logged[record.key] = logged_fields
-        return is_known
-
-
-def _describe(record: DirectoryRecord) -> str:
-    """Return a short description of a record for the log."""
-    if record.unreadable:
-        return f"unreadable:{record.unreadable}"
-    if record.configuration is not None:
-        return f"configuration:{record.configuration.version}"
-    if record.adapter_version is not None:
-        return f"adapter_version:{record.adapter_version.version}"
-    if record.runner is not None:
-        return "draining" if record.runner.draining else "serving"
-    return "removed"
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
@@ -0,0 +1,138 @@
+"""Renewals of the lease in one group of entry VMs."""
+
+from __future__ import annotations
+
+import eventlet
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.state.serving import OwnershipState
+
+from .._events import log_event
+from .._metrics import LEASE_LEFT, STORE_CALLS
+from .._ports import InboundMessage
+from .._serving_messages import RenewAnswer, RenewRequest
+from .._tasks import spawn
+from ._context import STORE_STATUS_TTL_S, Context
+from ._store_port import StoreFault
+
+EXTENSION_S = 0.6
+"""Time by which a check of the other members extends the lease."""
+MAX_RELAYS = 2
+"""Members that are requested to renew on behalf of one that cannot reach the store."""
+RELAY_TIMEOUT_S = 0.4
+
+
+class LeaseRenewals:
+    """Renews the lease at the store, or through members that can reach it."""
+
+    def __init__(self, ctx: Context, group: str, ownership: OwnershipState) -> None:
+        self._ctx = ctx
+        self._group = group
+        self._ownership = ownership
+        self._is_own_domain = ownership is ctx.ownership
+        self.is_store_unreachable = False
+        self._is_closed = False
+
+    def close(self) -> None:
+        """Stop renewing; a renewal in flight has no effect."""
+        self._is_closed = True
+
+    def renew(self) -> bool:
+        """Renew once; return whether the store was reached, directly or by a peer."""
+        ctx = self._ctx
+        if self._is_closed:
+            return False
+        requested_at = ctx.clock.boottime()
+        renewed = ctx.ports.store.renew(
+            self._group, ctx.own_member, self._ownership.generation
+        )
+        if isinstance(renewed, Err):
+            self.record_store_unreachable(renewed.err_value.detail)
+            requested_at = ctx.clock.boottime()
+            renewed = self._renew_through_peers(renewed.err_value)
+        elif self.is_store_unreachable:
+            self.is_store_unreachable = False
+            log_event("membership_regained", lease_left_s=self._lease_left_s())
+        is_renewed = isinstance(renewed, Ok)
+        if self._is_own_domain:
+            ctx.can_reach_store = is_renewed
+        outcome = (
+            "lost"
+            if not is_renewed
+            else "relayed"
+            if self.is_store_unreachable
+            else "ok"
+        )
+        STORE_CALLS.labels(call="renew", outcome=outcome).inc()
+        LEASE_LEFT.set(self._lease_left_s())
+        if isinstance(renewed, Err) or self._is_closed:
+            return False
+        self._ownership.renew(renewed.ok_value, requested_at, ctx.clock.boottime())
+        return True
+
+    def _renew_through_peers(self, fault: StoreFault) -> Result[int, StoreFault]:
+        """Renew through members that can reach the store, local ones first."""
+        ctx = self._ctx
+        now = ctx.clock.monotonic()
+        connected = {
+            vm
+            for vm, status in ctx.store_statuses.items()
+            if status.can_reach_store and now - status.received_at <= STORE_STATUS_TTL_S
+        }
+        local = [vm for vm in ctx.local_peer_ids() if vm in connected]
+        remote = sorted(connected - set(local))
+        request = RenewRequest(self._group, ctx.own_member, self._ownership.generation)
+        for vm in [*local, *remote][:MAX_RELAYS]:
+            deadline = ctx.clock.monotonic() + RELAY_TIMEOUT_S
+            renewal = ctx.peers.request_from(vm, request, deadline)
+            reply = renewal.ok_value if isinstance(renewal, Ok) else None
+            if isinstance(reply, RenewAnswer) and reply.generation >= 0:
+                return Ok(reply.generation)
+            log_event("relayed_renewal_failed", peer=vm)
+        return Err(fault)
+
+    def handle_request(self, inbound: InboundMessage, request: RenewRequest) -> None:
+        """Renew on behalf of a member that cannot reach the store."""
+        spawn("renewal_relay", lambda: self._relay_renewal(inbound, request))
+
+    def _relay_renewal(self, inbound: InboundMessage, request: RenewRequest) -> None:
+        renewed = self._ctx.ports.store.renew(
+            request.group, request.member, request.generation
+        )
+        generation = -1 if isinstance(renewed, Err) else renewed.ok_value
+        log_event(
+            "renewal_relayed",
+            level="debug",
+            peer=inbound.sender,
+            generation=generation,
+        )
+        inbound.reply(RenewAnswer(generation))
+
+    def run_extension(self) -> None:
+        """Extend the lease while no member of the domain can reach the store."""
+        while not self._is_closed:
+            eventlet.sleep(EXTENSION_S / 3)
+            ctx = self._ctx
+            now = ctx.clock.monotonic()
+            if ctx.can_reach_store or not ctx.is_store_unreachable_for_all(
+                ctx.local_peer_ids(), now
+            ):
+                continue
+            is_unreachable_for_all = ctx.is_store_unreachable_for_all(
+                ctx.peer_ids(), now
+            )
+            boottime = ctx.clock.boottime()
+            self._ownership.extend(
+                boottime, boottime + EXTENSION_S, is_unreachable_for_all
+            )
+
+    def _lease_left_s(self) -> float:
+        return self._ownership.lease_left_s(self._ctx.clock.boottime())
+
+    def record_store_unreachable(self, why: str) -> None:
+        """Record a failed call to the store; log the first of them."""
+        if self.is_store_unreachable:
+            return
+        self.is_store_unreachable = True
+        left_s = self._lease_left_s()
+        log_event("membership_lost", level="warning", why=why, lease_left_s=left_s)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -6,35 +6,27 @@
 from collections.abc import Callable, Iterable
 
 import eventlet
-from result import Err, Ok, Result
+from result import Err
 
 from gooseberryrun._internal.state.serving import READERS_PER_DOMAIN, Member, View
 
 from .._events import log_event
-from .._metrics import LEASE_LEFT, STORE_CALLS, VIEW_MEMBERS
-from .._ports import InboundMessage
+from .._metrics import VIEW_MEMBERS
 from .._serving_messages import (
     HandoverNotice,
     LeavingNotice,
-    RenewAnswer,
-    RenewRequest,
     ViewNotice,
 )
-from .._tasks import run_protected, spawn, spawn_until_done
-from ._context import STORE_STATUS_TTL_S, Context, StoreStatus
-from ._store_port import StoreFault
+from .._tasks import run_protected, spawn_until_done
+from ._context import Context, StoreStatus
+from ._lease_renewals import LeaseRenewals
 
-EXTENSION_S = 0.6
-"""Time by which a check of the other members extends the lease."""
 MAX_RENEWAL_DELAY_S = 0.02
 """Longest random delay of a renewal that was triggered by another member."""
 MAX_VIEW_READS = 3
 """Consecutive attempts to read the members while the group is changing."""
 PREDECESSOR_RETRY_S = 0.25
 """Pause after a new process failed to read the group's members from the store."""
-MAX_RELAYS = 2
-"""Members that are requested to renew on behalf of one that cannot reach the store."""
-RELAY_TIMEOUT_S = 0.4
 MAX_UNLISTED_READS = 20
 """Consecutive member lists without this VM that are discarded."""
 REMOTE_VIEW_RECIPIENTS = 2
@@ -58,7 +50,7 @@
         self._is_own_domain = group is None
         self._group = ctx.cfg.vm.domain if group is None else group
         self._ownership = ctx.ownership if group is None else ctx.covered_domains[group]
-        self._is_store_unreachable = False
+        self.renewals = LeaseRenewals(ctx, self._group, self._ownership)
         self._has_left = False
         self._is_renewal_due = False
         self._unlisted_reads = 0
@@ -70,30 +62,13 @@
         """Start the renewal loop and, for the own domain, the lease extension loop."""
         spawn_until_done("membership", self._run_renewal)
         if self._is_own_domain:
-            spawn_until_done("lease_extension", self._run_extension)
-
-    def _run_extension(self) -> None:
-        """Extend the lease while no member of the domain can reach the store."""
-        while not self._has_left:
-            eventlet.sleep(EXTENSION_S / 3)
-            ctx = self._ctx
-            now = ctx.clock.monotonic()
-            if ctx.can_reach_store or not ctx.is_store_unreachable_for_all(
-                ctx.local_peer_ids(), now
-            ):
-                continue
-            is_unreachable_for_all = ctx.is_store_unreachable_for_all(
-                ctx.peer_ids(), now
-            )
-            boottime = ctx.clock.boottime()
-            self._ownership.extend(
-                boottime, boottime + EXTENSION_S, is_unreachable_for_all
-            )
+            spawn_until_done("lease_extension", self.renewals.run_extension)
 
     def leave(self) -> None:
         """Release ownership of all runners and leave the group."""
         ctx = self._ctx
         self._has_left = True
+        self.renewals.close()
         peers = self._view_recipients()
         generation = self._ownership.view.generation
         runners = ctx.directory.all_runners()
@@ -214,9 +189,9 @@
         The members are read before the first renewal, which adds this process.
         """
         while isinstance(read := self._ctx.ports.store.members(self._group), Err):
-            if not self._is_store_unreachable:
+            if not self.renewals.is_store_unreachable:
                 log_event("members_unread", level="warning", why=read.err_value.detail)
-            self._record_store_unreachable(read.err_value.detail)
+            self.renewals.record_store_unreachable(read.err_value.detail)
             eventlet.sleep(PREDECESSOR_RETRY_S)
         is_listed = any(
             member.vm == self._ctx.vm and not member.is_new for member in read.ok_value
@@ -246,13 +221,13 @@
         """Replace the ``is_new`` member by a regular one, which is assigned runners."""
         new_member = self._ctx.own_member
         self._ctx.is_new = False
-        if self._renew_lease():
+        if self.renewals.renew():
             left = self._ctx.ports.store.leave(self._group, new_member)
             why = left.err_value.detail if isinstance(left, Err) else ""
             log_event("member_settled", error=why)
 
     def _renew(self) -> None:
-        if not self._renew_lease() or not self._ownership.needs_view():
+        if not self.renewals.renew() or not self._ownership.needs_view():
             return
         if self._awaits_forwarded_view():
             return
@@ -284,89 +259,6 @@
         eventlet.spawn_after(left_s, self.schedule_renewal)
         return True
 
-    def _renew_lease(self) -> bool:
-        """Renew once; return whether the store was reached, directly or by a peer."""
-        ctx = self._ctx
-        if self._has_left:
-            return False
-        requested_at = ctx.clock.boottime()
-        renewed = ctx.ports.store.renew(
-            self._group, ctx.own_member, self._ownership.generation
-        )
-        if isinstance(renewed, Err):
-            self._record_store_unreachable(renewed.err_value.detail)
-            requested_at = ctx.clock.boottime()
-            renewed = self._renew_through_peers(renewed.err_value)
-        elif self._is_store_unreachable:
-            self._is_store_unreachable = False
-            log_event("membership_regained", lease_left_s=self._lease_left_s())
-        is_renewed = isinstance(renewed, Ok)
-        if self._is_own_domain:
-            ctx.can_reach_store = is_renewed
-        outcome = (
-            "lost"
-            if not is_renewed
-            else "relayed"
-            if self._is_store_unreachable
-            else "ok"
-        )
-        STORE_CALLS.labels(call="renew", outcome=outcome).inc()
-        LEASE_LEFT.set(self._lease_left_s())
-        if isinstance(renewed, Err) or self._has_left:
-            return False
-        self._ownership.renew(renewed.ok_value, requested_at, ctx.clock.boottime())
-        return True
-
-    def _renew_through_peers(self, fault: StoreFault) -> Result[int, StoreFault]:
-        """Renew through members that can reach the store, local ones first."""
-        ctx = self._ctx
-        now = ctx.clock.monotonic()
-        connected = {
-            vm
-            for vm, status in ctx.store_statuses.items()
-            if status.can_reach_store and now - status.received_at <= STORE_STATUS_TTL_S
-        }
-        local = [vm for vm in ctx.local_peer_ids() if vm in connected]
-        remote = sorted(connected - set(local))
-        request = RenewRequest(self._group, ctx.own_member, self._ownership.generation)
-        for vm in [*local, *remote][:MAX_RELAYS]:
-            deadline = ctx.clock.monotonic() + RELAY_TIMEOUT_S
-            renewal = ctx.peers.request_from(vm, request, deadline)
-            reply = renewal.ok_value if isinstance(renewal, Ok) else None
-            if isinstance(reply, RenewAnswer) and reply.generation >= 0:
-                return Ok(reply.generation)
-            log_event("relayed_renewal_failed", peer=vm)
-        return Err(fault)
-
-    def handle_renew_request(
-        self, inbound: InboundMessage, request: RenewRequest
-    ) -> None:
-        """Renew on behalf of a member that cannot reach the store."""
-        spawn("renewal_relay", lambda: self._relay_renewal(inbound, request))
-
-    def _relay_renewal(self, inbound: InboundMessage, request: RenewRequest) -> None:
-        renewed = self._ctx.ports.store.renew(
-            request.group, request.member, request.generation
-        )
-        generation = -1 if isinstance(renewed, Err) else renewed.ok_value
-        log_event(
-            "renewal_relayed",
-            level="debug",
-            peer=inbound.sender,
-            generation=generation,
-        )
-        inbound.reply(RenewAnswer(generation))
-
-    def _lease_left_s(self) -> float:
-        return self._ownership.lease_left_s(self._ctx.clock.boottime())
-
-    def _record_store_unreachable(self, why: str) -> None:
-        if self._is_store_unreachable:
-            return
-        self._is_store_unreachable = True
-        left_s = self._lease_left_s()
-        log_event("membership_lost", level="warning", why=why, lease_left_s=left_s)
-
     def _read_view(self) -> bool:
         """Read the members between two renewals; return whether to stop trying.
 
@@ -378,7 +270,7 @@
         if isinstance(read, Err):
             log_event("members_unread", level="warning", why=read.err_value.detail)
             return True
-        if not self._renew_lease() or not ownership.needs_view():
+        if not self.renewals.renew() or not ownership.needs_view():
             return True
         if ownership.generation != generation:
             return False
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -130,7 +130,7 @@
             PrefillNotice: lambda _, notice: self.owned_runners.handle_prefill_notice(
                 notice
             ),
-            RenewRequest: self.membership.handle_renew_request,
+            RenewRequest: self.membership.renewals.handle_request,
             ResidencyNotice: _by_sender(self._adapters.handle_residency_notice),
             ServingGossip: self._handle_gossip,
             TurnRequest: self._turns.handle_turn_request,
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_adopted_views.py
@@ -0,0 +1,115 @@
+"""Views of a group that a VM has adopted, and what they have assigned to it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ._runners import Runner
+from ._views import Member, View
+
+MAX_ADOPTED_VIEWS = 32
+"""Adopted views that are kept; successive views with the same members count as one."""
+
+
+@dataclass(frozen=True, slots=True)
+class _AdoptedView:
+    """View with the time of its adoption.
+
+    ``first_generation`` is the generation of the first in a run of views with the same
+    members. The view of the predecessor, the previous process on this VM, allows no
+    orders.
+    """
+
+    view: View
+    first_generation: int
+    at: float
+    is_predecessor: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """Time and generation from which on a runner is assigned to this VM."""
+
+    since: float
+    generation: int
+
+
+class AdoptedViews:
+    """Views that this VM has adopted, oldest first; the last one is in force."""
+
+    def __init__(self, vm: str) -> None:
+        self._vm = vm
+        self._adopted: list[_AdoptedView] = []
+        self._owners: dict[str, Member | None] = {}
+
+    @property
+    def view(self) -> View:
+        """Return the view in force on this VM."""
+        return self._adopted[-1].view if self._adopted else View(0, ())
+
+    def has_adopted(self) -> bool:
+        """Return whether a view was adopted since the start of this process."""
+        return bool(self._adopted) and not self._adopted[-1].is_predecessor
+
+    def clear(self) -> None:
+        """Forget all views."""
+        self._adopted.clear()
+        self._owners.clear()
+
+    def resume_predecessor(self, members: Iterable[Member], now: float) -> None:
+        """Put the view of the previous process on this VM before all others.
+
+        A peer may have sent a view before the store was read.
+        """
+        listed = _AdoptedView(View(0, tuple(members)), 0, now, is_predecessor=True)
+        self._adopted.insert(0, listed)
+        self._owners.clear()
+
+    def adopt(self, view: View, now: float) -> None:
+        """Put a view in force."""
+        last = self._adopted[-1] if self._adopted else None
+        if last and last.view.members == view.members and not last.is_predecessor:
+            first_generation = last.first_generation
+            self._adopted[-1] = _AdoptedView(view, first_generation, last.at)
+        else:
+            self._adopted.append(_AdoptedView(view, view.generation, now))
+            del self._adopted[:-MAX_ADOPTED_VIEWS]
+        self._owners.clear()
+
+    def owner_of(self, runner: Runner) -> Member | None:
+        """Return the member that the view in force assigns a runner to."""
+        if runner.id not in self._owners:
+            self._owners[runner.id] = self.view.owner_of(runner)
+        return self._owners[runner.id]
+
+    def generation_at(self, at: float) -> int:
+        """Return the first generation of the view in force at a time, 0 if none was."""
+        earlier = [a.first_generation for a in self._adopted if a.at <= at]
+        return earlier[-1] if earlier else 0
+
+    def is_resumed(self, runner: Runner) -> bool:
+        """Return whether every view since the predecessor's assigns the runner here."""
+        assigned = [self._assigns(adopted.view, runner) for adopted in self._adopted]
+        return all(assigned) and self._adopted[0].is_predecessor
+
+    def assignment(self, runner: Runner) -> Assignment | None:
+        """Return since when the runner has been assigned to this VM without a break."""
+        owner = self.owner_of(runner)
+        if owner is None or owner.vm != self._vm:
+            return None
+        if self._adopted[-1].is_predecessor:
+            return None
+        first = len(self._adopted) - 1
+        while first > 0 and self._assigns(self._adopted[first - 1].view, runner):
+            first -= 1
+            if self._adopted[first].is_predecessor:
+                first += 1
+                break
+        begun = self._adopted[first]
+        return Assignment(begun.at, begun.first_generation)
+
+    def _assigns(self, view: View, runner: Runner) -> bool:
+        """Return whether a view assigns the runner to this VM."""
+        owner = view.owner_of(runner)
+        return owner is not None and owner.vm == self._vm
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -8,11 +8,10 @@
 from dataclasses import dataclass
 
 from .._serving_settings import MembershipSettings
+from ._adopted_views import AdoptedViews, Assignment
 from ._runners import Runner
 from ._views import Member, View
 
-MAX_ADOPTED_VIEWS = 32
-"""Adopted views that are kept; successive views with the same members count as one."""
 FORMER_MEMBER_TTL_S = 12.0
 """Time for which a member that left the view still gets messages."""
 MAX_STALE_VIEW_S = 2.0
@@ -22,21 +21,6 @@
 """Age up to which a handover is valid: less than the wait of an owner without one."""
 
 
-@dataclass(frozen=True, slots=True)
-class _AdoptedView:
-    """View with the time of its adoption.
-
-    ``first_generation`` is the generation of the first in a run of views with the same
-    members. The view of the predecessor, the previous process on this VM, allows no
-    orders.
-    """
-
-    view: View
-    first_generation: int
-    at: float
-    is_predecessor: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class _Handover:
     """Ownership of a runner as released by its owner at a view's generation."""
@@ -45,14 +29,6 @@
     received_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Assignment:
-    """Time and generation from which on a runner is assigned to this VM."""
-
-    since: float
-    generation: int
-
-
 class OwnershipState:
     """Ownership, under a lease, of the runners that the view assigns to this VM.
 
@@ -82,9 +58,8 @@
         self._domain = domain
         self._cfg = cfg
         self._reacquire_delay_s = cfg.turn_ms / 1000
-        self._adopted: list[_AdoptedView] = []
+        self._adopted = AdoptedViews(vm)
         self._former: dict[str, tuple[Member, float]] = {}
-        self._assigned_members: dict[str, Member | None] = {}
         self._tokens: dict[str, int] = {}
         self._handovers: dict[str, _Handover] = {}
         self._released_at: dict[str, float] = {}
@@ -97,7 +72,7 @@
     @property
     def view(self) -> View:
         """Return the view in force on this VM."""
-        return self._adopted[-1].view if self._adopted else View(0, ())
+        return self._adopted.view
 
     def needs_view(self) -> bool:
         """Return whether the group has changed since the view in force."""
@@ -105,17 +80,14 @@
 
     def has_adopted_view(self) -> bool:
         """Return whether a view was adopted since the start of this process."""
-        return bool(self._adopted) and not self._adopted[-1].is_predecessor
+        return self._adopted.has_adopted()
 
     def resume_predecessor(self, members: Iterable[Member], now: float) -> None:
         """Resume the assignments of the predecessor, as the store lists the members.
 
         Orders wait for the first renewal, which returns the generation.
         """
-        listed = _AdoptedView(View(0, tuple(members)), 0, now, is_predecessor=True)
-        # A peer may have sent a view before the store was read.
-        self._adopted.insert(0, listed)
-        self._assigned_members.clear()
+        self._adopted.resume_predecessor(members, now)
 
     def adopt(self, view: View, now: float) -> bool:
         """Put a view in force; return False if it is not newer."""
@@ -125,14 +97,7 @@
             self._former[member.vm] = (member, now + FORMER_MEMBER_TTL_S)
         for member in view.members:
             self._former.pop(member.vm, None)
-        last = self._adopted[-1] if self._adopted else None
-        if last and last.view.members == view.members and not last.is_predecessor:
-            first_generation = last.first_generation
-            self._adopted[-1] = _AdoptedView(view, first_generation, last.at)
-        else:
-            self._adopted.append(_AdoptedView(view, view.generation, now))
-            del self._adopted[:-MAX_ADOPTED_VIEWS]
-        self._assigned_members.clear()
+        self._adopted.adopt(view, now)
         self._stale_view_deadline = float("inf")
         self._check_view_age(now)
         return True
@@ -152,9 +117,7 @@
         """Return the member that a runner is assigned to."""
         if self._group is not None and runner.domain != self._group:
             return None
-        if runner.id not in self._assigned_members:
-            self._assigned_members[runner.id] = self.view.owner_of(runner)
-        return self._assigned_members[runner.id]
+        return self._adopted.owner_of(runner)
 
     def transfer_reassigned(
         self, runners: Iterable[Runner], now: float
@@ -212,7 +175,6 @@
             if self._release(runner, now) and successor is not None:
                 released[successor.vm].append(runner.id)
         self._adopted.clear()
-        self._assigned_members.clear()
         self._tokens.clear()
         self._lease_deadline = float("-inf")
         self._extended_deadline = float("-inf")
@@ -222,24 +184,18 @@
         self, runners: Iterable[str], generation: int, now: float
     ) -> None:
         """Record runners that their owner released at a view's generation."""
-        if generation < self._generation_at(now - HANDOVER_TTL_S):
+        if generation < self._adopted.generation_at(now - HANDOVER_TTL_S):
             # The message was delayed; another member may have waited out the lease.
             return
         for runner in runners:
             self._handovers[runner] = _Handover(generation, now)
 
-    def _generation_at(self, at: float) -> int:
-        """Return the first generation of the view in force at a time, 0 if none was."""
-        earlier = [a.first_generation for a in self._adopted if a.at <= at]
-        return earlier[-1] if earlier else 0
-
     def renew(self, generation: int, requested_at: float, now: float) -> None:
         """Renew the lease with the group's generation, as returned at ``now``."""
         had_lease = math.isfinite(self._renewed_at)
         if had_lease and now > self._deadline() and generation != self.generation:
             # Another VM may have owned the runners since the lease expired.
             self._adopted.clear()
-            self._assigned_members.clear()
             self._tokens.clear()
             self._handovers.clear()
         self.generation = max(self.generation, generation)
@@ -302,9 +258,9 @@
             return 0.0
         return max(0.0, assignment.since + self._takeover_wait_s(runner) - now)
 
-    def _acquire(self, runner: Runner, assignment: _Assignment, now: float) -> None:
+    def _acquire(self, runner: Runner, assignment: Assignment, now: float) -> None:
         """Take the ownership of an assigned runner if it is safe to do so."""
-        if self._is_resumed(runner):
+        if self._adopted.is_resumed(runner):
             self._tokens[runner.id] = assignment.generation
             return
         # Reacquiring a runner too soon would make its ownership flap between VMs.
@@ -337,28 +293,8 @@
         is_local = runner.domain == self._domain
         return self._cfg.lease_s if is_local else self._cfg.outside_s
 
-    def _is_resumed(self, runner: Runner) -> bool:
-        """Return whether every view since the predecessor's assigns the runner here."""
-        assigned = [self._assigns(adopted.view, runner) for adopted in self._adopted]
-        return all(assigned) and self._adopted[0].is_predecessor
-
-    def _assignment(self, runner: Runner) -> _Assignment | None:
-        """Return since when the runner has been assigned to this VM without a break."""
-        owner = self.owner_of(runner)
-        if owner is None or owner.vm != self._vm:
-            return None
-        if self._adopted[-1].is_predecessor:
+    def _assignment(self, runner: Runner) -> Assignment | None:
+        """Return the assignment of a runner to this VM, None if it has none."""
+        if self._group is not None and runner.domain != self._group:
             return None
-        first = len(self._adopted) - 1
-        while first > 0 and self._assigns(self._adopted[first - 1].view, runner):
-            first -= 1
-            if self._adopted[first].is_predecessor:
-                first += 1
-                break
-        begun = self._adopted[first]
-        return _Assignment(begun.at, begun.first_generation)
-
-    def _assigns(self, view: View, runner: Runner) -> bool:
-        """Return whether a view assigns the runner to this VM."""
-        owner = view.owner_of(runner)
-        return owner is not None and owner.vm == self._vm
+        return self._adopted.assignment(runner)
--- a/tests/unit/serving/test_fleets.py
+++ b/tests/unit/serving/test_fleets.py
@@ -13,7 +13,7 @@
 from gooseberryrun._internal.coordination.serving import (
     Records,
     StoreFault,
-    _follower,
+    _directory_log,
 )
 from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
 from gooseberryrun._internal.coordination.serving._gossip import FANOUT, Gossip
@@ -304,17 +304,17 @@
     """34 runners change their entries every second, which filled every VM's log."""
     lines: list[object] = []
     monkeypatch.setattr(
-        _follower, "log_event", lambda event, **fields: lines.append(fields["says"])
+        _directory_log,
+        "log_event",
+        lambda event, **fields: lines.append(fields["says"]),
     )
-    follower, _ = make_follower(0)
+    log = _directory_log.DirectoryLog()
     runner = make_runners(1, 1)[0]
     for seq in range(5):
         changed = dataclasses.replace(runner, order_seq=seq)
         entry = DirectoryRecord(Topic.RUNNERS, seq, "a", runner=changed)
-        follower._log_applied([entry], "store")
+        log.log_applied([entry], "store")
     leaving = dataclasses.replace(runner, draining=True)
-    follower._log_applied(
-        [DirectoryRecord(Topic.RUNNERS, 9, "a", runner=leaving)], "store"
-    )
-    follower._log_applied([DirectoryRecord(Topic.RUNNERS, 10, "a")], "store")
+    log.log_applied([DirectoryRecord(Topic.RUNNERS, 9, "a", runner=leaving)], "store")
+    log.log_applied([DirectoryRecord(Topic.RUNNERS, 10, "a")], "store")
     assert lines == ["serving", "draining", "removed"]
--- a/tests/unit/serving/test_membership.py
+++ b/tests/unit/serving/test_membership.py
@@ -137,7 +137,7 @@
     ctx.store_statuses["vm-b"] = StoreStatus(
         ctx.clock.monotonic(), can_reach_store=True
     )
-    assert membership._renew_lease()
+    assert membership.renewals.renew()
     assert ctx.can_reach_store
     assert ctx.ownership.generation == 7
     assert asked == [("vm-b", RenewRequest("d", BOTH[0], 6))]
@@ -152,7 +152,7 @@
     ctx.store_statuses["vm-b"] = StoreStatus(
         ctx.clock.monotonic(), can_reach_store=has_store
     )
-    assert not membership._renew_lease()
+    assert not membership.renewals.renew()
     assert not ctx.can_reach_store
 
 
@@ -161,7 +161,7 @@
     membership, _ = make_membership(FakeStore(9), FakePeers(lambda *_: None))
     request = RenewRequest("d", BOTH[1], 6)
     inbound = InboundMessage("vm-b", request, replies.append)
-    membership._relay_renewal(inbound, request)
+    membership.renewals._relay_renewal(inbound, request)
     assert replies == [RenewAnswer(9)]
 
 
