--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -27,7 +27,7 @@
 from ._membership import Membership
 from ._owner import OwnedRunners
 from ._request_ports import CallerDisconnectedError
-from ._runner_owner import Refusal
+from ._waiting_requests import Refusal
 
 RESPONSE_MARGIN_S = 0.05
 """Part of the deadline reserved for the transfer of the owner's reply."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -21,7 +21,8 @@
 )
 from .._tasks import spawn, spawn_until_done
 from ._context import Context
-from ._runner_owner import Refusal, RunnerOwner
+from ._runner_owner import RunnerOwner
+from ._waiting_requests import Refusal
 
 ResidencyListener = Callable[[str, ResidencyNotice], None]
 """Called with the id of the owner that sent a residency notice, and the notice."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from eventlet.event import Event
 from eventlet.timeout import Timeout
@@ -11,10 +10,7 @@
 
 from gooseberryrun._internal.state.serving import (
     Runner,
-    RunnerQueue,
-    SlotWait,
     Step,
-    Waiter,
     adapter_key,
     is_base_model,
 )
@@ -26,6 +22,7 @@
 from ._context import Context
 from ._control_port import OrderOp, RunnerReport
 from ._orders import RunnerOrders
+from ._waiting_requests import Refusal, WaitingRequest, WaitingRequests
 
 IDLE_CHECK_S = 2.0
 """Pause of an idle owner."""
@@ -35,39 +32,6 @@
 """Pause of an owner without a valid lease."""
 USE_REPORT_WAIT_S = 0.08
 """Time for peers to report their uses to a new owner before it evicts adapters."""
-WITHDRAWN_TTL_S = 1.0
-"""Time for which a withdrawn request is remembered that has not been served yet: its
-green thread may start after the withdrawal has been handled."""
-_OWNER_FAULTS = frozenset(
-    {
-        "no_owner",
-        "not_owner",
-        "owner_unreachable",
-        "no_lease",
-        "owner_left",
-        "runner_down",
-    }
-)
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Reason why an adapter is not made ready, and when to retry."""
-
-    reason: str
-    retry_in_s: float
-
-    @property
-    def is_owner_fault(self) -> bool:
-        """Return whether there is no owner that could answer."""
-        return self.reason in _OWNER_FAULTS
-
-
-@dataclass(slots=True, eq=False)
-class _Waiter(Waiter):
-    """Waiting request; ``completed`` gets the version held or the refusal."""
-
-    completed: Event = field(default_factory=Event)
 
 
 class RunnerOwner:
@@ -87,7 +51,8 @@
         self._ctx = ctx
         self._runner = runner
         self._on_change = on_change
-        self._queue: RunnerQueue[_Waiter] = RunnerQueue(max_adapters, ctx.policy)
+        self._waiting = WaitingRequests(ctx, runner, max_adapters, on_change, self.wake)
+        self._queue = self._waiting.queue
         self._slots = self._queue.slots
         self._orders = RunnerOrders(ctx, runner)
         self._adapter_orders = AdapterOrders(
@@ -98,7 +63,6 @@
         self._wake: Event = Event()
         self._is_closed = False
         self._model_ordered_at = float("-inf")
-        self._withdrawn_at: dict[str, float] = {}
 
     @property
     def runner(self) -> Runner:
@@ -112,7 +76,7 @@
     def close(self) -> None:
         """Stop the task and refuse all waiters."""
         self._is_closed = True
-        self._refuse_all("owner_left")
+        self._waiting.refuse_all("owner_left")
         self.wake()
 
     def wake(self) -> None:
@@ -128,30 +92,7 @@
 
     def end_prefill(self, request_id: str, took_s: float) -> None:
         """Take back the grant of a prompt, or withdraw its request for one."""
-        if self._queue.prefills.end(request_id, took_s if took_s >= 0 else None):
-            self._complete_ready()
-            self._on_change()
-            return
-        waiter = self._queue.find(request_id)
-        if waiter is not None:
-            self._queue.remove(waiter)
-            waiter.completed.send(Err(Refusal("withdrawn", 0.0)))
-        elif took_s < 0:
-            self._record_withdrawal(request_id)
-
-    def _record_withdrawal(self, request_id: str) -> None:
-        """Remember a withdrawal that came before its request was served."""
-        now = self._ctx.clock.monotonic()
-        self._withdrawn_at = {
-            known: at
-            for known, at in self._withdrawn_at.items()
-            if now - at <= WITHDRAWN_TTL_S
-        }
-        self._withdrawn_at[request_id] = now
-
-    def _is_withdrawn(self, request_id: str, now: float) -> bool:
-        withdrawn_at = self._withdrawn_at.pop(request_id, float("-inf"))
-        return now - withdrawn_at <= WITHDRAWN_TTL_S
+        self._waiting.end_prefill(request_id, took_s)
 
     def residency(self) -> ResidencyNotice | None:
         """Return the adapters that the runner holds; None while they are not known."""
@@ -181,7 +122,7 @@
         adapter = request.adapter
         version = request.version
         now = self._ctx.clock.monotonic()
-        if self._is_withdrawn(request.request_id, now):
+        if self._waiting.is_withdrawn(request.request_id, now):
             return Err(Refusal("withdrawn", 0.0))
         self._slots.record_demand(adapter, now)
         if self._orders.fencing_token() is None:
@@ -195,66 +136,17 @@
         if not request.prefill_tokens and self._queue.is_present(adapter, version):
             self._queue.reserve(adapter, now)
             return Ok(self._slots.held.get(adapter, 0))
-        waiter = _Waiter(
-            request.request_id,
-            adapter,
-            version,
-            SlotWait(request.priority, now + request.target_s, deadline),
-            request.prefill_tokens,
-            now,
-        )
-        if not self._queue.add(waiter, now):
-            return Err(Refusal("many_waiting", 1.0))
-        self._complete_ready()
-        self._on_change()
-        self.wake()
-        return self._wait_for(waiter, deadline - now)
-
-    def _wait_for(self, waiter: _Waiter, timeout_s: float) -> Result[int, Refusal]:
-        """Wait until a request is completed or refused."""
-        try:
-            with Timeout(max(0.001, timeout_s), False):
-                result: Result[int, Refusal] = waiter.completed.wait()
-                return result
-        finally:
-            self._queue.remove(waiter)
-            self._on_change()
-        return Err(Refusal("too_late", 0.5))
-
-    def _complete_ready(self) -> None:
-        """Complete the requests that may go to the runner now."""
-        table = self._ctx.directory.table
-        service = self._runner.service
-        self._queue.max_pause_s = table.max_pause_s(service) if table else 0.0
-        now = self._ctx.clock.monotonic()
-        for waiter in self._queue.take_ready(now):
-            if waiter.prefill_tokens:
-                self._log_admission(waiter, now)
-            waiter.completed.send(Ok(self._slots.held.get(waiter.adapter, 0)))
+        return self._waiting.wait(request, deadline)
 
     def _handle_loaded(self) -> None:
-        self._complete_ready()
+        self._waiting.complete_ready()
         self._on_change()
 
-    def _log_admission(self, waiter: _Waiter, now: float) -> None:
-        present_at = now if waiter.present_at is None else waiter.present_at
-        log_event(
-            "prompt_admitted",
-            request=waiter.request_id,
-            runner=self._runner.id,
-            tokens=waiter.prefill_tokens,
-            tokens_read=self._queue.prefills.granted_tokens,
-            waiting=len(self._queue.waiters),
-            token_s=self._queue.prefills.pace.token_s,
-            waited_s=now - waiter.asked_at,
-            ready_s=now - present_at,
-        )
-
     def _run(self) -> None:
         while not self._is_closed:
             token = self._orders.fencing_token()
             if token is None:
-                self._refuse_all("no_lease")
+                self._waiting.refuse_all("no_lease")
                 self._orders.clear_seq()
                 self._sleep(LEASE_CHECK_S)
                 continue
@@ -288,21 +180,17 @@
         if self._wake.ready():
             self._wake = Event()
 
-    def _refuse_all(self, reason: str) -> None:
-        for waiter in self._queue.clear():
-            waiter.completed.send(Err(Refusal(reason, 0.5)))
-
     def _serve_waiters(self, token: int) -> None:
         """Complete the waiters whose adapter is loaded; order loads for the others."""
         now = self._ctx.clock.monotonic()
         self._queue.reserve_for_prompts(now)
-        self._complete_ready()
+        self._waiting.complete_ready()
         for waiter in self._queue.by_rank(now):
             if waiter in self._queue.waiters:
                 self._serve_waiter(waiter, token, now)
-        self._complete_ready()
+        self._waiting.complete_ready()
 
-    def _serve_waiter(self, waiter: _Waiter, token: int, now: float) -> None:
+    def _serve_waiter(self, waiter: WaitingRequest, token: int, now: float) -> None:
         """Take the next steps towards a waiter's adapter."""
         if is_base_model(waiter.adapter):
             return
@@ -350,7 +238,7 @@
         if read is None:
             return False
         if isinstance(read, Err):
-            self._refuse_all("runner_down")
+            self._waiting.refuse_all("runner_down")
             return False
         self._apply_report(read.ok_value)
         return True
--- a/tests/unit/serving/test_withdrawals.py
+++ b/tests/unit/serving/test_withdrawals.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from gooseberryrun._internal.coordination._serving_messages import AcquireRequest
-from gooseberryrun._internal.coordination.serving._runner_owner import (
+from gooseberryrun._internal.coordination.serving._runner_owner import RunnerOwner
+from gooseberryrun._internal.coordination.serving._waiting_requests import (
     WITHDRAWN_TTL_S,
-    RunnerOwner,
 )
 from gooseberryrun._internal.state import ManualClock
 from result import Err
@@ -55,4 +55,4 @@
     for number in range(100):
         owner.end_prefill(f"r{number}", -1.0)
         clock.now += 0.1
-    assert len(owner._withdrawn_at) <= 12
+    assert len(owner._waiting._withdrawn_at) <= 12
