Hold adapters that crash their runners, on the project's own face too

Callers of other adapters saw their engines end one after another: crashes were counted by content alone, so requests of one deadly adapter, no two alike, each crashed two engines.

The own face takes the crash evidence of the platform's face in place of its own count by fingerprint, which goes: one mechanism, by content with the limits of the settings, by adapter with the default ones. A content that crashed before is not held against its adapter again; a request that completes clears both, on all VMs and in the log. An adapter is refused with 503, not 422, since patient work must not be ended by it. Two crashes of one content at the same instant count as two again (found by the old test).

Found on the way: crashes replayed from the log after a restart counted from then on, whatever their age. Tests of refusals and mutants name the new mechanism and check the same.

--- a/fakes/src/gooseberry_fakes/engine.py
+++ b/fakes/src/gooseberry_fakes/engine.py
@@ -21,6 +21,8 @@
 
 CRASH_MARK = "CRASH-RUNNER"
 """Text in a prompt that crashes the engine."""
+CRASHING_ADAPTER = "crashing@"
+"""Beginning of the names of adapters whose weights crash the engine."""
 DEFAULT_TOKENS = 16
 REPORT_LAG_S = 0.5
 """Minimum age of the reported load, in seconds."""
@@ -282,7 +284,7 @@
                 held = True
                 eventlet.sleep(self._options.token_s)
                 self._raise_if_aborted(boot, request_id)
-                if CRASH_MARK in prompt and index >= 1:
+                if index >= 1 and _is_deadly(model, prompt):
                     self._trigger_crash()
                     raise DropConnectionError
                 if model not in self._resident:
@@ -298,3 +300,8 @@
     def _raise_if_aborted(self, boot: str, request_id: str) -> None:
         if self._crash.ready() or boot != self._boot or request_id in self._cancelled:
             raise DropConnectionError
+
+
+def _is_deadly(model: str, prompt: str) -> bool:
+    """Return whether a completion crashes the engine."""
+    return CRASH_MARK in prompt or model.startswith(CRASHING_ADAPTER)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.pyi
@@ -60,6 +60,7 @@
 from ._messages import (
     Confirm,
     Confirmed,
+    CrashClearedNotice,
     CrashNotice,
     Gossip,
     GrantAnswer,
@@ -239,6 +240,7 @@
     "Condition",
     "Confirm",
     "Confirmed",
+    "CrashClearedNotice",
     "CrashNotice",
     "Crashes",
     "DEEP_SLOTS_FOR_STALLS",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_acquisition.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_acquisition.py
@@ -8,6 +8,7 @@
 from gooseberryrun._internal.state import Clock, Settings, Vm, WorkClass
 
 from ._attempts import MAX_RETRY_PAUSE_S, RETRY_PAUSE_S, CompletionRun
+from ._crash_names import request_traits
 from ._crashes import Crashes
 from ._errors import Refusal
 from ._grants import Grants
@@ -75,13 +76,14 @@
         return Err(self._refuse_capacity(run, reasons))
 
     def _choose(self, request: CompletionRequest, exclude: set[str]) -> Vm | None:
-        if not self._crashes.is_suspect(request.fingerprint):
+        trait = self._crashes.verdict(request_traits(request)).trait
+        if trait is None:
             background = request.work_class is WorkClass.BACKGROUND
             return self._placement.choose(
                 request.model, request.prefix, exclude, background
             )
-        crashed = self._crashes.crashed_runners(request.fingerprint)
-        return self._placement.choose_isolated(request.fingerprint, exclude | crashed)
+        crashed = self._crashes.crashed_runners(trait)
+        return self._placement.choose_isolated(trait.key, exclude | crashed)
 
     def _skip_runner(
         self, engine: Vm, answer: GrantAnswer | None, exclude: set[str]
@@ -122,7 +124,7 @@
             boot=self._boot,
             work_class=str(run.request.work_class),
             fingerprint=run.request.fingerprint,
-            suspect=self._crashes.is_suspect(run.request.fingerprint),
+            suspect=self._crashes.is_suspect(request_traits(run.request)),
             wait_s=self._owner_wait_s(engine, deadline - now),
             traceparent=current_traceparent(),
             prefix=run.request.prefix,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
@@ -12,11 +12,13 @@
 
 from gooseberryrun._internal.state import (
     Clock,
+    RunOutcome,
     Settings,
     Vm,
     WorkClass,
     check_invariant,
 )
+from gooseberryrun._internal.state.serving import Handling, TraitKind
 
 from ._acquisition import Acquisition
 from ._attempts import (
@@ -28,6 +30,7 @@
     CompletionRun,
     never_ran,
 )
+from ._crash_names import request_traits
 from ._crashes import Crashes
 from ._errors import EngineError, EngineFault, Refusal
 from ._events import log_event
@@ -96,10 +99,17 @@
         return self._refuse_crashing(request)
 
     def _refuse_crashing(self, request: CompletionRequest) -> Refusal | None:
-        if not self._crashes.is_refused(request.fingerprint):
+        verdict = self._crashes.verdict(request_traits(request))
+        if verdict.handling is not Handling.REFUSED or verdict.trait is None:
             return None
-        detail = "runners crashed repeatedly while they executed this request"
-        return Refusal(422, "crashes_runners", detail)
+        if verdict.trait.kind is TraitKind.CONTENT:
+            detail = "runners crashed repeatedly while they executed this request"
+            return Refusal(422, "crashes_runners", detail)
+        detail = f"runners crashed repeatedly while they executed {request.model}"
+        retry_in_s = max(1.0, verdict.retry_at - self._clock.monotonic())
+        return Refusal(
+            503, "adapter_crashes_runners", detail, RunOutcome.NOT_RUN, retry_in_s
+        )
 
     # Attempts on engines.
 
@@ -192,10 +202,8 @@
             run.excluded_runners = {engine.id}
         probes = PROBES_BY_FAULT.get(error.fault)
         if probes is not None:
-            fingerprint = run.request.fingerprint
-            self._crashes.report_failed_attempt(
-                engine, run.incarnation, fingerprint, probes
-            )
+            traits = request_traits(run.request)
+            self._crashes.report_failed_attempt(engine, run.incarnation, traits, probes)
 
     def _pause_or_refuse(
         self, run: CompletionRun, error: EngineError
@@ -303,6 +311,7 @@
         run.stream.close()
         run.stream = None
         self._grants.end(run.grant_id)
+        self._crashes.record_answer(request_traits(run.request))
         if run.engine is not None:
             self._placement.record_prefix(run.request.prefix, run.engine.id, True)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
@@ -1,22 +1,40 @@
-"""Crash reports: which requests were in flight when a runner crashed."""
+"""Crash reports: which contents and adapters were in flight when a runner crashed."""
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Sequence
+
 import eventlet
 from result import Err
 
-from gooseberryrun._internal.state import Clock, CrashReport, Settings, Vm
+from gooseberryrun._internal.state import (
+    Clock,
+    CrashCleared,
+    CrashReport,
+    Settings,
+    Vm,
+)
+from gooseberryrun._internal.state.serving import (
+    Crash,
+    Handling,
+    Trait,
+    TraitKind,
+    Verdict,
+)
 
 from ._appender import Appender
+from ._crash_names import incarnation_number, trait_name, trait_of
 from ._errors import EngineFault
 from ._events import log_event
 from ._membership import Membership
-from ._messages import CrashNotice
+from ._messages import CrashClearedNotice, CrashNotice
 from ._metrics import POISONED
 from ._ports import Engines, Peers
 from ._replica import Replica
 from ._tasks import spawn
 
+Traits = Sequence[Trait]
+
 CRASH_PROBES = 5
 """Most probes of a runner after a failed attempt, until the result is clear."""
 CRASH_PROBE_INTERVAL_S = 0.2
@@ -46,22 +64,29 @@
         self._engines = engines
         self._peers = peers
 
-    def is_refused(self, fingerprint: str) -> bool:
-        """Return whether the request was in flight at too many crashes."""
-        now = self._clock.monotonic()
-        return self._replica.suspects.is_refused(fingerprint, now)
+    def verdict(self, traits: Traits) -> Verdict:
+        """Return how a request with these traits is handled now."""
+        return self._replica.evidence.verdict(traits, self._clock.monotonic())
+
+    def is_refused(self, traits: Traits) -> bool:
+        """Return whether too many crashes are blamed on a trait."""
+        return self.verdict(traits).handling is Handling.REFUSED
 
-    def is_suspect(self, fingerprint: str) -> bool:
+    def is_suspect(self, traits: Traits) -> bool:
         """Return whether the request must not run together with other suspects."""
-        now = self._clock.monotonic()
-        return self._replica.suspects.is_suspect(fingerprint, now)
+        return self.verdict(traits).handling is not Handling.FREE
 
-    def crashed_runners(self, fingerprint: str) -> set[str]:
-        """Return the runners that crashed while they executed the request."""
-        return self._replica.suspects.crashed_runners(fingerprint)
+    def crashed_runners(self, trait: Trait) -> set[str]:
+        """Return the runners whose crashes are blamed on a trait."""
+        crashes = self._replica.evidence.blamed_crashes(trait)
+        return {crash.runner for crash in crashes}
 
     def report_failed_attempt(
-        self, engine: Vm, incarnation: str, fingerprint: str, probes: int = CRASH_PROBES
+        self,
+        engine: Vm,
+        incarnation: str,
+        traits: Traits,
+        probes: int = CRASH_PROBES,
     ) -> None:
         """Report a request whose attempt failed, if its runner crashed.
 
@@ -72,12 +97,46 @@
         """
         if not incarnation:
             return
-        notice = CrashNotice(engine.id, incarnation, [fingerprint])
+        names = [trait_name(trait) for trait in self._to_blame(traits)]
+        notice = CrashNotice(engine.id, incarnation, names)
         if self._has_crashed(engine, incarnation, probes):
             self.handle_crash_notice(notice, True)
         else:
             spawn("crash-watch", lambda: self._recheck_later(engine, notice))
 
+    def _to_blame(self, traits: Traits) -> list[Trait]:
+        """Return the traits to blame for a crash.
+
+        A content that has crashed a runner before says nothing new of its adapter.
+        """
+        contents = [trait for trait in traits if trait.kind is TraitKind.CONTENT]
+        if any(self._replica.evidence.crash_count(trait) for trait in contents):
+            return contents
+        return list(traits)
+
+    def record_answer(self, traits: Traits) -> None:
+        """Clear the traits of a request that a runner has completed; tell others."""
+        names = self._clear(traits)
+        if not names:
+            return
+        for vm in self._membership.other_entry_vms():
+            self._peers.send_to(vm, CrashClearedNotice(names))
+        record = CrashCleared(names, self._clock.unix())
+        spawn("crash-cleared", lambda: self._append(record))
+
+    def handle_cleared_notice(self, notice: CrashClearedNotice) -> None:
+        """Record what a response at another VM has cleared."""
+        self._clear([trait_of(name) for name in notice.fingerprints])
+
+    def _clear(self, traits: Iterable[Trait]) -> list[str]:
+        """Record a response; log and return the names of the traits it clears."""
+        now = self._clock.monotonic()
+        cleared = self._replica.evidence.record_answer(traits, now)
+        names = [trait_name(trait) for trait in cleared]
+        for name in names:
+            log_event("suspect_cleared", fingerprint=name)
+        return names
+
     def _recheck_later(self, engine: Vm, notice: CrashNotice) -> None:
         for pause_s in CRASH_RECHECK_PAUSES_S:
             eventlet.sleep(pause_s)
@@ -100,23 +159,33 @@
     def handle_crash_notice(self, notice: CrashNotice, is_local: bool = False) -> None:
         """Record a crash; one found by this VM is sent to every VM and the log."""
         now = self._clock.monotonic()
-        suspects = self._replica.suspects
-        new_fingerprints = suspects.record_crash(
-            notice.runner, notice.incarnation, notice.fingerprints, now
-        )
-        for fingerprint in new_fingerprints:
-            refused = suspects.is_refused(fingerprint, now)
-            log_event("suspect", fingerprint=fingerprint, refused=refused)
+        evidence = self._replica.evidence
+        traits = [trait_of(name) for name in notice.fingerprints]
+        incarnation = incarnation_number(notice.incarnation)
+        crash = Crash(notice.runner, incarnation, now, is_begun=True)
+        fresh = evidence.record_crash(traits, crash)
+        for trait in fresh:
+            refused = self.is_refused([trait])
+            log_event(
+                "suspect",
+                fingerprint=trait_name(trait),
+                runner=notice.runner,
+                crashes=evidence.crash_count(trait),
+                refused=refused,
+            )
             if refused:
                 POISONED.inc()
-        if is_local and new_fingerprints:
+        if is_local and fresh:
             for vm in self._membership.other_entry_vms():
                 self._peers.send_to(vm, notice)
-            spawn("crash-report", lambda: self._append(notice))
-
-    def _append(self, notice: CrashNotice) -> None:
-        record = CrashReport(
-            notice.runner, notice.incarnation, notice.fingerprints, self._clock.unix()
-        )
+            record = CrashReport(
+                notice.runner,
+                notice.incarnation,
+                notice.fingerprints,
+                self._clock.unix(),
+            )
+            spawn("crash-report", lambda: self._append(record))
+
+    def _append(self, record: CrashReport | CrashCleared) -> None:
         deadline = self._clock.monotonic() + self._cfg.platform.timeout_s
         self._appender.append(record, deadline)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_messages.py
@@ -264,6 +264,12 @@
     fingerprints: list[str]
 
 
+class CrashClearedNotice(Message, frozen=True, array_like=True):
+    """Fingerprints that a response has cleared of the crashes before it."""
+
+    fingerprints: list[str]
+
+
 class OutcomeQuery(Message, frozen=True, array_like=True):
     """Request to the holder of a key for its known outcome."""
 
@@ -338,6 +344,7 @@
     | RecordsRequest
     | RecordsReply
     | CrashNotice
+    | CrashClearedNotice
     | OutcomeQuery
     | OutcomeReply
     | StatusQuery
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
@@ -22,6 +22,7 @@
 from ._membership import Membership
 from ._messages import (
     Confirm,
+    CrashClearedNotice,
     CrashNotice,
     Gossip,
     GrantAnswer,
@@ -199,7 +200,7 @@
         self.membership.set_drained(set(self.replica.config.tables["drains"]))
 
     def _expire_suspects(self) -> None:
-        self.replica.suspects.expire(self._clock.monotonic())
+        self.replica.evidence.expire(self._clock.monotonic())
 
     def _random_peer(self) -> str | None:
         others = self.membership.other_entry_vms()
@@ -266,6 +267,7 @@
             StorePermitEnd: handle_with(self.permits.handle_end),
             RecordsRequest: reply_with(self.replica.handle_records_request),
             CrashNotice: handle_with(self.crashes.handle_crash_notice),
+            CrashClearedNotice: handle_with(self.crashes.handle_cleared_notice),
             OutcomeQuery: reply_with(self.at_most_once_requests.handle_outcome_query),
             StatusQuery: reply_with(self.operations.handle_status_query),
             Confirm: reply_with(self.operations.handle_confirm),
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_operations.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_operations.py
@@ -33,6 +33,7 @@
     Stop,
     select_rows,
 )
+from ._crash_names import trait_name
 from ._events import log_event
 from ._leases import Leases
 from ._membership import Membership
@@ -223,8 +224,8 @@
     def _refused_rows(self) -> list[Row]:
         now = self._clock.monotonic()
         return [
-            {"vm": self._cfg.vm.id, "fingerprint": fingerprint}
-            for fingerprint in self._replica.suspects.refused(now)
+            {"vm": self._cfg.vm.id, "fingerprint": trait_name(trait)}
+            for trait in self._replica.evidence.refused(now)
         ]
 
     def _leaving_rows(self) -> list[Row]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_replica.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_replica.py
@@ -21,6 +21,7 @@
     ConfigChange,
     ConfigSnapshot,
     ConfigState,
+    CrashCleared,
     CrashReport,
     Intent,
     JobAccepted,
@@ -34,12 +35,13 @@
     OwnerState,
     Record,
     Settings,
-    SuspectState,
     decode_record,
     encode_record,
     to_refresh,
 )
+from gooseberryrun._internal.state.serving import Crash, CrashEvidence, CrashLimits
 
+from ._crash_names import incarnation_number, trait_of
 from ._events import log_event
 from ._messages import PlainRecord, RecordsReply, RecordsRequest
 from ._metrics import LOG_AGE
@@ -87,9 +89,7 @@
         self.owners = OwnerState()
         self.ledger = LedgerState()
         self.jobs = JobState()
-        self.suspects = SuspectState(
-            cfg.limits.crashes_to_refuse, cfg.limits.suspect_ttl_s
-        )
+        self.evidence = _make_evidence(cfg)
         self.waiters = Waiters(clock)
         self.config_recorded_at = clock.monotonic()
         self.positions = {stream: StreamPosition() for stream in STREAMS}
@@ -201,15 +201,21 @@
                 self.on_owner_change(runner)
                 self.waiters.notify(f"runner:{runner}")
         elif isinstance(record, CrashReport):
-            self.suspects.record_crash(
-                record.runner,
-                record.incarnation,
-                record.fingerprints,
-                self._clock.monotonic(),
-            )
+            incarnation = incarnation_number(record.incarnation)
+            crash = Crash(record.runner, incarnation, self._time_of(record), True)
+            traits = [trait_of(name) for name in record.fingerprints]
+            self.evidence.record_crash(traits, crash)
+        elif isinstance(record, CrashCleared):
+            traits = [trait_of(name) for name in record.fingerprints]
+            self.evidence.record_answer(traits, self._time_of(record))
         else:
             self._apply_work(record, offset)
 
+    def _time_of(self, record: CrashReport | CrashCleared) -> float:
+        """Return the monotonic time of a record, which may be from before a restart."""
+        age_s = max(0.0, self._clock.unix() - record.at)
+        return self._clock.monotonic() - age_s
+
     def _apply_config(self, record: ConfigChange | ConfigSnapshot, offset: int) -> None:
         if isinstance(record, ConfigSnapshot):
             self.config.apply_snapshot(record)
@@ -323,3 +329,13 @@
         position.next_offset = snapshot["next_offset"]
         position.writers.update(snapshot["writers"])
         log_event("snapshot_restored", stream=stream, next=position.next_offset)
+
+
+def _make_evidence(cfg: Settings) -> CrashEvidence:
+    """Return the empty record of crashes.
+
+    Nothing waits for a crashed runner to return, since suspects go to others.
+    """
+    ttl_s = cfg.limits.suspect_ttl_s
+    limits = CrashLimits(cfg.limits.crashes_to_refuse, ttl_s, ttl_s)
+    return CrashEvidence(lambda crash: True, limits)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -232,7 +232,7 @@
 
     def has_returned(crash: Crash) -> bool:
         runner = directory.runner(crash.runner)
-        return runner is None or runner.born_ms > crash.born_ms
+        return runner is None or runner.born_ms > crash.incarnation
 
     return Context(
         cfg,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
@@ -151,7 +151,9 @@
 
     def _report(self, traits: list[Trait], crash: Crash) -> CrashReport:
         age_s = self._ctx.clock.monotonic() - crash.at
-        return CrashReport(crash.runner, crash.born_ms, traits, age_s, crash.is_begun)
+        return CrashReport(
+            crash.runner, crash.incarnation, traits, age_s, crash.is_begun
+        )
 
     def _answer(self, traits: list[Trait], answered_at: float) -> AnswerReport:
         return AnswerReport(traits, self._ctx.clock.monotonic() - answered_at)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_kept_suspicions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_kept_suspicions.py
@@ -81,7 +81,7 @@
     def _suspicion(self, trait: Trait) -> Suspicion:
         now, unix_now = self._ctx.clock.monotonic(), self._ctx.clock.unix()
         crashes = tuple(
-            StoredCrash(c.runner, c.born_ms, unix_now - (now - c.at), c.is_begun)
+            StoredCrash(c.runner, c.incarnation, unix_now - (now - c.at), c.is_begun)
             for c in self._evidence.blamed_crashes(trait)
         )
         return Suspicion(trait, crashes)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.pyi
@@ -38,6 +38,7 @@
     ConfigChange,
     ConfigOp,
     ConfigSnapshot,
+    CrashCleared,
     CrashReport,
     Intent,
     JobAccepted,
@@ -68,7 +69,6 @@
     load_settings,
     load_settings_as,
 )
-from ._suspects import SuspectState
 
 __all__ = [
     "CONFIG_STREAM",
@@ -83,6 +83,7 @@
     "ConfigOp",
     "ConfigSnapshot",
     "ConfigState",
+    "CrashCleared",
     "CrashReport",
     "DEFAULT_JOB_DEADLINE_S",
     "DemandTracker",
@@ -129,7 +130,6 @@
     "STREAMS",
     "Settings",
     "StopSettings",
-    "SuspectState",
     "SystemClock",
     "TABLES",
     "Tables",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_records.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_records.py
@@ -154,6 +154,14 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class CrashCleared:
+    """Fingerprints that a response has cleared of the crashes before it."""
+
+    fingerprints: list[str]
+    at: float
+
+
 Record = (
     ConfigChange
     | ConfigSnapshot
@@ -164,6 +172,7 @@
     | JobAccepted
     | JobDone
     | CrashReport
+    | CrashCleared
 )
 
 _TYPE_BY_KIND: dict[str, type[Any]] = {
@@ -176,6 +185,7 @@
     "job_accepted": JobAccepted,
     "job_done": JobDone,
     "crash_report": CrashReport,
+    "crash_cleared": CrashCleared,
 }
 _KIND_BY_TYPE = {cls: kind for kind, cls in _TYPE_BY_KIND.items()}
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -10,13 +10,14 @@
 )
 from ._budget import ServiceRetryBudget
 from ._crash_evidence import (
-    CRASHES_TO_REFUSE,
     MAX_PARTS,
     RECENT_ANSWER_S,
     CrashEvidence,
 )
 from ._crash_traits import (
+    CRASHES_TO_REFUSE,
     Crash,
+    CrashLimits,
     Handling,
     StoredCrash,
     Suspicion,
@@ -83,6 +84,7 @@
     "RECENT_ANSWER_S",
     "Crash",
     "CrashEvidence",
+    "CrashLimits",
     "Handling",
     "StoredCrash",
     "Suspicion",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
@@ -14,10 +14,16 @@
 
 import xxhash
 
-from ._crash_traits import FREE, Crash, Handling, Trait, TraitKind, Verdict
+from ._crash_traits import (
+    FREE,
+    Crash,
+    CrashLimits,
+    Handling,
+    Trait,
+    TraitKind,
+    Verdict,
+)
 
-CRASHES_TO_REFUSE = 3
-"""Crashes without an answer after which requests with a trait are refused."""
 BURST_S = 1.0
 """Time within which several crashes blamed on a shared trait count as one, since
 runners may also crash together for a reason of their own."""
@@ -25,12 +31,6 @@
 """Age up to which an answer before the first crash speaks against blaming it."""
 RESTART_WAIT_S = 4.0
 """Longest time for which a trait waits for the runner that it crashed to be back."""
-SUSPICION_TTL_S = 120.0
-"""Time after the last crash for which a trait that is not refused stays suspected."""
-MIN_REFUSAL_S = 60.0
-"""Time for which a trait is refused before one more request may try it; doubles with
-each crash."""
-MAX_REFUSAL_S = 3600.0
 MAX_CRASHES = 10
 """Crashes remembered of one trait: enough to reach the longest refusal."""
 MAX_TRAITS = 8192
@@ -55,11 +55,11 @@
 
     def add(self, crash: Crash) -> Crash | None:
         """Add a crash; return the oldest of too many, which is dropped."""
-        self.crashes[crash.incarnation] = crash
+        self.crashes[crash.key] = crash
         if len(self.crashes) <= MAX_CRASHES:
             return None
         oldest = min(self.crashes.values(), key=lambda c: c.at)
-        return self.crashes.pop(oldest.incarnation)
+        return self.crashes.pop(oldest.key)
 
     def blamed(self) -> list[Crash]:
         """Return the crashes that count, those since the last answer, oldest first."""
@@ -75,7 +75,7 @@
         """
         starts: list[float] = []
         for crash in self.blamed():
-            if not starts or crash.at - starts[-1] > burst_s:
+            if not starts or crash.at - starts[-1] >= burst_s:
                 starts.append(crash.at)
         if starts and starts[0] - self.answered_at < RECENT_ANSWER_S:
             return len(starts) - 1
@@ -86,11 +86,18 @@
     """Crashes and answers by trait; both may be recorded in any order and repeatedly.
 
     ``has_returned`` tells whether another incarnation of a crashed runner is known, or
-    the runner is gone.
+    the runner is gone. ``content_limits`` hold for the whole content of a request,
+    default ones for what requests share.
     """
 
-    def __init__(self, has_returned: Callable[[Crash], bool]) -> None:
+    def __init__(
+        self,
+        has_returned: Callable[[Crash], bool],
+        content_limits: CrashLimits | None = None,
+    ) -> None:
         self._has_returned = has_returned
+        self._shared_limits = CrashLimits()
+        self._content_limits = content_limits or self._shared_limits
         self._records: OrderedDict[Trait, _Record] = OrderedDict()
         self._blamed: set[Trait] = set()
         self._by_incarnation: dict[tuple[str, int], set[Trait]] = {}
@@ -102,14 +109,14 @@
         fresh = []
         for trait in traits:
             record = self._record(trait)
-            if crash.incarnation in record.crashes:
+            if crash.key in record.crashes:
                 continue
             dropped = record.add(crash)
             if dropped is not None:
-                self._remove_from_index(trait, dropped.incarnation)
+                self._remove_from_index(trait, dropped.key)
             if dropped is not crash:
                 fresh.append(trait)
-                self._by_incarnation.setdefault(crash.incarnation, set()).add(trait)
+                self._by_incarnation.setdefault(crash.key, set()).add(trait)
             if record.blamed():
                 self._blamed.add(trait)
         if fresh:
@@ -170,7 +177,7 @@
         last = self._records[trait].blamed()[-1]
         if not self._suspects_with(trait) <= present:
             return Verdict(Handling.CONFINED, trait, crashes)
-        refused_until = last.at + refusal_s(crashes)
+        refused_until = last.at + self._limits(trait).refusal_s(crashes)
         if now < refused_until:
             return Verdict(Handling.REFUSED, trait, crashes, refused_until)
         is_likely = crashes > 1 or last.is_begun
@@ -179,6 +186,10 @@
             return Verdict(Handling.PAUSED, trait, crashes, paused_until)
         return Verdict(Handling.CONFINED, trait, crashes)
 
+    def _limits(self, trait: Trait) -> CrashLimits:
+        is_content = trait.kind is TraitKind.CONTENT
+        return self._content_limits if is_content else self._shared_limits
+
     def _suspects_with(self, trait: Trait) -> set[Trait]:
         """Return the traits that may have caused all crashes blamed on a trait.
 
@@ -188,7 +199,7 @@
         if trait.kind is TraitKind.CONTENT:
             return {trait}
         kinds = {trait.kind, TraitKind.PART}
-        incarnations = {crash.incarnation for crash in self._records[trait].blamed()}
+        incarnations = {crash.key for crash in self._records[trait].blamed()}
         sharing = [self._by_incarnation[incarnation] for incarnation in incarnations]
         return {
             other
@@ -200,7 +211,7 @@
         """Return the incarnations whose crashes are blamed on a trait."""
         if trait not in self._blamed:
             return set()
-        return {crash.incarnation for crash in self._records[trait].blamed()}
+        return {crash.key for crash in self._records[trait].blamed()}
 
     def suspected(self) -> dict[Trait, list[Crash]]:
         """Return the crashes of each trait that is to blame for some."""
@@ -210,6 +221,15 @@
             if self.crash_count(trait)
         }
 
+    def refused(self, now: float) -> list[Trait]:
+        """Return the traits that are refused in requests with all that is blamed."""
+        found = []
+        for trait, crashes in self.suspected().items():
+            refusal_s = self._limits(trait).refusal_s(self.crash_count(trait))
+            if now < crashes[-1].at + refusal_s:
+                found.append(trait)
+        return found
+
     def blamed_crashes(self, trait: Trait) -> list[Crash]:
         """Return the crashes of a trait since its last answer, oldest first."""
         record = self._records.get(trait)
@@ -225,7 +245,7 @@
         digest = 0
         for trait, crashes in self.suspected().items():
             for crash in crashes:
-                text = f"{trait.kind} {trait.key} {crash.runner} {crash.born_ms}"
+                text = f"{trait.kind} {trait.key} {crash.runner} {crash.incarnation}"
                 digest ^= xxhash.xxh3_64_intdigest(text.encode())
         return digest
 
@@ -257,16 +277,10 @@
         for trait in list(self._blamed):
             record = self._records[trait]
             last = max(crash.at for crash in record.crashes.values())
-            ttl_s = max(SUSPICION_TTL_S, 2 * refusal_s(self.crash_count(trait)))
+            limits = self._limits(trait)
+            refusal_s = limits.refusal_s(self.crash_count(trait))
+            ttl_s = max(limits.suspicion_ttl_s, 2 * refusal_s)
             if now - last > ttl_s:
                 record.forgotten_until = last
                 self._blamed.discard(trait)
                 self._digest = None
-
-
-def refusal_s(crashes: int) -> float:
-    """Return for how long a trait is refused after its last crash."""
-    if crashes < CRASHES_TO_REFUSE:
-        return 0.0
-    doublings = crashes - CRASHES_TO_REFUSE
-    return float(min(MAX_REFUSAL_S, MIN_REFUSAL_S * 2**doublings))
--- a/tests/functional/test_whole_answers.py
+++ b/tests/functional/test_whole_answers.py
@@ -13,7 +13,7 @@
 
 import pytest
 from gooseberry_fakes.cluster import Cluster, Reply
-from gooseberry_fakes.engine import CRASH_MARK
+from gooseberry_fakes.engine import CRASH_MARK, CRASHING_ADAPTER
 
 from tests.lib.clusters import run_cluster
 from tests.lib.traffic import END_MARK, Completions, expected_text, read_stream
@@ -202,3 +202,25 @@
     assert count_crashes(cluster) - crashes_before <= 2 * len(contents)
     assert traffic.wrong_responses == []
     assert traffic.failures == []
+
+
+def test_adapter_that_crashes_its_runners_is_refused(cluster: Cluster) -> None:
+    """No two requests are alike, and each content could crash two runners."""
+    model = f"{CRASHING_ADAPTER}1"
+    cluster.apply([{"op": "put", "table": "adapters", "key": model, "value": {}}])
+    crashes_before = count_crashes(cluster)
+    replies: list[Reply] = []
+    with Completions(cluster, cluster.entry_vms(), MODELS, workers=4) as traffic:
+        time.sleep(1)
+        for number in range(8):
+            vm = cluster.entry_vms()[number]
+            replies.append(cluster.complete(vm, model, f"prompt {number}"))
+            time.sleep(1.2)
+        time.sleep(2)
+    contents_until_refusal = 3
+    assert count_crashes(cluster) - crashes_before <= 2 * contents_until_refusal
+    for reply in replies[contents_until_refusal:]:
+        assert reply.status == 503
+        assert reply.outcome == "not_run"
+    assert traffic.wrong_responses == []
+    assert traffic.failures == []
--- a/tests/unit/serving/test_crash_evidence.py
+++ b/tests/unit/serving/test_crash_evidence.py
@@ -15,8 +15,10 @@
 from gooseberryrun._internal.state.serving._crash_evidence import (
     MAX_CRASHES,
     MAX_TRAITS,
-    MIN_REFUSAL_S,
     RESTART_WAIT_S,
+)
+from gooseberryrun._internal.state.serving._crash_traits import (
+    MIN_REFUSAL_S,
     SUSPICION_TTL_S,
 )
 from hypothesis import given
--- a/tests/unit/test_completions.py
+++ b/tests/unit/test_completions.py
@@ -8,6 +8,7 @@
 import gooseberryrun._internal.state as state
 import pytest
 from gooseberryrun._internal.coordination import _completions
+from gooseberryrun._internal.state.serving import Handling, Trait, Verdict
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from result import Err, Ok, Result
@@ -58,10 +59,12 @@
     def has_model(self, model: str) -> bool:
         return True
 
-    def is_refused(self, fingerprint: str) -> bool:
-        return self.refused
+    def verdict(self, traits: tuple[Trait, ...]) -> Verdict:
+        if self.refused:
+            return Verdict(Handling.REFUSED, traits[0], 2)
+        return Verdict(Handling.FREE)
 
-    def is_suspect(self, fingerprint: str) -> bool:
+    def is_suspect(self, traits: tuple[Trait, ...]) -> bool:
         return False
 
     def has_boot_ended(self, vm: str, boot: str) -> bool:
