One home for pauses and one for what runners hold

What may keep requests from a runner stood in its load figures and in its pauses; which adapters it holds stood in three dicts of the context that had to be changed together. RunnerPauses and Residency are their homes. No change of behaviour.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -94,13 +94,12 @@
 
     def _current_notice(self, runner: Runner) -> ResidencyNotice | None:
         """Return the latest notice from the runner's owner unless it is out of date."""
-        notice = self._ctx.residency.get(runner.id)
+        notice = self._ctx.residency.newest(runner.id)
         if notice is None or notice.born_ms != runner.born_ms:
             return None
         if self._ctx.follows(runner):
             return notice
-        received_at = self._ctx.residency_received_at.get(runner.id, float("-inf"))
-        is_recent = self._ctx.clock.monotonic() - received_at <= OWNER_STATE_TTL_S
+        is_recent = self._ctx.residency.age_s(runner.id) <= OWNER_STATE_TTL_S
         return notice if is_recent else None
 
     def queue(self, runner: Runner) -> SlotQueue:
@@ -115,8 +114,7 @@
         notice = self._current_notice(runner)
         if notice is None:
             return PrefillLoad()
-        received_at = self._ctx.residency_received_at[runner.id]
-        return notice.prefill.after(self._ctx.clock.monotonic() - received_at)
+        return notice.prefill.after(self._ctx.residency.age_s(runner.id))
 
     def end_prefill(self, runner: Runner, request_id: str, took_s: float) -> None:
         """Return a prompt's grant to the runner's owner.
@@ -130,8 +128,8 @@
 
     def handle_residency_notice(self, sender: str, notice: ResidencyNotice) -> None:
         """Store a residency notice; report this VM's uses if the owner is a new one."""
-        known = self._ctx.residency.get(notice.runner)
-        self._ctx.update_residency(notice)
+        known = self._ctx.residency.newest(notice.runner)
+        self._ctx.residency.update(notice)
         if known is not None and known.fencing_token == notice.fencing_token:
             return
         for (runner, adapter), count in self._uses.items():
@@ -140,8 +138,7 @@
 
     def recently_held(self, runner: Runner, adapter: str) -> bool:
         """Return whether a runner held an adapter recently and reloads it fast."""
-        recent = self._ctx.recent_adapters.get(runner.id)
-        return recent is not None and recent.contains(runner.born_ms, adapter)
+        return self._ctx.residency.held_recently(runner, adapter)
 
     def can_acquire(self, runner: Runner) -> bool:
         """Return whether an adapter may be requested from the runner's owner now."""
@@ -158,7 +155,7 @@
         self._set_held(runner, held)
 
     def _set_held(self, runner: Runner, held: dict[str, int]) -> None:
-        known = self._ctx.residency.get(runner.id)
+        known = self._ctx.residency.newest(runner.id)
         is_same = known is not None and known.born_ms == runner.born_ms
         token = known.fencing_token if known is not None and is_same else 0
         queue = self.queue(runner)
@@ -172,7 +169,7 @@
             queue.mean_slot_wait_s,
             self.prefill_load(runner),
         )
-        self._ctx.record_residency(notice)
+        self._ctx.residency.record(notice)
 
     def begin_use(self, runner: Runner, adapter: str) -> None:
         """Report to the owner that one more request uses an adapter."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -124,7 +124,7 @@
         record_statement(self._ctx, runner, response.metadata.statement, requested_at)
         if response.metadata.is_not_run:
             if not response.metadata.is_misdirected:
-                self._ctx.loads.mark_down(runner.id, now + FULL_PAUSE_S)
+                self._ctx.pauses.mark_down(runner.id, FULL_PAUSE_S, now)
             return
         active.may_have_run = True
         active.attempts += 1
@@ -137,7 +137,7 @@
         now = self._ctx.clock.monotonic()
         self._ctx.loads.record_result(runner.id, ok=False, now=now)
         if fault.failure is AttemptFailure.NOT_SENT:
-            self._ctx.loads.mark_down(runner.id, now + UNREACHABLE_PAUSE_S)
+            self._ctx.pauses.mark_down(runner.id, UNREACHABLE_PAUSE_S, now)
             return
         active.sends += 1
         active.attempts += 1
@@ -186,7 +186,7 @@
         if not self._ctx.ports.requests.refuses_connections(runner):
             return
         now = self._ctx.clock.monotonic()
-        self._ctx.loads.mark_down(runner.id, now + UNREACHABLE_PAUSE_S)
+        self._ctx.pauses.mark_down(runner.id, UNREACHABLE_PAUSE_S, now)
         answered_at = active.answered_at
         is_answered = answered_at is not None and now - answered_at >= SETTLED_S
         if not is_answered and self._is_expected_to_run(runner):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_availability.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_availability.py
@@ -21,7 +21,7 @@
         """Return whether a runner may be chosen for a request."""
         if runner.id in active.tried or runner.id in active.ungranted:
             return False
-        if self._ctx.loads.is_down(runner.id, now):
+        if self._ctx.pauses.is_down(runner.id, now):
             return False
         if self._ctx.pauses.left_s(runner, now) > 0.0:
             return False
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -17,7 +17,6 @@
     DirectoryState,
     Member,
     OwnershipState,
-    RecentAdapters,
     Runner,
     RunnerLoads,
     RunnerPauses,
@@ -29,8 +28,8 @@
 )
 
 from .._ports import Peers
-from .._serving_messages import ResidencyNotice
 from ._ports import Ports
+from ._residency import Residency
 
 STORE_STATUS_TTL_S = 1.3
 """Age up to which a member's store status is used: two rounds of gossip."""
@@ -63,11 +62,13 @@
     can_reach_store: bool = True
     is_new: bool = True
     store_statuses: dict[str, StoreStatus] = field(default_factory=dict)
-    residency: dict[str, ResidencyNotice] = field(default_factory=dict)
+    residency: Residency = field(init=False)
     remote_views: dict[str, View] = field(default_factory=dict)
     covered_domains: dict[str, OwnershipState] = field(default_factory=dict)
-    residency_received_at: dict[str, float] = field(default_factory=dict)
-    recent_adapters: dict[str, RecentAdapters] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Begin without any notice of a runner's owner."""
+        self.residency = Residency(self.clock)
 
     @property
     def vm(self) -> str:
@@ -206,23 +207,6 @@
                 return False
         return True
 
-    def update_residency(self, notice: ResidencyNotice) -> None:
-        """Store a residency notice unless a newer owner has sent one."""
-        known = self.residency.get(notice.runner)
-        if known is not None and (known.born_ms, known.fencing_token) > (
-            notice.born_ms,
-            notice.fencing_token,
-        ):
-            return
-        self.record_residency(notice)
-
-    def record_residency(self, notice: ResidencyNotice) -> None:
-        """Store a residency notice and add its adapters to the recently held ones."""
-        self.residency_received_at[notice.runner] = self.clock.monotonic()
-        self.residency[notice.runner] = notice
-        memory = self.recent_adapters.setdefault(notice.runner, RecentAdapters())
-        memory.record(notice.born_ms, notice.held)
-
 
 def make_context(
     cfg: ServingSettings, clock: Clock, ports: Ports, peers: Peers
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -45,7 +45,7 @@
         self.residency_listener: ResidencyListener = self._update_residency
 
     def _update_residency(self, _vm: str, notice: ResidencyNotice) -> None:
-        self._ctx.update_residency(notice)
+        self._ctx.residency.update(notice)
 
     def start(self) -> None:
         """Start the check loop in a green thread."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -74,7 +74,8 @@
         runners = {
             runner.id: runner
             for runner in self._ctx.directory.runners(active.service, now)
-            if not loads.is_down(runner.id, now) and self._adapters.can_acquire(runner)
+            if not self._ctx.pauses.is_down(runner.id, now)
+            and self._adapters.can_acquire(runner)
         }
         if not runners or verdict.trait is None:
             return None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
@@ -39,7 +39,6 @@
     results: deque[tuple[float, bool]] = field(default_factory=deque)
     slowness: float = 1.0
     slowness_at: float = 0.0
-    down_deadline: float = 0.0
 
 
 @dataclass(slots=True)
@@ -100,15 +99,6 @@
         own.slowness += SLOWNESS_WEIGHT * (min(ratio, 20.0) - own.slowness)
         own.slowness_at = now
 
-    def mark_down(self, runner: str, until: float) -> None:
-        """Send no new work to an unreachable or full runner until the given time."""
-        self._own.setdefault(runner, _OwnLoad()).down_deadline = until
-
-    def is_down(self, runner: str, now: float) -> bool:
-        """Return whether a runner is marked down."""
-        own = self._own.get(runner)
-        return own is not None and now < own.down_deadline
-
     def receive(self, peer: str, views: dict[str, RunnerView], now: float) -> None:
         """Replace the figures of a peer; ``now`` must not decrease between calls."""
         self._remove_peer(peer)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_pauses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_pauses.py
@@ -1,4 +1,4 @@
-"""Pauses that runners ask of this VM when they turn its requests away.
+"""Pauses of the requests to runners that ask for one or that were found down.
 
 Made for loads in which runners are full: each refusal may say for how long the runner
 wants nothing more. After that time one request at a time tries it, so that all that was
@@ -30,10 +30,24 @@
 
 
 class RunnerPauses:
-    """Pauses by runner, in monotonic seconds; those without one take no space."""
+    """Times without requests, by runner, in monotonic seconds.
+
+    A runner asks for a pause itself, or this VM marks one down that it found full or
+    unreachable.
+    """
 
     def __init__(self) -> None:
         self._pauses: dict[str, _Pause] = {}
+        self._down_until: dict[str, float] = {}
+
+    def mark_down(self, runner: str, pause_s: float, now: float) -> None:
+        """Send nothing to an unreachable or full runner for a time."""
+        self._down_until = {r: end for r, end in self._down_until.items() if end > now}
+        self._down_until[runner] = now + pause_s
+
+    def is_down(self, runner: str, now: float) -> bool:
+        """Return whether a runner is marked down."""
+        return now < self._down_until.get(runner, now)
 
     def record_refusal(self, runner: Runner, pause_s: float, now: float) -> None:
         """Record that a runner wants nothing for a time."""
