--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -31,6 +31,8 @@
 from ._ports import Ports
 from ._residency import Residency
 
+STATUS_FORGET_S = 60.0
+"""Age from which on the status of a member is dropped."""
 STORE_STATUS_TTL_S = 1.3
 """Age up to which a member's store status is used: two rounds of gossip."""
 
@@ -185,6 +187,18 @@
             peer_port=member.port,
         )
 
+    def forget_gone(self) -> None:
+        """Drop what is known of runners and VMs that are gone."""
+        now = self.clock.monotonic()
+        registered = [runner.id for runner in self.directory.all_runners()]
+        self.residency.drop_unregistered(registered)
+        self.loads.expire_owner_totals(now)
+        self.store_statuses = {
+            vm: status
+            for vm, status in self.store_statuses.items()
+            if now - status.received_at <= STATUS_FORGET_S
+        }
+
     def is_store_unreachable_for_all(self, peers: list[str], now: float) -> bool:
         """Return whether all these members recently reported the store unreachable.
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -36,6 +36,8 @@
 """Time for the store to deliver records before they are fetched from a peer."""
 FETCH_TIMEOUT_S = 1.0
 SWEEP_INTERVAL_S = 0.4
+CLEANUP_INTERVAL_S = 30.0
+"""Interval at which what is known of runners and VMs that are gone is dropped."""
 READER_CHECK_S = 0.25
 """Interval at which a VM that does not read the store checks whether it has to."""
 MAX_READER_POLL_S = 2.5
@@ -264,6 +266,7 @@
         inbound.reply(DirectoryReply(request.topic, end, records))
 
     def _sweep(self) -> None:
+        cleaned_at = self._ctx.clock.monotonic()
         while True:
             eventlet.sleep(SWEEP_INTERVAL_S)
             now = self._ctx.clock.monotonic()
@@ -273,3 +276,6 @@
                     runner=runner,
                     why="expired entry was not written again",
                 )
+            if now >= cleaned_at + CLEANUP_INTERVAL_S:
+                cleaned_at = now
+                self._ctx.forget_gone()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_residency.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_residency.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import RecentAdapters, Runner
 
@@ -50,3 +52,14 @@
         """Return whether a runner held an adapter recently and reloads it fast."""
         recent = self._recent.get(runner.id)
         return recent is not None and recent.contains(runner.born_ms, adapter)
+
+    def runners(self) -> set[str]:
+        """Return the runners of which there is a notice."""
+        return set(self._notices)
+
+    def drop_unregistered(self, registered: Iterable[str]) -> None:
+        """Drop old notices of runners that are not registered any more."""
+        for runner in self.runners().difference(registered):
+            if self.age_s(runner) > FORGET_S:
+                del self._notices[runner], self._received_at[runner]
+                del self._recent[runner]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
@@ -110,6 +110,14 @@
         """Record the total that a runner's owner sent with a response."""
         self._owner_totals[runner] = (now, view)
 
+    def expire_owner_totals(self, now: float) -> None:
+        """Drop the totals of owners that are too old to be used."""
+        self._owner_totals = {
+            runner: (received_at, total)
+            for runner, (received_at, total) in self._owner_totals.items()
+            if now - received_at <= PEER_VIEW_TTL_S
+        }
+
     def _remove_peer(self, peer: str) -> None:
         """Subtract the figures of a peer from the sums."""
         _, views = self._peers.pop(peer, (0.0, {}))
