Test runners that say something else of themselves in each response

The stand-in takes headers in turn: limits that change at each response, two of a header, other letter case, numbers that are none, on streams, answers and errors.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -37,7 +37,8 @@
     response is sent: all connections close, and the server is back, empty and as
     another incarnation, after ``restart_s``.
 
-    ``own_headers`` are added to all responses, to say what the server says of itself;
+    ``own_headers`` are added to all responses, to say what the server says of itself,
+    and one of ``changing_headers`` to each response in turn;
     ``arrivals`` are the times of all requests, those that are turned away included;
     ``refused_at`` are the times of refusals that ask for a pause.
 
@@ -59,6 +60,8 @@
     crashes: int = 0
     on_restart: Callable[[], None] = lambda: None
     own_headers: list[tuple[str, str]] = field(default_factory=list)
+    changing_headers: list[list[tuple[str, str]]] = field(default_factory=list)
+    responses: int = 0
     arrivals: list[float] = field(default_factory=list)
     refused_at: list[float] = field(default_factory=list)
     reading: int = 0
@@ -73,6 +76,15 @@
     abandoned: list[str] = field(default_factory=list)
     lock: threading.RLock = field(default_factory=threading.RLock)
 
+    def next_headers(self) -> list[tuple[str, str]]:
+        """Return what the server says of itself in its next response."""
+        with self.lock:
+            self.responses += 1
+            if not self.changing_headers:
+                return self.own_headers
+            place = self.responses % len(self.changing_headers)
+            return [*self.own_headers, *self.changing_headers[place]]
+
     def entry(self, address: str, state: str = "ready") -> dict[str, Any]:
         """Return the registry entry of this server."""
         return {
@@ -380,7 +392,7 @@
         self.wfile.flush()
 
     def _add_own_headers(self) -> None:
-        for name, value in self.runner.own_headers:
+        for name, value in self.runner.next_headers():
             self._add_header(name, value)
 
     def _add_header(self, name: str, value: str) -> None:
