Never tell callers to come back before a time that is known

Callers that were refused for what all runners had said, or for a suspected part, were told half to one and a half times the time left, so half of them came back too early and were refused again. The jitter only lengthens known times now; estimates keep theirs.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_availability.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_availability.py
@@ -6,7 +6,7 @@
 
 from ._active_request import ActiveRequest, LocalResponse
 from ._context import Context
-from ._responses import failure_response
+from ._responses import failure_response, refusal_until
 from ._turns import Turns
 
 
@@ -44,7 +44,7 @@
         wait_s = self._shortest_wait_s(active.service, now)
         if wait_s <= 0.0:
             return failure_response(active, reason, retry_in_s)
-        return failure_response(active, "runners_limited", max(retry_in_s, wait_s))
+        return refusal_until(active, "runners_limited", max(retry_in_s, wait_s))
 
     def _shortest_wait_s(self, service: str, now: float) -> float:
         """Return the shortest time after which a runner of a service is available."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
@@ -30,7 +30,7 @@
 from ._active_request import ActiveRequest, LocalResponse
 from ._context import Context
 from ._kept_suspicions import KeptSuspicions
-from ._responses import failure_response
+from ._responses import refusal_until
 
 FANOUT = 8
 """Peers that a VM tells at once; each passes on what is new to it."""
@@ -48,7 +48,7 @@
     """Return the response to a request that may not go to a runner now."""
     is_refused = verdict.handling is Handling.REFUSED
     reason = "crashes_runners" if is_refused else "suspected_of_crash"
-    return failure_response(active, reason, max(0.1, verdict.retry_at - now))
+    return refusal_until(active, reason, max(0.1, verdict.retry_at - now))
 
 
 class CrashGuard:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import Any
 
 from .._events import log_event
@@ -62,6 +63,14 @@
     return LocalResponse(503, reason, retry_in_s)
 
 
+def refusal_until(
+    active: ActiveRequest, reason: str, earliest_in_s: float
+) -> LocalResponse:
+    """Return the response to a request that cannot be served before a known time."""
+    response = failure_response(active, reason, earliest_in_s)
+    return replace(response, is_earliest=True)
+
+
 class ResponseWriter:
     """Sends final responses and logs each with its reason."""
 
@@ -72,7 +81,8 @@
         """Send a response that this VM generated."""
         retry_in_s = response.retry_in_s
         if retry_in_s is not None:
-            retry_in_s *= random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+            least = 1.0 if response.is_earliest else 1 - RETRY_JITTER
+            retry_in_s *= random.uniform(least, 1 + RETRY_JITTER)
         codec = self._ctx.ports.codec
         headers = codec.encode_refusal(active.metadata.request_id, retry_in_s)
         REFUSALS.labels(code=response.reason).inc()
--- a/tests/functional/serving/test_runner_statements.py
+++ b/tests/functional/serving/test_runner_statements.py
@@ -181,6 +181,6 @@
     wait_for(lambda: look_up(vm) == 503, "refusals")
     status, _, headers = vm.send_request("GET", "/look/last", "last")
     assert status == 503
-    assert 10.0 <= float(headers["Retry-After"]) <= 60.0
+    assert 35.0 <= float(headers["Retry-After"]) <= 60.0
     wait_for(lambda: "reason=runners_limited" in vm.log.read_text(), "the reason")
     assert "last" not in [name for runner in site.plain for name in runner.ran]
