Use connections to engines and services again only after successes

What had arrived before the next request was noticed already; what arrives after it cannot be told. Connections are closed after a refusal or a failure now. The new test failed before for 404, 429 and 503. Bookings were safe: each has a connection of its own.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_client.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_client.py
@@ -6,6 +6,7 @@
 import http.client
 import socket
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 import urllib3
@@ -73,9 +74,14 @@
 
 
 class _CheckedConnection(HTTPConnection):
-    """Connection that runs the send check just before the first byte of a request."""
+    """Connection that runs the send check just before the first byte of a request.
+
+    ``has_refused`` is set once a request on it was refused or failed: a faulty server
+    may repeat that response, which could not be told from one to the next request.
+    """
 
     response_class = _WholeHeadResponse
+    has_refused = False
 
     def send(self, data: Any) -> None:
         """Send bytes of a request; raise SendCheckFailedError if rejected."""
@@ -88,10 +94,23 @@
             call.sent = True
         super().send(data)
 
+    def getresponse(self) -> Any:
+        """Read the head of a response."""
+        response = super().getresponse()
+        self.has_refused = response.status >= HTTPStatus.BAD_REQUEST
+        return response
+
 
 class _CheckedPool(HTTPConnectionPool):
+    """Pool whose connections are used again only after successes."""
+
     ConnectionCls = _CheckedConnection
 
+    def _put_conn(self, conn: Any) -> None:
+        if isinstance(conn, _CheckedConnection) and conn.has_refused:
+            conn.close()
+        super()._put_conn(conn)
+
 
 @dataclass(frozen=True, slots=True)
 class HttpFailure:
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -52,3 +52,36 @@
     exchange = get(client, before + unframed)
     assert isinstance(exchange, Ok)
     assert exchange.ok_value.data == b"{}"
+
+
+@pytest.mark.parametrize("status", [404, 429, 503])
+def test_refusal_that_comes_again_is_not_taken_for_the_next_response(
+    client: HttpClient, status: int
+) -> None:
+    """The server ran the next request, and its caller was told that it had not."""
+    refusal = f"HTTP/1.1 {status} No\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+    requests = 0
+
+    def answer(number_on_connection: int, _request_id: str) -> bytes:
+        nonlocal requests
+        requests += 1
+        if requests == 1:
+            return refusal
+        return WHOLE if number_on_connection == 1 else refusal + WHOLE
+
+    server = ScriptedServer(answer)
+    statuses = []
+    for _ in range(2):
+        exchange = client.request("127.0.0.1", server.port, "GET", "/", timeout_s=5.0)
+        assert isinstance(exchange, Ok)
+        statuses.append(exchange.ok_value.status)
+    server.close()
+    assert statuses == [status, 200]
+
+
+def test_connection_of_a_success_is_used_again(client: HttpClient) -> None:
+    server = ScriptedServer(lambda *_: WHOLE)
+    for _ in range(3):
+        client.request("127.0.0.1", server.port, "GET", "/", timeout_s=5.0)
+    server.close()
+    assert server.connections == 1
