Pass on answers whose status no standard names

An engine's or a service's status such as 499 or 299 raised an exception where its phrase was looked up, so a caller got an internal error although the work was done, or where the fault of a refusal was chosen.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/__init__.pyi
@@ -14,7 +14,7 @@
 )
 from ._language import VERBS, CommandSyntaxError, parse_command
 from ._peer_codec import decode_message, encode_message
-from ._problem import PROBLEM_CONTENT_TYPE, encode_problem
+from ._problem import PROBLEM_CONTENT_TYPE, encode_problem, status_phrase
 from ._sse import (
     DONE_EVENT,
     EVENT_SEPARATOR,
@@ -40,6 +40,7 @@
     "decode_message",
     "encode_message",
     "encode_problem",
+    "status_phrase",
     "find_model_rule",
     "hash_prefix",
     "parse_command",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/_problem.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/_problem.py
@@ -10,6 +10,14 @@
 PROBLEM_CONTENT_TYPE = "application/problem+json"
 
 
+def status_phrase(status: int) -> str:
+    """Return the standard phrase of a status, which a server may have made up."""
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
 def encode_problem(refusal: Refusal, request_id: str) -> bytes:
     """Return the JSON body of a refusal.
 
@@ -17,7 +25,7 @@
     """
     body = {
         "type": f"urn:gooseberryrun:{refusal.code}",
-        "title": HTTPStatus(refusal.status).phrase,
+        "title": status_phrase(refusal.status),
         "status": refusal.status,
         "detail": refusal.detail,
         "outcome": str(refusal.outcome),
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_engine_client.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_engine_client.py
@@ -238,7 +238,7 @@
     return EngineError(EngineFault.BROKEN, failure.detail)
 
 
-_FAULT_BY_STATUS = {
+_FAULT_BY_STATUS: dict[int, EngineFault] = {
     HTTPStatus.NOT_FOUND: EngineFault.NOT_RESIDENT,
     HTTPStatus.PRECONDITION_FAILED: EngineFault.STALE_FENCING,
 }
@@ -250,5 +250,5 @@
         detail = str(json.loads(response.data).get("error", ""))
     except (ValueError, AttributeError, urllib3.exceptions.HTTPError):
         detail = ""
-    fault = _FAULT_BY_STATUS.get(HTTPStatus(response.status), EngineFault.REJECTED)
+    fault = _FAULT_BY_STATUS.get(response.status, EngineFault.REJECTED)
     return EngineError(fault, detail or f"status {response.status}", response.status)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
@@ -8,7 +8,6 @@
 import time
 import uuid
 from collections.abc import Callable, Iterable, Iterator
-from http import HTTPStatus
 from typing import Any
 
 import eventlet
@@ -35,6 +34,7 @@
     PROBLEM_CONTENT_TYPE,
     bad_request,
     encode_problem,
+    status_phrase,
 )
 from gooseberryrun._internal.state import InvariantError, RunOutcome, Settings
 
@@ -101,7 +101,7 @@
             headers.append(("traceparent", traceparent))
         if isinstance(routed, Err):
             headers.append(("Connection", "close"))
-        phrase = HTTPStatus(response.status).phrase
+        phrase = status_phrase(response.status)
         start_response(f"{response.status} {phrase}", headers)
         return _ResponseBody(
             response,
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import pytest
+from gooseberryrun._internal.coordination import EngineFault, Refusal
+from gooseberryrun._internal.protocol import encode_problem, status_phrase
+from gooseberryrun._internal.transport import _engine_client
 from gooseberryrun._internal.transport._http_client import HttpClient
 from result import Err, Ok
 
@@ -85,3 +89,17 @@
         client.request("127.0.0.1", server.port, "GET", "/", timeout_s=5.0)
     server.close()
     assert server.connections == 1
+
+
+def test_status_that_no_standard_names_is_a_rejection() -> None:
+    """It raised an exception, and the caller got an internal error."""
+    response: Any = type("Response", (), {"status": 599, "data": b"?"})
+    error = _engine_client._read_error(response)
+    assert (error.fault, error.status) == (EngineFault.REJECTED, 599)
+
+
+@pytest.mark.parametrize(("status", "phrase"), [(404, "Not Found"), (499, "Unknown")])
+def test_any_status_of_a_server_can_be_passed_on(status: int, phrase: str) -> None:
+    refusal = Refusal(status, "engine_rejected", "no")
+    assert json.loads(encode_problem(refusal, "r"))["title"] == phrase
+    assert status_phrase(status) == phrase
