--- a/tests/unit/test_mutants.py
+++ b/tests/unit/test_mutants.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.lib.mutants import ROOT, SOURCE
+from tests.lib.mutants import PACKAGE, ROOT
 
 TEXT = (ROOT / "tests" / "mutants.toml").read_text(encoding="utf-8")
 MUTANTS = tomllib.loads(TEXT)["mutant"]
@@ -14,7 +14,7 @@
 
 @pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant["name"])
 def test_mutant_applies(mutant: dict[str, str]) -> None:
-    path = SOURCE / "gooseberryrun" / "_internal" / mutant["file"]
+    path = ROOT / PACKAGE / "gooseberryrun" / "_internal" / mutant["file"]
     assert mutant["old"] in path.read_text(encoding="utf-8")
     test_file, _, test_id = mutant["test"].partition("::")
     function = test_id.partition("[")[0]
