--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -120,7 +120,13 @@
             <= len(self._ctx.local_peer_ids())
         )
 
-    def _poll_s(self) -> float:
+    def _poll_s(self, topic: Topic) -> float:
+        """Return how long a read waits for records.
+
+        It does not wait after a failed one, to learn at once that the store is back.
+        """
+        if topic in self._unreachable_since:
+            return 0.0
         wait_s = self._ctx.cfg.store.poll_wait_s
         return min(MAX_READER_POLL_S, wait_s) if self._reads_for_others() else wait_s
 
@@ -179,7 +185,7 @@
         if needs_snapshot:
             read = store.read_snapshot(topic)
         else:
-            read = store.read_changes(topic, directory.ends[topic], self._poll_s())
+            read = store.read_changes(topic, directory.ends[topic], self._poll_s(topic))
         outcome = read.err_value.kind if isinstance(read, Err) else "ok"
         STORE_CALLS.labels(call=f"read_{topic}", outcome=outcome).inc()
         if isinstance(read, Err):
--- /dev/null
+++ b/tests/unit/serving/test_follower.py
@@ -0,0 +1,80 @@
+"""Reading the store after it was away."""
+
+from __future__ import annotations
+
+import eventlet
+import pytest
+from gooseberryrun._internal.coordination.serving import (
+    Records,
+    StoreFault,
+    StoreFaultKind,
+    _follower,
+)
+from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
+from gooseberryrun._internal.state import ManualClock
+from gooseberryrun._internal.state.serving import DirectoryRecord, Topic
+from result import Err, Ok, Result
+
+from tests.lib.fleet import GroupStore, make_members, make_vm
+
+SILENT = StoreFault(StoreFaultKind.UNREACHABLE, "timed out")
+LONG_S = 60.0
+
+
+class LogStore(GroupStore):
+    """Store with one record, whose polls fail, hang or wait for more records."""
+
+    def __init__(self) -> None:
+        super().__init__(make_members(1, 1))
+        self.waits: list[float] = []
+        self.failures = 0
+        self.records: list[DirectoryRecord] = []
+
+    def read_snapshot(self, topic: Topic) -> Result[Records, StoreFault]:
+        return Ok(Records([], 0))
+
+    def read_changes(
+        self, topic: Topic, offset: int, wait_s: float
+    ) -> Result[Records, StoreFault]:
+        if topic is Topic.CONFIGURATION:
+            eventlet.sleep(LONG_S)
+        self.waits.append(wait_s)
+        if self.failures:
+            self.failures -= 1
+            return Err(SILENT)
+        if wait_s:
+            eventlet.sleep(LONG_S)
+        return Ok(Records(self.records[offset:], len(self.records)))
+
+
+@pytest.fixture(autouse=True)
+def _short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(_follower, "RETRY_S", 0.001)
+    monkeypatch.setattr(_follower, "MAX_RETRY_S", 0.001)
+    monkeypatch.setattr(_follower, "BATCH_PAUSE_S", dict.fromkeys(Topic, 0.0))
+
+
+def make_follower(store: LogStore) -> DirectoryFollower:
+    members = store.groups["d0"]
+    ctx, _ = make_vm(members[0], store, [], ManualClock(10.0))
+    follower = DirectoryFollower(ctx)
+    follower.start()
+    return follower
+
+
+def settle() -> None:
+    eventlet.sleep(0.05)
+
+
+def test_reads_after_a_failed_one_do_not_wait_for_records() -> None:
+    """That the store was back showed only when a poll without records had ended.
+
+    For seconds more, entries that were removed were taken for lapsed ones.
+    """
+    store = LogStore()
+    store.failures = 3
+    make_follower(store)
+    settle()
+    assert store.waits[0] > 0.0
+    assert store.waits[1:4] == [0.0] * 3
+    assert store.waits[4] > 0.0
