Read both topics at once when the store is back

The first renewal that succeeds again reads both topics at once, whatever polls hang; a hanging one that fails later is no outage. The new test failed before (no such read).

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -35,9 +35,6 @@
 PEER_FETCH_DELAY_S = {Topic.CONFIGURATION: 0.6, Topic.RUNNERS: 1.0}
 """Time for the store to deliver records before they are fetched from a peer."""
 FETCH_TIMEOUT_S = 1.0
-SWEEP_INTERVAL_S = 0.4
-CLEANUP_INTERVAL_S = 30.0
-"""Interval at which what is known of runners and VMs that are gone is dropped."""
 READER_CHECK_S = 0.25
 """Interval at which a VM that does not read the store checks whether it has to."""
 MAX_READER_POLL_S = 2.5
@@ -62,10 +59,9 @@
         self.on_snapshot: Callable[[], None] = lambda: None
 
     def start(self) -> None:
-        """Start one green thread per topic, the sweep and the keepalives."""
+        """Start one green thread per topic, and the keepalives."""
         for topic in Topic:
             spawn_until_done(f"follow_{topic}", partial(self._follow, topic))
-        spawn_until_done("directory_sweep", self._sweep)
         spawn_until_done("directory_signs", self._send_keepalives)
 
     def is_ready(self) -> bool:
@@ -81,8 +77,12 @@
             if not needs_snapshot and not self._must_read(topic):
                 eventlet.sleep(READER_CHECK_S)
                 continue
-            fault = self._read(topic, needs_snapshot)
-            if fault is None:
+            started_at = self._ctx.clock.monotonic()
+            fault = self._read(topic, needs_snapshot, self._poll_s(topic))
+            was_overtaken = not needs_snapshot and self._has_read_since(
+                topic, started_at
+            )
+            if fault is None or was_overtaken:
                 self._record_store_reachable(topic)
                 needs_snapshot = False
                 pause_s = RETRY_S
@@ -95,6 +95,17 @@
             eventlet.sleep(pause_s)
             pause_s = min(MAX_RETRY_S, pause_s * 2)
 
+    def catch_up(self) -> None:
+        """Read both topics at once, since polls from before an outage may hang."""
+        for topic in self._read_at:
+            if self._is_reading[topic]:
+                spawn("catch_up", partial(self._catch_up, topic))
+
+    def _catch_up(self, topic: Topic) -> None:
+        fault = self._read(topic, needs_snapshot=False, wait_s=0.0)
+        if fault is not None:
+            log_event("catch_up_failed", topic=topic, why=fault.detail)
+
     def _must_read(self, topic: Topic) -> bool:
         """Return whether this VM has to read the store; log when that changes."""
         received_at = self._notice_received_at.get(topic, float("-inf"))
@@ -179,13 +190,19 @@
         reply = DirectoryReply(notice.topic, notice.end, notice.records)
         self._apply_reply(peer, reply)
 
-    def _read(self, topic: Topic, needs_snapshot: bool) -> StoreFault | None:
+    def _has_read_since(self, topic: Topic, since: float) -> bool:
+        """Return whether a later read succeeded while this one hung."""
+        return self._read_at.get(topic, float("-inf")) > since
+
+    def _read(
+        self, topic: Topic, needs_snapshot: bool, wait_s: float
+    ) -> StoreFault | None:
         directory = self._ctx.directory
         store = self._ctx.ports.store
         if needs_snapshot:
             read = store.read_snapshot(topic)
         else:
-            read = store.read_changes(topic, directory.ends[topic], self._poll_s(topic))
+            read = store.read_changes(topic, directory.ends[topic], wait_s)
         outcome = read.err_value.kind if isinstance(read, Err) else "ok"
         STORE_CALLS.labels(call=f"read_{topic}", outcome=outcome).inc()
         if isinstance(read, Err):
@@ -270,18 +287,3 @@
         records = directory.records_since(request.topic, request.offset)
         end = directory.ends[request.topic]
         inbound.reply(DirectoryReply(request.topic, end, records))
-
-    def _sweep(self) -> None:
-        cleaned_at = self._ctx.clock.monotonic()
-        while True:
-            eventlet.sleep(SWEEP_INTERVAL_S)
-            now = self._ctx.clock.monotonic()
-            for runner in self._ctx.directory.expire(now):
-                log_event(
-                    "runner_gone",
-                    runner=runner,
-                    why="expired entry was not written again",
-                )
-            if now >= cleaned_at + CLEANUP_INTERVAL_S:
-                cleaned_at = now
-                self._ctx.forget_gone()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import eventlet
 from result import Err, Ok, Result
 
@@ -32,6 +34,7 @@
         self._is_own_domain = ownership is ctx.ownership
         self.is_store_unreachable = False
         self._is_closed = False
+        self.on_regained: Callable[[], None] = lambda: None
 
     def close(self) -> None:
         """Stop renewing; a renewal in flight has no effect."""
@@ -53,6 +56,7 @@
         elif self.is_store_unreachable:
             self.is_store_unreachable = False
             log_event("membership_regained", lease_left_s=self._lease_left_s())
+            self.on_regained()
         is_renewed = isinstance(renewed, Ok)
         if self._is_own_domain:
             ctx.can_reach_store = is_renewed
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -38,6 +38,7 @@
 from ._remote_domains import RemoteDomains
 from ._responses import ResponseWriter
 from ._statements import record_gossip
+from ._sweep import Sweep
 from ._turns import Turns
 
 
@@ -47,6 +48,7 @@
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
         self.follower = DirectoryFollower(ctx)
+        self._sweep = Sweep(ctx)
         self.membership = Membership(ctx)
         self.remote_domains = RemoteDomains(ctx)
         self.owned_runners = OwnedRunners(ctx)
@@ -78,6 +80,7 @@
             ),
         )
         self.membership.on_change = self.owned_runners.refresh
+        self.membership.renewals.on_regained = self.follower.catch_up
         self.follower.on_snapshot = self.owned_runners.refresh
         self.remote_domains.on_change = self.owned_runners.refresh
         self._handlers = self._make_handlers()
@@ -87,6 +90,7 @@
     def start(self) -> None:
         """Start every task."""
         self.follower.start()
+        self._sweep.start()
         self.membership.start()
         self.remote_domains.start()
         self.owned_runners.start()
--- a/tests/unit/serving/test_follower.py
+++ b/tests/unit/serving/test_follower.py
@@ -15,7 +15,7 @@
 from gooseberryrun._internal.state.serving import DirectoryRecord, Topic
 from result import Err, Ok, Result
 
-from tests.lib.fleet import GroupStore, make_members, make_vm
+from tests.lib.fleet import GroupStore, make_members, make_runners, make_vm
 
 SILENT = StoreFault(StoreFaultKind.UNREACHABLE, "timed out")
 LONG_S = 60.0
@@ -66,6 +66,19 @@
     eventlet.sleep(0.05)
 
 
+def test_poll_that_hangs_delays_nothing_once_the_store_is_back() -> None:
+    """The outage was too short to fail the poll, which was never answered."""
+    store = LogStore()
+    follower = make_follower(store)
+    settle()
+    assert store.waits == [pytest.approx(5.0)]
+    runner = make_runners(1, 1)[0]
+    store.records.append(DirectoryRecord(Topic.RUNNERS, 0, runner.id, runner=runner))
+    follower.catch_up()
+    settle()
+    assert follower._ctx.directory.runner(runner.id) == runner
+
+
 def test_reads_after_a_failed_one_do_not_wait_for_records() -> None:
     """That the store was back showed only when a poll without records had ended.
 
