--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
@@ -51,8 +51,7 @@
         """Relay a response to the caller; return what to do if it fails."""
         if not is_valid_response(response):
             fault = AttemptFault(AttemptFailure.INVALID_RESPONSE, "unsigned or encoded")
-            self._attempts.record_invalid_response(active, runner, fault)
-            return after_fault(active, fault)
+            return self._fail(active, runner, progress, fault)
         if response.status != 200:
             return self._handle_failure(active, runner, response, progress)
         return self._relay(active, runner, response, progress, tracker)
@@ -66,8 +65,7 @@
     ) -> LocalResponse | Round:
         body = response.read_all(active.deadline)
         if isinstance(body, Err):
-            self._attempts.record_invalid_response(active, runner, body.err_value)
-            return after_fault(active, body.err_value)
+            return self._fail(active, runner, progress, body.err_value)
         is_failure = response.status >= 500
         now = self._ctx.clock.monotonic()
         self._ctx.loads.record_result(runner.id, ok=not is_failure, now=now)
@@ -88,26 +86,32 @@
     ) -> LocalResponse | Round:
         for chunk in response.body_chunks(active.deadline):
             if isinstance(chunk, Err):
-                progress.events.discard_partial()
-                self._attempts.record_invalid_response(active, runner, chunk.err_value)
-                return after_fault(active, chunk.err_value)
+                return self._fail(active, runner, progress, chunk.err_value)
             events = progress.events.feed(chunk.ok_value)
             if progress.events.exceeds_limit:
                 fault = AttemptFault(AttemptFailure.INVALID_RESPONSE, "event too long")
-                progress.events.discard_partial()
-                self._attempts.record_invalid_response(active, runner, fault)
-                return after_fault(active, fault)
+                return self._fail(active, runner, progress, fault)
             if events:
                 tracker.mark_prompt_read()
                 self._send_events(active, response, progress, events)
         if response.ends_with_connection and not _ends_after_event(active, progress):
             fault = AttemptFault(AttemptFailure.SENT, "closed within an event")
-            progress.events.discard_partial()
-            self._attempts.record_invalid_response(active, runner, fault)
-            return after_fault(active, fault)
+            return self._fail(active, runner, progress, fault)
         self._finish(active, runner, response, progress)
         return Round.DONE
 
+    def _fail(
+        self,
+        active: ActiveRequest,
+        runner: Runner,
+        progress: StreamProgress,
+        fault: AttemptFault,
+    ) -> LocalResponse | Round:
+        """Record an invalid response; return what to do after it."""
+        progress.events.discard_partial()
+        self._attempts.record_invalid_response(active, runner, fault)
+        return after_fault(active, fault)
+
     def _send_events(
         self,
         active: ActiveRequest,
--- a/tests/functional/serving/test_lying_runners.py
+++ b/tests/functional/serving/test_lying_runners.py
@@ -4,8 +4,6 @@
 
 import itertools
 import time
-from collections.abc import Iterator
-from pathlib import Path
 
 import pytest
 from gooseberry_fakes.platform_runner import PlatformRunner
@@ -35,14 +33,6 @@
 """Headers that say nothing to believe, on responses of requests that ran."""
 
 
-@pytest.fixture(name="site")
-def _site(tmp_path: Path) -> Iterator[Site]:
-    site = Site(tmp_path, vms=2)
-    site.wait_for_members()
-    yield site
-    site.close()
-
-
 def look_up(vm: EntryVm) -> int:
     number = next(NUMBERS)
     return vm.send_request("GET", f"/look/{number}", f"r{number}")[0]
--- a/tests/functional/serving/test_named_limits.py
+++ b/tests/functional/serving/test_named_limits.py
@@ -4,10 +4,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterator
-from pathlib import Path
-
-import pytest
+from collections.abc import Callable
 
 from tests.functional.serving.test_several_vms import ask_stream
 from tests.lib.platform_site import EntryVm, Site, wait_for
@@ -20,14 +17,6 @@
 CALLERS = 8
 
 
-@pytest.fixture(name="site")
-def _site(tmp_path: Path) -> Iterator[Site]:
-    site = Site(tmp_path, vms=2)
-    site.wait_for_members()
-    yield site
-    site.close()
-
-
 def allowed(limit_per_s: float) -> float:
     """Return the requests that the users' platform allows in ``SPAN_S`` seconds."""
     return 1.5 * limit_per_s * SPAN_S + 5
--- a/tests/functional/serving/test_runner_statements.py
+++ b/tests/functional/serving/test_runner_statements.py
@@ -5,11 +5,9 @@
 import itertools
 import threading
 import time
-from collections.abc import Iterator
 from functools import partial
 from pathlib import Path
 
-import pytest
 from gooseberry_fakes.platform_runner import PlatformRunner
 
 from tests.functional.serving.test_several_vms import ask_stream
@@ -23,14 +21,6 @@
 NUMBERS = itertools.count()
 
 
-@pytest.fixture(name="site")
-def _site(tmp_path: Path) -> Iterator[Site]:
-    site = Site(tmp_path, vms=2)
-    site.wait_for_members()
-    yield site
-    site.close()
-
-
 def look_up(vm: EntryVm) -> int:
     """Send a request to a plain service; return its status."""
     number = next(NUMBERS)
