Try the read after an outage again on another connection

Connections that were open in an outage may stay silent for good; the pool may hand one to the read that the regained lease asks for. A failed read closes its connection, so three are tried. The new test failed before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -27,6 +27,7 @@
 RETRY_S = 0.25
 """Pause after a failed read; doubles up to ``MAX_RETRY_S``."""
 MAX_RETRY_S = 1.0
+CATCH_UP_TRIES = 3
 MIN_OUTAGE_S = 0.8
 """Shortest store outage during which entries may have expired."""
 BATCH_PAUSE_S = {Topic.CONFIGURATION: 0.0, Topic.RUNNERS: 0.8}
@@ -102,8 +103,11 @@
                 spawn("catch_up", partial(self._catch_up, topic))
 
     def _catch_up(self, topic: Topic) -> None:
-        fault = self._read(topic, needs_snapshot=False, wait_s=0.0)
-        if fault is not None:
+        """Read a topic; a failure closes a connection that may have gone silent."""
+        for _ in range(CATCH_UP_TRIES):
+            fault = self._read(topic, needs_snapshot=False, wait_s=0.0)
+            if fault is None:
+                return
             log_event("catch_up_failed", topic=topic, why=fault.detail)
 
     def _must_read(self, topic: Topic) -> bool:
--- a/tests/unit/serving/test_follower.py
+++ b/tests/unit/serving/test_follower.py
@@ -68,10 +68,20 @@
 
 def test_poll_that_hangs_delays_nothing_once_the_store_is_back() -> None:
     """The outage was too short to fail the poll, which was never answered."""
+    check_catch_up(failures=0)
+
+
+def test_read_after_an_outage_may_meet_a_silent_connection() -> None:
+    """Connections that were open before may stay silent; each failure closes one."""
+    check_catch_up(failures=2)
+
+
+def check_catch_up(failures: int) -> None:
     store = LogStore()
     follower = make_follower(store)
     settle()
     assert store.waits == [pytest.approx(5.0)]
+    store.failures = failures
     runner = make_runners(1, 1)[0]
     store.records.append(DirectoryRecord(Topic.RUNNERS, 0, runner.id, runner=runner))
     follower.catch_up()
