--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_acquisition.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_acquisition.py
@@ -76,7 +76,9 @@
         return Err(self._refuse_capacity(run, reasons))
 
     def _choose(self, request: CompletionRequest, exclude: set[str]) -> Vm | None:
-        trait = self._crashes.verdict(request_traits(request)).trait
+        # The content comes first: a suspect adapter would bring a deadly content to
+        # the runner of the sound requests that share it.
+        trait = self._crashes.suspect_trait(request_traits(request))
         if trait is None:
             background = request.work_class is WorkClass.BACKGROUND
             return self._placement.choose(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_crashes.py
@@ -76,6 +76,10 @@
         """Return whether the request must not run together with other suspects."""
         return self.verdict(traits).handling is not Handling.FREE
 
+    def suspect_trait(self, traits: Traits) -> Trait | None:
+        """Return the first trait that is suspected, None if there is none."""
+        return next((trait for trait in traits if self.is_suspect([trait])), None)
+
     def crashed_runners(self, trait: Trait) -> set[str]:
         """Return the runners whose crashes are blamed on a trait."""
         crashes = self._replica.evidence.blamed_crashes(trait)
--- a/tests/unit/test_completions.py
+++ b/tests/unit/test_completions.py
@@ -67,6 +67,9 @@
     def is_suspect(self, traits: tuple[Trait, ...]) -> bool:
         return False
 
+    def suspect_trait(self, traits: tuple[Trait, ...]) -> Trait | None:
+        return None
+
     def has_boot_ended(self, vm: str, boot: str) -> bool:
         return False
 
--- a/tests/unit/test_crashes.py
+++ b/tests/unit/test_crashes.py
@@ -137,3 +137,13 @@
         replica._apply_decoded(report, number)
     handling = replica.evidence.verdict(CONTENT, clock.monotonic()).handling
     assert handling is serving.Handling.FREE
+
+
+def test_crashing_content_is_kept_apart_from_others_of_its_adapter() -> None:
+    """It went to the runner of the adapter, and a neighbour met both its crashes."""
+    for number in range(20):
+        fixture = Fixture([REFUSED])
+        deadly = serving.Trait(serving.TraitKind.CONTENT, f"deadly-{number}")
+        fixture.crashes.report_failed_attempt(ENGINE, "old", [deadly, ADAPTER])
+        assert fixture.crashes.suspect_trait([deadly, ADAPTER]) == deadly
+        assert fixture.crashes.suspect_trait([*CONTENT, ADAPTER]) == ADAPTER
