--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_log.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_log.py
@@ -30,6 +30,24 @@
                 says=_describe(record),
             )
 
+    def log_ignored(
+        self, read: list[DirectoryRecord], applied: list[DirectoryRecord], end: int
+    ) -> None:
+        """Log the configurations that were read from the store and not applied.
+
+        ``end`` is the offset up to which records had been applied before.
+        """
+        for record in read:
+            if record.configuration is not None and record not in applied:
+                log_event(
+                    "record_ignored",
+                    topic=record.topic,
+                    key=record.key,
+                    offset=record.offset,
+                    end=end,
+                    says=_describe(record),
+                )
+
     def _is_heartbeat(self, record: DirectoryRecord) -> bool:
         """Return whether only a runner's adapters and order count have changed.
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -89,7 +89,12 @@
                 pause_s = RETRY_S
                 continue
             if fault.kind is StoreFaultKind.EXPIRED:
-                log_event("records_expired", topic=topic, detail=fault.detail)
+                log_event(
+                    "records_expired",
+                    topic=topic,
+                    offset=self._ctx.directory.ends[topic],
+                    detail=fault.detail,
+                )
                 needs_snapshot = True
                 continue
             self._record_store_unreachable(topic, fault)
@@ -222,6 +227,7 @@
             applied = [r for r in records.records if directory.apply(r, now)]
             directory.ends[topic] = max(directory.ends[topic], records.end)
         self._log.log_applied(applied, "store")
+        self._log.log_ignored(records.records, applied, start)
         if needs_snapshot:
             self.on_snapshot()
         if records.records and not needs_snapshot:
