--- a/fakes/src/gooseberry_fakes/platform_store.py
+++ b/fakes/src/gooseberry_fakes/platform_store.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import base64
+import copy
 import json
 import struct
 import threading
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
@@ -21,12 +23,22 @@
     topics: list[str]
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Contents of the store at one moment."""
+
+    topics: dict[str, list[tuple[str, bytes]]]
+    members: dict[str, _Member]
+    generation: int
+
+
 @dataclass
 class PlatformStore:
     """Records and group members; requests of ``refused`` members get 503.
 
     ``snapshot_delays_s`` delays the reads of a topic's newest records, those of
-    ``unreadable_topics`` get 503.
+    ``unreadable_topics`` get 503. ``epochs`` are the values of the epoch's header in
+    all responses, ``calls`` counts the calls by path.
     """
 
     topics: dict[str, list[tuple[str, bytes]]] = field(default_factory=dict)
@@ -36,8 +48,26 @@
     unreadable_topics: set[str] = field(default_factory=set)
     is_down: bool = False
     generation: int = 0
+    epochs: list[str] = field(default_factory=lambda: ["1"])
+    calls: Counter[str] = field(default_factory=Counter)
     changed: threading.Condition = field(default_factory=threading.Condition)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents, to be restored later."""
+        with self.changed:
+            return StoreCopy(
+                copy.deepcopy(self.topics), copy.deepcopy(self.members), self.generation
+            )
+
+    def restore(self, saved: StoreCopy) -> None:
+        """Go back to an earlier copy, as a new epoch."""
+        with self.changed:
+            self.topics = copy.deepcopy(saved.topics)
+            self.members = copy.deepcopy(saved.members)
+            self.generation = saved.generation
+            self.epochs = [str(int(self.epochs[0]) + 1)]
+            self.changed.notify_all()
+
     def put(self, topic: str, key: str, value: Any) -> None:
         """Append a record; the value None marks the key as removed."""
         data = b"" if value is None else json.dumps(value).encode()
@@ -61,19 +91,22 @@
         ]
         return {"items": items, "has_more": False, "end": len(records)}
 
-    def read(self, topic: str, start: int, wait_s: float) -> bytes:
+    def read(self, topic: str, start: int, wait_s: float) -> bytes | None:
         """Return the records from an offset on, waiting up to ``wait_s`` for the first.
 
         The body is the end offset and a zero, then each record with its length before
-        it: the key, which has its length in one byte, and the value.
+        it: the key, which has its length in one byte, and the value. Returns None if
+        the topic ends before the offset.
         """
         deadline = time.monotonic() + wait_s
         with self.changed:
-            while len(self.topics.get(topic, [])) <= start:
+            while len(self.topics.get(topic, [])) == start:
                 left_s = deadline - time.monotonic()
                 if left_s <= 0 or not self.changed.wait(left_s):
                     break
             records = self.topics.get(topic, [])
+            if len(records) < start:
+                return None
             body = struct.pack(">QQ", len(records), 0)
             for key, value in records[start:]:
                 content = bytes([len(key)]) + key.encode() + value
@@ -165,6 +198,7 @@
 
     def _handle(self, body: dict[str, Any]) -> None:
         url = urlsplit(self.path)
+        self.store.calls[url.path] += 1
         query = dict(parse_qsl(url.query))
         is_refused = body.get("member") in self.store.refused
         is_unreadable = query.get("topic") in self.store.unreadable_topics
@@ -174,7 +208,7 @@
         if url.path == "/v1/log-read":
             wait_s = int(query.get("wait_ms", 0)) / 1000
             data = self.store.read(query["topic"], int(query["from"]), wait_s)
-            self._send(200, data)
+            self._send(410 if data is None else 200, data or b"")
             return
         self._send(200, json.dumps(self._reply(url.path, query, body)).encode())
 
@@ -193,6 +227,8 @@
 
     def _send(self, status: int, data: bytes) -> None:
         self.send_response(status)
+        for epoch in self.store.epochs:
+            self.send_header("Store-Era", epoch)
         self.send_header("Content-Length", str(len(data)))
         self.end_headers()
         self.wfile.write(data)
