--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -5,6 +5,7 @@
 from gooseberryrun._internal.state.serving import (
     DirectoryRecord,
     Member,
+    Position,
     PrefillLoad,
     RateLimit,
     RunnerView,
@@ -186,46 +187,48 @@
     ``evidence_digest`` differs between VMs that blame crashes on different traits; it
     is 0 if there are none. ``limits`` are the rate limits that runners stated lately,
     each with its age in seconds, ``leaving`` the incarnations of runners that said that
-    they leave, by runner.
+    they leave, by runner. ``configuration_version`` is that of the configuration in
+    force, which a restored store may have lost.
     """
 
     vm: str
     can_reach_store: bool
-    ends: dict[Topic, int]
+    ends: dict[Topic, Position]
     views: dict[str, RunnerView]
     residency: list[ResidencyNotice]
     evidence_digest: int = 0
     limits: dict[str, tuple[float, RateLimit]] = {}
     leaving: dict[str, int] = {}
+    configuration_version: int = 0
 
 
 class DirectoryRequest(Message, frozen=True, array_like=True):
-    """Request to a peer for the records of a topic from an offset on."""
+    """Request to a peer for the records of a topic from a position on."""
 
     topic: Topic
-    offset: int
+    start: Position
 
 
 class DirectoryNotice(Message, frozen=True, array_like=True):
     """Sent by a VM that reads the store to the others of its failure domain.
 
-    ``records`` are those from offset ``start`` up to ``end``, empty in a keepalive.
+    ``records`` are those from position ``start`` up to ``end``, empty in a keepalive.
     ``is_after_outage`` is set while entries that expired during a store outage may
     return.
     """
 
     topic: Topic
-    start: int
-    end: int
+    start: Position
+    end: Position
     records: list[DirectoryRecord]
     is_after_outage: bool
 
 
 class DirectoryReply(Message, frozen=True, array_like=True):
-    """Records that a peer has read, and the offset up to which it has read."""
+    """Records that a peer has read, and the position up to which it has read."""
 
     topic: Topic
-    end: int
+    end: Position
     records: list[DirectoryRecord]
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from gooseberryrun._internal.state.serving import (
+    READERS_PER_DOMAIN,
     RECENT_ANSWER_S,
     Crash,
     Handling,
@@ -40,6 +41,8 @@
 PEER_TIMEOUT_S = 0.5
 MAX_TRAITS_SENT = 256
 """Traits in one message; those with the most crashes go first."""
+MAX_KEEP_DELAY_S = 2.0
+"""Longest random delay after which suspicions are written to a restored store."""
 
 
 def suspect_response(
@@ -65,6 +68,15 @@
         """Learn in a green thread what is known already."""
         spawn_until_done("crash_evidence", self._learn)
 
+    def keep_again(self) -> None:
+        """Write what the store may have lost, if this VM reads it for its domain."""
+        if self._ctx.reader_rank() < READERS_PER_DOMAIN:
+            delay_s = random.uniform(0.0, MAX_KEEP_DELAY_S)
+            eventlet.spawn_after(delay_s, self._keep_all)
+
+    def _keep_all(self) -> None:
+        self._kept.keep(list(self._evidence.suspected())[:MAX_TRAITS_SENT])
+
     def judge(self, active: ActiveRequest, now: float) -> Verdict:
         """Return how a request is handled because of what it may do to runners."""
         verdict = self._evidence.verdict(active.traits, now)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_log.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_log.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
-from gooseberryrun._internal.state.serving import DirectoryRecord
+from gooseberryrun._internal.state.serving import DirectoryRecord, Position, Topic
 
 from .._events import log_event
 from .._metrics import CONFIGURATION_VERSION
+from ._store_port import StoreFault
+
+
+def describe_position(position: Position) -> str:
+    """Return a position as ``EPOCH:OFFSET``."""
+    return f"{position.epoch}:{position.offset}"
 
 
 class DirectoryLog:
@@ -25,17 +31,17 @@
                 "record_applied",
                 topic=record.topic,
                 key=record.key,
-                offset=record.offset,
+                position=describe_position(record.position),
                 source=source,
                 says=_describe(record),
             )
 
     def log_ignored(
-        self, read: list[DirectoryRecord], applied: list[DirectoryRecord], end: int
+        self, read: list[DirectoryRecord], applied: list[DirectoryRecord], end: Position
     ) -> None:
         """Log the configurations that were read from the store and not applied.
 
-        ``end`` is the offset up to which records had been applied before.
+        ``end`` is the position up to which records had been applied before.
         """
         for record in read:
             if record.configuration is not None and record not in applied:
@@ -43,11 +49,34 @@
                     "record_ignored",
                     topic=record.topic,
                     key=record.key,
-                    offset=record.offset,
-                    end=end,
+                    position=describe_position(record.position),
+                    end=describe_position(end),
                     says=_describe(record),
                 )
 
+    def log_rejected(self, topic: Topic, start: Position, fault: StoreFault) -> None:
+        """Log that the store does not have the records from a position on."""
+        log_event(
+            "records_expired",
+            topic=topic,
+            position=describe_position(start),
+            kind=fault.kind,
+            detail=fault.detail,
+        )
+
+    def log_settled(self, records: list[DirectoryRecord]) -> None:
+        """Log records of a restored store that replace newer ones that it lost."""
+        for record in records:
+            if record.configuration is not None:
+                CONFIGURATION_VERSION.set(record.configuration.version)
+            log_event(
+                "record_rolled_back",
+                level="warning",
+                key=record.key,
+                position=describe_position(record.position),
+                says=_describe(record),
+            )
+
     def _is_heartbeat(self, record: DirectoryRecord) -> bool:
         """Return whether only a runner's adapters and order count have changed.
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from functools import partial
 
@@ -11,31 +12,33 @@
 from gooseberryrun._internal.state.serving import (
     READERS_PER_DOMAIN,
     DirectoryRecord,
+    Position,
     Topic,
     reads_store,
 )
 
 from .._events import log_event
 from .._metrics import STORE_CALLS
-from .._ports import InboundMessage
-from .._serving_messages import DirectoryNotice, DirectoryReply, DirectoryRequest
+from .._serving_messages import DirectoryNotice, DirectoryReply
 from .._tasks import spawn, spawn_until_done
 from ._context import Context
 from ._directory_log import DirectoryLog
+from ._directory_peers import DirectoryPeers
 from ._store_port import StoreFault, StoreFaultKind
 
 RETRY_S = 0.25
 """Pause after a failed read; doubles up to ``MAX_RETRY_S``."""
 MAX_RETRY_S = 1.0
 CATCH_UP_TRIES = 3
+SNAPSHOT_KINDS = (StoreFaultKind.EXPIRED, StoreFaultKind.OTHER_EPOCH)
+"""Failures of a read after which all records have to be read anew."""
+MAX_SNAPSHOT_DELAY_S = 0.1
+"""Longest random delay of that read, so that not all VMs read at one moment."""
 MIN_OUTAGE_S = 0.8
 """Shortest store outage during which entries may have expired."""
 BATCH_PAUSE_S = {Topic.CONFIGURATION: 0.0, Topic.RUNNERS: 0.8}
 """Pause after a read that returned records, to batch the next ones: runners write at
 each heartbeat, and one that leaves has to be known within 2 s."""
-PEER_FETCH_DELAY_S = {Topic.CONFIGURATION: 0.6, Topic.RUNNERS: 1.0}
-"""Time for the store to deliver records before they are fetched from a peer."""
-FETCH_TIMEOUT_S = 1.0
 READER_CHECK_S = 0.25
 """Interval at which a VM that does not read the store checks whether it has to."""
 MAX_READER_POLL_S = 2.5
@@ -51,13 +54,16 @@
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
         self._unreachable_since: dict[Topic, float] = {}
-        self._fetching: set[Topic] = set()
         self._notice_received_at: dict[Topic, float] = {}
         self._read_at: dict[Topic, float] = {}
         self._is_reading = dict.fromkeys(Topic, True)
-        self._announced_ends: dict[Topic, int] = {}
+        self._announced_ends: dict[Topic, Position] = {}
         self._log = DirectoryLog()
+        self.peers = DirectoryPeers(
+            ctx, self._log, lambda topic: topic in self._unreachable_since
+        )
         self.on_snapshot: Callable[[], None] = lambda: None
+        self.on_epoch: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Start one green thread per topic, and the keepalives."""
@@ -68,11 +74,13 @@
     def is_ready(self) -> bool:
         """Return whether a configuration is known and the runners have been read."""
         directory = self._ctx.directory
-        has_runners = Topic.RUNNERS in self._read_at or directory.ends[Topic.RUNNERS]
-        return directory.table is not None and bool(has_runners)
+        is_known = directory.ends[Topic.RUNNERS] > Position()
+        has_runners = Topic.RUNNERS in self._read_at or is_known
+        return directory.table is not None and has_runners
 
     def _follow(self, topic: Topic) -> None:
         needs_snapshot = True
+        was_rejected = False
         pause_s = RETRY_S
         while True:
             if not needs_snapshot and not self._must_read(topic):
@@ -85,19 +93,20 @@
             )
             if fault is None or was_overtaken:
                 self._record_store_reachable(topic)
+                if not needs_snapshot:
+                    was_rejected = False
+                    pause_s = RETRY_S
                 needs_snapshot = False
-                pause_s = RETRY_S
                 continue
-            if fault.kind is StoreFaultKind.EXPIRED:
-                log_event(
-                    "records_expired",
-                    topic=topic,
-                    offset=self._ctx.directory.ends[topic],
-                    detail=fault.detail,
-                )
+            if not needs_snapshot and fault.kind in SNAPSHOT_KINDS:
+                self._log.log_rejected(topic, self._ctx.directory.ends[topic], fault)
                 needs_snapshot = True
-                continue
-            self._record_store_unreachable(topic, fault)
+                if not was_rejected:
+                    was_rejected = True
+                    eventlet.sleep(random.uniform(0.0, MAX_SNAPSHOT_DELAY_S))
+                    continue
+            else:
+                self._record_store_unreachable(topic, fault)
             eventlet.sleep(pause_s)
             pause_s = min(MAX_RETRY_S, pause_s * 2)
 
@@ -109,10 +118,12 @@
 
     def _catch_up(self, topic: Topic) -> None:
         """Read a topic; a failure closes a connection that may have gone silent."""
+        needs_snapshot = False
         for _ in range(CATCH_UP_TRIES):
-            fault = self._read(topic, needs_snapshot=False, wait_s=0.0)
+            fault = self._read(topic, needs_snapshot, wait_s=0.0)
             if fault is None:
                 return
+            needs_snapshot = fault.kind in SNAPSHOT_KINDS
             log_event("catch_up_failed", topic=topic, why=fault.detail)
 
     def _must_read(self, topic: Topic) -> bool:
@@ -122,7 +133,8 @@
         now = self._ctx.clock.boottime()
         rank = self._ctx.reader_rank()
         is_announced = (
-            self._announced_ends.get(topic, 0) > self._ctx.directory.ends[topic]
+            self._announced_ends.get(topic, Position())
+            > self._ctx.directory.ends[topic]
         )
         is_due = is_announced or reads_store(rank, received_at, now)
         if is_due is not self._is_reading[topic]:
@@ -163,7 +175,7 @@
                     self._send_notice(topic, self._ctx.directory.ends[topic], [])
 
     def _send_notice(
-        self, topic: Topic, start: int, records: list[DirectoryRecord]
+        self, topic: Topic, start: Position, records: list[DirectoryRecord]
     ) -> None:
         """Forward records to the local peers that do not read the store.
 
@@ -197,7 +209,7 @@
             self._announced_ends[notice.topic] = notice.end
             return
         reply = DirectoryReply(notice.topic, notice.end, notice.records)
-        self._apply_reply(peer, reply)
+        self.peers.apply_reply(peer, reply)
 
     def _has_read_since(self, topic: Topic, since: float) -> bool:
         """Return whether a later read succeeded while this one hung."""
@@ -216,26 +228,34 @@
         STORE_CALLS.labels(call=f"read_{topic}", outcome=outcome).inc()
         if isinstance(read, Err):
             return read.err_value
-        self._record_store_reachable(topic)
         records = read.ok_value
+        start = directory.ends[topic]
+        if records.end.epoch < start.epoch:
+            detail = f"epoch {records.end.epoch} after {start.epoch}"
+            return StoreFault(StoreFaultKind.OTHER_EPOCH, detail)
+        self._record_store_reachable(topic)
         now = self._ctx.clock.monotonic()
         self._read_at[topic] = now
-        start = directory.ends[topic]
         if needs_snapshot:
             applied = directory.replace(topic, records.records, records.end, now)
         else:
-            applied = [r for r in records.records if directory.apply(r, now)]
-            directory.ends[topic] = max(directory.ends[topic], records.end)
+            applied = directory.receive(topic, records.records, records.end, now)
         self._log.log_applied(applied, "store")
         self._log.log_ignored(records.records, applied, start)
         if needs_snapshot:
-            self.on_snapshot()
+            self._handle_snapshot(start, records.end)
         if records.records and not needs_snapshot:
             self._send_notice(topic, start, records.records)
         if records.records:
             eventlet.sleep(BATCH_PAUSE_S[topic])
         return None
 
+    def _handle_snapshot(self, start: Position, end: Position) -> None:
+        """Tell other tasks that all records were read, perhaps of a new epoch."""
+        self.on_snapshot()
+        if start > Position() and end.epoch > start.epoch:
+            self.on_epoch()
+
     def _record_store_unreachable(self, topic: Topic, fault: StoreFault) -> None:
         if topic in self._unreachable_since:
             return
@@ -256,44 +276,3 @@
         if now - unreachable_since >= MIN_OUTAGE_S:
             self._ctx.directory.store_reachable_since = now
         log_event("store_regained", topic=topic, lost_s=now - unreachable_since)
-
-    def fetch_missing(self, peer: str, ends: dict[Topic, int]) -> None:
-        """Fetch the records that a peer has read and this VM lacks."""
-        for topic, end in ends.items():
-            if end > self._ctx.directory.ends[topic] and topic not in self._fetching:
-                self._fetching.add(topic)
-                spawn("peer_read", partial(self._fetch, peer, topic, end))
-
-    def _fetch(self, peer: str, topic: Topic, end: int) -> None:
-        try:
-            if topic not in self._unreachable_since:
-                eventlet.sleep(PEER_FETCH_DELAY_S[topic])
-            known_end = self._ctx.directory.ends[topic]
-            if known_end >= end:
-                return
-            deadline = self._ctx.clock.monotonic() + FETCH_TIMEOUT_S
-            request = DirectoryRequest(topic, known_end)
-            reply = self._ctx.peers.request_from(peer, request, deadline)
-            if isinstance(reply, Err):
-                log_event("peer_read_failed", peer=peer, why=reply.err_value.detail)
-                return
-            if isinstance(reply.ok_value, DirectoryReply):
-                self._apply_reply(peer, reply.ok_value)
-        finally:
-            self._fetching.discard(topic)
-
-    def _apply_reply(self, peer: str, reply: DirectoryReply) -> None:
-        directory = self._ctx.directory
-        now = self._ctx.clock.monotonic()
-        applied = [record for record in reply.records if directory.apply(record, now)]
-        directory.ends[reply.topic] = max(directory.ends[reply.topic], reply.end)
-        self._log.log_applied(applied, f"peer:{peer}")
-
-    def handle_directory_request(
-        self, inbound: InboundMessage, request: DirectoryRequest
-    ) -> None:
-        """Reply with the records that a peer lacks."""
-        directory = self._ctx.directory
-        records = directory.records_since(request.topic, request.offset)
-        end = directory.ends[request.topic]
-        inbound.reply(DirectoryReply(request.topic, end, records))
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -24,7 +24,7 @@
 
 
 class Gossip:
-    """Sends this VM's offsets and load figures to random peers."""
+    """Sends this VM's positions and load figures to random peers."""
 
     def __init__(
         self,
@@ -89,6 +89,7 @@
             evidence_digest=ctx.evidence.digest(),
             limits=ctx.statements.recent(now),
             leaving=ctx.directory.stated_leaving(),
+            configuration_version=ctx.directory.configuration_version,
         )
 
     def _residency(self) -> list[ResidencyNotice]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -82,6 +82,7 @@
         self.membership.on_change = self.owned_runners.refresh
         self.membership.renewals.on_regained = self.follower.catch_up
         self.follower.on_snapshot = self.owned_runners.refresh
+        self.follower.on_epoch = self.guard.keep_again
         self.remote_domains.on_change = self.owned_runners.refresh
         self._handlers = self._make_handlers()
         self.is_stopping = False
@@ -124,7 +125,7 @@
         return {
             AcquireRequest: self.owned_runners.handle_acquire_request,
             DirectoryNotice: _by_sender(self.follower.handle_directory_notice),
-            DirectoryRequest: self.follower.handle_directory_request,
+            DirectoryRequest: self.follower.peers.handle_directory_request,
             EvidenceNotice: _by_sender(self.guard.handle_evidence_notice),
             EvidenceRequest: self.guard.handle_evidence_request,
             HandoverNotice: self._handle_handover_notice,
@@ -158,7 +159,7 @@
         self._gossip.receive(gossip)
         record_gossip(self._ctx, inbound.sender, gossip)
         self.guard.compare(inbound.sender, gossip.evidence_digest)
-        self.follower.fetch_missing(inbound.sender, gossip.ends)
+        self.follower.peers.fetch_missing(inbound.sender, gossip)
 
 
 def _by_sender(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_store_port.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_store_port.py
@@ -11,6 +11,7 @@
 from gooseberryrun._internal.state.serving import (
     DirectoryRecord,
     Member,
+    Position,
     Suspicion,
     Topic,
 )
@@ -22,6 +23,9 @@
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     EXPIRED = "expired"
+    """The store does not have the records that were asked for."""
+    OTHER_EPOCH = "other_epoch"
+    """The position that was asked for, or the response, is of another epoch."""
     MALFORMED = "malformed"
 
 
@@ -35,10 +39,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Records:
-    """Records of a topic; ``end`` is the next offset to read from."""
+    """Records of a topic; ``end`` is the next position to read from."""
 
     records: list[DirectoryRecord]
-    end: int
+    end: Position
 
 
 class ControlStore(ABC):
@@ -50,9 +54,9 @@
 
     @abstractmethod
     def read_changes(
-        self, topic: Topic, offset: int, wait_s: float
+        self, topic: Topic, start: Position, wait_s: float
     ) -> Result[Records, StoreFault]:
-        """Wait up to ``wait_s`` for records from an offset on; there may be none."""
+        """Wait up to ``wait_s`` for records from a position on; there may be none."""
 
     @abstractmethod
     def renew(
@@ -60,7 +64,8 @@
     ) -> Result[int, StoreFault]:
         """Add a member to a group or keep it there; return the group's generation.
 
-        Each failure domain has a group, which owns the domain's runners.
+        Each failure domain has a group, which owns the domain's runners. Generations
+        rise also when the store comes back from an older copy.
         """
 
     @abstractmethod
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_sweep.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_sweep.py
@@ -7,6 +7,7 @@
 from .._events import log_event
 from .._tasks import spawn_until_done
 from ._context import Context
+from ._directory_log import DirectoryLog
 
 SWEEP_INTERVAL_S = 0.4
 """Interval at which expired entries of runners are removed."""
@@ -19,6 +20,7 @@
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
+        self._log = DirectoryLog()
 
     def start(self) -> None:
         """Start both loops in green threads."""
@@ -35,6 +37,7 @@
                     runner=runner,
                     why="expired entry was not written again",
                 )
+            self._log.log_settled(self._ctx.directory.settle(now))
 
     def _forget_gone(self) -> None:
         while True:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -25,7 +25,8 @@
     TraitKind,
     Verdict,
 )
-from ._directory import AdapterVersion, DirectoryRecord, DirectoryState, Topic
+from ._directory import DirectoryState
+from ._directory_records import AdapterVersion, DirectoryRecord, Topic
 from ._distribution import (
     READERS_PER_DOMAIN,
     follows_all_domains,
@@ -33,6 +34,7 @@
     reader_rank,
     reads_store,
 )
+from ._epochs import Position, combine_generation, generation_number
 from ._loads import RunnerLoads, RunnerView
 from ._ownership import FORMER_MEMBER_TTL_S, OwnershipState
 from ._pauses import RunnerPauses
@@ -79,6 +81,9 @@
     "MAX_TURN_WAIT_S",
     "ExpectedTurns",
     "Permit",
+    "Position",
+    "combine_generation",
+    "generation_number",
     "Turn",
     "TurnSchedules",
     "RECENT_ANSWER_S",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
-from enum import StrEnum
-
-import msgspec
-
-from ._routes import Configuration, RouteTable
+from ._directory_records import DirectoryRecord, Topic
+from ._epochs import Position
+from ._leaving import LeavingRunners
+from ._operator_records import OperatorRecords
+from ._routes import RouteTable
+from ._runner_index import RunnerIndex
 from ._runners import Runner
 
 RECOVERY_WINDOW_S = 2.5
@@ -17,69 +17,47 @@
 than the 2 s that an entry takes to return and that a removed runner keeps serving."""
 MAX_TOMBSTONES = 500
 """Records of removed entries that are kept to be sent to peers."""
-MAX_LEAVING = 1000
-"""Runners that said that they leave and are remembered, also once removed, since an
-entry may return after an outage of the store."""
-
-
-class Topic(StrEnum):
-    """Topics of records that every entry VM follows."""
-
-    CONFIGURATION = "configuration"
-    RUNNERS = "runners"
-
-
-class AdapterVersion(msgspec.Struct, frozen=True, array_like=True):
-    """Newest declared version of an adapter."""
-
-    model: str
-    adapter: str
-    version: int
-
-
-class DirectoryRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Newest record of one key.
-
-    A record without a value removes the key; ``unreadable`` states why a value could
-    not be read.
-    """
-
-    topic: Topic
-    offset: int
-    key: str
-    configuration: Configuration | None = None
-    adapter_version: AdapterVersion | None = None
-    runner: Runner | None = None
-    unreadable: str = ""
 
 
 class DirectoryState:
     """Configuration, adapter versions and runners from the records applied so far.
 
     Records may arrive in any order and more than once: an older record of a key never
-    replaces a newer one. ``ends`` are the offsets up to which each topic is applied.
+    replaces a newer one. ``ends`` are the positions up to which each topic is applied.
     """
 
     def __init__(self) -> None:
-        self.table: RouteTable | None = None
-        self.configuration_at = 0.0
-        self.ends = dict.fromkeys(Topic, 0)
+        self.ends = dict.fromkeys(Topic, Position())
         self.store_reachable_since = float("-inf")
         self._newest: dict[Topic, dict[str, DirectoryRecord]] = {t: {} for t in Topic}
-        self._versions: dict[tuple[str, str], int] = {}
-        self._runners: dict[str, Runner] = {}
+        self._operator = OperatorRecords()
+        self._runners = RunnerIndex()
         self._expiry_deadlines: dict[str, float] = {}
-        self._leaving: dict[str, int] = {}
-        self._by_service: dict[str, list[Runner]] = {}
-        self._by_domain: dict[str, dict[str, list[Runner]]] = {}
+        self._leaving = LeavingRunners()
+        self._copied_until = Position()
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Return the routes of the configuration in force, None without one."""
+        return self._operator.table
+
+    @property
+    def configuration_at(self) -> float:
+        """Return when the configuration in force was applied."""
+        return self._operator.configuration_at
+
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force, 0 without one."""
+        return self._operator.configuration_version
 
     def version_of(self, model: str, adapter: str) -> int:
         """Return the newest declared version of an adapter, 0 if none was."""
-        return self._versions.get((model, adapter), 0)
+        return self._operator.versions.get((model, adapter), 0)
 
     def declared_versions(self) -> dict[tuple[str, str], int]:
         """Return the newest declared version of each adapter that has one."""
-        return self._versions
+        return self._operator.versions
 
     def runner(self, runner_id: str) -> Runner | None:
         """Return a registered runner, draining or not."""
@@ -90,13 +68,7 @@
 
         Draining runners and those whose grace period has passed are left out.
         """
-        if service not in self._by_service:
-            self._by_service[service] = [
-                runner
-                for runner in self._runners.values()
-                if runner.service == service and not runner.draining
-            ]
-        found = self._by_service[service]
+        found = self._runners.of_service(service)
         if not self._expiry_deadlines:
             return found
         return [
@@ -112,125 +84,181 @@
 
     def runners_by_domain(self, service: str) -> dict[str, list[Runner]]:
         """Return the runners of a service that are not draining, by failure domain."""
-        if service not in self._by_domain:
-            found: dict[str, list[Runner]] = {}
-            for runner in self._runners.values():
-                if runner.service == service and not runner.draining:
-                    found.setdefault(runner.domain, []).append(runner)
-            self._by_domain[service] = found
-        return self._by_domain[service]
+        return self._runners.by_domain(service)
 
     def local_runner_count(self, service: str, domain: str) -> int:
         """Return the number of a service's non-draining runners in a domain."""
         return len(self.runners_by_domain(service).get(domain, []))
 
-    def _clear_index(self) -> None:
-        """Drop the cached lists of runners, which are rebuilt on the next read."""
-        self._by_service.clear()
-        self._by_domain.clear()
-
     def is_after_outage(self, now: float) -> bool:
         """Return whether the store has just become reachable again."""
         return now - self.store_reachable_since < RECOVERY_WINDOW_S
 
     def all_runners(self) -> list[Runner]:
         """Return every registered runner."""
-        return list(self._runners.values())
+        return self._runners.all()
+
+    def records_since(self, topic: Topic, start: Position) -> list[DirectoryRecord]:
+        """Return the newest record of each key that changed at or after ``start``.
 
-    def records_since(self, topic: Topic, offset: int) -> list[DirectoryRecord]:
-        """Return the newest record of each key that changed at or after ``offset``."""
-        found = [r for r in self._newest[topic].values() if r.offset >= offset]
-        return sorted(found, key=lambda record: record.offset)
+        A configuration that the store has lost and that is still in force is returned
+        as well.
+        """
+        found = [r for r in self._newest[topic].values() if r.position >= start]
+        held_over = self._operator.held_over(self.ends[topic].epoch)
+        if topic is Topic.CONFIGURATION and held_over and held_over not in found:
+            found.append(held_over)
+        return sorted(found, key=lambda record: record.position)
+
+    def accepts_held_over(self, now: float) -> bool:
+        """Return whether a configuration that the store lost may be put in force."""
+        return self._operator.accepts_earlier_epochs(now)
 
     def apply(self, record: DirectoryRecord, now: float) -> bool:
         """Apply one record; return whether it is a change or an unreadable entry."""
-        known = self._newest[record.topic].get(record.key)
-        if known is not None and known.offset >= record.offset:
+        topic = record.topic
+        if record.position.epoch < self.ends[topic].epoch:
+            return self._apply_earlier_epoch(record, now)
+        known = self._newest[topic].get(record.key)
+        if known is not None and known.position >= record.position:
+            return False
+        self._newest[topic][record.key] = record
+        self.ends[topic] = max(self.ends[topic], record.position.next())
+        if topic is Topic.CONFIGURATION:
+            return self._operator.apply(record, now)
+        return self._apply_runner(record, known, now)
+
+    def _apply_earlier_epoch(self, record: DirectoryRecord, now: float) -> bool:
+        """Apply a record that the store may have lost, unless it is a runner's."""
+        if record.topic is Topic.RUNNERS or not self.accepts_held_over(now):
             return False
-        self._newest[record.topic][record.key] = record
-        self.ends[record.topic] = max(self.ends[record.topic], record.offset + 1)
-        if record.topic is Topic.CONFIGURATION:
-            return self._apply_configuration(record, now)
-        return self._apply_runner(record, now)
+        return self._operator.apply(record, now)
 
-    def replace(
-        self, topic: Topic, records: list[DirectoryRecord], end: int, now: float
+    def receive(
+        self, topic: Topic, records: list[DirectoryRecord], end: Position, now: float
+    ) -> list[DirectoryRecord]:
+        """Apply the records that a peer has from this VM's end on; return the changes.
+
+        Those of a later epoch are all that the peer knows of it.
+        """
+        if end.epoch > self.ends[topic].epoch:
+            return self.replace(topic, records, end, now)
+        return self._apply_all(topic, records, end, now)
+
+    def _apply_all(
+        self, topic: Topic, records: list[DirectoryRecord], end: Position, now: float
     ) -> list[DirectoryRecord]:
-        """Apply a snapshot of a topic read at offset ``end``; return the changes."""
         changed = [record for record in records if self.apply(record, now)]
+        self.ends[topic] = max(self.ends[topic], end)
+        return changed
+
+    def replace(
+        self, topic: Topic, records: list[DirectoryRecord], end: Position, now: float
+    ) -> list[DirectoryRecord]:
+        """Apply a snapshot of a topic read at position ``end``; return the changes."""
+        if end.epoch > self.ends[topic].epoch:
+            self._begin_epoch(topic, end, now)
+        changed = self._apply_all(topic, records, end, now)
         if topic is Topic.RUNNERS:
-            present = {record.key for record in records}
+            present = {record.key for record in records if record.runner is not None}
             changed += self._remove_missing(present, end, now)
-        self.ends[topic] = max(self.ends[topic], end)
         return changed
 
+    def _begin_epoch(self, topic: Topic, end: Position, now: float) -> None:
+        """Begin a new epoch, of which the records up to ``end`` may be copies.
+
+        What is in force stays so until the store's writers had time to write again what
+        the copy lacks.
+        """
+        is_first = self.ends[topic] == Position()
+        self.ends[topic] = Position(end.epoch, 0)
+        if topic is Topic.CONFIGURATION:
+            self._operator.begin_epoch(now)
+            return
+        self._copied_until = end
+        if not is_first:
+            self.store_reachable_since = now
+
     def _remove_missing(
-        self, present: set[str], end: int, now: float
+        self, present: set[str], end: Position, now: float
     ) -> list[DirectoryRecord]:
         """Remove runners that are older than a snapshot and missing from it."""
+        last = Position(end.epoch, end.offset - 1)
         removed = []
         for key, known in list(self._newest[Topic.RUNNERS].items()):
-            if key in present or known.offset >= end or known.runner is None:
+            if key in present or known.position >= end or known.runner is None:
                 continue
-            removal = DirectoryRecord(
-                Topic.RUNNERS, max(known.offset + 1, end - 1), key
-            )
+            position = max(known.position.next(), last)
+            removal = DirectoryRecord(Topic.RUNNERS, position, key)
             if self.apply(removal, now):
                 removed.append(removal)
         return removed
 
-    def _apply_configuration(self, record: DirectoryRecord, now: float) -> bool:
-        if record.adapter_version is not None:
-            declared = record.adapter_version
-            key = (declared.model, declared.adapter)
-            if declared.version <= self._versions.get(key, 0):
-                return False
-            self._versions[key] = declared.version
-            return True
-        configuration = record.configuration
-        if configuration is None:
-            return bool(record.unreadable)
-        if self.table and self.table.configuration.version >= configuration.version:
-            return False
-        self.table = RouteTable(configuration)
-        self.configuration_at = now
-        return True
+    def settle(self, now: float) -> list[DirectoryRecord]:
+        """Put in force what a restored store holds if nothing newer was written.
 
-    def _apply_runner(self, record: DirectoryRecord, now: float) -> bool:
+        Returns the records that replace newer ones.
+        """
+        epoch = self.ends[Topic.CONFIGURATION].epoch
+        newest = self._newest[Topic.CONFIGURATION].values()
+        current = [record for record in newest if record.position.epoch == epoch]
+        return self._operator.settle(current, now)
+
+    def _apply_runner(
+        self, record: DirectoryRecord, known_record: DirectoryRecord | None, now: float
+    ) -> bool:
         known = self._runners.get(record.key)
         self._drop_old_tombstones()
-        self._clear_index()
         if record.runner is None:
-            return self._remove(record.key, now) if known else bool(record.unreadable)
+            if known is None:
+                return bool(record.unreadable)
+            return self._remove(known, record.position, now)
         if known is not None and record.runner.is_older_than(known):
             return False
+        self._keep_leaving(record, known_record)
+        self._leaving.check_entry(
+            record.runner, record.position, self._copied_until, now
+        )
         self._expiry_deadlines.pop(record.key, None)
-        self._runners[record.key] = self._with_leaving(record.runner)
+        self._runners.put(self._leaving.with_state(record.runner))
         return True
 
+    def _keep_leaving(
+        self, record: DirectoryRecord, known: DirectoryRecord | None
+    ) -> None:
+        """Record that a runner leaves if only a restored store has forgotten it."""
+        if known is None or known.runner is None or not known.runner.draining:
+            return
+        is_restored = known.position.epoch < record.position.epoch
+        if is_restored:
+            self._leaving.record_leaving(record.key, known.runner.born_ms)
+
     def record_leaving(self, runner_id: str, born_ms: int) -> bool:
         """Record that an incarnation said that it leaves; return whether that is new.
 
         It counts as draining whatever the registry says, until another incarnation is
         registered.
         """
-        if self._leaving.get(runner_id, -1) >= born_ms:
+        if not self._leaving.record_leaving(runner_id, born_ms):
             return False
-        self._leaving.pop(runner_id, None)
-        self._leaving[runner_id] = born_ms
-        while len(self._leaving) > MAX_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
-        known = self._runners.get(runner_id)
-        if known is not None:
-            self._runners[runner_id] = self._with_leaving(known)
-            self._clear_index()
+        self._update_state(runner_id)
         return True
 
+    def _update_state(self, runner_id: str) -> None:
+        """Derive anew from the newest entry whether a runner counts as draining."""
+        record = self._newest[Topic.RUNNERS].get(runner_id)
+        known = self._runners.get(runner_id)
+        if known is None:
+            return
+        is_newest = record and record.runner and record.runner.born_ms == known.born_ms
+        entry = record.runner if is_newest and record and record.runner else known
+        self._runners.put(self._leaving.with_state(entry))
+
     def stated_leaving(self) -> dict[str, int]:
         """Return the incarnations that said that they leave and are registered."""
         return {
             runner_id: born_ms
-            for runner_id, born_ms in self._leaving.items()
+            for runner_id, born_ms in self._leaving.stated().items()
             if self._is_registered(runner_id, born_ms)
         }
 
@@ -239,29 +267,24 @@
         known = self._runners.get(runner_id)
         return known is not None and known.born_ms <= born_ms
 
-    def _with_leaving(self, runner: Runner) -> Runner:
-        """Return a runner as draining if it said that it leaves."""
-        if runner.born_ms > self._leaving.get(runner.id, -1):
-            return runner
-        return dataclasses.replace(runner, draining=True)
-
-    def _remove(self, runner_id: str, now: float) -> bool:
+    def _remove(self, runner: Runner, position: Position, now: float) -> bool:
         """Remove a runner, after a grace period if the store was just unreachable."""
+        self._leaving.record_removal(runner, position)
         if self.is_after_outage(now):
-            self._expiry_deadlines.setdefault(runner_id, now + EXPIRY_GRACE_S)
+            self._expiry_deadlines.setdefault(runner.id, now + EXPIRY_GRACE_S)
             return True
-        self._expiry_deadlines.pop(runner_id, None)
-        del self._runners[runner_id]
+        self._expiry_deadlines.pop(runner.id, None)
+        self._runners.remove(runner.id)
         return True
 
     def expire(self, now: float) -> list[str]:
         """Remove runners whose grace period has passed; return their ids."""
+        for runner_id in self._leaving.end_doubts(now):
+            self._update_state(runner_id)
         expired = [key for key, at in self._expiry_deadlines.items() if now >= at]
-        if expired:
-            self._clear_index()
         for runner_id in expired:
             del self._expiry_deadlines[runner_id]
-            self._runners.pop(runner_id, None)
+            self._runners.remove(runner_id)
         return expired
 
     def _drop_old_tombstones(self) -> None:
@@ -269,5 +292,5 @@
         if len(records) <= MAX_TOMBSTONES + len(self._runners):
             return
         removed = [r for r in records.values() if r.runner is None]
-        for record in sorted(removed, key=lambda r: r.offset)[: len(removed) // 2]:
+        for record in sorted(removed, key=lambda r: r.position)[: len(removed) // 2]:
             del records[record.key]
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_index.py
@@ -0,0 +1,59 @@
+"""Registered runners by id, service and failure domain."""
+
+from __future__ import annotations
+
+from ._runners import Runner
+
+
+class RunnerIndex:
+    """Registered runners; lists of those that are not draining are cached."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, Runner] = {}
+        self._by_service: dict[str, list[Runner]] = {}
+        self._by_domain: dict[str, dict[str, list[Runner]]] = {}
+
+    def get(self, runner_id: str) -> Runner | None:
+        """Return a registered runner, None if there is none of that id."""
+        return self._by_id.get(runner_id)
+
+    def put(self, runner: Runner) -> None:
+        """Add a runner or replace the one with its id."""
+        self._by_id[runner.id] = runner
+        self._clear_lists()
+
+    def remove(self, runner_id: str) -> None:
+        """Remove a runner; one that is not registered is ignored."""
+        self._by_id.pop(runner_id, None)
+        self._clear_lists()
+
+    def __len__(self) -> int:
+        """Return the number of registered runners."""
+        return len(self._by_id)
+
+    def all(self) -> list[Runner]:
+        """Return every registered runner."""
+        return list(self._by_id.values())
+
+    def of_service(self, service: str) -> list[Runner]:
+        """Return the runners of a service that are not draining."""
+        if service not in self._by_service:
+            self._by_service[service] = [
+                runner
+                for runner in self._by_id.values()
+                if runner.service == service and not runner.draining
+            ]
+        return self._by_service[service]
+
+    def by_domain(self, service: str) -> dict[str, list[Runner]]:
+        """Return the runners of a service that are not draining, by failure domain."""
+        if service not in self._by_domain:
+            found: dict[str, list[Runner]] = {}
+            for runner in self.of_service(service):
+                found.setdefault(runner.domain, []).append(runner)
+            self._by_domain[service] = found
+        return self._by_domain[service]
+
+    def _clear_lists(self) -> None:
+        self._by_service.clear()
+        self._by_domain.clear()
--- a/packages/gooseberryrun/src/gooseberryrun/serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/serving.py
@@ -30,6 +30,7 @@
     HeldModel,
     Member,
     ModelSpec,
+    Position,
     Route,
     RouteKind,
     Runner,
@@ -41,6 +42,8 @@
     Trait,
     TraitKind,
     WeightedService,
+    combine_generation,
+    generation_number,
 )
 
 __all__ = [
@@ -60,6 +63,9 @@
     "ModelSpec",
     "OrderOp",
     "OrderOutcome",
+    "Position",
+    "combine_generation",
+    "generation_number",
     "PromptPart",
     "Records",
     "RequestMetadata",
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -17,6 +17,7 @@
 from gooseberryrun._internal.state.serving import (
     DirectoryRecord,
     Member,
+    Position,
     Runner,
     Topic,
     View,
@@ -103,7 +104,9 @@
     for domain, members in store.groups.items():
         ctx.update_remote_view(domain, View(len(members), tuple(members)))
     for offset, runner in enumerate(runners):
-        record = DirectoryRecord(Topic.RUNNERS, offset, runner.id, runner=runner)
+        record = DirectoryRecord(
+            Topic.RUNNERS, Position(0, offset), runner.id, runner=runner
+        )
         ctx.directory.apply(record, 0.0)
     return ctx, peers
 
--- a/tests/unit/serving/test_directory.py
+++ b/tests/unit/serving/test_directory.py
@@ -8,6 +8,7 @@
     Configuration,
     DirectoryRecord,
     DirectoryState,
+    Position,
     Route,
     RouteKind,
     Runner,
@@ -23,11 +24,15 @@
     )
 
 
+def at(offset: int, epoch: int = 1) -> Position:
+    return Position(epoch, offset)
+
+
 def config(offset: int, version: int, *prefixes: str) -> DirectoryRecord:
     routes = tuple(route(prefix) for prefix in prefixes)
     configuration = Configuration(version, routes, (), ClientLimits())
     return DirectoryRecord(
-        Topic.CONFIGURATION, offset, "config", configuration=configuration
+        Topic.CONFIGURATION, at(offset), "config", configuration=configuration
     )
 
 
@@ -36,7 +41,7 @@
 
 
 def entry(offset: int, found: Runner | None) -> DirectoryRecord:
-    return DirectoryRecord(Topic.RUNNERS, offset, "r1", runner=found)
+    return DirectoryRecord(Topic.RUNNERS, at(offset), "r1", runner=found)
 
 
 def test_configuration_never_goes_back() -> None:
@@ -77,7 +82,7 @@
 def test_unreadable_entry_names_no_runner_and_harms_no_other() -> None:
     state = DirectoryState()
     state.apply(entry(1, runner()), 0.0)
-    bad = DirectoryRecord(Topic.RUNNERS, 2, "r2", unreadable="not JSON")
+    bad = DirectoryRecord(Topic.RUNNERS, at(2), "r2", unreadable="not JSON")
     state.apply(bad, 0.0)
     assert [found.id for found in state.runners("s", 0.0)] == ["r1"]
 
@@ -110,9 +115,9 @@
 def test_snapshot_removes_what_it_lacks_but_nothing_newer() -> None:
     state = DirectoryState()
     state.apply(entry(1, runner()), 0.0)
-    state.replace(Topic.RUNNERS, [], 1, 0.0)
+    state.replace(Topic.RUNNERS, [], at(1), 0.0)
     assert len(state.runners("s", 0.0)) == 1
-    state.replace(Topic.RUNNERS, [], 7, 0.0)
+    state.replace(Topic.RUNNERS, [], at(7), 0.0)
     assert state.runners("s", 0.0) == []
 
 
@@ -134,7 +139,7 @@
         declared = AdapterVersion("m", "a1", version)
         state.apply(
             DirectoryRecord(
-                Topic.CONFIGURATION, offset, f"v{offset}", adapter_version=declared
+                Topic.CONFIGURATION, at(offset), f"v{offset}", adapter_version=declared
             ),
             0.0,
         )
--- a/tests/unit/serving/test_fleets.py
+++ b/tests/unit/serving/test_fleets.py
@@ -28,6 +28,7 @@
     ClientLimits,
     Configuration,
     DirectoryRecord,
+    Position,
     RunnerLoads,
     RunnerView,
     Topic,
@@ -118,31 +119,36 @@
     return DirectoryFollower(ctx), store
 
 
+def at(offset: int) -> Position:
+    return Position(0, offset)
+
+
 def record(offset: int, key: str) -> DirectoryRecord:
-    return DirectoryRecord(Topic.RUNNERS, offset, key, runner=make_runners(1, 1)[0])
+    runner = dataclasses.replace(make_runners(1, 1)[0], id=key)
+    return DirectoryRecord(Topic.RUNNERS, at(offset), key, runner=runner)
 
 
 def test_records_of_a_reader_are_taken_in_order() -> None:
     follower, _ = make_follower(8)
     ctx = follower._ctx
     follower.handle_directory_notice(
-        "vm-000", DirectoryNotice(Topic.RUNNERS, 0, 2, [record(1, "a")], False)
+        "vm-000", DirectoryNotice(Topic.RUNNERS, at(0), at(2), [record(1, "a")], False)
     )
-    assert ctx.directory.ends[Topic.RUNNERS] == 2
+    assert ctx.directory.ends[Topic.RUNNERS] == at(2)
     # An older notice of another reader changes nothing.
     follower.handle_directory_notice(
-        "vm-001", DirectoryNotice(Topic.RUNNERS, 0, 1, [record(0, "a")], False)
+        "vm-001", DirectoryNotice(Topic.RUNNERS, at(0), at(1), [record(0, "a")], False)
     )
-    assert ctx.directory.ends[Topic.RUNNERS] == 2
+    assert ctx.directory.ends[Topic.RUNNERS] == at(2)
     assert ctx.directory.runner("a") is not None
 
 
 def test_a_gap_in_the_records_of_a_reader_is_not_passed_over() -> None:
     follower, _ = make_follower(8)
     follower.handle_directory_notice(
-        "vm-000", DirectoryNotice(Topic.RUNNERS, 7, 9, [record(8, "a")], False)
+        "vm-000", DirectoryNotice(Topic.RUNNERS, at(7), at(9), [record(8, "a")], False)
     )
-    assert follower._ctx.directory.ends[Topic.RUNNERS] == 0
+    assert follower._ctx.directory.ends[Topic.RUNNERS] == at(0)
     assert follower._must_read(Topic.RUNNERS)
 
 
@@ -153,28 +159,28 @@
     """
     reader, _ = make_follower(0)
     table = Configuration(7, (), (), ClientLimits())
-    entry = DirectoryRecord(Topic.CONFIGURATION, 3, "config", configuration=table)
+    entry = DirectoryRecord(Topic.CONFIGURATION, at(3), "config", configuration=table)
     reader._ctx.directory.apply(entry, 0.0)
-    reader._send_notice(Topic.CONFIGURATION, 3, [entry])
+    reader._send_notice(Topic.CONFIGURATION, at(3), [entry])
     peers = reader._ctx.peers
     assert isinstance(peers, CountingPeers)
-    announced = DirectoryNotice(Topic.CONFIGURATION, 4, 4, [], False)
+    announced = DirectoryNotice(Topic.CONFIGURATION, at(4), at(4), [], False)
     assert [message for _, message in peers.sent] == [announced] * 8
     other, _ = make_follower(8)
     other.handle_directory_notice(
-        "vm-000", DirectoryNotice(Topic.CONFIGURATION, 0, 0, [], False)
+        "vm-000", DirectoryNotice(Topic.CONFIGURATION, at(0), at(0), [], False)
     )
     assert not other._must_read(Topic.CONFIGURATION)
     other.handle_directory_notice("vm-000", announced)
     assert other._must_read(Topic.CONFIGURATION)
-    assert other._ctx.directory.ends[Topic.CONFIGURATION] == 0
+    assert other._ctx.directory.ends[Topic.CONFIGURATION] == at(0)
 
 
 def test_those_who_do_not_read_learn_that_the_store_was_away() -> None:
     """Otherwise entries that expired in the outage would be removed at once."""
     follower, _ = make_follower(8)
     follower.handle_directory_notice(
-        "vm-000", DirectoryNotice(Topic.RUNNERS, 0, 0, [], True)
+        "vm-000", DirectoryNotice(Topic.RUNNERS, at(0), at(0), [], True)
     )
     assert follower._ctx.directory.is_after_outage(10.0)
 
@@ -271,7 +277,7 @@
     """Notices from before a suspension do not show that the reader is still alive."""
     follower, _ = make_follower(8)
     follower.handle_directory_notice(
-        "vm-000", DirectoryNotice(Topic.RUNNERS, 0, 0, [], False)
+        "vm-000", DirectoryNotice(Topic.RUNNERS, at(0), at(0), [], False)
     )
     assert not follower._must_read(Topic.RUNNERS)
     clock = follower._ctx.clock
@@ -284,7 +290,7 @@
     """Store whose topics are empty."""
 
     def read_snapshot(self, topic: Topic) -> Result[Records, StoreFault]:
-        return Ok(Records([], 1))
+        return Ok(Records([], at(1)))
 
 
 def test_runners_are_owned_as_soon_as_they_have_been_read() -> None:
@@ -292,10 +298,10 @@
     members = make_members(1, 3)
     ctx, _ = make_vm(members["d0"][0], SnapshotStore(members), [], ManualClock(10.0))
     follower = DirectoryFollower(ctx)
-    seen: list[int] = []
+    seen: list[Position] = []
     follower.on_snapshot = lambda: seen.append(ctx.directory.ends[Topic.RUNNERS])
     assert follower._read(Topic.RUNNERS, needs_snapshot=True, wait_s=0.0) is None
-    assert seen == [1]
+    assert seen == [at(1)]
 
 
 def test_heartbeats_that_only_count_orders_are_not_logged(
@@ -312,9 +318,11 @@
     runner = make_runners(1, 1)[0]
     for seq in range(5):
         changed = dataclasses.replace(runner, order_seq=seq)
-        entry = DirectoryRecord(Topic.RUNNERS, seq, "a", runner=changed)
+        entry = DirectoryRecord(Topic.RUNNERS, at(seq), "a", runner=changed)
         log.log_applied([entry], "store")
     leaving = dataclasses.replace(runner, draining=True)
-    log.log_applied([DirectoryRecord(Topic.RUNNERS, 9, "a", runner=leaving)], "store")
-    log.log_applied([DirectoryRecord(Topic.RUNNERS, 10, "a")], "store")
+    log.log_applied(
+        [DirectoryRecord(Topic.RUNNERS, at(9), "a", runner=leaving)], "store"
+    )
+    log.log_applied([DirectoryRecord(Topic.RUNNERS, at(10), "a")], "store")
     assert lines == ["serving", "draining", "removed"]
--- a/tests/unit/serving/test_follower.py
+++ b/tests/unit/serving/test_follower.py
@@ -12,7 +12,7 @@
 )
 from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
 from gooseberryrun._internal.state import ManualClock
-from gooseberryrun._internal.state.serving import DirectoryRecord, Topic
+from gooseberryrun._internal.state.serving import DirectoryRecord, Position, Topic
 from result import Err, Ok, Result
 
 from tests.lib.fleet import GroupStore, make_members, make_runners, make_vm
@@ -31,10 +31,10 @@
         self.records: list[DirectoryRecord] = []
 
     def read_snapshot(self, topic: Topic) -> Result[Records, StoreFault]:
-        return Ok(Records([], 0))
+        return Ok(Records([], Position()))
 
     def read_changes(
-        self, topic: Topic, offset: int, wait_s: float
+        self, topic: Topic, start: Position, wait_s: float
     ) -> Result[Records, StoreFault]:
         if topic is Topic.CONFIGURATION:
             eventlet.sleep(LONG_S)
@@ -44,7 +44,7 @@
             return Err(SILENT)
         if wait_s:
             eventlet.sleep(LONG_S)
-        return Ok(Records(self.records[offset:], len(self.records)))
+        return Ok(Records(self.records[start.offset :], Position(0, len(self.records))))
 
 
 @pytest.fixture(autouse=True)
@@ -83,7 +83,9 @@
     assert store.waits == [pytest.approx(5.0)]
     store.failures = failures
     runner = make_runners(1, 1)[0]
-    store.records.append(DirectoryRecord(Topic.RUNNERS, 0, runner.id, runner=runner))
+    store.records.append(
+        DirectoryRecord(Topic.RUNNERS, Position(), runner.id, runner=runner)
+    )
     follower.catch_up()
     settle()
     assert follower._ctx.directory.runner(runner.id) == runner
--- a/tests/unit/serving/test_membership.py
+++ b/tests/unit/serving/test_membership.py
@@ -32,6 +32,7 @@
 from gooseberryrun._internal.state.serving import (
     DirectoryRecord,
     Member,
+    Position,
     Runner,
     Topic,
     View,
@@ -118,7 +119,9 @@
         runner = Runner(f"i-{number}", "s", "h", 1, "d", 8, False, 1, 0, ())
         owner = ctx.ownership.owner_of(runner)
         if owner is not None and owner.vm == "vm-a":
-            record = DirectoryRecord(Topic.RUNNERS, 0, runner.id, runner=runner)
+            record = DirectoryRecord(
+                Topic.RUNNERS, Position(), runner.id, runner=runner
+            )
             ctx.directory.apply(record, 0.0)
             assert ctx.ownership.fencing_token(runner, 0.0) is not None
             return runner
--- a/tests/unit/serving/test_platform.py
+++ b/tests/unit/serving/test_platform.py
@@ -9,7 +9,7 @@
 
 import pytest
 from gooseberryrun._internal.coordination.serving import end_to_end
-from gooseberryrun.serving import ForwardingMetadata, RouteKind
+from gooseberryrun.serving import ForwardingMetadata, Position, RouteKind
 from gooseberryrun_platform._entries import decode_config_record, decode_runner_record
 from gooseberryrun_platform._headers import PlatformHeaders
 from result import Err, Ok
@@ -123,7 +123,7 @@
 
 
 def test_configuration_is_decoded() -> None:
-    record = decode_config_record(4, "config", json.dumps(CONFIG).encode())
+    record = decode_config_record(Position(0, 4), "config", json.dumps(CONFIG).encode())
     configuration = record.configuration
     assert configuration is not None
     route = configuration.routes[0]
@@ -150,7 +150,7 @@
 
 
 def test_runner_entry_is_decoded() -> None:
-    record = decode_runner_record(1, "i-1", json.dumps(ENTRY).encode())
+    record = decode_runner_record(Position(0, 1), "i-1", json.dumps(ENTRY).encode())
     assert record.runner is not None
     assert (record.runner.host, record.runner.port) == ("10.0.0.9", 8080)
     assert record.runner.models[0].adapters == {"a3": 2}
@@ -168,14 +168,14 @@
 )
 def test_entries_of_other_writers_name_no_runner(change: dict[str, Any]) -> None:
     value = json.dumps({**ENTRY, **change}).encode()
-    record = decode_runner_record(1, "i-1", value)
+    record = decode_runner_record(Position(0, 1), "i-1", value)
     assert record.runner is None
     assert record.unreadable
 
 
 def test_bytes_that_are_no_entry_name_no_runner() -> None:
-    assert decode_runner_record(1, "i-1", b"\xff\xfe{").unreadable
-    assert not decode_runner_record(1, "i-1", b"").unreadable
+    assert decode_runner_record(Position(0, 1), "i-1", b"\xff\xfe{").unreadable
+    assert not decode_runner_record(Position(0, 1), "i-1", b"").unreadable
 
 
 def test_platform_names_stay_in_their_folder() -> None:
--- a/tests/unit/serving/test_statements.py
+++ b/tests/unit/serving/test_statements.py
@@ -6,12 +6,13 @@
 from gooseberryrun._internal.state.serving import (
     DirectoryRecord,
     DirectoryState,
+    Position,
     RateLimit,
     Runner,
     RunnerStatements,
     Topic,
 )
-from gooseberryrun._internal.state.serving._directory import MAX_LEAVING
+from gooseberryrun._internal.state.serving._leaving import MAX_LEAVING
 from gooseberryrun._internal.state.serving._statements import STATEMENT_TTL_S
 from gooseberryrun_platform._headers import PlatformHeaders
 from hypothesis import given
@@ -71,14 +72,18 @@
             assert directory.record_leaving("i-1", 1)
             continue
         entry = None if step == "removed" else make_runner()
-        record = DirectoryRecord(Topic.RUNNERS, offset, "i-1", runner=entry)
+        record = DirectoryRecord(
+            Topic.RUNNERS, Position(0, offset), "i-1", runner=entry
+        )
         directory.apply(record, 10.0)
-    last = DirectoryRecord(Topic.RUNNERS, 9, "i-1", runner=make_runner())
+    last = DirectoryRecord(Topic.RUNNERS, Position(0, 9), "i-1", runner=make_runner())
     directory.apply(last, 10.0)
     assert not directory.runners("s", 10.0)
     assert not directory.takes_new_work(make_runner(), 10.0)
     assert directory.stated_leaving() == {"i-1": 1}
-    reborn = DirectoryRecord(Topic.RUNNERS, 10, "i-1", runner=make_runner(born_ms=2))
+    reborn = DirectoryRecord(
+        Topic.RUNNERS, Position(0, 10), "i-1", runner=make_runner(born_ms=2)
+    )
     directory.apply(reborn, 10.0)
     assert directory.runners("s", 10.0) == [make_runner(born_ms=2)]
     assert not directory.record_leaving("i-1", 1)
@@ -90,7 +95,7 @@
     for number in range(MAX_LEAVING + 5):
         directory.record_leaving(f"i-{number}", 1)
     assert not directory.stated_leaving()
-    assert len(directory._leaving) == MAX_LEAVING
+    assert len(directory._leaving.stated()) == MAX_LEAVING
 
 
 def test_limit_ends_with_a_response_without_one() -> None:
