Resume no runners that only a restored store assigns to a VM

A process that starts then finds itself listed as of before it handed its runners over, and ordered them at once beside their owner. The name of a member bears the epoch in which it joined, so that a listing that nobody has renewed since is told apart; it resumes nothing.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -186,20 +186,26 @@
     def _start_after_predecessor(self) -> None:
         """Find out whether the previous process on this VM was a member.
 
-        The members are read before the first renewal, which adds this process.
+        The members are read before the first renewal, which adds this process. Those
+        that only a restored store lists may have lost their runners to others since.
         """
         while isinstance(read := self._ctx.ports.store.members(self._group), Err):
             if not self.renewals.is_store_unreachable:
                 log_event("members_unread", level="warning", why=read.err_value.detail)
             self.renewals.record_store_unreachable(read.err_value.detail)
             eventlet.sleep(PREDECESSOR_RETRY_S)
+        members = [member for member in read.ok_value if not member.is_copied]
         is_listed = any(
-            member.vm == self._ctx.vm and not member.is_new for member in read.ok_value
+            member.vm == self._ctx.vm and not member.is_new for member in members
+        )
+        log_event(
+            "predecessor",
+            members=len(members),
+            copied=len(read.ok_value) - len(members),
+            is_listed=is_listed,
         )
-        log_event("predecessor", members=len(read.ok_value), is_listed=is_listed)
         self._ctx.is_new = not is_listed
-        now = self._ctx.clock.boottime()
-        self._ownership.resume_predecessor(read.ok_value, now)
+        self._ownership.resume_predecessor(members, self._ctx.clock.boottime())
 
     def _run_renewal(self) -> None:
         reacquire_delay_s = self._ctx.cfg.membership.turn_ms / 1000
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_views.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_views.py
@@ -13,7 +13,8 @@
 
     A member that ``is_new`` has just started. The previous process on its VM may have
     given orders a moment ago, so the ownership of runners assigned to it at once would
-    alternate between VMs.
+    alternate between VMs. One that ``is_copied`` is listed only by the older copy that
+    the store came back from.
     """
 
     vm: str
@@ -21,6 +22,7 @@
     host: str
     port: int
     is_new: bool = False
+    is_copied: bool = False
 
 
 class View(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -147,7 +147,7 @@
 """,
             encoding="utf-8",
         )
-        self.member = f"{name}@127.0.0.1:{peer_port}/zone-a"
+        self.member = f"{name}@127.0.0.1:{peer_port}/zone-a#1"
         self.log = folder / f"{name}.log"
         self._command = [sys.executable, "platform/start.py", "--settings"]
         self._command.append(str(settings))
--- a/tests/unit/serving/test_membership.py
+++ b/tests/unit/serving/test_membership.py
@@ -37,6 +37,7 @@
     Topic,
     View,
 )
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 BOTH = (Member("vm-a", "d", "127.0.0.1", 1), Member("vm-b", "d", "127.0.0.1", 2))
@@ -216,3 +217,13 @@
     membership._renew()
     assert ("vm-b", HandoverNotice("d", [runner.id], 8)) in peers.sent
     assert ("vm-b", "ViewNotice") in peers.kinds_sent()
+
+
+def test_process_does_not_resume_what_only_a_restored_store_assigns_to_it() -> None:
+    """Its runners were handed over when it left, which the restored store forgot."""
+    store = FakeStore(generation=6)
+    membership, ctx = make_membership(store, FakePeers(lambda vm, message: None))
+    store.listed = [replace(member, is_copied=True) for member in BOTH]
+    membership._start_after_predecessor()
+    assert ctx.is_new
+    assert not ctx.ownership._adopted._adopted[0].view.members
--- a/tests/unit/serving/test_store_epochs.py
+++ b/tests/unit/serving/test_store_epochs.py
@@ -10,6 +10,7 @@
 from gooseberryrun.serving import Position, ServingSettings, StoreFaultKind, Topic
 from gooseberryrun_platform._epochs import StoreEpochs
 from gooseberryrun_platform._store import PlatformStore as Client
+from msgspec.structs import replace
 from result import Err, Ok
 
 MEMBER = Member("vm-1", "d", "127.0.0.1", 1)
@@ -94,3 +95,23 @@
     epochs = StoreEpochs()
     assert epochs.read([("Store-Era", "7")]) == 7
     assert epochs.read([("store-era", value) for value in values]) == epoch
+
+
+def listed(client: Client) -> set[Member]:
+    read = client.members("g")
+    assert isinstance(read, Ok)
+    return set(read.ok_value)
+
+
+def test_member_that_only_a_restored_store_lists_is_told_apart(
+    store: PlatformStore, client: Client
+) -> None:
+    """It may have left, and its runners may be owned by others since."""
+    assert not listed(client)
+    client.renew("g", MEMBER, 0)
+    client.renew("g", replace(MEMBER, is_new=True), 0)
+    assert listed(client) == {MEMBER, replace(MEMBER, is_new=True)}
+    store.restore(store.copy())
+    assert all(member.is_copied for member in listed(client))
+    client.renew("g", MEMBER, 0)
+    assert MEMBER in listed(client)
