--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -78,6 +78,15 @@
         active.tried.add(runner.id)
         active.begin_attempt()
         outbound = self._outbound(active, forwarding)
+        if forwarding.last_event_id:
+            log_event(
+                "stream_resumed",
+                request=active.metadata.request_id,
+                resumes=active.metadata.resumes,
+                last_event=forwarding.last_event_id,
+                runner=runner.id,
+                software=runner.software_version,
+            )
         requested_at = self._ctx.clock.monotonic()
         self._ctx.pauses.begin_send(runner, requested_at)
         sent = self._ctx.ports.requests.send(runner, outbound, deadline)
@@ -91,6 +100,7 @@
             runner=runner.id,
             took_s=self._ctx.clock.monotonic() - requested_at,
             sends=active.sends,
+            software=runner.software_version,
             outcome=_describe(sent),
         )
         return sent
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -27,7 +27,8 @@
     """Decoded headers of a request.
 
     ``wait_s`` is the time the caller waits for a response. ``adapter`` is empty for the
-    base model.
+    base model. A request that takes up a broken stream has the id of the stream's last
+    event and ``resumes``, the id of the request that brought its first one.
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     output_tokens: int = 0
     prompt: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runners.py
@@ -19,7 +19,8 @@
     """Entry of one backend server in the registry.
 
     ``born_ms`` is the Unix time of its start in ms and identifies its incarnation;
-    ``order_seq`` counts the orders that it has accepted since then.
+    ``order_seq`` counts the orders that it has accepted since then. What runners of
+    different ``software_version`` write does not fit together; it is empty if unknown.
     """
 
     id: str
@@ -32,6 +33,7 @@
     born_ms: int
     order_seq: int
     models: tuple[HeldModel, ...]
+    software_version: str = ""
 
     def is_older_than(self, other: Runner) -> bool:
         """Return whether this entry was written before ``other``."""
