--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -43,12 +43,14 @@
     ``refused_at`` are the times of refusals that ask for a pause.
 
     ``ran`` are the ids of the requests that ran, ``resumed`` the last event ids of
-    resumed streams, ``abandoned`` the ids of streams whose client disconnected.
+    resumed streams, ``abandoned`` the ids of streams whose client disconnected,
+    ``begun`` the requests that brought the first events of the streams that ran here.
     """
 
     id: str
     service: str
     model: str = ""
+    software: str = "v1"
     max_adapters: int = 6
     fault: str = ""
     fault_count: int = 0
@@ -71,6 +73,7 @@
     seq: int = 0
     ran: list[str] = field(default_factory=list)
     resumed: list[str] = field(default_factory=list)
+    begun: list[str] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     order_times: list[float] = field(default_factory=list)
     abandoned: list[str] = field(default_factory=list)
@@ -91,7 +94,7 @@
             "service": self.service,
             "address": address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.software,
             "slots": 6,
             "state": state,
             "cold_left_ms": 0,
@@ -340,6 +343,8 @@
         last = self.headers.get("Last-Event-Id")
         if last:
             self.runner.resumed.append(last)
+        request_id = self.headers["X-Gooseberryrun-Request-Id"]
+        self.runner.begun.append(self.headers.get("Resumes") or request_id)
         first = int(last or 0) + 1
         counts = self.headers.get("X-Gooseberryrun-Token-Count", "0,0")
         self.runner.read_prompt(int(counts.partition(",")[0]))
--- a/fakes/src/gooseberry_fakes/platform_store.py
+++ b/fakes/src/gooseberry_fakes/platform_store.py
@@ -109,7 +109,8 @@
                 return None
             body = struct.pack(">QQ", len(records), 0)
             for key, value in records[start:]:
-                content = bytes([len(key)]) + key.encode() + value
+                prefix = bytes([len(key)]) + key.encode()
+                content = prefix + value if topic.startswith("keyed.") else value
                 body += struct.pack(">I", len(content)) + content
         return body
 
@@ -184,7 +185,7 @@
         self._handle(json.loads(data or b"{}"))
 
     def _append(self, data: bytes) -> None:
-        """Append keyed records, each with its length before it."""
+        """Append records, each with its length before it."""
         if self.store.is_down:
             self._send(503, b"")
             return
@@ -192,7 +193,7 @@
         while data:
             (length,) = struct.unpack_from(">I", data)
             content, data = data[4 : 4 + length], data[4 + length :]
-            key_end = 1 + content[0]
+            key_end = 1 + content[0] if topic.startswith("keyed.") else 0
             self.store.append(topic, content[1:key_end].decode(), content[key_end:])
         self._send(200, b"{}")
 
@@ -208,7 +209,10 @@
         if url.path == "/v1/log-read":
             wait_s = int(query.get("wait_ms", 0)) / 1000
             data = self.store.read(query["topic"], int(query["from"]), wait_s)
-            self._send(410 if data is None else 200, data or b"")
+            if data is None:
+                self._send(410, b'{"first": 0}')
+            else:
+                self._send(200, data)
             return
         self._send(200, json.dumps(self._reply(url.path, query, body)).encode())
 
