Take streams up only at the software version that began them

Cause: a continuation was sent where only a fresh start may go; the version of a runner's software and the request that a caller resumes were read nowhere. It holds for our own repeat within one answer, and for callers' requests at the same VM, another one or one that has just started.

Change: a stream that has begun goes on only at runners of its version. Each VM remembers for its callers' time where its streams began; while several versions serve a service, or did within a minute, it tells the VMs that read the store for the domain, and they append it to the store in batches (0.15 s), so that it is known also after all VMs were killed. What cannot be known is refused at once as not run (503, 0.3 s); while one version serves, nothing is written and any stream goes on. A stream taken up is routed by the request that began it, also on a split route.

Ways weighed: deriving the version from the request's id costs no write, but confines each new stream to one version and is wrong for a while whenever runners come or go; telling peers alone loses all with all VMs.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -47,6 +47,11 @@
     PREFIX + "runners_leaving",
     "Incarnations of runners that said in a response that they leave",
 )
+STREAMS_TAKEN_UP = Counter(
+    PREFIX + "streams_taken_up",
+    "Requests that take a broken stream up, by what is known of its software version",
+    ["outcome"],
+)
 TURNS = Counter(
     PREFIX + "turns", "Turns asked for at runners with a rate limit", ["outcome"]
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -9,6 +9,7 @@
     PrefillLoad,
     RateLimit,
     RunnerView,
+    StreamOrigin,
     Topic,
     Trait,
     Turn,
@@ -180,6 +181,36 @@
     age_s: float
 
 
+class OriginsNotice(Message, frozen=True, array_like=True):
+    """Software versions of the runners that streams of the sender were sent to.
+
+    The receiver appends them to the store if ``is_to_keep`` is set.
+    """
+
+    origins: list[StreamOrigin]
+    is_to_keep: bool
+
+
+class OriginRequest(Message, frozen=True, array_like=True):
+    """Request for the software version that began a stream of a service.
+
+    ``request`` is the id of the request that brought the stream's first event.
+    """
+
+    request: str
+    service: str
+
+
+class OriginAnswer(Message, frozen=True, array_like=True):
+    """Software version that began a stream, None if the sender does not know it.
+
+    ``is_mixed`` is set if several versions serve the service or did so lately.
+    """
+
+    software: str | None
+    is_mixed: bool
+
+
 class ServingGossip(Message, frozen=True, array_like=True):
     """Status and load figures that an entry VM sends to others at intervals.
 
@@ -251,4 +282,7 @@
     | EvidenceRequest
     | TurnRequest
     | TurnAnswer
+    | OriginsNotice
+    | OriginRequest
+    | OriginAnswer
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
@@ -30,7 +30,7 @@
 )
 from ._responses import end_to_end
 from ._serving import Serving
-from ._store_port import ControlStore, Records, StoreFault, StoreFaultKind
+from ._store_port import ControlStore, Origins, Records, StoreFault, StoreFaultKind
 
 __all__ = [
     "ActiveRequest",
@@ -46,6 +46,7 @@
     "HeaderCodec",
     "Headers",
     "InboundRequest",
+    "Origins",
     "OrderOp",
     "OrderOutcome",
     "OutboundRequest",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -34,7 +34,8 @@
     that gave it no grant or no turn in time, ``permit`` is its turn at one. ``traits``
     are what it shares with other requests and might crash runners, ``verdict`` what was
     last made of them. ``is_begun`` and ``answered_at`` are of the present attempt:
-    whether its response has started, and the time of its first event.
+    whether its response has started, and the time of its first event. Once a stream has
+    begun, it goes on only at runners of ``required_software``.
     """
 
     request: InboundRequest
@@ -59,6 +60,7 @@
     is_begun: bool = False
     answered_at: float | None = None
     is_answer_recorded: bool = False
+    required_software: str | None = None
 
     @property
     def adapter_key(self) -> str:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -85,7 +85,7 @@
             metadata,
             caller,
             route,
-            route.pick_service(metadata.request_id),
+            route.pick_service(metadata.resumes or metadata.request_id),
             request.read_at + wait_s,
             traits=request_traits(request, metadata, version),
         )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -15,6 +15,7 @@
 from ._context import Context
 from ._crash_guard import CrashGuard, suspect_response
 from ._load_tracker import LoadTracker
+from ._origins import OriginKeeper
 from ._request_ports import ForwardingMetadata, RunnerResponse
 from ._responses import ResponseWriter, failure_response
 from ._runner_choice import RunnerChooser
@@ -42,9 +43,11 @@
         availability: Availability,
         attempts: Attempts,
         responses: ResponseWriter,
+        origins: OriginKeeper,
     ) -> None:
         self._ctx = ctx
         self._guard = guard
+        self._origins = origins
         self._adapters = adapters
         self._turns = turns
         self._attempts = attempts
@@ -55,6 +58,11 @@
 
     def serve(self, active: ActiveRequest) -> None:
         """Serve a request and respond to its caller."""
+        if active.metadata.last_event_id and active.route.resumable:
+            refusal = self._origins.constrain(active)
+            if refusal is not None:
+                self._responses.send_local(active, refusal)
+                return
         progress = StreamProgress()
         outcome = run_rounds(MAX_ROUNDS, lambda: self._try_once(active, progress))
         if outcome is Round.AGAIN:
@@ -205,6 +213,8 @@
         progress: StreamProgress,
         tracker: LoadTracker,
     ) -> LocalResponse | Round:
+        if not progress.is_started:
+            self._origins.record(active, runner)
         forwarding = self._forwarding(active, runner, progress)
         sent = self._attempts.send(active, runner, forwarding, active.deadline)
         if isinstance(sent, Err):
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
@@ -0,0 +1,248 @@
+"""Keeps where streams began, so that they are taken up at the same software version.
+
+While runners of several versions serve a service, each VM tells the VMs that read the
+store for its domain where its streams begin, and appends it to the store in batches, so
+that it is known also if all VMs are killed at once.
+"""
+
+from __future__ import annotations
+
+import eventlet
+from eventlet.event import Event
+from result import Err, Ok
+
+from gooseberryrun._internal.state.serving import (
+    READERS_PER_DOMAIN,
+    Position,
+    Runner,
+    StreamOrigin,
+    StreamOrigins,
+    readers,
+)
+
+from .._events import log_event
+from .._metrics import STORE_CALLS, STREAMS_TAKEN_UP
+from .._ports import InboundMessage
+from .._serving_messages import OriginAnswer, OriginRequest, OriginsNotice
+from .._tasks import spawn_until_done
+from ._active_request import ActiveRequest, LocalResponse
+from ._context import Context
+from ._responses import failure_response
+
+TELL_DELAY_S = 0.02
+"""Time for which origins are batched before they are sent to peers."""
+APPEND_DELAY_S = 0.15
+"""Time for which origins are batched before they are appended to the store."""
+ANSWER_TIMEOUT_S = 0.15
+EXPIRE_INTERVAL_S = 5.0
+RECOVERY_RETRY_S = 0.5
+UNKNOWN_RETRY_S = 0.3
+"""Retry delay sent with a refusal to take a stream up; it may start anew then."""
+
+
+class OriginKeeper:
+    """Records where streams begin, and finds out where one that is taken up began."""
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        self._origins = StreamOrigins()
+        self._untold: list[StreamOrigin] = []
+        self._unkept: list[StreamOrigin] = []
+        self._mixed: set[str] = set()
+        self._read_until = Position()
+        self._reading: Event | None = None
+        self._is_informed = False
+
+    def start(self) -> None:
+        """Learn in a green thread what is known already, and drop what is old."""
+        spawn_until_done("origins_recovery", self._recover)
+        spawn_until_done("origins_expiry", self._expire)
+
+    def record(self, active: ActiveRequest, runner: Runner) -> None:
+        """Record the version of the runner that a request for a stream is sent to."""
+        if not active.route.resumable:
+            return
+        now = self._ctx.clock.monotonic()
+        root = active.metadata.resumes or active.metadata.request_id
+        left_s = active.request.read_at + active.metadata.wait_s - now
+        origin = StreamOrigin(root, active.service, runner.software_version, left_s)
+        is_mixed = self._is_mixed(active.service, now)
+        self._origins.record(origin, now)
+        if is_mixed:
+            self._tell([origin])
+
+    def _is_mixed(self, service: str, now: float) -> bool:
+        """Return whether several versions serve; tell what was recorded before."""
+        is_mixed = self._ctx.directory.software.is_mixed(service, now)
+        if is_mixed and service not in self._mixed:
+            self._mixed.add(service)
+            versions = sorted(self._ctx.directory.software.lately(service, now))
+            log_event("software_mixed", service=service, versions=",".join(versions))
+            self._tell(self._origins.of_service(service, now))
+        elif not is_mixed and service in self._mixed:
+            self._mixed.discard(service)
+            log_event("software_uniform", service=service)
+        return is_mixed
+
+    def _keepers(self) -> list[str]:
+        """Return the other VMs of this domain that keep origins, by rank."""
+        ctx = self._ctx
+        found = readers(ctx.cfg.vm.domain, ctx.ownership.view.members)
+        return [vm for vm in found if vm != ctx.vm]
+
+    def _tell(self, origins: list[StreamOrigin]) -> None:
+        """Schedule origins to be sent to the keepers and appended to the store."""
+        if origins and not self._untold:
+            eventlet.spawn_after(TELL_DELAY_S, self._send_untold)
+        self._untold += origins
+
+    def _send_untold(self) -> None:
+        origins, self._untold = self._untold, []
+        is_keeper = self._ctx.reader_rank() < READERS_PER_DOMAIN
+        keepers = self._keepers()
+        if is_keeper or not keepers:
+            self._keep(origins)
+        for place, vm in enumerate(keepers):
+            is_to_keep = not is_keeper and place == 0
+            self._ctx.peers.send_to(vm, OriginsNotice(origins, is_to_keep))
+
+    def _keep(self, origins: list[StreamOrigin]) -> None:
+        """Schedule origins to be appended to the store."""
+        if not self._unkept:
+            eventlet.spawn_after(APPEND_DELAY_S, self._append)
+        self._unkept += origins
+
+    def _append(self) -> None:
+        origins, self._unkept = self._unkept, []
+        appended = self._ctx.ports.store.append_origins(origins)
+        outcome = appended.err_value.kind if isinstance(appended, Err) else "ok"
+        STORE_CALLS.labels(call="append_origins", outcome=outcome).inc()
+        if isinstance(appended, Err):
+            why = appended.err_value.detail
+            log_event("origins_unkept", level="warning", streams=len(origins), why=why)
+
+    def handle_origins_notice(self, _sender: str, notice: OriginsNotice) -> None:
+        """Record where streams of another VM began."""
+        self._record_all(notice.origins)
+        if notice.is_to_keep:
+            self._keep(notice.origins)
+
+    def _record_all(self, origins: list[StreamOrigin]) -> None:
+        now = self._ctx.clock.monotonic()
+        for origin in origins:
+            self._origins.record(origin, now)
+            self._ctx.directory.software.record_seen(
+                origin.service, origin.software, now
+            )
+
+    def handle_origin_request(
+        self, inbound: InboundMessage, request: OriginRequest
+    ) -> None:
+        """Reply where a stream began, as far as this VM knows."""
+        now = self._ctx.clock.monotonic()
+        software = self._origins.software_of(request.request, request.service, now)
+        is_mixed = self._is_mixed(request.service, now)
+        inbound.reply(OriginAnswer(software, is_mixed))
+
+    def constrain(self, active: ActiveRequest) -> LocalResponse | None:
+        """Confine a request that takes a stream up to the version that began it.
+
+        Returns the refusal if that version is not known. Without several versions the
+        only one is the one that began it.
+        """
+        software = self._find(active)
+        versions = self._ctx.directory.software.lately(
+            active.service, self._ctx.clock.monotonic()
+        )
+        outcome = "unknown" if software is None else "found"
+        if software is not None and software not in versions:
+            outcome = "gone"
+        log_event(
+            "origin",
+            request=active.metadata.request_id,
+            resumes=active.metadata.resumes,
+            service=active.service,
+            software=software,
+            versions=",".join(sorted(versions)),
+            outcome=outcome,
+        )
+        STREAMS_TAKEN_UP.labels(outcome=outcome).inc()
+        if software is None:
+            return failure_response(active, "origin_unknown", UNKNOWN_RETRY_S)
+        active.required_software = software
+        return None
+
+    def _find(self, active: ActiveRequest) -> str | None:
+        """Return the version that began a stream; None if it cannot be known."""
+        root, service = active.metadata.resumes, active.service
+        known = self._known(root, service)
+        if known is not None:
+            return known
+        is_told_mixed = False
+        for vm in self._keepers() if root else []:
+            answer = self._ask(vm, OriginRequest(root, service))
+            if answer is not None and answer.software is not None:
+                return answer.software
+            is_told_mixed = is_told_mixed or (answer is not None and answer.is_mixed)
+        if root and (is_told_mixed or self._may_be_mixed(service)):
+            self._read_store()
+        known = self._known(root, service)
+        if known is not None or is_told_mixed or self._may_be_mixed(service):
+            return known
+        now = self._ctx.clock.monotonic()
+        return next(iter(self._ctx.directory.software.lately(service, now)), None)
+
+    def _known(self, root: str, service: str) -> str | None:
+        now = self._ctx.clock.monotonic()
+        return self._origins.software_of(root, service, now)
+
+    def _may_be_mixed(self, service: str) -> bool:
+        """Return whether a stream may have begun at one of several versions."""
+        now = self._ctx.clock.monotonic()
+        return not self._is_informed or self._is_mixed(service, now)
+
+    def _ask(self, vm: str, request: OriginRequest) -> OriginAnswer | None:
+        deadline = self._ctx.clock.monotonic() + ANSWER_TIMEOUT_S
+        reply = self._ctx.peers.request_from(vm, request, deadline)
+        if isinstance(reply, Ok) and isinstance(reply.ok_value, OriginAnswer):
+            return reply.ok_value
+        log_event("origin_unanswered", peer=vm, resumes=request.request)
+        return None
+
+    def _read_store(self) -> bool:
+        """Record what the store has kept since the last read; return whether it did.
+
+        Requests that come during a read wait for it.
+        """
+        if self._reading is not None:
+            return bool(self._reading.wait())
+        reading = self._reading = Event()
+        is_read = False
+        try:
+            is_read = self._read_new()
+        finally:
+            self._reading = None
+            reading.send(is_read)
+        return is_read
+
+    def _read_new(self) -> bool:
+        read = self._ctx.ports.store.read_origins(self._read_until)
+        outcome = read.err_value.kind if isinstance(read, Err) else "ok"
+        STORE_CALLS.labels(call="read_origins", outcome=outcome).inc()
+        if isinstance(read, Err):
+            log_event("origins_unread", level="warning", why=read.err_value.detail)
+            return False
+        self._read_until = read.ok_value.end
+        self._record_all(read.ok_value.origins)
+        self._is_informed = True
+        return True
+
+    def _recover(self) -> None:
+        """Read what VMs have kept, after which an unknown stream means something."""
+        while not self._is_informed and not self._read_store():
+            eventlet.sleep(RECOVERY_RETRY_S)
+
+    def _expire(self) -> None:
+        while True:
+            eventlet.sleep(EXPIRE_INTERVAL_S)
+            self._origins.expire(self._ctx.clock.monotonic())
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -88,6 +88,9 @@
 
     def _may_serve(self, active: ActiveRequest, runner: Runner, now: float) -> bool:
         """Return whether a runner has the model and may get the request now."""
+        required = active.required_software
+        if required is not None and runner.software_version != required:
+            return False
         if not self._availability.may_serve(active, runner, now):
             return False
         return any(model.name == active.metadata.model for model in runner.models)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -15,6 +15,8 @@
     EvidenceRequest,
     HandoverNotice,
     LeavingNotice,
+    OriginRequest,
+    OriginsNotice,
     PrefillNotice,
     RenewRequest,
     ResidencyNotice,
@@ -33,6 +35,7 @@
 from ._gossip import Gossip
 from ._membership import Membership
 from ._model_requests import ModelRequests
+from ._origins import OriginKeeper
 from ._owner import OwnedRunners
 from ._plain_requests import PlainRequests
 from ._remote_domains import RemoteDomains
@@ -57,6 +60,7 @@
         availability = Availability(ctx, self._turns)
         attempts = Attempts(ctx, self.guard)
         responses = ResponseWriter(ctx)
+        self._origins = OriginKeeper(ctx)
         adapters = Adapters(ctx, self.owned_runners, self.membership)
         self._adapters = adapters
         self._gossip = Gossip(
@@ -77,6 +81,7 @@
                 availability,
                 attempts,
                 responses,
+                self._origins,
             ),
         )
         self.membership.on_change = self.owned_runners.refresh
@@ -97,6 +102,7 @@
         self.owned_runners.start()
         self._gossip.start()
         self.guard.start()
+        self._origins.start()
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send this VM new connections."""
@@ -132,6 +138,8 @@
             LeavingNotice: lambda inbound, _: self.membership.handle_leaving_notice(
                 inbound.sender
             ),
+            OriginRequest: self._origins.handle_origin_request,
+            OriginsNotice: _by_sender(self._origins.handle_origins_notice),
             PrefillNotice: lambda _, notice: self.owned_runners.handle_prefill_notice(
                 notice
             ),
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_store_port.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_store_port.py
@@ -12,6 +12,7 @@
     DirectoryRecord,
     Member,
     Position,
+    StreamOrigin,
     Suspicion,
     Topic,
 )
@@ -31,10 +32,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreFault:
-    """Failed call to the store."""
+    """Failed call to the store.
+
+    ``first`` is the first offset that the store has, if it has not those asked for.
+    """
 
     kind: StoreFaultKind
     detail: str
+    first: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +50,14 @@
     end: Position
 
 
+@dataclass(frozen=True, slots=True)
+class Origins:
+    """Origins of streams; ``end`` is the next position to read from."""
+
+    origins: list[StreamOrigin]
+    end: Position
+
+
 class ControlStore(ABC):
     """The operators' store: configuration, registry of runners and group membership."""
 
@@ -83,3 +96,11 @@
     @abstractmethod
     def write_suspicions(self, suspicions: list[Suspicion]) -> Result[None, StoreFault]:
         """Keep suspicions beyond the life of VMs; remove those without crashes."""
+
+    @abstractmethod
+    def append_origins(self, origins: list[StreamOrigin]) -> Result[None, StoreFault]:
+        """Keep for some seconds where streams began."""
+
+    @abstractmethod
+    def read_origins(self, start: Position) -> Result[Origins, StoreFault]:
+        """Read the origins from a position on, all that are kept if it is unknown."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
@@ -93,6 +93,7 @@
                 return self._fail(active, runner, progress, fault)
             if events:
                 tracker.mark_prompt_read()
+                active.required_software = runner.software_version
                 self._send_events(active, response, progress, events)
         if response.ends_with_connection and not _ends_after_event(active, progress):
             fault = AttemptFault(AttemptFailure.SENT, "closed within an event")
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -32,6 +32,7 @@
     follows_all_domains,
     is_followed_from,
     reader_rank,
+    readers,
     reads_store,
 )
 from ._epochs import Position, combine_generation, generation_number
@@ -62,6 +63,7 @@
 )
 from ._runner_queue import RunnerQueue, Waiter, adapter_key, is_base_model
 from ._runners import HeldModel, Runner
+from ._software import SoftwareVersions, StreamOrigin, StreamOrigins
 from ._statements import RateLimit, RunnerStatement, RunnerStatements
 from ._stream_timing import StreamPace, StreamTiming
 from ._turns import (
@@ -82,6 +84,10 @@
     "ExpectedTurns",
     "Permit",
     "Position",
+    "SoftwareVersions",
+    "StreamOrigin",
+    "StreamOrigins",
+    "readers",
     "combine_generation",
     "generation_number",
     "Turn",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -9,6 +9,7 @@
 from ._routes import RouteTable
 from ._runner_index import RunnerIndex
 from ._runners import Runner
+from ._software import SoftwareVersions
 
 RECOVERY_WINDOW_S = 2.5
 """Time after an outage of the store in which removed entries may return."""
@@ -16,7 +17,7 @@
 """Time for which a runner is still used after its entry expired in an outage: less
 than the 2 s that an entry takes to return and that a removed runner keeps serving."""
 MAX_TOMBSTONES = 500
-"""Records of removed entries that are kept to be sent to peers."""
+"""Removed entries that are kept to be sent to peers."""
 
 
 class DirectoryState:
@@ -59,6 +60,11 @@
         """Return the newest declared version of each adapter that has one."""
         return self._operator.versions
 
+    @property
+    def software(self) -> SoftwareVersions:
+        """Return the versions of the runners' software by service."""
+        return self._runners.software
+
     def runner(self, runner_id: str) -> Runner | None:
         """Return a registered runner, draining or not."""
         return self._runners.get(runner_id)
@@ -71,9 +77,8 @@
         found = self._runners.of_service(service)
         if not self._expiry_deadlines:
             return found
-        return [
-            r for r in found if now < self._expiry_deadlines.get(r.id, float("inf"))
-        ]
+        deadlines = self._expiry_deadlines
+        return [r for r in found if now < deadlines.get(r.id, float("inf"))]
 
     def takes_new_work(self, runner: Runner, now: float) -> bool:
         """Return whether this incarnation of a runner may still get new work."""
@@ -88,7 +93,7 @@
 
     def local_runner_count(self, service: str, domain: str) -> int:
         """Return the number of a service's non-draining runners in a domain."""
-        return len(self.runners_by_domain(service).get(domain, []))
+        return len(self._runners.by_domain(service).get(domain, []))
 
     def is_after_outage(self, now: float) -> bool:
         """Return whether the store has just become reachable again."""
@@ -220,7 +225,7 @@
             record.runner, record.position, self._copied_until, now
         )
         self._expiry_deadlines.pop(record.key, None)
-        self._runners.put(self._leaving.with_state(record.runner))
+        self._runners.put(self._leaving.with_state(record.runner), now)
         return True
 
     def _keep_leaving(
@@ -229,8 +234,7 @@
         """Record that a runner leaves if only a restored store has forgotten it."""
         if known is None or known.runner is None or not known.runner.draining:
             return
-        is_restored = known.position.epoch < record.position.epoch
-        if is_restored:
+        if known.position.epoch < record.position.epoch:
             self._leaving.record_leaving(record.key, known.runner.born_ms)
 
     def record_leaving(self, runner_id: str, born_ms: int) -> bool:
@@ -250,9 +254,9 @@
         known = self._runners.get(runner_id)
         if known is None:
             return
-        is_newest = record and record.runner and record.runner.born_ms == known.born_ms
-        entry = record.runner if is_newest and record and record.runner else known
-        self._runners.put(self._leaving.with_state(entry))
+        newest = record.runner if record else None
+        entry = newest if newest and newest.born_ms == known.born_ms else known
+        self._runners.update(self._leaving.with_state(entry))
 
     def stated_leaving(self) -> dict[str, int]:
         """Return the incarnations that said that they leave and are registered."""
@@ -274,7 +278,7 @@
             self._expiry_deadlines.setdefault(runner.id, now + EXPIRY_GRACE_S)
             return True
         self._expiry_deadlines.pop(runner.id, None)
-        self._runners.remove(runner.id)
+        self._runners.remove(runner.id, now)
         return True
 
     def expire(self, now: float) -> list[str]:
@@ -284,7 +288,7 @@
         expired = [key for key, at in self._expiry_deadlines.items() if now >= at]
         for runner_id in expired:
             del self._expiry_deadlines[runner_id]
-            self._runners.remove(runner_id)
+            self._runners.remove(runner_id, now)
         return expired
 
     def _drop_old_tombstones(self) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_distribution.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_distribution.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable
 
 from ._runners import Runner
@@ -46,6 +47,12 @@
     return now - notice_received_at > timeout_s
 
 
+def readers(domain: str, members: Iterable[Member]) -> list[str]:
+    """Return the VMs that read the store for a failure domain, by rank."""
+    local = {(m.is_new, m.vm) for m in members if m.domain == domain}
+    return [vm for _, vm in heapq.nsmallest(READERS_PER_DOMAIN, local)]
+
+
 def reader_rank(vm: str, domain: str, members: Iterable[Member]) -> int:
     """Return the rank of a VM among the members of its domain as a store reader.
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_index.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_index.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from ._runners import Runner
+from ._software import SoftwareVersions
 
 
 class RunnerIndex:
     """Registered runners; lists of those that are not draining are cached."""
 
     def __init__(self) -> None:
+        self.software = SoftwareVersions()
         self._by_id: dict[str, Runner] = {}
         self._by_service: dict[str, list[Runner]] = {}
         self._by_domain: dict[str, dict[str, list[Runner]]] = {}
@@ -17,14 +19,19 @@
         """Return a registered runner, None if there is none of that id."""
         return self._by_id.get(runner_id)
 
-    def put(self, runner: Runner) -> None:
+    def put(self, runner: Runner, now: float) -> None:
         """Add a runner or replace the one with its id."""
+        self.software.replace(self._by_id.get(runner.id), runner, now)
+        self.update(runner)
+
+    def update(self, runner: Runner) -> None:
+        """Replace a registered runner by one of the same version."""
         self._by_id[runner.id] = runner
         self._clear_lists()
 
-    def remove(self, runner_id: str) -> None:
+    def remove(self, runner_id: str, now: float) -> None:
         """Remove a runner; one that is not registered is ignored."""
-        self._by_id.pop(runner_id, None)
+        self.software.replace(self._by_id.pop(runner_id, None), None, now)
         self._clear_lists()
 
     def __len__(self) -> int:
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -8,6 +8,7 @@
 from gooseberryrun._internal.coordination import PeerError, PeerMessage, Peers
 from gooseberryrun._internal.coordination.serving import (
     Context,
+    Origins,
     Ports,
     StoreFault,
     StoreFaultKind,
@@ -19,6 +20,7 @@
     Member,
     Position,
     Runner,
+    StreamOrigin,
     Topic,
     View,
 )
@@ -34,6 +36,7 @@
         self.groups = members
         self.calls: Counter[str] = Counter()
         self.is_refusing = False
+        self.origins: list[StreamOrigin] = []
 
     def renew(
         self, group: str, member: Member, generation: int
@@ -52,6 +55,18 @@
             self.groups[group].remove(member)
         return Ok(None)
 
+    def append_origins(self, origins: list[StreamOrigin]) -> Result[None, StoreFault]:
+        self.calls["append_origins"] += 1
+        self.origins += origins
+        return Ok(None)
+
+    def read_origins(self, start: Position) -> Result[Origins, StoreFault]:
+        self.calls["read_origins"] += 1
+        if self.is_refusing:
+            return Err(REFUSED)
+        end = Position(start.epoch, len(self.origins))
+        return Ok(Origins(self.origins[start.offset :], end))
+
     def members(self, group: str) -> Result[list[Member], StoreFault]:
         self.calls["members"] += 1
         return Err(REFUSED) if self.is_refusing else Ok(list(self.groups[group]))
--- /dev/null
+++ b/tests/unit/serving/test_stream_origins.py
@@ -0,0 +1,284 @@
+"""Where streams began: what is known of it, for how long and at which VMs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+import pytest
+from gooseberryrun._internal.coordination import InboundMessage, PeerMessage
+from gooseberryrun._internal.coordination._serving_messages import (
+    OriginAnswer,
+    OriginRequest,
+    OriginsNotice,
+)
+from gooseberryrun._internal.coordination.serving import (
+    ActiveRequest,
+    InboundRequest,
+    RequestMetadata,
+)
+from gooseberryrun._internal.coordination.serving._origins import OriginKeeper
+from gooseberryrun._internal.state import ManualClock
+from gooseberryrun._internal.state.serving import (
+    DirectoryRecord,
+    Position,
+    Route,
+    RouteKind,
+    Runner,
+    SoftwareVersions,
+    StreamOrigin,
+    StreamOrigins,
+    Topic,
+    WeightedService,
+)
+from gooseberryrun._internal.state.serving._software import (
+    ENDED_VERSION_TTL_S,
+    MAX_ENDED_VERSIONS,
+    MAX_ORIGIN_S,
+    MAX_ORIGINS,
+)
+from result import Err, Ok, Result
+
+from tests.lib.fleet import REFUSED, GroupStore, make_members, make_vm
+
+OLD = Runner("i-1", "s", "h", 1, "d0", 64, False, 1, 0, (), "v1")
+NEW = replace(OLD, id="i-2", software_version="v2")
+ROUTE = Route(
+    "r",
+    "h",
+    "/",
+    RouteKind.STREAM,
+    15.0,
+    1.0,
+    0,
+    (WeightedService("s", 1.0),),
+    2,
+    True,
+)
+WAIT_S = 15.0
+
+
+def request(request_id: str, resumes: str = "") -> ActiveRequest:
+    nobody: Any = None
+    metadata = RequestMetadata(
+        request_id, WAIT_S, last_event_id="4" if resumes else "", resumes=resumes
+    )
+    inbound = InboundRequest("POST", "/", "h", [], b"", 10.0)
+    return ActiveRequest(inbound, metadata, nobody, ROUTE, "s", 25.0)
+
+
+@dataclass
+class Vm:
+    """Keeper of one VM, whose clock and peers a test moves by hand."""
+
+    keeper: OriginKeeper
+    clock: ManualClock
+    peers: Any
+
+    def register(self, offset: int, runner: Runner | None, key: str = "") -> None:
+        key = runner.id if runner else key
+        position = Position(0, offset)
+        record = DirectoryRecord(Topic.RUNNERS, position, key, runner=runner)
+        self.keeper._ctx.directory.apply(record, self.clock.now)
+
+    def flush(self) -> None:
+        """Send and append what is scheduled."""
+        self.keeper._send_untold()
+        if self.keeper._unkept:
+            self.keeper._append()
+
+    def take_up(self, root: str) -> str | None:
+        """Take a stream up; return the version that it is confined to."""
+        active = request("again", root)
+        refusal = self.keeper.constrain(active)
+        assert (refusal is None) is (active.required_software is not None)
+        assert refusal is None or refusal.status == 503
+        return active.required_software
+
+
+@pytest.fixture(autouse=True)
+def _nothing_scheduled(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("eventlet.spawn_after", lambda *args: None)
+
+
+def make_keepers(store: GroupStore, count: int = 3) -> list[Vm]:
+    """Return VMs of one domain that have read the store and know a runner of v1."""
+    vms = []
+    for member in store.groups["d0"][:count]:
+        clock = ManualClock(10.0)
+        ctx, peers = make_vm(member, store, [], clock)
+        vms.append(Vm(OriginKeeper(ctx), clock, peers))
+        vms[-1].register(0, OLD)
+        assert vms[-1].keeper._read_store()
+    return vms
+
+
+@pytest.fixture(name="store")
+def _store() -> GroupStore:
+    return GroupStore(make_members(1, 3))
+
+
+def test_stream_goes_on_anywhere_while_one_version_serves(store: GroupStore) -> None:
+    vm = make_keepers(store)[0]
+    assert vm.take_up("of-another-vm") == "v1"
+    assert not store.origins
+
+
+def test_nothing_is_written_while_one_version_serves(store: GroupStore) -> None:
+    vm = make_keepers(store)[0]
+    vm.keeper.record(request("r1"), OLD)
+    vm.flush()
+    assert not store.origins
+    assert not [m for _, m in vm.peers.sent if getattr(m, "origins", None)]
+
+
+def test_streams_from_before_a_release_are_told_once_it_begins(
+    store: GroupStore,
+) -> None:
+    vm, other, _ = make_keepers(store)
+    vm.keeper.record(request("r1"), OLD)
+    for each in (vm, other):
+        each.register(1, NEW)
+    vm.keeper.record(request("r2"), NEW)
+    vm.flush()
+    kept = [(origin.request, origin.software) for origin in store.origins]
+    assert kept == [("r1", "v1"), ("r2", "v2")]
+    assert other.take_up("r1") == "v1"
+    assert other.take_up("r2") == "v2"
+
+
+def test_keepers_are_told_and_one_vm_alone_writes(store: GroupStore) -> None:
+    vm, other, _ = make_keepers(store)
+    for each in (vm, other):
+        each.register(1, NEW)
+    vm.keeper.record(request("r1"), NEW)
+    vm.flush()
+    notices = [(to, m) for to, m in vm.peers.sent if isinstance(m, OriginsNotice)]
+    assert sorted(to for to, _ in notices) == ["vm-001", "vm-002"]
+    assert not any(notice.is_to_keep for _, notice in notices)
+    other.keeper.handle_origins_notice("vm-000", notices[0][1])
+    other.flush()
+    store.is_refusing = True
+    assert other.take_up("r1") == "v2"
+    assert len(store.origins) == 1
+
+
+def test_version_that_has_just_ended_is_not_taken_for_that_of_the_stream(
+    store: GroupStore,
+) -> None:
+    vm = make_keepers(store)[0]
+    vm.register(1, NEW)
+    vm.register(2, None, OLD.id)
+    assert vm.take_up("unknown") is None
+    vm.clock.now += ENDED_VERSION_TTL_S + 1
+    assert vm.take_up("unknown") == "v2"
+
+
+def test_vm_that_starts_learns_from_the_store(store: GroupStore) -> None:
+    vm = make_keepers(store)[0]
+    vm.register(1, NEW)
+    vm.keeper.record(request("r1"), OLD)
+    vm.flush()
+    clock = ManualClock(50.0)
+    ctx, peers = make_vm(store.groups["d0"][1], store, [], clock)
+    fresh = Vm(OriginKeeper(ctx), clock, peers)
+    fresh.register(0, NEW)
+    # The only runner of v1 has left meanwhile.
+    assert fresh.take_up("r1") == "v1"
+    assert fresh.take_up("unknown") is None
+
+
+def test_vm_that_could_not_read_the_store_refuses_what_it_does_not_know(
+    store: GroupStore,
+) -> None:
+    store.is_refusing = True
+    clock = ManualClock(50.0)
+    ctx, peers = make_vm(store.groups["d0"][0], store, [], clock)
+    fresh = Vm(OriginKeeper(ctx), clock, peers)
+    fresh.register(0, OLD)
+    assert fresh.take_up("r1") is None
+    store.is_refusing = False
+    assert fresh.take_up("r1") == "v1"
+
+
+def test_word_of_a_peer_counts_though_this_vm_knows_one_version(
+    store: GroupStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The peer has read of a release that this VM has not read of yet."""
+    vm = make_keepers(store)[0]
+    answers: list[Result[PeerMessage, Any]] = [Ok(OriginAnswer("v2", True))] * 2
+    monkeypatch.setattr(vm.peers, "request_from", lambda *args: answers.pop())
+    assert vm.take_up("r1") == "v2"
+    answers[:] = [Ok(OriginAnswer(None, True)), Ok(OriginAnswer(None, False))]
+    assert vm.take_up("r2") is None
+
+
+def test_peer_is_answered_from_memory(store: GroupStore) -> None:
+    vm = make_keepers(store)[0]
+    vm.keeper.record(request("r1"), OLD)
+    replies: list[PeerMessage] = []
+    for root in ("r1", "r2"):
+        message = OriginRequest(root, "s")
+        inbound = InboundMessage("vm-001", message, replies.append)
+        vm.keeper.handle_origin_request(inbound, message)
+    assert replies == [OriginAnswer("v1", False), OriginAnswer(None, False)]
+
+
+def test_caller_that_resumes_again_names_the_first_request(store: GroupStore) -> None:
+    vm = make_keepers(store)[0]
+    vm.register(1, NEW)
+    vm.keeper.record(request("r1"), NEW)
+    again = request("r2", resumes="r1")
+    assert vm.keeper.constrain(again) is None
+    vm.keeper.record(again, NEW)
+    assert vm.take_up("r1") == "v2"
+
+
+def test_unreadable_store_costs_one_read_each(store: GroupStore) -> None:
+    vm = make_keepers(store)[0]
+    vm.register(1, NEW)
+    store.calls.clear()
+    store.is_refusing = True
+    for number in range(5):
+        assert vm.take_up(f"garbage-{number}") is None
+    assert store.calls["read_origins"] == 5
+
+
+def test_failed_append_is_not_fatal(
+    store: GroupStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    vm = make_keepers(store)[0]
+    vm.register(1, NEW)
+    vm.keeper.record(request("r1"), NEW)
+    monkeypatch.setattr(store, "append_origins", lambda origins: Err(REFUSED))
+    vm.flush()
+    assert vm.take_up("r1") == "v2"
+
+
+def test_origins_are_bounded_in_number_and_age() -> None:
+    origins = StreamOrigins()
+    for number in range(MAX_ORIGINS + 5):
+        origins.record(StreamOrigin(f"r{number}", "s", "v1", 1e9), 0.0)
+    assert len(origins._kept) == MAX_ORIGINS
+    assert origins.software_of("r4", "s", 0.0) is None
+    assert origins.software_of("r5", "s", MAX_ORIGIN_S) == "v1"
+    assert origins.software_of("r5", "other", 0.0) is None
+    origins.expire(MAX_ORIGIN_S + 1)
+    assert not origins._kept
+
+
+def test_ended_versions_are_bounded() -> None:
+    versions = SoftwareVersions()
+    for number in range(MAX_ENDED_VERSIONS + 5):
+        versions.record_seen("s", f"v{number}", 1.0)
+    assert len(versions.lately("s", 1.0)) == MAX_ENDED_VERSIONS
+
+
+def test_runner_that_restarts_at_another_version_counts_as_both() -> None:
+    versions = SoftwareVersions()
+    versions.replace(None, OLD, 0.0)
+    reborn = replace(OLD, born_ms=2, software_version="v2")
+    versions.replace(OLD, reborn, 5.0)
+    assert versions.lately("s", 5.0) == {"v1", "v2"}
+    assert versions.is_mixed("s", 5.0)
+    assert not versions.is_mixed("s", 5.0 + ENDED_VERSION_TTL_S + 1)
