--- a/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/_peer_codec.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/_peer_codec.py
@@ -29,6 +29,6 @@
         return Err(f"unknown message kind {kind!r}")
     try:
         message: PeerMessage = decoder.decode(body)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         return Err(f"{kind}: {exc}")
     return Ok(message)
