Answer every request that a stopping VM has taken

Report of another operator: requests that came late in the grace were taken, passed on and cut with no answer. Here those that come later than 2.6 s after the SIGTERM were refused already (without a time to come back: added). Real: a request taken before, or before the SIGTERM, that its server had not answered by the end of the grace was cut with its connection, one that may not be repeated too; a stream taken after the SIGTERM that could not end by then was passed on.

Cause: the time at which the process has to exit was known to its main loop alone. Now each request's deadline is at most that time; a stream that is expected to last longer is refused at once as not run; what is still open 0.2 s before the exit is answered: 502 if it may have run, an attempt in flight included, else 503.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -14,6 +14,8 @@
 from typing import Any
 
 LOAD_S = 0.1
+SILENCE_S = 60.0
+"""Time after which a silent server responds after all: longer than a test lasts."""
 FLAPPING_WINDOW_S = 3.0
 """Shortest time in which ownership may pass to another VM and back, in seconds."""
 
@@ -28,7 +30,8 @@
     ``cut`` (a stream is reset within an event), ``unframed`` (a whole response without
     a length that ends with the connection), ``unframed_cut`` (such a stream ends within
     an event), ``half_head`` (the connection closes within the head), ``crash`` (the
-    connection closes within a stream and the address accepts no more).
+    connection closes within a stream and the address accepts no more), ``silent`` (the
+    request runs, and no response comes).
 
     A prompt takes ``prompt_token_s`` a token before the first event; ``most_reading``
     is the largest number of prompts that were being read at the same time.
@@ -304,6 +307,8 @@
             self._send(503, b"", headers)
         else:
             self.runner.ran.append(self.headers["X-Gooseberryrun-Request-Id"])
+            if fault == "silent":
+                time.sleep(SILENCE_S)
             self._respond(fault)
 
     def _respond(self, fault: str) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
@@ -23,10 +23,12 @@
     OutboundRequest,
     PromptPart,
     RequestHandler,
+    RequestInterruptedError,
     RequestMetadata,
     ResponseMetadata,
     RunnerRequests,
     RunnerResponse,
+    StoppingError,
 )
 from ._responses import end_to_end
 from ._serving import Serving
@@ -39,6 +41,8 @@
     "AttemptFault",
     "Caller",
     "CallerDisconnectedError",
+    "RequestInterruptedError",
+    "StoppingError",
     "Context",
     "ControlStore",
     "EventBuffer",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -20,7 +20,7 @@
     adapter_key,
 )
 
-from ._request_ports import Caller, InboundRequest, RequestMetadata
+from ._request_ports import Caller, InboundRequest, RequestMetadata, StoppingError
 
 
 @dataclass(slots=True)
@@ -35,7 +35,8 @@
     are what it shares with other requests and might crash runners, ``verdict`` what was
     last made of them. ``is_begun`` and ``answered_at`` are of the present attempt:
     whether its response has started, and the time of its first event. Once a stream has
-    begun, it goes on only at runners of ``required_software``.
+    begun, it goes on only at runners of ``required_software``. ``is_in_flight`` is set
+    from the send of an attempt until the head of its response or its failure.
     """
 
     request: InboundRequest
@@ -61,6 +62,7 @@
     answered_at: float | None = None
     is_answer_recorded: bool = False
     required_software: str | None = None
+    is_in_flight: bool = False
 
     @property
     def adapter_key(self) -> str:
@@ -116,6 +118,8 @@
     """The caller has received a runner's response."""
     AGAIN = "again"
     """Another runner may be tried."""
+    STOPPING = "stopping"
+    """The process has to exit before the caller has received a response."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,9 +139,15 @@
 def run_rounds(
     rounds: int, try_once: Callable[[], LocalResponse | Round]
 ) -> LocalResponse | Round:
-    """Call ``try_once`` until it returns a final result, at most ``rounds`` times."""
-    for _ in range(rounds):
-        outcome = try_once()
-        if outcome is not Round.AGAIN:
-            return outcome
+    """Call ``try_once`` until it returns a final result, at most ``rounds`` times.
+
+    Returns ``STOPPING`` if the process has to exit before that.
+    """
+    try:
+        for _ in range(rounds):
+            outcome = try_once()
+            if outcome is not Round.AGAIN:
+                return outcome
+    except StoppingError:
+        return Round.STOPPING
     return Round.AGAIN
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -26,7 +26,7 @@
 from ._context import Context
 from ._membership import Membership
 from ._owner import OwnedRunners
-from ._request_ports import CallerDisconnectedError
+from ._request_ports import RequestInterruptedError
 from ._waiting_requests import Refusal
 
 RESPONSE_MARGIN_S = 0.05
@@ -222,7 +222,7 @@
                 acquired = self._owned_runners.acquire(request, deadline)
             else:
                 acquired = self._request_from_owner(owner.vm, request, deadline)
-        except CallerDisconnectedError:
+        except RequestInterruptedError:
             self.end_prefill(runner, requirement.request_id, WITHDRAWN_S)
             raise
         self._record_outcome(runner, requirement.adapter, acquired)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -89,7 +89,9 @@
             )
         requested_at = self._ctx.clock.monotonic()
         self._ctx.pauses.begin_send(runner, requested_at)
+        active.is_in_flight = True
         sent = self._ctx.ports.requests.send(runner, outbound, deadline)
+        active.is_in_flight = False
         if isinstance(sent, Err):
             self.record_fault(active, runner, sent.err_value)
         else:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -48,7 +48,10 @@
 
 @dataclass(slots=True)
 class Context:
-    """Settings, ports and state of one entry VM."""
+    """Settings, ports and state of one entry VM.
+
+    Once the process is stopping, all responses are due at ``stop_deadline``.
+    """
 
     cfg: ServingSettings
     clock: Clock
@@ -62,6 +65,7 @@
     pauses: RunnerPauses = field(default_factory=RunnerPauses)
     policy: ServingPolicy = ServingPolicy()
     can_reach_store: bool = True
+    stop_deadline: float = float("inf")
     is_new: bool = True
     store_statuses: dict[str, StoreStatus] = field(default_factory=dict)
     residency: Residency = field(init=False)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -79,6 +79,7 @@
         route: Route,
     ) -> ActiveRequest:
         wait_s = min(metadata.wait_s, route.timeout_s)
+        deadline = min(request.read_at + wait_s, self._ctx.stop_deadline)
         version = self._ctx.directory.version_of(metadata.model, metadata.adapter)
         return ActiveRequest(
             request,
@@ -86,7 +87,7 @@
             caller,
             route,
             route.pick_service(metadata.resumes or metadata.request_id),
-            request.read_at + wait_s,
+            deadline,
             traits=request_traits(request, metadata, version),
         )
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -17,7 +17,7 @@
 from ._load_tracker import LoadTracker
 from ._origins import OriginKeeper
 from ._request_ports import ForwardingMetadata, RunnerResponse
-from ._responses import ResponseWriter, failure_response
+from ._responses import ResponseWriter, failure_response, stopping_response
 from ._runner_choice import RunnerChooser
 from ._stream_relay import StreamProgress, StreamRelay, after_fault
 from ._turns import Turns
@@ -67,6 +67,8 @@
         outcome = run_rounds(MAX_ROUNDS, lambda: self._try_once(active, progress))
         if outcome is Round.AGAIN:
             outcome = failure_response(active, "attempts", BUSY_RETRY_S)
+        if outcome is Round.STOPPING:
+            outcome = stopping_response(active)
         if isinstance(outcome, LocalResponse):
             self._send_final(active, progress, outcome)
 
@@ -97,6 +99,9 @@
             _log_overload(active, choice)
             retry_in_s = max(BUSY_RETRY_S, choice.candidate.turn_wait_s)
             return failure_response(active, "overload", retry_in_s)
+        ends_at = now + choice.expected_s + choice.candidate.stream_s
+        if ends_at > self._ctx.stop_deadline:
+            return stopping_response(active)
         runner = choice.candidate.runner
         if not self._turns.take(active, runner):
             active.ungranted.add(runner.id)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -16,7 +16,12 @@
 from ._availability import Availability
 from ._context import Context
 from ._request_ports import AttemptFailure, ForwardingMetadata, RunnerResponse
-from ._responses import ResponseWriter, failure_response, is_valid_response
+from ._responses import (
+    ResponseWriter,
+    failure_response,
+    is_valid_response,
+    stopping_response,
+)
 from ._turns import Turns
 
 MAX_SENDS = 5
@@ -51,6 +56,8 @@
         outcome = run_rounds(MAX_SENDS, lambda: self._try_once(active))
         if outcome is Round.AGAIN:
             outcome = failure_response(active, "attempts", FULL_RETRY_S)
+        if outcome is Round.STOPPING:
+            outcome = stopping_response(active)
         if isinstance(outcome, LocalResponse):
             self._responses.send_local(active, outcome)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -145,8 +145,16 @@
         """Serve a request; CallerDisconnectedError propagates."""
 
 
-class CallerDisconnectedError(Exception):
-    """Raised in the green thread of a request whose caller closed the connection."""
+class RequestInterruptedError(Exception):
+    """Raised in the green thread of a request that ends before its response."""
+
+
+class CallerDisconnectedError(RequestInterruptedError):
+    """The caller closed the connection."""
+
+
+class StoppingError(RequestInterruptedError):
+    """The process has to exit; the caller still gets a response."""
 
 
 class AttemptFailure(Enum):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
@@ -17,6 +17,8 @@
 from ._context import Context
 from ._request_ports import Headers, RunnerResponse
 
+STOPPING_RETRY_S = 0.1
+"""Retry delay sent by a VM that is stopping; other VMs serve at once."""
 RETRY_JITTER = 0.5
 """Relative jitter of retry delays, so that callers do not retry simultaneously."""
 
@@ -58,11 +60,16 @@
     active: ActiveRequest, reason: str, retry_in_s: float | None = None
 ) -> LocalResponse:
     """Return the response to a failed request: 503 only if it has not run."""
-    if active.may_have_run:
+    if active.may_have_run or active.is_in_flight:
         return LocalResponse(504 if reason == "deadline" else 502, reason)
     return LocalResponse(503, reason, retry_in_s)
 
 
+def stopping_response(active: ActiveRequest) -> LocalResponse:
+    """Return the response to a request that cannot be done before the process exits."""
+    return failure_response(active, "stopping", STOPPING_RETRY_S)
+
+
 def refusal_until(
     active: ActiveRequest, reason: str, earliest_in_s: float
 ) -> LocalResponse:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -43,6 +43,8 @@
 """Time from a stop request until idle keep-alive connections are closed."""
 EXIT_MARGIN_S = 0.8
 """Time reserved before the platform kills a process that is stopping."""
+ANSWER_TIME_S = 0.2
+"""Time in which the last open requests get their responses before the exit."""
 RELEASE_TIMEOUT_S = 0.3
 """Time limit for the release of the runners at the end of a stop."""
 IDLE_BEFORE_EXIT_S = 0.4
@@ -181,7 +183,9 @@
         if self._ctx.can_reach_store:
             eventlet.spawn(self._serving.release)
         eventlet.spawn_after(IDLE_CLOSE_DELAY_S, self._callers.close_idle)
-        self._drain(started_at + BALANCER_REMOVAL_S, exit_deadline)
+        self._ctx.stop_deadline = exit_deadline - ANSWER_TIME_S
+        self._drain(started_at + BALANCER_REMOVAL_S, self._ctx.stop_deadline)
+        self._end_open_requests(exit_deadline)
         log_event(
             "stopped",
             open_requests=self._callers.open_requests,
@@ -193,6 +197,15 @@
         with Timeout(RELEASE_TIMEOUT_S, False):
             self._serving.release()
 
+    def _end_open_requests(self, latest: float) -> None:
+        """Answer the requests that are still open, as far as they have no answer."""
+        if not self._callers.open_requests:
+            return
+        log_event("requests_ended", open_requests=self._callers.open_requests)
+        self._callers.interrupt_open()
+        while self._callers.open_requests and self._clock.monotonic() < latest:
+            eventlet.sleep(POLL_INTERVAL_S / 4)
+
     def _drain(self, earliest: float, latest: float) -> None:
         """Serve until the load balancer sends no more requests and none is open.
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -23,6 +23,7 @@
     Headers,
     InboundRequest,
     RequestHandler,
+    StoppingError,
 )
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import ClientLimits
@@ -32,6 +33,8 @@
 BACKLOG = 1024
 MAX_BUFFERED_BYTES = 64 << 20
 """Bytes of request bodies that may be held in memory at the same time."""
+REJECTED_RETRY_S = "0.1"
+"""Retry delay sent with a 503 for a request that is not served here."""
 SEND_TIMEOUT_S = 20.0
 """Time after which the connection of a caller that does not read is closed."""
 
@@ -80,6 +83,11 @@
         for conn in list(self._connections):
             conn.end()
 
+    def interrupt_open(self) -> None:
+        """Let the open requests end with a response now, since the process exits."""
+        for conn in list(self._connections):
+            conn.interrupt()
+
     def close_idle(self) -> None:
         """Close the connections without an open request."""
         for conn in list(self._connections):
@@ -132,6 +140,7 @@
         self._limits = limits
         self._clock = clock
         self.is_idle = True
+        self._serving: tuple[Any, _HttpCaller] | None = None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
@@ -145,6 +154,12 @@
         """Shut the connection down; its green thread closes the socket."""
         end_connection(self._sock)
 
+    def interrupt(self) -> None:
+        """Raise ``StoppingError`` in the green thread of an open request."""
+        if self._serving is not None:
+            request, caller = self._serving
+            get_hub().schedule_call_global(0, _interrupt_to_stop, request, caller)
+
     def run(self, handler: RequestHandler) -> None:
         """Serve requests until the connection ends."""
         while True:
@@ -167,6 +182,7 @@
         caller = _HttpCaller(self, request)
         self._server.open_requests += 1
         self._server.buffered_bytes += len(request.body)
+        self._serving = (eventlet.getcurrent(), caller)
         watcher = eventlet.spawn(
             _watch_disconnect, self._sock, eventlet.getcurrent(), caller
         )
@@ -174,6 +190,7 @@
             handler.handle(request, caller)
         finally:
             caller.is_interruptible = False
+            self._serving = None
             watcher.kill()
             self._server.open_requests -= 1
             self._server.buffered_bytes -= len(request.body)
@@ -282,6 +299,8 @@
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [("content-length", "0"), ("connection", "close")]
+        if exc.status == 503:
+            headers.append(("retry-after", REJECTED_RETRY_S))
         self.send_event(
             h11.Response(status_code=exc.status, headers=headers), h11.EndOfMessage()
         )
@@ -332,6 +351,12 @@
         request.throw(CallerDisconnectedError())
 
 
+def _interrupt_to_stop(request: Any, caller: _HttpCaller) -> None:
+    """Raise ``StoppingError`` in a request's thread unless its response is sent."""
+    if not caller.is_answered and not request.dead:
+        request.throw(StoppingError())
+
+
 class _HttpCaller(Caller):
     """Sends the response to one request."""
 
@@ -340,12 +365,13 @@
         self._request = request
         self.is_interruptible = True
         self.is_disconnected = False
+        self.is_answered = False
 
     def continue_after_disconnect(self) -> None:
         self.is_interruptible = False
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        self.is_interruptible = False
+        self._end_interruptions()
         framed = [*headers, ("content-length", str(len(body)))]
         events: list[Any] = [self._head(status, framed)]
         if body and self._request.method != "HEAD":
@@ -359,14 +385,18 @@
         self._conn.send_event(h11.Data(data=data))
 
     def finish(self) -> None:
-        self.is_interruptible = False
+        self._end_interruptions()
         self._conn.send_event(h11.EndOfMessage())
 
     def abort(self) -> None:
-        self.is_interruptible = False
+        self._end_interruptions()
         self._conn.end()
         raise CallerDisconnectedError
 
+    def _end_interruptions(self) -> None:
+        self.is_interruptible = False
+        self.is_answered = True
+
     def _head(self, status: int, headers: Headers) -> h11.Response:
         if self._conn.closes_after():
             headers = [*headers, ("connection", "close")]
--- a/tests/unit/serving/test_retry_delays.py
+++ b/tests/unit/serving/test_retry_delays.py
@@ -24,10 +24,17 @@
         return []
 
 
+class NotRun:
+    """Request of which nothing has reached a runner."""
+
+    may_have_run = False
+    is_in_flight = False
+
+
 def send(response: LocalResponse, times: int) -> list[float]:
     """Send a response several times; return the delays that callers were told."""
     ctx: Any = _Ctx()
-    active: Any = type("Active", (), {"may_have_run": False})()
+    active: Any = NotRun()
     active.metadata = type("Metadata", (), {"request_id": "r"})()
     active.caller = type("Caller", (), {"respond": lambda *_args: None})()
     writer = ResponseWriter(ctx)
@@ -40,7 +47,7 @@
 
 def test_callers_do_not_come_back_before_a_known_time() -> None:
     """They were told half of a pause that a runner had asked for, and refused again."""
-    active: Any = type("Active", (), {"may_have_run": False})()
+    active: Any = NotRun()
     known: ActiveRequest = active
     delays = send(refusal_until(known, "runners_limited", 40.0), times=100)
     assert min(delays) >= 40.0
