Remember streams by the request that begins or began them, cut if long

Found while reading: a request that names another in Resumes but no last event begins a stream of its own, and was recorded as the other; ids up to the size of all headers were kept 20,000 times. Both tests failed before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -86,7 +86,7 @@
             metadata,
             caller,
             route,
-            route.pick_service(metadata.resumes or metadata.request_id),
+            route.pick_service(metadata.stream_id),
             deadline,
             traits=request_traits(request, metadata, version),
         )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
@@ -63,7 +63,7 @@
         if not active.route.resumable:
             return
         now = self._ctx.clock.monotonic()
-        root = active.metadata.resumes or active.metadata.request_id
+        root = active.metadata.stream_id
         left_s = active.request.read_at + active.metadata.wait_s - now
         origin = StreamOrigin(root, active.service, runner.software_version, left_s)
         is_mixed = self._is_mixed(active.service, now)
@@ -174,7 +174,8 @@
 
     def _find(self, active: ActiveRequest) -> str | None:
         """Return the version that began a stream; None if it cannot be known."""
-        root, service = active.metadata.resumes, active.service
+        metadata, service = active.metadata, active.service
+        root = metadata.stream_id if metadata.resumes else ""
         known = self._known(root, service)
         if known is not None:
             return known
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -12,6 +12,8 @@
 from gooseberryrun._internal.state.serving import Runner, RunnerStatement
 
 Headers = list[tuple[str, str]]
+MAX_ID_CHARS = 128
+"""Characters of a request's id by which its stream is remembered."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,12 @@
     last_event_id: str = ""
     resumes: str = ""
 
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the request that begins or began the stream, cut if long."""
+        is_taken_up = bool(self.last_event_id and self.resumes)
+        return (self.resumes if is_taken_up else self.request_id)[:MAX_ID_CHARS]
+
 
 @dataclass(frozen=True, slots=True)
 class InboundRequest:
--- a/tests/unit/serving/test_stream_origins.py
+++ b/tests/unit/serving/test_stream_origins.py
@@ -234,6 +234,27 @@
     assert vm.take_up("r1") == "v2"
 
 
+def test_request_that_names_another_but_no_event_begins_a_stream_of_its_own(
+    store: GroupStore,
+) -> None:
+    vm = make_keepers(store)[0]
+    vm.register(1, NEW)
+    vm.keeper.record(request("r1"), OLD)
+    active = request("r2", resumes="r1")
+    active.metadata = replace(active.metadata, last_event_id="")
+    vm.keeper.record(active, NEW)
+    assert (vm.take_up("r1"), vm.take_up("r2")) == ("v1", "v2")
+
+
+def test_long_ids_are_cut(store: GroupStore) -> None:
+    """An id may be as long as all headers together."""
+    vm = make_keepers(store)[0]
+    vm.register(1, NEW)
+    vm.keeper.record(request("x" * 16_000), NEW)
+    assert max(len(key) for key in vm.keeper._origins._kept) <= 128
+    assert vm.take_up("x" * 16_000) == "v2"
+
+
 def test_unreadable_store_costs_one_read_each(store: GroupStore) -> None:
     vm = make_keepers(store)[0]
     vm.register(1, NEW)
