--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from functools import partial
 
@@ -13,6 +12,7 @@
     READERS_PER_DOMAIN,
     DirectoryRecord,
     Position,
+    ReadPacing,
     Topic,
     reads_store,
 )
@@ -26,14 +26,9 @@
 from ._directory_peers import DirectoryPeers
 from ._store_port import StoreFault, StoreFaultKind
 
-RETRY_S = 0.25
-"""Pause after a failed read; doubles up to ``MAX_RETRY_S``."""
-MAX_RETRY_S = 1.0
 CATCH_UP_TRIES = 3
 SNAPSHOT_KINDS = (StoreFaultKind.EXPIRED, StoreFaultKind.OTHER_EPOCH)
 """Failures of a read after which all records have to be read anew."""
-MAX_SNAPSHOT_DELAY_S = 0.1
-"""Longest random delay of that read, so that not all VMs read at one moment."""
 MIN_OUTAGE_S = 0.8
 """Shortest store outage during which entries may have expired."""
 BATCH_PAUSE_S = {Topic.CONFIGURATION: 0.0, Topic.RUNNERS: 0.8}
@@ -79,36 +74,31 @@
         return directory.table is not None and has_runners
 
     def _follow(self, topic: Topic) -> None:
-        needs_snapshot = True
-        was_rejected = False
-        pause_s = RETRY_S
+        pacing = ReadPacing()
         while True:
-            if not needs_snapshot and not self._must_read(topic):
+            if not pacing.needs_snapshot and not self._must_read(topic):
                 eventlet.sleep(READER_CHECK_S)
                 continue
             started_at = self._ctx.clock.monotonic()
-            fault = self._read(topic, needs_snapshot, self._poll_s(topic))
-            was_overtaken = not needs_snapshot and self._has_read_since(
+            fault = self._read(topic, pacing.needs_snapshot, self._poll_s(topic))
+            was_overtaken = not pacing.needs_snapshot and self._has_read_since(
                 topic, started_at
             )
             if fault is None or was_overtaken:
                 self._record_store_reachable(topic)
-                if not needs_snapshot:
-                    was_rejected = False
-                    pause_s = RETRY_S
-                needs_snapshot = False
-                continue
-            if not needs_snapshot and fault.kind in SNAPSHOT_KINDS:
-                self._log.log_rejected(topic, self._ctx.directory.ends[topic], fault)
-                needs_snapshot = True
-                if not was_rejected:
-                    was_rejected = True
-                    eventlet.sleep(random.uniform(0.0, MAX_SNAPSHOT_DELAY_S))
-                    continue
+                pacing.record_success()
             else:
-                self._record_store_unreachable(topic, fault)
-            eventlet.sleep(pause_s)
-            pause_s = min(MAX_RETRY_S, pause_s * 2)
+                eventlet.sleep(self._handle_fault(topic, fault, pacing))
+
+    def _handle_fault(
+        self, topic: Topic, fault: StoreFault, pacing: ReadPacing
+    ) -> float:
+        """Record a failed read; return the pause in seconds before the next one."""
+        if not pacing.needs_snapshot and fault.kind in SNAPSHOT_KINDS:
+            self._log.log_rejected(topic, self._ctx.directory.ends[topic], fault)
+            return pacing.record_rejection()
+        self._record_store_unreachable(topic, fault)
+        return pacing.record_failure()
 
     def catch_up(self) -> None:
         """Read both topics at once, since polls from before an outage may hang."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -49,6 +49,7 @@
 )
 from ._policy import ServingPolicy
 from ._prefill import PrefillAdmission, PrefillLoad, PrefillPace
+from ._read_pacing import ReadPacing
 from ._response_times import ResponseTimes
 from ._routes import (
     ClientLimits,
@@ -84,6 +85,7 @@
     "ExpectedTurns",
     "Permit",
     "Position",
+    "ReadPacing",
     "SoftwareVersions",
     "StreamOrigin",
     "StreamOrigins",
--- a/tests/unit/serving/test_follower.py
+++ b/tests/unit/serving/test_follower.py
@@ -12,7 +12,12 @@
 )
 from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
 from gooseberryrun._internal.state import ManualClock
-from gooseberryrun._internal.state.serving import DirectoryRecord, Position, Topic
+from gooseberryrun._internal.state.serving import (
+    DirectoryRecord,
+    Position,
+    Topic,
+    _read_pacing,
+)
 from result import Err, Ok, Result
 
 from tests.lib.fleet import GroupStore, make_members, make_runners, make_vm
@@ -49,8 +54,8 @@
 
 @pytest.fixture(autouse=True)
 def _short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(_follower, "RETRY_S", 0.001)
-    monkeypatch.setattr(_follower, "MAX_RETRY_S", 0.001)
+    monkeypatch.setattr(_read_pacing, "RETRY_S", 0.001)
+    monkeypatch.setattr(_read_pacing, "MAX_RETRY_S", 0.001)
     monkeypatch.setattr(_follower, "BATCH_PAUSE_S", dict.fromkeys(Topic, 0.0))
 
 
@@ -103,3 +108,17 @@
     assert store.waits[0] > 0.0
     assert store.waits[1:4] == [0.0] * 3
     assert store.waits[4] > 0.0
+
+
+def test_rejected_reads_are_repeated_with_a_pause() -> None:
+    """Each was repeated at once, 15 times a second on each VM, without end."""
+    pacing = _read_pacing.ReadPacing()
+    pauses = []
+    for _ in range(20):
+        pacing.record_success()
+        pauses.append(pacing.record_rejection())
+        assert pacing.needs_snapshot
+    assert sum(pauses[1:]) >= 19 * _read_pacing.RETRY_S
+    for _ in range(2):
+        pacing.record_success()
+    assert pacing.record_rejection() <= _read_pacing.MAX_SNAPSHOT_DELAY_S
