Let only what a restored store has lost give way to what it holds

Found while reading: a minute after its start each VM put the store's newest records in force as if after a restore, so that a lower version of a configuration or an adapter, written after a higher one in the same history, replaced it. Only what is in force since an earlier epoch gives way. The test failed before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -204,10 +204,8 @@
 
         Returns the records that replace newer ones.
         """
-        epoch = self.ends[Topic.CONFIGURATION].epoch
         newest = self._newest[Topic.CONFIGURATION].values()
-        current = [record for record in newest if record.position.epoch == epoch]
-        return self._operator.settle(current, now)
+        return self._operator.settle(newest, self.ends[Topic.CONFIGURATION].epoch, now)
 
     def _apply_runner(
         self, record: DirectoryRecord, known_record: DirectoryRecord | None, now: float
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_operator_records.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_operator_records.py
@@ -24,6 +24,7 @@
         self.table: RouteTable | None = None
         self.configuration_at = 0.0
         self.versions: dict[tuple[str, str], int] = {}
+        self._version_epochs: dict[tuple[str, str], int] = {}
         self._in_force: DirectoryRecord | None = None
         self._hold_deadline: float | None = None
 
@@ -67,10 +68,11 @@
         if declared is None:
             return False
         key = (declared.model, declared.adapter)
-        if declared.version <= self.versions.get(key, 0):
-            return False
-        self.versions[key] = declared.version
-        return True
+        known = self.versions.get(key, 0)
+        if declared.version >= known:
+            self.versions[key] = declared.version
+            self._version_epochs[key] = record.position.epoch
+        return declared.version > known
 
     def _put_in_force(self, record: DirectoryRecord, now: float) -> None:
         if record.configuration is not None:
@@ -79,29 +81,28 @@
             self._in_force = record
 
     def settle(
-        self, current: Iterable[DirectoryRecord], now: float
+        self, records: Iterable[DirectoryRecord], epoch: int, now: float
     ) -> list[DirectoryRecord]:
         """Put the store's records in force once the time to write others has passed.
 
-        ``current`` are the newest records of the present epoch. Returns those that
-        replace newer ones.
+        ``records`` are the newest ones; those of the present ``epoch`` replace what is
+        in force since an earlier one. Returns those that replace newer ones.
         """
         if self._hold_deadline is None or now < self._hold_deadline:
             return []
         self._hold_deadline = None
-        changed = []
-        versions: dict[tuple[str, str], int] = {}
-        for record in current:
-            declared = record.adapter_version
-            if declared is not None:
-                key = (declared.model, declared.adapter)
-                versions[key] = max(declared.version, versions.get(key, 0))
-                if versions[key] < self.versions.get(key, 0):
-                    changed.append(record)
-            elif record.configuration is not None and (
-                record.configuration.version < self.configuration_version
-            ):
+        current = [record for record in records if record.position.epoch == epoch]
+        self._drop_lost_versions(epoch)
+        changed = [record for record in current if self._apply_version(record)]
+        if self.held_over(epoch) is not None:
+            found = [record for record in current if record.configuration is not None]
+            for record in found:
                 self._put_in_force(record, now)
-                changed.append(record)
-        self.versions = versions
+            changed += found
         return changed
+
+    def _drop_lost_versions(self, epoch: int) -> None:
+        """Forget the versions that nobody has declared in this epoch."""
+        for key, declared_in in list(self._version_epochs.items()):
+            if declared_in < epoch:
+                del self.versions[key], self._version_epochs[key]
--- a/tests/unit/serving/test_restored_directory.py
+++ b/tests/unit/serving/test_restored_directory.py
@@ -86,6 +86,17 @@
     assert state.version_of("m", "a1") == 1
 
 
+def test_nothing_goes_back_without_a_restore() -> None:
+    """A lower version may be written after a higher one; it changes nothing."""
+    state = DirectoryState()
+    read_all(state, 1, 2, config(1, 0, 4), declared(1, 1, 3), now=0.0)
+    state.apply(config(1, 2, 2), 1.0)
+    state.apply(declared(1, 3, 1), 1.0)
+    assert not state.settle(HELD_OVER_S)
+    assert version_in_force(state) == 4
+    assert state.version_of("m", "a1") == 3
+
+
 def test_configuration_is_kept_if_the_restored_store_has_none() -> None:
     state = DirectoryState()
     read_all(state, 1, 9, config(1, 8, 4), now=0.0)
