--- a/packages/gooseberryctl/src/gooseberryctl/_internal/commands/explain.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/commands/explain.py
@@ -40,7 +40,13 @@
         "store_regained",
         "membership_lost",
         "membership_regained",
+        "store_epoch",
+        "records_expired",
+        "record_rolled_back",
+        "software_mixed",
+        "software_uniform",
         "stop_requested",
+        "requests_ended",
         "started",
         "view_adopted",
     }
