Keep the origin of a stream whose caller sends no deadline

Found reading the change again: the caller's time left was infinite, which JSON cannot hold, so the store's record could not be read and the stream was of unknown origin after all VMs were killed. It is bounded when it is made, by the bound that applied when it was kept. The test failed before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from gooseberryrun._internal.state.serving import (
+    MAX_ORIGIN_S,
     READERS_PER_DOMAIN,
     Position,
     Runner,
@@ -65,6 +66,7 @@
         now = self._ctx.clock.monotonic()
         root = active.metadata.stream_id
         left_s = active.request.read_at + active.metadata.wait_s - now
+        left_s = min(MAX_ORIGIN_S, left_s)
         origin = StreamOrigin(root, active.service, runner.software_version, left_s)
         is_mixed = self._is_mixed(active.service, now)
         self._origins.record(origin, now)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -64,7 +64,12 @@
 )
 from ._runner_queue import RunnerQueue, Waiter, adapter_key, is_base_model
 from ._runners import HeldModel, Runner
-from ._software import SoftwareVersions, StreamOrigin, StreamOrigins
+from ._software import (
+    MAX_ORIGIN_S,
+    SoftwareVersions,
+    StreamOrigin,
+    StreamOrigins,
+)
 from ._statements import RateLimit, RunnerStatement, RunnerStatements
 from ._stream_timing import StreamPace, StreamTiming
 from ._turns import (
@@ -80,6 +85,7 @@
 __all__ = [
     "CRASHES_TO_REFUSE",
     "FORMER_MEMBER_TTL_S",
+    "MAX_ORIGIN_S",
     "MAX_PARTS",
     "MAX_TURN_WAIT_S",
     "ExpectedTurns",
--- a/tests/unit/serving/test_stream_origins.py
+++ b/tests/unit/serving/test_stream_origins.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import struct
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -37,6 +39,7 @@
     MAX_ORIGIN_S,
     MAX_ORIGINS,
 )
+from gooseberryrun_platform._origins import decode_origins, encode_origins
 from result import Err, Ok, Result
 
 from tests.lib.fleet import REFUSED, GroupStore, make_members, make_vm
@@ -255,6 +258,18 @@
     assert vm.take_up("x" * 16_000) == "v2"
 
 
+def test_caller_without_a_deadline_is_kept_as_well(store: GroupStore) -> None:
+    """JSON has no infinity: the store's record of it could not be read."""
+    vm = make_keepers(store)[0]
+    vm.register(1, NEW)
+    active = request("r1")
+    active.metadata = replace(active.metadata, wait_s=math.inf)
+    vm.keeper.record(active, NEW)
+    vm.flush()
+    data = struct.pack(">QQ", 1, 0) + encode_origins(store.origins)
+    assert decode_origins(data) == (store.origins, 1)
+
+
 def test_unreadable_store_costs_one_read_each(store: GroupStore) -> None:
     vm = make_keepers(store)[0]
     vm.register(1, NEW)
