End every wait of a request in one place when the process stops

Found reading the change again: the lookup of a stream's origin waits for peers and the store outside the rounds that a stop may interrupt, so that an interruption there ended the request without an answer. It is a step of the first round now. The rounds turn an interruption, and the end of all rounds, into the response themselves; plain and model requests had that twice.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -20,7 +19,7 @@
     adapter_key,
 )
 
-from ._request_ports import Caller, InboundRequest, RequestMetadata, StoppingError
+from ._request_ports import Caller, InboundRequest, RequestMetadata
 
 
 @dataclass(slots=True)
@@ -69,6 +68,11 @@
         """Return the key of the request's model and adapter."""
         return adapter_key(self.metadata.model, self.metadata.adapter)
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Return whether the request goes on with a stream that broke off."""
+        return bool(self.metadata.last_event_id) and self.route.resumable
+
     def begin_attempt(self) -> None:
         """Reset what is known of the response of the previous attempt."""
         self.is_begun = False
@@ -118,8 +122,6 @@
     """The caller has received a runner's response."""
     AGAIN = "again"
     """Another runner may be tried."""
-    STOPPING = "stopping"
-    """The process has to exit before the caller has received a response."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,20 +136,3 @@
     reason: str
     retry_in_s: float | None = None
     is_earliest: bool = False
-
-
-def run_rounds(
-    rounds: int, try_once: Callable[[], LocalResponse | Round]
-) -> LocalResponse | Round:
-    """Call ``try_once`` until it returns a final result, at most ``rounds`` times.
-
-    Returns ``STOPPING`` if the process has to exit before that.
-    """
-    try:
-        for _ in range(rounds):
-            outcome = try_once()
-            if outcome is not Round.AGAIN:
-                return outcome
-    except StoppingError:
-        return Round.STOPPING
-    return Round.AGAIN
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -8,7 +8,7 @@
 
 from .._events import log_event
 from .._metrics import LOAD_STALL
-from ._active_request import ActiveRequest, LocalResponse, Round, run_rounds
+from ._active_request import ActiveRequest, LocalResponse, Round
 from ._adapters import AdapterRequirement, Adapters
 from ._attempts import Attempts
 from ._availability import Availability
@@ -17,7 +17,12 @@
 from ._load_tracker import LoadTracker
 from ._origins import OriginKeeper
 from ._request_ports import ForwardingMetadata, RunnerResponse
-from ._responses import ResponseWriter, failure_response, stopping_response
+from ._responses import (
+    ResponseWriter,
+    failure_response,
+    run_rounds,
+    stopping_response,
+)
 from ._runner_choice import RunnerChooser
 from ._stream_relay import StreamProgress, StreamRelay, after_fault
 from ._turns import Turns
@@ -58,17 +63,10 @@
 
     def serve(self, active: ActiveRequest) -> None:
         """Serve a request and respond to its caller."""
-        if active.metadata.last_event_id and active.route.resumable:
-            refusal = self._origins.constrain(active)
-            if refusal is not None:
-                self._responses.send_local(active, refusal)
-                return
         progress = StreamProgress()
-        outcome = run_rounds(MAX_ROUNDS, lambda: self._try_once(active, progress))
-        if outcome is Round.AGAIN:
-            outcome = failure_response(active, "attempts", BUSY_RETRY_S)
-        if outcome is Round.STOPPING:
-            outcome = stopping_response(active)
+        outcome = run_rounds(
+            active, MAX_ROUNDS, BUSY_RETRY_S, lambda: self._try_once(active, progress)
+        )
         if isinstance(outcome, LocalResponse):
             self._send_final(active, progress, outcome)
 
@@ -88,6 +86,11 @@
         now = self._ctx.clock.monotonic()
         if now >= active.deadline:
             return failure_response(active, "deadline")
+        if active.takes_up_stream and active.required_software is None:
+            refusal = self._origins.constrain(active)
+            if refusal is not None:
+                return refusal
+            now = self._ctx.clock.monotonic()
         verdict = self._guard.judge(active, now)
         if verdict.handling.value >= Handling.PAUSED.value:
             return suspect_response(active, verdict, now)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -11,7 +11,7 @@
     choose_plain_server,
 )
 
-from ._active_request import ActiveRequest, LocalResponse, Round, run_rounds
+from ._active_request import ActiveRequest, LocalResponse, Round
 from ._attempts import Attempts
 from ._availability import Availability
 from ._context import Context
@@ -20,7 +20,7 @@
     ResponseWriter,
     failure_response,
     is_valid_response,
-    stopping_response,
+    run_rounds,
 )
 from ._turns import Turns
 
@@ -53,11 +53,9 @@
         """Serve a request and respond to its caller."""
         if active.route.kind is RouteKind.UNSAFE:
             active.caller.continue_after_disconnect()
-        outcome = run_rounds(MAX_SENDS, lambda: self._try_once(active))
-        if outcome is Round.AGAIN:
-            outcome = failure_response(active, "attempts", FULL_RETRY_S)
-        if outcome is Round.STOPPING:
-            outcome = stopping_response(active)
+        outcome = run_rounds(
+            active, MAX_SENDS, FULL_RETRY_S, lambda: self._try_once(active)
+        )
         if isinstance(outcome, LocalResponse):
             self._responses.send_local(active, outcome)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -13,9 +14,9 @@
     REFUSALS,
     SERVED_SECONDS,
 )
-from ._active_request import ActiveRequest, LocalResponse
+from ._active_request import ActiveRequest, LocalResponse, Round
 from ._context import Context
-from ._request_ports import Headers, RunnerResponse
+from ._request_ports import Headers, RunnerResponse, StoppingError
 
 STOPPING_RETRY_S = 0.1
 """Retry delay sent by a VM that is stopping; other VMs serve at once."""
@@ -70,6 +71,27 @@
     return failure_response(active, "stopping", STOPPING_RETRY_S)
 
 
+def run_rounds(
+    active: ActiveRequest,
+    rounds: int,
+    retry_in_s: float,
+    try_once: Callable[[], LocalResponse | Round],
+) -> LocalResponse | Round:
+    """Call ``try_once`` until it returns a final result, at most ``rounds`` times.
+
+    Returns a failure if there is none by then, which may be tried again after
+    ``retry_in_s``, or if the process has to exit before that.
+    """
+    try:
+        for _ in range(rounds):
+            outcome = try_once()
+            if outcome is not Round.AGAIN:
+                return outcome
+    except StoppingError:
+        return stopping_response(active)
+    return failure_response(active, "attempts", retry_in_s)
+
+
 def refusal_until(
     active: ActiveRequest, reason: str, earliest_in_s: float
 ) -> LocalResponse:
