--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -18,12 +18,12 @@
 )
 
 from .._events import log_event
-from .._metrics import STORE_CALLS
 from .._serving_messages import DirectoryNotice, DirectoryReply
 from .._tasks import spawn, spawn_until_done
 from ._context import Context
 from ._directory_log import DirectoryLog
 from ._directory_peers import DirectoryPeers
+from ._store_calls import count_store_call
 from ._store_port import StoreFault, StoreFaultKind
 
 CATCH_UP_TRIES = 3
@@ -214,8 +214,7 @@
             read = store.read_snapshot(topic)
         else:
             read = store.read_changes(topic, directory.ends[topic], wait_s)
-        outcome = read.err_value.kind if isinstance(read, Err) else "ok"
-        STORE_CALLS.labels(call=f"read_{topic}", outcome=outcome).inc()
+        count_store_call(f"read_{topic}", read)
         if isinstance(read, Err):
             return read.err_value
         records = read.ok_value
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_kept_suspicions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_kept_suspicions.py
@@ -15,9 +15,9 @@
 )
 
 from .._events import log_event
-from .._metrics import STORE_CALLS
 from .._tasks import spawn
 from ._context import Context
+from ._store_calls import count_store_call
 
 MIN_CRASHES_TO_KEEP = 2
 """Crashes of a trait from which on the store keeps them."""
@@ -40,8 +40,7 @@
     def read(self) -> bool:
         """Record the kept suspicions; return whether the store answered."""
         read = self._ctx.ports.store.read_suspicions()
-        outcome = read.err_value.kind if isinstance(read, Err) else "ok"
-        STORE_CALLS.labels(call="read_suspicions", outcome=outcome).inc()
+        count_store_call("read_suspicions", read)
         if isinstance(read, Err):
             return False
         now, unix_now = self._ctx.clock.monotonic(), self._ctx.clock.unix()
@@ -93,8 +92,7 @@
     def _write(self, suspicions: list[Suspicion]) -> None:
         for _ in range(KEEP_TRIES):
             written = self._ctx.ports.store.write_suspicions(suspicions)
-            outcome = written.err_value.kind if isinstance(written, Err) else "ok"
-            STORE_CALLS.labels(call="write_suspicions", outcome=outcome).inc()
+            outcome = count_store_call("write_suspicions", written)
             log_event("suspicions_kept", traits=len(suspicions), outcome=outcome)
             if not isinstance(written, Err):
                 return
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
@@ -22,13 +22,14 @@
 )
 
 from .._events import log_event
-from .._metrics import STORE_CALLS, STREAMS_TAKEN_UP
+from .._metrics import STREAMS_TAKEN_UP
 from .._ports import InboundMessage
 from .._serving_messages import OriginAnswer, OriginRequest, OriginsNotice
 from .._tasks import spawn_until_done
 from ._active_request import ActiveRequest, LocalResponse
 from ._context import Context
 from ._responses import failure_response
+from ._store_calls import count_store_call
 
 TELL_DELAY_S = 0.02
 """Time for which origins are batched before they are sent to peers."""
@@ -117,8 +118,7 @@
     def _append(self) -> None:
         origins, self._unkept = self._unkept, []
         appended = self._ctx.ports.store.append_origins(origins)
-        outcome = appended.err_value.kind if isinstance(appended, Err) else "ok"
-        STORE_CALLS.labels(call="append_origins", outcome=outcome).inc()
+        count_store_call("append_origins", appended)
         if isinstance(appended, Err):
             why = appended.err_value.detail
             log_event("origins_unkept", level="warning", streams=len(origins), why=why)
@@ -230,8 +230,7 @@
 
     def _read_new(self) -> bool:
         read = self._ctx.ports.store.read_origins(self._read_until)
-        outcome = read.err_value.kind if isinstance(read, Err) else "ok"
-        STORE_CALLS.labels(call="read_origins", outcome=outcome).inc()
+        count_store_call("read_origins", read)
         if isinstance(read, Err):
             log_event("origins_unread", level="warning", why=read.err_value.detail)
             return False
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_distribution.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_distribution.py
@@ -49,8 +49,8 @@
 
 def readers(domain: str, members: Iterable[Member]) -> list[str]:
     """Return the VMs that read the store for a failure domain, by rank."""
-    local = {(m.is_new, m.vm) for m in members if m.domain == domain}
-    return [vm for _, vm in heapq.nsmallest(READERS_PER_DOMAIN, local)]
+    ranked = heapq.nsmallest(READERS_PER_DOMAIN, _reading_keys(domain, members))
+    return [vm for _, vm in ranked]
 
 
 def reader_rank(vm: str, domain: str, members: Iterable[Member]) -> int:
@@ -58,7 +58,11 @@
 
     Members that have just started come last, since they may soon be replaced.
     """
-    local = [member for member in members if member.domain == domain]
-    order = sorted({(member.is_new, member.vm) for member in local})
+    order = sorted(_reading_keys(domain, members))
     found = [rank for rank, (_, other) in enumerate(order) if other == vm]
     return found[0] if found else len(order)
+
+
+def _reading_keys(domain: str, members: Iterable[Member]) -> set[tuple[bool, str]]:
+    """Return a key for each member of a domain, by which they are ranked as readers."""
+    return {(member.is_new, member.vm) for member in members if member.domain == domain}
