Append origins of streams until the store has them, and again after a restore

Readers write their origins again when an epoch begins, by the same delayed rewrite as suspicions (_rewrites.py). Failed before: three of the four new tests of test_stream_origins.py ([] == ['r1', 'r2'], 1 == 3 calls, [] == ['r1']). test_failed_append_is_not_fatal goes into the first of them, which asks for as much and for the repetition.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
@@ -9,7 +9,6 @@
 from result import Err
 
 from gooseberryrun._internal.state.serving import (
-    READERS_PER_DOMAIN,
     RECENT_ANSWER_S,
     Crash,
     Handling,
@@ -32,6 +31,7 @@
 from ._context import Context
 from ._kept_suspicions import KeptSuspicions
 from ._responses import refusal_until
+from ._rewrites import schedule_rewrite
 
 FANOUT = 8
 """Peers that a VM tells at once; each passes on what is new to it."""
@@ -41,8 +41,6 @@
 PEER_TIMEOUT_S = 0.5
 MAX_TRAITS_SENT = 256
 """Traits in one message; those with the most crashes go first."""
-MAX_KEEP_DELAY_S = 2.0
-"""Longest random delay after which suspicions are written to a restored store."""
 
 
 def suspect_response(
@@ -70,9 +68,7 @@
 
     def keep_again(self) -> None:
         """Write what the store may have lost, if this VM reads it for its domain."""
-        if self._ctx.reader_rank() < READERS_PER_DOMAIN:
-            delay_s = random.uniform(0.0, MAX_KEEP_DELAY_S)
-            eventlet.spawn_after(delay_s, self._keep_all)
+        schedule_rewrite(self._ctx, self._keep_all)
 
     def _keep_all(self) -> None:
         self._kept.keep(list(self._evidence.suspected())[:MAX_TRAITS_SENT])
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
@@ -28,13 +28,13 @@
 from .._tasks import spawn_until_done
 from ._active_request import ActiveRequest, LocalResponse
 from ._context import Context
+from ._origin_log import OriginLog
 from ._responses import failure_response
+from ._rewrites import schedule_rewrite
 from ._store_calls import count_store_call
 
 TELL_DELAY_S = 0.02
 """Time for which origins are batched before they are sent to peers."""
-APPEND_DELAY_S = 0.15
-"""Time for which origins are batched before they are appended to the store."""
 ANSWER_TIMEOUT_S = 0.15
 EXPIRE_INTERVAL_S = 5.0
 RECOVERY_RETRY_S = 0.5
@@ -48,8 +48,8 @@
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
         self._origins = StreamOrigins()
+        self._log = OriginLog(ctx, self._origins)
         self._untold: list[StreamOrigin] = []
-        self._unkept: list[StreamOrigin] = []
         self._mixed: set[str] = set()
         self._read_until = Position()
         self._reading: Event | None = None
@@ -111,17 +111,16 @@
 
     def _keep(self, origins: list[StreamOrigin]) -> None:
         """Schedule origins to be appended to the store."""
-        if not self._unkept:
-            eventlet.spawn_after(APPEND_DELAY_S, self._append)
-        self._unkept += origins
-
-    def _append(self) -> None:
-        origins, self._unkept = self._unkept, []
-        appended = self._ctx.ports.store.append_origins(origins)
-        count_store_call("append_origins", appended)
-        if isinstance(appended, Err):
-            why = appended.err_value.detail
-            log_event("origins_unkept", level="warning", streams=len(origins), why=why)
+        self._log.keep(origin.request for origin in origins)
+
+    def keep_again(self) -> None:
+        """Append what the store may have lost, if this VM reads it for its domain."""
+        schedule_rewrite(self._ctx, self._keep_all)
+
+    def _keep_all(self) -> None:
+        now = self._ctx.clock.monotonic()
+        for service in self._mixed:
+            self._keep(self._origins.of_service(service, now))
 
     def handle_origins_notice(self, _sender: str, notice: OriginsNotice) -> None:
         """Record where streams of another VM began."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -87,7 +87,7 @@
         self.membership.on_change = self.owned_runners.refresh
         self.membership.renewals.on_regained = self.follower.catch_up
         self.follower.on_snapshot = self.owned_runners.refresh
-        self.follower.on_epoch = self.guard.keep_again
+        self.follower.on_epoch = self._keep_again
         self.remote_domains.on_change = self.owned_runners.refresh
         self._handlers = self._make_handlers()
         self.is_stopping = False
@@ -104,6 +104,11 @@
         self.guard.start()
         self._origins.start()
 
+    def _keep_again(self) -> None:
+        """Write again what only this system has written to the store."""
+        self.guard.keep_again()
+        self._origins.keep_again()
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send this VM new connections."""
         is_informed = self.follower.is_ready() and self.guard.is_informed
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -66,6 +66,7 @@
 from ._runners import HeldModel, Runner
 from ._software import (
     MAX_ORIGIN_S,
+    MAX_ORIGINS,
     SoftwareVersions,
     StreamOrigin,
     StreamOrigins,
@@ -85,6 +86,7 @@
 __all__ = [
     "CRASHES_TO_REFUSE",
     "FORMER_MEMBER_TTL_S",
+    "MAX_ORIGINS",
     "MAX_ORIGIN_S",
     "MAX_PARTS",
     "MAX_TURN_WAIT_S",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_software.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_software.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -113,11 +114,20 @@
     def of_service(self, service: str, now: float) -> list[StreamOrigin]:
         """Return the origins of a service's streams with the time that is left now."""
         return [
-            msgspec.structs.replace(kept.origin, left_s=kept.deadline - now)
+            _with_time_left(kept, now)
             for kept in self._kept.values()
             if kept.origin.service == service and now <= kept.deadline
         ]
 
+    def of_requests(self, requests: Iterable[str], now: float) -> list[StreamOrigin]:
+        """Return the origins of streams that are known with the time left now."""
+        found = [self._kept.get(request) for request in requests]
+        return [
+            _with_time_left(kept, now)
+            for kept in found
+            if kept is not None and now <= kept.deadline
+        ]
+
     def expire(self, now: float) -> None:
         """Drop the origins of streams that can no longer be taken up."""
         self._kept = {
@@ -125,3 +135,8 @@
             for request, kept in self._kept.items()
             if now <= kept.deadline
         }
+
+
+def _with_time_left(kept: _KeptOrigin, now: float) -> StreamOrigin:
+    """Return an origin with the time for which its caller waits from now on."""
+    return msgspec.structs.replace(kept.origin, left_s=kept.deadline - now)
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -57,6 +57,8 @@
 
     def append_origins(self, origins: list[StreamOrigin]) -> Result[None, StoreFault]:
         self.calls["append_origins"] += 1
+        if self.is_refusing:
+            return Err(REFUSED)
         self.origins += origins
         return Ok(None)
 
--- a/tests/unit/serving/test_stream_origins.py
+++ b/tests/unit/serving/test_stream_origins.py
@@ -19,6 +19,7 @@
     InboundRequest,
     RequestMetadata,
 )
+from gooseberryrun._internal.coordination.serving._origin_log import MAX_BATCH
 from gooseberryrun._internal.coordination.serving._origins import OriginKeeper
 from gooseberryrun._internal.state import ManualClock
 from gooseberryrun._internal.state.serving import (
@@ -40,9 +41,9 @@
     MAX_ORIGINS,
 )
 from gooseberryrun_platform._origins import decode_origins, encode_origins
-from result import Err, Ok, Result
+from result import Ok, Result
 
-from tests.lib.fleet import REFUSED, GroupStore, make_members, make_vm
+from tests.lib.fleet import GroupStore, make_members, make_vm
 
 OLD = Runner("i-1", "s", "h", 1, "d0", 64, False, 1, 0, (), "v1")
 NEW = replace(OLD, id="i-2", software_version="v2")
@@ -87,8 +88,7 @@
     def flush(self) -> None:
         """Send and append what is scheduled."""
         self.keeper._send_untold()
-        if self.keeper._unkept:
-            self.keeper._append()
+        self.keeper._log.append()
 
     def take_up(self, root: str) -> str | None:
         """Take a stream up; return the version that it is confined to."""
@@ -280,15 +280,62 @@
     assert store.calls["read_origins"] == 5
 
 
-def test_failed_append_is_not_fatal(
-    store: GroupStore, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_origins_that_the_store_refused_are_appended_again(store: GroupStore) -> None:
+    """The store was away when a release began, and all VMs were killed after it."""
+    vm = make_keepers(store)[0]
+    vm.register(1, NEW)
+    store.is_refusing = True
+    for root in ("r1", "r2"):
+        vm.keeper.record(request(root), NEW)
+        vm.flush()
+    assert vm.take_up("r1") == "v2"
+    assert not store.origins
+    store.is_refusing = False
+    vm.flush()
+    assert [origin.request for origin in store.origins] == ["r1", "r2"]
+    vm.flush()
+    assert len(store.origins) == 2
+
+
+def test_refused_origins_end_with_their_callers(store: GroupStore) -> None:
     vm = make_keepers(store)[0]
     vm.register(1, NEW)
+    store.is_refusing = True
     vm.keeper.record(request("r1"), NEW)
-    monkeypatch.setattr(store, "append_origins", lambda origins: Err(REFUSED))
     vm.flush()
-    assert vm.take_up("r1") == "v2"
+    vm.clock.now += WAIT_S + 1
+    store.is_refusing = False
+    store.calls.clear()
+    vm.flush()
+    assert not store.origins
+    assert not store.calls["append_origins"]
+
+
+def test_streams_of_a_busy_vm_are_appended_in_several_calls(store: GroupStore) -> None:
+    """All that ran when a release began went into one call, which has a bound."""
+    vm = make_keepers(store)[0]
+    for number in range(2 * MAX_BATCH + 1):
+        vm.keeper.record(request(f"r{number}"), OLD)
+    vm.register(1, NEW)
+    vm.keeper.record(request("last"), NEW)
+    for _ in range(3):
+        vm.flush()
+    assert len(store.origins) == 2 * MAX_BATCH + 2
+    assert store.calls["append_origins"] == 3
+
+
+def test_origins_that_a_restored_store_has_lost_are_appended_again(
+    store: GroupStore,
+) -> None:
+    """The store came back from an older copy, and all VMs were killed after it."""
+    vm = make_keepers(store)[0]
+    vm.register(1, NEW)
+    vm.keeper.record(request("r1"), OLD)
+    vm.flush()
+    store.origins.clear()
+    vm.keeper._keep_all()
+    vm.flush()
+    assert [origin.request for origin in store.origins] == ["r1"]
 
 
 def test_origins_are_bounded_in_number_and_age() -> None:
