--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -9,6 +9,7 @@
 
 from .._serving_settings import MembershipSettings
 from ._adopted_views import AdoptedViews, Assignment
+from ._member_lease import MemberLease
 from ._runners import Runner
 from ._views import Member, View
 
@@ -64,10 +65,8 @@
         self._handovers: dict[str, _Handover] = {}
         self._ordered: set[str] = set()
         self._released_at: dict[str, float] = {}
-        self._renewed_at = float("-inf")
+        self._lease = MemberLease(cfg)
         self._stale_view_deadline = float("inf")
-        self._lease_deadline = float("-inf")
-        self._extended_deadline = float("-inf")
         self.generation = 0
 
     @property
@@ -178,8 +177,7 @@
                 released[successor.vm].append(runner.id)
         self._adopted.clear()
         self._tokens.clear()
-        self._lease_deadline = float("-inf")
-        self._extended_deadline = float("-inf")
+        self._lease.end()
         return dict(released)
 
     def receive_handover(
@@ -194,41 +192,30 @@
 
     def renew(self, generation: int, requested_at: float, now: float) -> None:
         """Renew the lease with the group's generation, as returned at ``now``."""
-        had_lease = math.isfinite(self._renewed_at)
-        if had_lease and now > self._deadline() and generation != self.generation:
+        if self._lease.has_expired(now) and generation != self.generation:
             # Another VM may have owned the runners since the lease expired.
             self._adopted.clear()
             self._tokens.clear()
             self._handovers.clear()
         self.generation = max(self.generation, generation)
         self._check_view_age(now)
-        self._renewed_at = max(self._renewed_at, requested_at)
-        lease_s = self._cfg.lease_s - self._cfg.margin_s
-        self._lease_deadline = self._renewed_at + lease_s
+        self._lease.renew(requested_at)
 
     def extend(self, now: float, until: float, is_unreachable_for_all: bool) -> None:
         """Extend an unexpired lease on runners of this VM's own domain.
 
-        Allowed only while no member of the domain can reach the store. Members of other
-        domains may take over after ``outside_s``, unless they cannot reach it either.
+        Allowed only while no member of the domain can reach the store.
         """
-        if now >= self._deadline():
-            return
-        if not is_unreachable_for_all:
-            latest = self._renewed_at + self._cfg.outside_s - self._cfg.margin_s
-            until = min(until, latest)
-        self._extended_deadline = max(self._extended_deadline, until)
-
-    def _deadline(self) -> float:
-        return max(self._lease_deadline, self._extended_deadline)
+        if now < self._lease.local_deadline:
+            self._lease.extend(until, is_unreachable_for_all)
 
     def _deadline_for(self, runner: Runner) -> float:
         is_local = runner.domain == self._domain
-        return self._deadline() if is_local else self._lease_deadline
+        return self._lease.local_deadline if is_local else self._lease.deadline
 
     def lease_left_s(self, now: float) -> float:
         """Return the seconds until the lease expires, extensions not counted."""
-        return self._lease_deadline - now
+        return self._lease.deadline - now
 
     def is_assigned(self, runner: Runner, now: float) -> bool:
         """Return whether the runner is assigned to this VM under a valid lease.
@@ -282,7 +269,7 @@
             self._tokens[runner.id] = self.view.generation
         # A renewal after the wait proves that this VM's view is still the newest.
         elif (
-            self._renewed_at >= assignment.since + self._takeover_wait_s(runner)
+            self._lease.renewed_at >= assignment.since + self._takeover_wait_s(runner)
             and not self.needs_view()
         ):
             self._tokens[runner.id] = assignment.generation
