Split the connections of callers from the server that accepts them

Moves only, but that what all connections of a server share (limits, stopping, counts) is a CallerServerState, which the server and its connections hold, in place of the server itself.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -178,8 +178,8 @@
         started_at = self._clock.monotonic()
         exit_deadline = started_at + self._cfg.stop.grace_s - EXIT_MARGIN_S
         self._serving.is_stopping = True
-        self._callers.is_stopping = True
-        log_event("stop_requested", open_requests=self._callers.open_requests)
+        self._callers.state.is_stopping = True
+        log_event("stop_requested", open_requests=self._callers.state.open_requests)
         if self._ctx.can_reach_store:
             eventlet.spawn(self._serving.release)
         eventlet.spawn_after(IDLE_CLOSE_DELAY_S, self._callers.close_idle)
@@ -188,7 +188,7 @@
         self._end_open_requests(exit_deadline)
         log_event(
             "stopped",
-            open_requests=self._callers.open_requests,
+            open_requests=self._callers.state.open_requests,
             took_s=self._clock.monotonic() - started_at,
         )
         self._callers.close()
@@ -199,11 +199,11 @@
 
     def _end_open_requests(self, latest: float) -> None:
         """Answer the requests that are still open, as far as they have no answer."""
-        if not self._callers.open_requests:
+        if not self._callers.state.open_requests:
             return
-        log_event("requests_ended", open_requests=self._callers.open_requests)
+        log_event("requests_ended", open_requests=self._callers.state.open_requests)
         self._callers.interrupt_open()
-        while self._callers.open_requests and self._clock.monotonic() < latest:
+        while self._callers.state.open_requests and self._clock.monotonic() < latest:
             eventlet.sleep(POLL_INTERVAL_S / 4)
 
     def _drain(self, earliest: float, latest: float) -> None:
@@ -216,10 +216,10 @@
         while True:
             eventlet.sleep(POLL_INTERVAL_S / 4)
             now = self._clock.monotonic()
-            if now >= earliest and not self._callers.refuses_new:
-                self._callers.refuses_new = True
+            if now >= earliest and not self._callers.state.refuses_new:
+                self._callers.state.refuses_new = True
                 self._callers.close_idle()
-            if self._callers.open_requests:
+            if self._callers.state.open_requests:
                 idle_since = now
             if now >= latest or (
                 now >= earliest and now - idle_since >= IDLE_BEFORE_EXIT_S
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
@@ -0,0 +1,334 @@
+"""HTTP/1.1 connections of callers: read complete requests and stream responses.
+
+The WSGI server cannot detect that a caller disconnected, send chunks unbuffered or
+close a connection within a response, so this server uses h11 on green sockets.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import eventlet
+import h11
+from eventlet.hubs import get_hub, trampoline
+from eventlet.timeout import Timeout
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.coordination import log_event
+from gooseberryrun._internal.coordination.serving import (
+    Caller,
+    CallerDisconnectedError,
+    Headers,
+    InboundRequest,
+    RequestHandler,
+    StoppingError,
+)
+from gooseberryrun._internal.state import Clock
+from gooseberryrun._internal.state.serving import ClientLimits
+
+from ._sockets import end_connection, receive
+
+MAX_BUFFERED_BYTES = 64 << 20
+"""Bytes of request bodies that may be held in memory at the same time."""
+REJECTED_RETRY_S = "0.1"
+"""Retry delay sent with a 503 for a request that is not served here."""
+SEND_TIMEOUT_S = 20.0
+"""Time after which the connection of a caller that does not read is closed."""
+
+
+class _BadRequestError(Exception):
+    """The request is invalid or over a limit; ``status`` is that of the response."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+class ConnectionClosedError(Exception):
+    """The connection was closed between requests or while one was being read."""
+
+
+@dataclass(slots=True)
+class CallerServerState:
+    """State that all connections of one server share."""
+
+    limits: Callable[[], ClientLimits]
+    is_stopping: bool = False
+    refuses_new: bool = False
+    buffered_bytes: int = 0
+    open_requests: int = 0
+
+
+class CallerConnection:
+    """One connection of a caller."""
+
+    def __init__(self, state: CallerServerState, sock: Any, clock: Clock) -> None:
+        self._state = state
+        self._sock = sock
+        self._limits = state.limits()
+        self._clock = clock
+        self.is_idle = True
+        self._serving: tuple[Any, _HttpCaller] | None = None
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._sock.close()
+
+    def end(self) -> None:
+        """Shut the connection down; its green thread closes the socket."""
+        end_connection(self._sock)
+
+    def interrupt(self) -> None:
+        """Raise ``StoppingError`` in the green thread of an open request."""
+        if self._serving is not None:
+            request, caller = self._serving
+            get_hub().schedule_call_global(0, _interrupt_to_stop, request, caller)
+
+    def run(self, handler: RequestHandler) -> None:
+        """Serve requests until the connection ends."""
+        while True:
+            read = self._read_request()
+            if isinstance(read, Err):
+                self._reject(read.err_value)
+                return
+            if self._state.refuses_new:
+                self._reject(_BadRequestError(503, "stopping"))
+                return
+            self._serve(handler, read.ok_value)
+            self.is_idle = True
+            if self.http.our_state is not h11.DONE or (
+                self.http.their_state is not h11.DONE
+            ):
+                return
+            self.http.start_next_cycle()
+
+    def _serve(self, handler: RequestHandler, request: InboundRequest) -> None:
+        caller = _HttpCaller(self, request)
+        self._state.open_requests += 1
+        self._state.buffered_bytes += len(request.body)
+        self._serving = (eventlet.getcurrent(), caller)
+        watcher = eventlet.spawn(
+            _watch_disconnect, self._sock, eventlet.getcurrent(), caller
+        )
+        try:
+            handler.handle(request, caller)
+        finally:
+            caller.is_interruptible = False
+            self._serving = None
+            watcher.kill()
+            self._state.open_requests -= 1
+            self._state.buffered_bytes -= len(request.body)
+
+    def _read_request(self) -> Result[InboundRequest, _BadRequestError]:
+        try:
+            return Ok(self._read_head_and_body())
+        except _BadRequestError as exc:
+            return Err(exc)
+        except h11.RemoteProtocolError as exc:
+            return Err(_BadRequestError(exc.error_status_hint, str(exc)))
+
+    def _read_head_and_body(self) -> InboundRequest:
+        self._limits = self._state.limits()
+        head = self._read_head()
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers.raw_items()
+        ]
+        _check_framing(headers, head.http_version)
+        size = len(head.target) + sum(len(n) + len(v) + 4 for n, v in headers)
+        if size > self._limits.max_header_bytes:
+            raise _BadRequestError(431, "the headers are too large")
+        hosts = [value for name, value in headers if name.lower() == "host"]
+        body = self._read_body(headers)
+        return InboundRequest(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("latin-1"),
+            host=hosts[0] if hosts else "",
+            headers=headers,
+            body=body,
+            read_at=self._clock.monotonic(),
+        )
+
+    def _read_head(self) -> h11.Request:
+        if not self.http.trailing_data[0]:
+            with Timeout(self._limits.idle_timeout_s, ConnectionClosedError("idle")):
+                self._receive()
+        self.is_idle = False
+        with Timeout(
+            self._limits.header_timeout_s,
+            _BadRequestError(408, "the headers did not arrive in time"),
+        ):
+            event = self._next_event()
+        if not isinstance(event, h11.Request):
+            raise ConnectionClosedError("closed")
+        return event
+
+    def _read_body(self, headers: Headers) -> bytes:
+        limit = self._limits.max_body_bytes
+        for name, value in headers:
+            if name.lower() == "content-length" and int(value) > limit:
+                raise _BadRequestError(413, "the body is too large")
+        if self._state.buffered_bytes > MAX_BUFFERED_BYTES:
+            raise _BadRequestError(503, "too many request bodies are buffered")
+        if self.http.they_are_waiting_for_100_continue:
+            self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
+        received = bytearray()
+        with Timeout(
+            self._limits.idle_timeout_s,
+            _BadRequestError(408, "the body did not arrive in time"),
+        ):
+            while True:
+                event = self._next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    return bytes(received)
+                if not isinstance(event, h11.Data):
+                    raise ConnectionClosedError("closed by the caller within a body")
+                received += event.data
+                if len(received) > limit:
+                    raise _BadRequestError(413, "the body is too large")
+
+    def _next_event(self) -> Any:
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                self._receive()
+                continue
+            return event
+
+    def _receive(self) -> None:
+        data = receive(self._sock)
+        is_idle = self.http.their_state is h11.IDLE
+        if not data and is_idle and not self.http.trailing_data[0]:
+            raise ConnectionClosedError("closed")
+        self.http.receive_data(data)
+
+    def send_event(self, *events: Any) -> None:
+        """Send the bytes of some events together."""
+        data = b"".join(self.http.send(event) or b"" for event in events)
+        sent = self._send_now(data)
+        if sent < len(data):
+            with Timeout(SEND_TIMEOUT_S):
+                self._sock.sendall(data[sent:])
+
+    def _send_now(self, data: bytes) -> int:
+        """Send what the socket accepts without blocking; return the number of bytes."""
+        try:
+            return int(self._sock.fd.send(data, socket.MSG_DONTWAIT)) if data else 0
+        except BlockingIOError:
+            return 0
+
+    def _reject(self, exc: _BadRequestError) -> None:
+        """Send an error response to a rejected request, then close the sending side."""
+        log_event("request_rejected", status=exc.status, reason=str(exc))
+        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [("content-length", "0"), ("connection", "close")]
+        if exc.status == 503:
+            headers.append(("retry-after", REJECTED_RETRY_S))
+        self.send_event(
+            h11.Response(status_code=exc.status, headers=headers), h11.EndOfMessage()
+        )
+        self._sock.shutdown(socket.SHUT_WR)
+        self._discard_input()
+
+    def _discard_input(self) -> None:
+        """Discard input for a moment, since a reset could drop the response."""
+        with Timeout(0.5, False):
+            while receive(self._sock):
+                pass
+
+    def closes_after(self) -> bool:
+        """Return whether the connection closes after this response."""
+        return self._state.is_stopping
+
+
+def _check_framing(headers: Headers, version: bytes) -> None:
+    """Reject requests whose host or length is ambiguous (request smuggling)."""
+    names = [name.lower() for name, _ in headers]
+    lengths = names.count("content-length")
+    chunked = names.count("transfer-encoding")
+    if lengths > 1 or chunked > 1 or (lengths and chunked):
+        raise _BadRequestError(
+            400, "ambiguous length: repeated or conflicting length headers"
+        )
+    if chunked and version < b"1.1":
+        raise _BadRequestError(400, "chunked encoding requires HTTP/1.1")
+    if names.count("host") > 1:
+        raise _BadRequestError(400, "more than one Host header")
+
+
+def _watch_disconnect(sock: Any, request: Any, caller: _HttpCaller) -> None:
+    """Interrupt the green thread of a request when its caller disconnects."""
+    try:
+        trampoline(sock.fd, read=True)
+        if sock.fd.recv(1, socket.MSG_PEEK):
+            return
+    except OSError:
+        pass
+    caller.is_disconnected = True
+    get_hub().schedule_call_global(0, _interrupt, request, caller)
+
+
+def _interrupt(request: Any, caller: _HttpCaller) -> None:
+    """Raise ``CallerDisconnectedError`` in a request's thread if interruptible."""
+    if caller.is_interruptible and not request.dead:
+        request.throw(CallerDisconnectedError())
+
+
+def _interrupt_to_stop(request: Any, caller: _HttpCaller) -> None:
+    """Raise ``StoppingError`` in a request's thread unless its response is sent."""
+    if not caller.is_answered and not request.dead:
+        request.throw(StoppingError())
+
+
+class _HttpCaller(Caller):
+    """Sends the response to one request."""
+
+    def __init__(self, conn: CallerConnection, request: InboundRequest) -> None:
+        self._conn = conn
+        self._request = request
+        self.is_interruptible = True
+        self.is_disconnected = False
+        self.is_answered = False
+
+    def continue_after_disconnect(self) -> None:
+        self.is_interruptible = False
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        self._end_interruptions()
+        framed = [*headers, ("content-length", str(len(body)))]
+        events: list[Any] = [self._head(status, framed)]
+        if body and self._request.method != "HEAD":
+            events.append(h11.Data(data=body))
+        self._conn.send_event(*events, h11.EndOfMessage())
+
+    def start(self, status: int, headers: Headers) -> None:
+        self._conn.send_event(self._head(status, headers))
+
+    def send(self, data: bytes) -> None:
+        self._conn.send_event(h11.Data(data=data))
+
+    def finish(self) -> None:
+        self._end_interruptions()
+        self._conn.send_event(h11.EndOfMessage())
+
+    def abort(self) -> None:
+        self._end_interruptions()
+        self._conn.end()
+        raise CallerDisconnectedError
+
+    def _end_interruptions(self) -> None:
+        self.is_interruptible = False
+        self.is_answered = True
+
+    def _head(self, status: int, headers: Headers) -> h11.Response:
+        if self._conn.closes_after():
+            headers = [*headers, ("connection", "close")]
+        return h11.Response(status_code=status, headers=headers)
