Grant no adapter that the engine lacks while another one loads, on the own face

Cause: an engine's word that it lacks an adapter was dropped while an order was outstanding, so the owner went on granting from a list that it knew to be wrong until that order ended. Change: the list counts as stale at once; nothing is granted until the next report, which follows the order.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_runner_task.py
@@ -243,7 +243,7 @@
     def _end_grants(self, message: GrantsEnded) -> None:
         for grant_id in message.grant_ids:
             self.scheduler.release(grant_id)
-        if message.not_resident and not self.scheduler.has_order_outstanding():
+        if message.not_resident:
             log_event("book_stale", runner=self.runner)
             self._synced = False
 
--- a/tests/unit/test_runner_task.py
+++ b/tests/unit/test_runner_task.py
@@ -219,3 +219,25 @@
     assert len(fixture.answers) == 1
     fixture.run_spawned()
     assert len(fixture.answers) == 2
+
+
+def test_missing_adapter_is_not_granted_again_while_another_one_loads(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The engine had restarted, and each retry of a request was granted at once."""
+    fixture = Fixture(monkeypatch)
+    fixture.resident = ["m@1"]
+    fixture.ask(1, "m@1")
+    fixture.run_spawned()
+    assert len(fixture.answers) == 1
+    fixture.resident = []
+    fixture.ask(2, "n@1")
+    fixture.run_spawned()
+    assert fixture.task.scheduler.has_order_outstanding()
+    fixture.task.handle(coordination.GrantsEnded([fixture.answers[0].grant_id], True))
+    fixture.ask(3, "m@1")
+    assert len(fixture.answers) == 1
+    for _ in range(6):
+        fixture.run_spawned()
+    assert sorted(fixture.resident) == ["m@1", "n@1"]
+    assert len(fixture.answers) == 3
