Let no stream go on at a runner that restarted as another version under its id

Cause: requests name the id, not the incarnation, and the owner used the report of the new process as that of the old one: an order refused by its count (409), the report, and the adapter was loaded again. The start in the report (born) was not read. The class is the incident's own: what was known of one process is used for the next. Change: an owner that reads a later start than the entry's sends no orders for 1 s, in which the entry mostly arrives; then that incarnation counts, here and at the VMs that the owner's notices reach, as a software version of its own until its entry is read: it serves new streams and joins none. An empty runner serves nothing that its owner has not ordered, so this is the one place to ask.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -276,6 +276,7 @@
                 "models": self.runner.models(),
                 "busy": False,
                 "seq": self.runner.seq,
+                "born": self.runner.born_ms,
                 "coming": [f"{self.runner.model}/{n}@1" for n in self.runner.coming],
             }
             self._send(200, json.dumps(report).encode())
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -101,7 +101,8 @@
 
     ``idle`` slots can take another adapter at once, and ``waiting`` adapters wait for
     one; each of them has to wait ``mean_slot_wait_s`` longer than the one before.
-    ``prefill`` is the load of prompts as of the sending of the notice.
+    ``prefill`` is the load of prompts as of the sending of the notice. The owner has no
+    entry of an incarnation that ``is_undeclared``.
     """
 
     runner: str
@@ -112,6 +113,7 @@
     waiting: int
     mean_slot_wait_s: float
     prefill: PrefillLoad = PrefillLoad()
+    is_undeclared: bool = False
 
 
 class AcquireAnswer(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -27,6 +27,7 @@
 from ._membership import Membership
 from ._owner import OwnedRunners
 from ._request_ports import RequestInterruptedError
+from ._statements import record_restart
 from ._waiting_requests import Refusal
 
 RESPONSE_MARGIN_S = 0.05
@@ -128,6 +129,8 @@
 
     def handle_residency_notice(self, sender: str, notice: ResidencyNotice) -> None:
         """Store a residency notice; report this VM's uses if the owner is a new one."""
+        if notice.is_undeclared:
+            record_restart(self._ctx, notice.runner, notice.born_ms, sender)
         known = self._ctx.residency.newest(notice.runner)
         self._ctx.residency.update(notice)
         if known is not None and known.fencing_token == notice.fencing_token:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_control_port.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_control_port.py
@@ -16,6 +16,7 @@
     """Self-reported state of a model runner, some hundred milliseconds old.
 
     ``loading`` maps each adapter being loaded, as ``model/adapter``, to its version.
+    ``born_ms`` identifies the incarnation, 0 if the report does not tell.
     """
 
     models: tuple[HeldModel, ...]
@@ -24,6 +25,7 @@
     order_seq: int
     in_flight: int
     queued: int
+    born_ms: int = 0
 
 
 class OrderOp(StrEnum):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_orders.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_orders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from gooseberryrun._internal.state.serving import ResponseTimes, Runner
 
@@ -10,9 +10,13 @@
 from .._metrics import ORDER_SECONDS, ORDERS
 from ._context import Context
 from ._control_port import OrderOp, OrderOutcome, RunnerOrder, RunnerReport
+from ._statements import record_restart
 
 REPORT_LAG_S = 0.25
 """Largest age of a runner's report."""
+ENTRY_WAIT_S = 1.0
+"""Time for which a runner that has restarted gets no orders, since its entry in the
+registry tells more than its report."""
 MAX_UNANSWERED = 2
 """Consecutive unanswered orders after which the report is read again."""
 
@@ -31,6 +35,7 @@
         self._unanswered = 0
         self._response_times = ResponseTimes()
         self._min_report_at = float("-inf")
+        self._restart_seen_at: float | None = None
 
     @property
     def is_seq_known(self) -> bool:
@@ -61,12 +66,25 @@
         if self._ctx.clock.monotonic() < self._min_report_at:
             return None
         read = self._ctx.ports.control.read_report(self._runner)
+        if isinstance(read, Ok) and read.ok_value.born_ms > self._runner.born_ms:
+            self._handle_restart(read.ok_value.born_ms)
+            read = Err("restarted")
         if isinstance(read, Ok):
             self._seq = read.ok_value.order_seq
         else:
             log_event("report_unread", runner=self._runner.id, why=read.err_value)
         return read
 
+    def _handle_restart(self, born_ms: int) -> None:
+        """Wait for the entry of a runner that has restarted, then do without it."""
+        now = self._ctx.clock.monotonic()
+        self._seq = None
+        if self._restart_seen_at is None:
+            self._restart_seen_at = now
+        if now - self._restart_seen_at < ENTRY_WAIT_S:
+            return
+        record_restart(self._ctx, self._runner.id, born_ms, "report")
+
     def repeat_load(self, adapter: str, version: int, token: int) -> OrderOutcome:
         """Repeat the order of a load in progress, which leaves the count unchanged."""
         seq = self._seq
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -13,6 +13,7 @@
     Step,
     adapter_key,
     is_base_model,
+    is_undeclared,
 )
 
 from .._events import log_event
@@ -115,6 +116,7 @@
             len(self._queue.adapters_without_slot()),
             round(self._queue.slot_waits.mean_s, 3),
             self._queue.prefill_load(now),
+            is_undeclared(runner.software_version),
         )
 
     def acquire(self, request: AcquireRequest, deadline: float) -> Result[int, Refusal]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_statements.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_statements.py
@@ -71,3 +71,10 @@
         return
     RUNNERS_LEAVING.inc()
     log_event("runner_leaving", runner=runner, born_ms=born_ms, source=source)
+
+
+def record_restart(ctx: Context, runner: str, born_ms: int, source: str) -> None:
+    """Record an incarnation whose entry is late; log it if that is new."""
+    now = ctx.clock.monotonic()
+    if ctx.directory.record_restart(runner, born_ms, now):
+        log_event("runner_restarted", runner=runner, born_ms=born_ms, source=source)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -70,6 +70,7 @@
     SoftwareVersions,
     StreamOrigin,
     StreamOrigins,
+    is_undeclared,
 )
 from ._statements import RateLimit, RunnerStatement, RunnerStatements
 from ._stream_timing import StreamPace, StreamTiming
@@ -164,6 +165,7 @@
     "expected_first_event_s",
     "failure_rate",
     "is_base_model",
+    "is_undeclared",
     "is_followed_from",
     "reader_rank",
     "reads_store",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._directory_records import DirectoryRecord, Topic
+from ._directory_records import DirectoryRecord, Topic, drop_old_removals
 from ._epochs import Position
 from ._leaving import LeavingRunners
 from ._operator_records import OperatorRecords
@@ -16,8 +16,6 @@
 EXPIRY_GRACE_S = 1.8
 """Time for which a runner is still used after its entry expired in an outage: less
 than the 2 s that an entry takes to return and that a removed runner keeps serving."""
-MAX_TOMBSTONES = 500
-"""Removed entries that are kept to be sent to peers."""
 
 
 class DirectoryState:
@@ -211,7 +209,7 @@
         self, record: DirectoryRecord, known_record: DirectoryRecord | None, now: float
     ) -> bool:
         known = self._runners.get(record.key)
-        self._drop_old_tombstones()
+        drop_old_removals(self._newest[Topic.RUNNERS], len(self._runners))
         if record.runner is None:
             if known is None:
                 return bool(record.unreadable)
@@ -235,6 +233,13 @@
         if known.position.epoch < record.position.epoch:
             self._leaving.record_leaving(record.key, known.runner.born_ms)
 
+    def record_restart(self, runner_id: str, born_ms: int, now: float) -> bool:
+        """Record an incarnation that the registry does not have; return if it is new.
+
+        It may run any software until its entry is read.
+        """
+        return self._runners.record_restart(runner_id, born_ms, now)
+
     def record_leaving(self, runner_id: str, born_ms: int) -> bool:
         """Record that an incarnation said that it leaves; return whether that is new.
 
@@ -288,11 +293,3 @@
             del self._expiry_deadlines[runner_id]
             self._runners.remove(runner_id, now)
         return expired
-
-    def _drop_old_tombstones(self) -> None:
-        records = self._newest[Topic.RUNNERS]
-        if len(records) <= MAX_TOMBSTONES + len(self._runners):
-            return
-        removed = [r for r in records.values() if r.runner is None]
-        for record in sorted(removed, key=lambda r: r.position)[: len(removed) // 2]:
-            del records[record.key]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory_records.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory_records.py
@@ -10,6 +10,9 @@
 from ._routes import Configuration
 from ._runners import Runner
 
+MAX_REMOVALS_KEPT = 500
+"""Removed entries that are kept to be sent to peers."""
+
 
 class Topic(StrEnum):
     """Topics of records that every entry VM follows."""
@@ -40,3 +43,15 @@
     adapter_version: AdapterVersion | None = None
     runner: Runner | None = None
     unreadable: str = ""
+
+
+def drop_old_removals(records: dict[str, DirectoryRecord], entries: int) -> None:
+    """Drop the older half of the removals among records if there are too many.
+
+    ``entries`` is the number of the other records.
+    """
+    if len(records) <= MAX_REMOVALS_KEPT + entries:
+        return
+    removed = [record for record in records.values() if record.runner is None]
+    for record in sorted(removed, key=lambda r: r.position)[: len(removed) // 2]:
+        del records[record.key]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_index.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_index.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from ._runners import Runner
-from ._software import SoftwareVersions
+from ._software import SoftwareVersions, undeclared_software
 
 
 class RunnerIndex:
@@ -29,6 +31,22 @@
         self._by_id[runner.id] = runner
         self._clear_lists()
 
+    def record_restart(self, runner_id: str, born_ms: int, now: float) -> bool:
+        """Replace a registered runner by a later incarnation of it; return if it is.
+
+        Nothing else is known of that one, so its software counts as a version of its
+        own.
+        """
+        known = self._by_id.get(runner_id)
+        if known is None or known.born_ms >= born_ms:
+            return False
+        software = undeclared_software(runner_id, born_ms)
+        restarted = dataclasses.replace(
+            known, born_ms=born_ms, order_seq=0, software_version=software
+        )
+        self.put(restarted, now)
+        return True
+
     def remove(self, runner_id: str, now: float) -> None:
         """Remove a runner; one that is not registered is ignored."""
         self.software.replace(self._by_id.pop(runner_id, None), None, now)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_software.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_software.py
@@ -15,6 +15,7 @@
 
 from ._runners import Runner
 
+_UNDECLARED_PREFIX = "?"
 ENDED_VERSION_TTL_S = 60.0
 """Time for which a version without runners counts: longer than callers take streams
 up."""
@@ -38,6 +39,16 @@
     left_s: float
 
 
+def undeclared_software(runner_id: str, born_ms: int) -> str:
+    """Return the version that an incarnation counts as until its entry is read."""
+    return f"{_UNDECLARED_PREFIX}{runner_id}/{born_ms}"
+
+
+def is_undeclared(software: str) -> bool:
+    """Return whether a version is one that no entry has named."""
+    return software.startswith(_UNDECLARED_PREFIX)
+
+
 class SoftwareVersions:
     """Versions that serve each service, those that ended lately included."""
 
@@ -59,7 +70,12 @@
             self.record_seen(before.service, before.software_version, now)
 
     def record_seen(self, service: str, software: str, now: float) -> None:
-        """Record that a version served a service until now."""
+        """Record that a version served a service until now.
+
+        One that counted only until a runner's entry was read is not kept.
+        """
+        if is_undeclared(software):
+            return
         ended = self._ended.setdefault(service, {})
         ended.pop(software, None)
         ended[software] = now
--- a/tests/functional/serving/test_software_versions.py
+++ b/tests/functional/serving/test_software_versions.py
@@ -138,6 +138,29 @@
     assert sum(len(runner.begun) for runner in site.models) == runs
 
 
+def test_stream_does_not_go_on_at_a_runner_that_restarted_as_another_version(
+    site: Site,
+) -> None:
+    """The runners kept their ids, and their new entries were late."""
+    roots = begin_streams(site)
+    version = began(site, roots[0])
+    old = [root for root in roots if began(site, root) == version]
+    for runner in site.models:
+        if {runner.software} == version:
+            runner.restart()
+            runner.software = "v3"
+            runner.begun.clear()
+    wait_for(lambda: take_up(site.vms[1], old) and is_noticed(site), "noticed")
+    statuses = take_up(site.vms[1], old)
+    assert not [root for root in old if began(site, root)], statuses
+    assert ask(site.vms[0], "fresh", adapter="warm") == 200
+
+
+def is_noticed(site: Site) -> bool:
+    """Return whether a VM has seen that a runner restarted without a new entry."""
+    return any("event=runner_restarted" in vm.log.read_text() for vm in site.vms)
+
+
 def test_stream_of_unknown_origin_is_refused_while_two_versions_serve(
     site: Site,
 ) -> None:
--- a/tests/unit/serving/test_stream_origins.py
+++ b/tests/unit/serving/test_stream_origins.py
@@ -365,3 +365,36 @@
     assert versions.lately("s", 5.0) == {"v1", "v2"}
     assert versions.is_mixed("s", 5.0)
     assert not versions.is_mixed("s", 5.0 + ENDED_VERSION_TTL_S + 1)
+
+
+def test_runner_that_restarted_counts_as_a_version_of_its_own(
+    store: GroupStore,
+) -> None:
+    """Its entry is late, and it may run any software."""
+    vm = make_keepers(store)[0]
+    directory = vm.keeper._ctx.directory
+    vm.keeper.record(request("r1"), OLD)
+    assert directory.record_restart(OLD.id, 2, vm.clock.now)
+    assert not directory.record_restart(OLD.id, 2, vm.clock.now)
+    restarted = directory.runner(OLD.id)
+    assert restarted is not None
+    assert restarted.born_ms == 2
+    assert not directory.takes_new_work(OLD, vm.clock.now)
+    vm.keeper.record(request("r2"), restarted)
+    assert vm.take_up("r1") == "v1"
+    assert vm.take_up("r2") == restarted.software_version != "v1"
+    assert vm.take_up("unknown") is None
+    vm.register(2, replace(OLD, born_ms=2, software_version="v1"))
+    assert directory.software.lately("s", vm.clock.now) == {"v1"}
+    assert vm.take_up("r1") == "v1"
+
+
+def test_late_entry_of_an_earlier_incarnation_is_ignored(store: GroupStore) -> None:
+    vm = make_keepers(store)[0]
+    directory = vm.keeper._ctx.directory
+    directory.record_restart(OLD.id, 2, vm.clock.now)
+    vm.register(3, replace(OLD, order_seq=9))
+    known = directory.runner(OLD.id)
+    assert known is not None
+    assert known.born_ms == 2
+    assert not directory.record_restart("never-was", 2, vm.clock.now)
