Compare the starts of a runner only where entry and report tell both

An entry without a start (an odd or older one) would have counted as older than each report, so that its runner had no orders for a second and then no declared version, and later entries would have been ignored as older. Five unit tests of test_restarted_runners.py; the case 'entry without a start' failed before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_orders.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_orders.py
@@ -66,7 +66,7 @@
         if self._ctx.clock.monotonic() < self._min_report_at:
             return None
         read = self._ctx.ports.control.read_report(self._runner)
-        if isinstance(read, Ok) and read.ok_value.born_ms > self._runner.born_ms:
+        if isinstance(read, Ok) and self._is_restarted(read.ok_value):
             self._handle_restart(read.ok_value.born_ms)
             read = Err("restarted")
         if isinstance(read, Ok):
@@ -75,6 +75,10 @@
             log_event("report_unread", runner=self._runner.id, why=read.err_value)
         return read
 
+    def _is_restarted(self, report: RunnerReport) -> bool:
+        """Return whether a report is of a later incarnation; both may tell no start."""
+        return 0 < self._runner.born_ms < report.born_ms
+
     def _handle_restart(self, born_ms: int) -> None:
         """Wait for the entry of a runner that has restarted, then do without it."""
         now = self._ctx.clock.monotonic()
