Let a fuller list of members of the same generation replace a view

Change: views of one generation are ordered by their members; forwarded again to local peers after 1 s. Before: holder 5, joining 7 at the same time; now none, then 7.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -12,14 +12,11 @@
 
 from .._events import log_event
 from .._metrics import VIEW_MEMBERS
-from .._serving_messages import (
-    HandoverNotice,
-    LeavingNotice,
-    ViewNotice,
-)
+from .._serving_messages import HandoverNotice, LeavingNotice, ViewNotice
 from .._tasks import run_protected, spawn_until_done
 from ._context import Context, StoreStatus
 from ._lease_renewals import LeaseRenewals
+from ._view_forwarding import ViewForwarding
 
 MAX_RENEWAL_DELAY_S = 0.02
 """Longest random delay of a renewal that was triggered by another member."""
@@ -29,9 +26,6 @@
 """Pause after a new process failed to read the group's members from the store."""
 MAX_UNLISTED_READS = 20
 """Consecutive member lists without this VM that are discarded."""
-REMOTE_VIEW_RECIPIENTS = 2
-"""Members of each other failure domain to which a view read from the store is
-forwarded."""
 VIEW_WAIT_STEP_S = 0.1
 """Additional wait per reader rank for a local peer to forward a newer view."""
 MAX_VIEW_WAIT_S = 0.8
@@ -50,6 +44,7 @@
         self._is_own_domain = group is None
         self._group = ctx.cfg.vm.domain if group is None else group
         self._ownership = ctx.ownership if group is None else ctx.covered_domains[group]
+        self._views = ViewForwarding(ctx, self._group, self._ownership)
         self.renewals = LeaseRenewals(ctx, self._group, self._ownership)
         self._has_left = False
         self._is_renewal_due = False
@@ -69,12 +64,12 @@
         ctx = self._ctx
         self._has_left = True
         self.renewals.close()
-        peers = self._view_recipients()
+        peers = self._views.recipients()
         generation = self._ownership.view.generation
         runners = ctx.directory.all_runners()
         handovers = self._ownership.leave(runners, ctx.clock.boottime())
         if self._is_own_domain:
-            self._send_to(peers, LeavingNotice())
+            self._views.send(peers, LeavingNotice())
         left = ctx.ports.store.leave(self._group, ctx.own_member)
         why = left.err_value.detail if isinstance(left, Err) else ""
         log_event("group_left", group=self._group, error=why)
@@ -83,7 +78,7 @@
             return
         self._send_handovers(handovers, generation + 1)
         if self._is_own_domain:
-            self._send_to(peers, LeavingNotice())
+            self._views.send(peers, LeavingNotice())
 
     def _send_handovers(self, handovers: dict[str, list[str]], generation: int) -> None:
         for vm, runners in handovers.items():
@@ -169,20 +164,6 @@
     def _is_listed(self, members: Iterable[Member]) -> bool:
         return any(member.vm == self._ctx.vm for member in members)
 
-    def _send_to(self, vms: Iterable[str], message: ViewNotice | LeavingNotice) -> None:
-        self._ctx.peers.send_to_all(vms, message)
-
-    def _forward_view(self, view: View) -> None:
-        """Forward a view so that its recipients need not read it from the store."""
-        self._send_to(self._view_recipients(), ViewNotice(self._group, view))
-
-    def _view_recipients(self) -> list[str]:
-        """Return the recipients of changes: all local peers and some of each domain."""
-        recipients = self._ctx.local_peer_ids()
-        for view in self._ctx.remote_views.values():
-            recipients += [m.vm for m in _sample(view.members, REMOTE_VIEW_RECIPIENTS)]
-        return recipients
-
     def _start_after_predecessor(self) -> None:
         """Find out whether the previous process on this VM was a member.
 
@@ -289,10 +270,5 @@
         self._unlisted_reads = 0
         view = View(generation, tuple(members))
         self._adopt(view, "store")
-        self._forward_view(view)
+        self._views.forward(view)
         return True
-
-
-def _sample(members: tuple[Member, ...], count: int) -> list[Member]:
-    """Return at most ``count`` random members."""
-    return random.sample(members, min(count, len(members)))
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -90,8 +90,8 @@
         self._adopted.resume_predecessor(members, now)
 
     def adopt(self, view: View, now: float) -> bool:
-        """Put a view in force; return False if it is not newer."""
-        if view.generation <= self.view.generation:
+        """Put a view in force; return False if it is neither newer nor fuller."""
+        if not view.supersedes(self.view):
             return False
         for member in self.view.members:
             self._former[member.vm] = (member, now + FORMER_MEMBER_TTL_S)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_views.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_views.py
@@ -31,6 +31,15 @@
     generation: int
     members: tuple[Member, ...]
 
+    def supersedes(self, other: View) -> bool:
+        """Return whether this view is newer, or a fuller one of the same generation.
+
+        The store lists a member only once another has given up a partition for it.
+        """
+        if self.generation != other.generation:
+            return self.generation > other.generation
+        return set(self.members) > set(other.members)
+
     def eligible_owners(self, domain: str) -> list[Member]:
         """Return the members that runners of a failure domain are assigned to.
 
--- a/tests/unit/serving/test_fleets.py
+++ b/tests/unit/serving/test_fleets.py
@@ -17,11 +17,11 @@
 )
 from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
 from gooseberryrun._internal.coordination.serving._gossip import FANOUT, Gossip
-from gooseberryrun._internal.coordination.serving._membership import (
+from gooseberryrun._internal.coordination.serving._membership import Membership
+from gooseberryrun._internal.coordination.serving._remote_domains import RemoteDomains
+from gooseberryrun._internal.coordination.serving._view_forwarding import (
     REMOTE_VIEW_RECIPIENTS,
-    Membership,
 )
-from gooseberryrun._internal.coordination.serving._remote_domains import RemoteDomains
 from gooseberryrun._internal.state import ManualClock
 from gooseberryrun._internal.state.serving import (
     READERS_PER_DOMAIN,
@@ -85,7 +85,7 @@
 ) -> None:
     members = make_members(domains, vms)
     ctx, peers = make_vm(members["d0"][0], GroupStore(members), [], ManualClock())
-    Membership(ctx)._forward_view(ctx.ownership.view)
+    Membership(ctx)._views.forward(ctx.ownership.view)
     expected = len(members["d0"]) - 1 + REMOTE_VIEW_RECIPIENTS * (domains - 1)
     assert len(peers.sent) == min(expected, vms - 1)
 
--- a/tests/unit/serving/test_membership.py
+++ b/tests/unit/serving/test_membership.py
@@ -227,3 +227,15 @@
     membership._start_after_predecessor()
     assert ctx.is_new
     assert not ctx.ownership._adopted._adopted[0].view.members
+
+
+def test_view_is_forwarded_again_to_peers_that_missed_it() -> None:
+    """One that read the members too early kept the runners of the one it lacked."""
+    peers = FakePeers(lambda *_: None)
+    membership, ctx = make_membership(FakeStore(6), peers)
+    views = membership._views
+    views._repeat(ctx.ownership.view)
+    assert peers.sent == [("vm-b", ViewNotice("d", ctx.ownership.view))]
+    peers.sent.clear()
+    views._repeat(View(5, BOTH))
+    assert not peers.sent
--- a/tests/unit/serving/test_ownership.py
+++ b/tests/unit/serving/test_ownership.py
@@ -250,6 +250,24 @@
     assert sum(token is not None for token in tokens) == len(runners)
 
 
+def test_owner_that_read_the_members_too_early_gives_way_to_one_they_lacked() -> None:
+    """The store lists a member only once the others have renewed after it joined."""
+    early, full = make_view(7, "a1", "a3"), make_view(7, "a1", "a2", "a3")
+    runner = make_reassigned_runner("a2", "a3", full, early)
+    holder, joining = make_state("a3"), make_state("a2")
+    start(holder, make_view(5, "a1", "a3"), 0.0)
+    assert holder.fencing_token(runner, 0.1) == 5
+    change(holder, early, 1.0)
+    change(joining, full, 1.1)
+    assert holder.adopt(full, 1.2)
+    assert not holder.adopt(early, 1.3)
+    for at in (2.0, 4.0, 6.0):
+        holder.renew(7, at, at)
+        joining.renew(7, at, at)
+        assert holder.fencing_token(runner, at) is None
+    assert joining.fencing_token(runner, 6.0) == 7
+
+
 def test_no_orders_after_the_lease_even_if_the_vm_was_suspended() -> None:
     state, runner = make_sole_owner()
     state.renew(5, 1.0, 1.0)
