--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -208,7 +208,7 @@
             return self.fault
 
 
-class _Server(ThreadingHTTPServer):
+class RunnerServer(ThreadingHTTPServer):
     """Server whose handlers share the runner."""
 
     daemon_threads = True
@@ -218,11 +218,12 @@
     def __init__(self, address: tuple[str, int], runner: PlatformRunner) -> None:
         self.runner = runner
         self._connections: set[socket.socket] = set()
+        self.serving = threading.Thread(target=self.serve_forever, daemon=True)
         super().__init__(address, _Handler)
 
     def start(self) -> None:
         """Serve in a thread."""
-        threading.Thread(target=self.serve_forever, daemon=True).start()
+        self.serving.start()
 
     def process_request(self, request: Any, client_address: Any) -> None:
         """Remember the connection, so that a crash can close it."""
@@ -246,6 +247,11 @@
         restart.daemon = True
         restart.start()
 
+    def end(self) -> None:
+        """Refuse connections for good, and stop polling the socket."""
+        self.socket.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self.shutdown, daemon=True).start()
+
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Ignore connections that a fault closed."""
 
@@ -253,13 +259,13 @@
 def _restart(runner: PlatformRunner, address: tuple[str, int]) -> None:
     """Serve a crashed runner again at its address."""
     runner.restart()
-    _Server(address, runner).start()
+    RunnerServer(address, runner).start()
     runner.on_restart()
 
 
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
-    server: _Server
+    server: RunnerServer
     is_framed = True
 
     @property
@@ -380,7 +386,7 @@
             time.sleep(self.runner.event_pause_s)
             event = f"id: {number}\ndata: {number}\n\n".encode()
             if fault == "crash" and number == 3:
-                self.server.socket.shutdown(socket.SHUT_RDWR)
+                self.server.end()
                 self.close_connection = True
                 return
             if fault == "unframed_cut" and number == 5:
@@ -439,8 +445,8 @@
         self.wfile.write(data)
 
 
-def serve_runner(runner: PlatformRunner) -> ThreadingHTTPServer:
+def serve_runner(runner: PlatformRunner) -> RunnerServer:
     """Serve a backend server on a free port of the loopback address."""
-    server = _Server(("127.0.0.1", 0), runner)
+    server = RunnerServer(("127.0.0.1", 0), runner)
     server.start()
     return server
