--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -235,9 +235,7 @@
         with self.runner.lock:
             self.runner.crashes += 1
         host, port = self.server_address[0], self.server_address[1]
-        # A thread that polls the socket would keep it open.
-        self.socket.shutdown(socket.SHUT_RDWR)
-        self.socket.close()
+        self.end()
         for conn in list(self._connections):
             with contextlib.suppress(OSError):
                 conn.shutdown(socket.SHUT_RDWR)
@@ -248,9 +246,17 @@
         restart.start()
 
     def end(self) -> None:
-        """Refuse connections for good, and stop polling the socket."""
+        """Refuse connections at once; the socket is closed when no thread polls it.
+
+        The number of a socket that is closed earlier may be that of another one, which
+        the thread would poll without a pause.
+        """
         self.socket.shutdown(socket.SHUT_RDWR)
-        threading.Thread(target=self.shutdown, daemon=True).start()
+        threading.Thread(target=self._close, daemon=True).start()
+
+    def _close(self) -> None:
+        self.shutdown()
+        self.server_close()
 
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Ignore connections that a fault closed."""
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -232,8 +232,16 @@
         port = self._store_server.server_address[1]
         self.vms = [EntryVm(f"vm-{number}", port, folder) for number in range(vms)]
         if configured:
+            self._wait_until_ready()
+
+    def _wait_until_ready(self) -> None:
+        """Wait for all entry VMs; end them if one does not start."""
+        try:
             for vm in self.vms:
                 wait_for(vm.is_ready, f"{vm.name} ready")
+        except AssertionError:
+            self.close()
+            raise
 
     def register(self, runner: PlatformRunner) -> None:
         """Write the registry entry of a server."""
