Close no idle connection on which a request has arrived

Change: a connection with input isn't idle; one that was shut down serves nothing more. Test: test_request_that_has_arrived_on_an_idle_connection_is_answered (before: the caller got EOF).

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
@@ -71,6 +71,7 @@
         self._limits = state.limits()
         self._clock = clock
         self.is_idle = True
+        self._is_ended = False
         self._serving: tuple[Any, _HttpCaller] | None = None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.http = h11.Connection(
@@ -83,8 +84,20 @@
 
     def end(self) -> None:
         """Shut the connection down; its green thread closes the socket."""
+        self._is_ended = True
         end_connection(self._sock)
 
+    def end_if_idle(self) -> None:
+        """Shut the connection down unless a request is open or has arrived."""
+        if self.is_idle and not self._has_input():
+            self.end()
+
+    def _has_input(self) -> bool:
+        try:
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def interrupt(self) -> None:
         """Raise ``StoppingError`` in the green thread of an open request."""
         if self._serving is not None:
@@ -160,6 +173,9 @@
         if not self.http.trailing_data[0]:
             with Timeout(self._limits.idle_timeout_s, ConnectionClosedError("idle")):
                 self._receive()
+        if self._is_ended:
+            # What arrived before the end can still be read, but not answered.
+            raise ConnectionClosedError("ended")
         self.is_idle = False
         with Timeout(
             self._limits.header_timeout_s,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -60,10 +60,9 @@
             conn.interrupt()
 
     def close_idle(self) -> None:
-        """Close the connections without an open request."""
+        """Close the connections on which no request is open or has arrived."""
         for conn in list(self._connections):
-            if conn.is_idle:
-                conn.end()
+            conn.end_if_idle()
 
     def _accept_all(self) -> None:
         while True:
