Log and count by which figures a retry is denied

repeat_denied said only that the budget was used up: the incident's hypotheses (a new life gets the slack anew; it divides it by too few VMs) could not be told apart. It now names the service, the limit, what is spent, the requests, the number of VMs and the age of the process, also where a failure is passed on since no retry is left. Gauges retry_allowance and retries_spent and the counter retries_denied_total, by service. RetryBudgets has this in one place; no change of what is granted.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -79,6 +79,19 @@
 EVICTIONS = Counter(PREFIX + "adapter_evictions", "Evict orders, by result", ["result"])
 TAKEOVERS = Counter(PREFIX + "takeovers", "Runners taken over, by cause", ["cause"])
 RETRIES = Counter(PREFIX + "retries", "Repeated attempts, by cause", ["cause"])
+RETRY_ALLOWANCE = Gauge(
+    PREFIX + "retry_allowance",
+    "Retries of a service that this VM may spend in a window",
+    ["service"],
+)
+RETRIES_SPENT = Gauge(
+    PREFIX + "retries_spent",
+    "Retries of a service that this VM has spent in the window that ends now",
+    ["service"],
+)
+RETRIES_DENIED = Counter(
+    PREFIX + "retries_denied", "Retries that the budget did not allow", ["service"]
+)
 POISONED = Counter(PREFIX + "poison_verdicts", "Requests refused as crash causes")
 LOG_AGE = Gauge(
     PREFIX + "log_age_seconds", "Time since the stream was read to its end", ["stream"]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import Runner, ServiceRetryBudget
+from gooseberryrun._internal.state.serving import Runner
 
 from .._events import log_event
 from ._active_request import ActiveRequest
@@ -18,6 +18,7 @@
     RunnerResponse,
 )
 from ._responses import end_to_end
+from ._retry_budgets import RetryBudgets
 from ._statements import record_statement
 
 UNREACHABLE_PAUSE_S = 0.8
@@ -34,38 +35,19 @@
     def __init__(self, ctx: Context, guard: CrashGuard) -> None:
         self._ctx = ctx
         self._guard = guard
-        self._budgets: dict[str, ServiceRetryBudget] = {}
+        self._budgets = RetryBudgets(ctx)
 
     def count_request(self, service: str) -> None:
         """Count a caller's request for a service."""
-        self._budget(service).count_request(self._ctx.clock.monotonic())
+        self._budgets.count_request(service)
 
     def withdraw_attempt(self, active: ActiveRequest) -> bool:
         """Take another attempt from the retry budget; the first one is free."""
-        if active.sends == 0:
-            return True
-        vms = self._ctx.known_vm_count()
-        now = self._ctx.clock.monotonic()
-        granted = self._budget(active.service).try_withdraw(now, vms)
-        if not granted:
-            log_event(
-                "repeat_denied", request=active.metadata.request_id, sends=active.sends
-            )
-        return granted
+        return self._budgets.withdraw(active)
 
     def has_retry_budget(self, active: ActiveRequest) -> bool:
         """Return whether the retry budget allows another attempt."""
-        vms = self._ctx.known_vm_count()
-        now = self._ctx.clock.monotonic()
-        return self._budget(active.service).allows_retry(now, vms)
-
-    def _budget(self, service: str) -> ServiceRetryBudget:
-        if service not in self._budgets:
-            cfg = self._ctx.cfg.repeats
-            self._budgets[service] = ServiceRetryBudget(
-                cfg.ratio, cfg.slack, cfg.window_s
-            )
-        return self._budgets[service]
+        return self._budgets.has_retry_left(active)
 
     def send(
         self,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -50,7 +50,8 @@
 class Context:
     """Settings, ports and state of one entry VM.
 
-    Once the process is stopping, all responses are due at ``stop_deadline``.
+    The process began at ``started_at`` on the monotonic clock. Once it is stopping, all
+    responses are due at ``stop_deadline``.
     """
 
     cfg: ServingSettings
@@ -61,6 +62,7 @@
     ownership: OwnershipState
     loads: RunnerLoads
     evidence: CrashEvidence
+    started_at: float
     statements: RunnerStatements = field(default_factory=RunnerStatements)
     pauses: RunnerPauses = field(default_factory=RunnerPauses)
     policy: ServingPolicy = ServingPolicy()
@@ -247,4 +249,5 @@
         ),
         RunnerLoads(),
         CrashEvidence(has_returned),
+        clock.monotonic(),
     )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.pyi
@@ -51,7 +51,7 @@
     decode_record,
     encode_record,
 )
-from ._serving_settings import MembershipSettings, ServingSettings
+from ._serving_settings import MembershipSettings, RetrySettings, ServingSettings
 from ._settings import (
     HttpSettings,
     LeaseSettings,
@@ -74,6 +74,7 @@
     "CONFIG_STREAM",
     "NodeSettings",
     "MembershipSettings",
+    "RetrySettings",
     "ServingSettings",
     "load_settings_as",
     "CacheEvent",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
@@ -3,11 +3,34 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
+
+from .._serving_settings import RetrySettings
 
 USABLE_SHARE = 0.7
 """Share of the allowance that is used, since VMs count without coordination."""
 
 
+@dataclass(frozen=True, slots=True)
+class RetryAllowance:
+    """What a VM may spend on retries of a service, and what the figure is based on.
+
+    ``spent`` retries and ``requests`` are those of the window that ends now, ``vms``
+    the VMs among which the slack is divided. The process lives for ``age_s``.
+    """
+
+    limit: float
+    spent: int
+    requests: int
+    vms: int
+    age_s: float
+
+    @property
+    def has_retry_left(self) -> bool:
+        """Return whether one more retry stays within the limit."""
+        return self.spent + 1 <= self.limit
+
+
 class ServiceRetryBudget:
     """Retries of one service in a sliding window, limited by the requests in it.
 
@@ -15,10 +38,9 @@
     counts its own requests and gets an equal part of the slack.
     """
 
-    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
-        self._ratio = ratio
-        self._slack = slack
-        self._window_s = window_s
+    def __init__(self, cfg: RetrySettings, started_at: float) -> None:
+        self._cfg = cfg
+        self._started_at = started_at
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -29,18 +51,25 @@
 
     def try_withdraw(self, now: float, vms: int) -> bool:
         """Count one retry; return False if the allowance is used up."""
-        if not self.allows_retry(now, vms):
+        if not self.allowance(now, vms).has_retry_left:
             return False
         self._retries.append(now)
         return True
 
-    def allows_retry(self, now: float, vms: int) -> bool:
-        """Return whether the allowance has a retry left."""
+    def allowance(self, now: float, vms: int) -> RetryAllowance:
+        """Return what may be spent now."""
         self._expire(now)
-        allowance = self._ratio * len(self._requests) + self._slack / max(1, vms)
-        return len(self._retries) + 1 <= USABLE_SHARE * allowance
+        requests = len(self._requests)
+        allowed = self._cfg.ratio * requests + self._cfg.slack / max(1, vms)
+        return RetryAllowance(
+            USABLE_SHARE * allowed,
+            len(self._retries),
+            requests,
+            vms,
+            now - self._started_at,
+        )
 
     def _expire(self, now: float) -> None:
         for times in (self._requests, self._retries):
-            while times and times[0] < now - self._window_s:
+            while times and times[0] < now - self._cfg.window_s:
                 times.popleft()
--- a/tests/unit/serving/test_retry_shares.py
+++ b/tests/unit/serving/test_retry_shares.py
@@ -4,11 +4,16 @@
 
 from typing import Any
 
-from gooseberryrun._internal.coordination.serving import StoreStatus
+import pytest
+from gooseberryrun._internal.coordination.serving import (
+    StoreStatus,
+    _retry_budgets,
+)
 from gooseberryrun._internal.coordination.serving._attempts import Attempts
 from gooseberryrun._internal.state import ManualClock
 
 from tests.lib.fleet import GroupStore, make_members, make_runners, make_vm
+from tests.lib.retries import FailingFleet
 
 
 def test_vms_that_know_no_member_yet_share_the_retries_of_all() -> None:
@@ -33,3 +38,23 @@
         while attempts.withdraw_attempt(active):
             granted += 1
     assert 0 < granted <= slack
+
+
+def test_denied_retry_is_logged_with_the_figures_of_the_budget(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[tuple[str, dict[str, Any]]] = []
+    monkeypatch.setattr(
+        _retry_budgets,
+        "log_event",
+        lambda event, **fields: lines.append((event, fields)),
+    )
+    fleet = FailingFleet(7)
+    while fleet.fail_request(fleet.members[0]):
+        pass
+    event, fields = lines[0]
+    assert event == "repeat_denied"
+    assert fields["spent"] == len(fleet.retries)
+    assert fields["spent"] <= fields["limit"] < fields["spent"] + 1
+    assert fields["requests"] == len(fleet.requests)
+    assert (fields["vms"], fields["age_s"]) == (7, 2 * fleet.cfg.window_s)
--- a/tests/unit/serving/test_small_parts.py
+++ b/tests/unit/serving/test_small_parts.py
@@ -10,7 +10,7 @@
     StoreStatus,
     make_context,
 )
-from gooseberryrun._internal.state import ManualClock, ServingSettings
+from gooseberryrun._internal.state import ManualClock, RetrySettings, ServingSettings
 from gooseberryrun._internal.state.serving import (
     Member,
     RunnerLoads,
@@ -23,7 +23,8 @@
 
 def test_all_vms_together_stay_within_the_budget_while_everything_fails() -> None:
     vms = 9
-    budgets = [ServiceRetryBudget(0.2, 58, 10.0) for _ in range(vms)]
+    cfg = RetrySettings(ratio=0.2, slack=58, window_s=10.0)
+    budgets = [ServiceRetryBudget(cfg, -100.0) for _ in range(vms)]
     granted = 0
     for number in range(900):
         budget = budgets[number % vms]
@@ -34,11 +35,12 @@
 
 
 def test_budget_comes_back_after_the_window() -> None:
-    budget = ServiceRetryBudget(0.0, 10, 10.0)
+    cfg = RetrySettings(ratio=0.0, slack=10, window_s=10.0)
+    budget = ServiceRetryBudget(cfg, -100.0)
     while budget.try_withdraw(0.0, 1):
         pass
-    assert not budget.allows_retry(9.0, 1)
-    assert budget.allows_retry(10.5, 1)
+    assert not budget.allowance(9.0, 1).has_retry_left
+    assert budget.allowance(10.5, 1).has_retry_left
 
 
 def test_figures_of_silent_peers_stop_counting() -> None:
