Let a new process earn its part of the retry budget

Cause: the window of requests and retries is a process's memory; each life began with an empty window and its VM's whole part of the slack. An allowance over time must not be given out anew by a restart.

Change: a process older than the window may spend 0.7 of its VM's share, as before. A younger one spends at most 0.25 of it: of its own requests, and of a slack that grows with its age over the window. In any window one process of a VM at most is older, and the ages of the younger ones add up to a window at most, so 0.95 of the allowance is never passed, however often and whenever VMs are killed. 0.05 covers retries that arrive later than they were counted.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
@@ -1,4 +1,12 @@
-"""Retry budget of a service, shared by all entry VMs."""
+"""Retry budget of a service, shared by all entry VMs.
+
+Made for loads in which all runners of a service fail while the processes of the VMs are
+killed again and again. A process does not know what its predecessors on the VM have
+spent in the window, so the allowance of a window is split: a process that has lived for
+a whole window may spend the one part of its VM's share, all younger ones together the
+other. Their part of the slack grows with their age, and a window has no more of it
+than their ages add up to.
+"""
 
 from __future__ import annotations
 
@@ -7,8 +15,14 @@
 
 from .._serving_settings import RetrySettings
 
-USABLE_SHARE = 0.7
-"""Share of the allowance that is used, since VMs count without coordination."""
+SETTLED_SHARE = 0.7
+"""Share of the allowance for processes that are older than the window."""
+NEW_SHARE = 0.25
+"""Share of the allowance for younger processes.
+
+The rest covers retries that arrive later than they were counted, and requests that come
+unevenly.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,15 +73,15 @@
     def allowance(self, now: float, vms: int) -> RetryAllowance:
         """Return what may be spent now."""
         self._expire(now)
+        age_s = now - self._started_at
         requests = len(self._requests)
-        allowed = self._cfg.ratio * requests + self._cfg.slack / max(1, vms)
-        return RetryAllowance(
-            USABLE_SHARE * allowed,
-            len(self._retries),
-            requests,
-            vms,
-            now - self._started_at,
-        )
+        slack = self._cfg.slack / max(1, vms)
+        share = SETTLED_SHARE
+        if age_s < self._cfg.window_s:
+            share = NEW_SHARE
+            slack *= age_s / self._cfg.window_s
+        limit = share * (self._cfg.ratio * requests + slack)
+        return RetryAllowance(limit, len(self._retries), requests, vms, age_s)
 
     def _expire(self, now: float) -> None:
         for times in (self._requests, self._retries):
--- a/tests/unit/serving/test_retry_shares.py
+++ b/tests/unit/serving/test_retry_shares.py
@@ -25,11 +25,13 @@
     granted = 0
     slack = 0.0
     for member in [m for group in members.values() for m in group]:
-        ctx, _ = make_vm(member, GroupStore(members), runners, ManualClock(100.0))
+        clock = ManualClock(100.0)
+        ctx, _ = make_vm(member, GroupStore(members), runners, clock)
+        clock.now += 2 * ctx.cfg.repeats.window_s
         ctx.remote_views.clear()
         ctx.ownership.leave([], 0.0)
         for vm in names:
-            ctx.store_statuses[vm] = StoreStatus(100.0, can_reach_store=False)
+            ctx.store_statuses[vm] = StoreStatus(clock.now, can_reach_store=False)
         slack = ctx.cfg.repeats.slack
         guard: Any = None
         attempts = Attempts(ctx, guard)
