Divide the retry slack among all VMs that may still hold a part of it

After a start in a cut, a cut between domains or the loss of its peers it knew fewer, down to itself, and took a larger part at once, though the parts of the others were spent or in use; nine VMs that know no other took nine times the slack.

Change: FleetSize holds the largest number known within a minute. Peers tell it by gossip, only what they counted themselves, so a new process learns it and it does not last for ever. A domain of the settings whose members are not known counts as large as the largest known one. A VM that knows no other VM and no view of its own domain has no slack; its own requests still allow retries. The share of a rate limit that a VM takes while no granter answers uses the same number.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -221,7 +221,8 @@
     is 0 if there are none. ``limits`` are the rate limits that runners stated lately,
     each with its age in seconds, ``leaving`` the incarnations of runners that said that
     they leave, by runner. ``configuration_version`` is that of the configuration in
-    force, which a restored store may have lost.
+    force, which a restored store may have lost. ``counted_vms`` is the largest number
+    of VMs that the sender has known lately.
     """
 
     vm: str
@@ -233,6 +234,7 @@
     limits: dict[str, tuple[float, RateLimit]] = {}
     leaving: dict[str, int] = {}
     configuration_version: int = 0
+    counted_vms: int = 0
 
 
 class DirectoryRequest(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -15,6 +15,7 @@
     Crash,
     CrashEvidence,
     DirectoryState,
+    FleetSize,
     Member,
     OwnershipState,
     Runner,
@@ -23,6 +24,7 @@
     RunnerStatements,
     ServingPolicy,
     View,
+    estimate_vms,
     is_followed_from,
     reader_rank,
 )
@@ -63,6 +65,7 @@
     loads: RunnerLoads
     evidence: CrashEvidence
     started_at: float
+    fleet_size: FleetSize = field(default_factory=FleetSize)
     statements: RunnerStatements = field(default_factory=RunnerStatements)
     pauses: RunnerPauses = field(default_factory=RunnerPauses)
     policy: ServingPolicy = ServingPolicy()
@@ -123,17 +126,41 @@
         return known is None or known.members != view.members
 
     def known_vm_count(self) -> int:
+        """Return the number of VMs that may share an allowance, 0 if it is unknown.
+
+        It is unknown to a VM that has started in a partition and knows no other VM, nor
+        a view of its own domain.
+        """
+        self.count_vms()
+        return self.fleet_size.value(self.clock.monotonic())
+
+    def count_vms(self) -> int:
+        """Count the VMs known now; return the largest recent count, 0 if unknown."""
+        now = self.clock.monotonic()
+        self.fleet_size.count(self._known_vms(now), now)
+        return self.fleet_size.counted(now)
+
+    def _known_vms(self, now: float) -> int:
         """Return the number of members and of other VMs that gossip was received from.
 
         A VM that has started in a partition may know no member yet.
         """
-        now = self.clock.monotonic()
         heard = {
             vm
             for vm, status in self.store_statuses.items()
             if now - status.received_at <= FORMER_MEMBER_TTL_S
         }
-        return len({self.vm, *self.members(), *heard})
+        views = dict(self.remote_views)
+        if self.ownership.view.members:
+            views[self.cfg.vm.domain] = self.ownership.view
+        members = {
+            group: {member.vm for member in view.members}
+            for group, view in views.items()
+        }
+        if not heard and not any(members.values()):
+            return 0
+        domains = [*self.cfg.membership.domains, self.cfg.vm.domain]
+        return estimate_vms(members, set(domains), heard | {self.vm})
 
     def peer_ids(self) -> list[str]:
         """Return the ids of the other members."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -90,6 +90,7 @@
             limits=ctx.statements.recent(now),
             leaving=ctx.directory.stated_leaving(),
             configuration_version=ctx.directory.configuration_version,
+            counted_vms=ctx.count_vms(),
         )
 
     def _residency(self) -> list[ResidencyNotice]:
@@ -102,6 +103,7 @@
         now = ctx.clock.monotonic()
         ctx.loads.receive(gossip.vm, gossip.views, now)
         ctx.store_statuses[gossip.vm] = StoreStatus(now, gossip.can_reach_store)
+        ctx.fleet_size.hear(gossip.counted_vms, now)
         for notice in gossip.residency:
             runner = ctx.directory.runner(notice.runner)
             if runner is None or ctx.follows(runner):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
@@ -113,7 +113,7 @@
                 break
         if turn is None:
             granter = "own_share"
-            share_per_s = limit_per_s / self._ctx.known_vm_count()
+            share_per_s = limit_per_s / max(1, self._ctx.known_vm_count())
             now = self._ctx.clock.monotonic()
             turn = self._own_share.take(runner.id, share_per_s, max_wait_s, now)
         outcome = "granted" if turn.is_granted else "refused"
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -36,6 +36,7 @@
     reads_store,
 )
 from ._epochs import Position, combine_generation, generation_number
+from ._fleet_size import FleetSize, estimate_vms
 from ._loads import RunnerLoads, RunnerView
 from ._ownership import FORMER_MEMBER_TTL_S, OwnershipState
 from ._pauses import RunnerPauses
@@ -107,6 +108,7 @@
     "Crash",
     "CrashEvidence",
     "CrashLimits",
+    "FleetSize",
     "Handling",
     "StoredCrash",
     "Suspicion",
@@ -166,6 +168,7 @@
     "failure_rate",
     "is_base_model",
     "is_undeclared",
+    "estimate_vms",
     "is_followed_from",
     "reader_rank",
     "reads_store",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
@@ -30,7 +30,8 @@
     """What a VM may spend on retries of a service, and what the figure is based on.
 
     ``spent`` retries and ``requests`` are those of the window that ends now, ``vms``
-    the VMs among which the slack is divided. The process lives for ``age_s``.
+    the VMs among which the slack is divided: 0 if unknown, and then there is none. The
+    process lives for ``age_s``.
     """
 
     limit: float
@@ -75,7 +76,7 @@
         self._expire(now)
         age_s = now - self._started_at
         requests = len(self._requests)
-        slack = self._cfg.slack / max(1, vms)
+        slack = self._cfg.slack / vms if vms else 0.0
         share = SETTLED_SHARE
         if age_s < self._cfg.window_s:
             share = NEW_SHARE
