Begin a store budget without permits, since another issuer may have granted some

The incident's class: an allowance over time that is kept in a process's memory alone. The bucket begins empty now; the first load through a new issuer waits half a second. The new test failed before; the one of the reserved permit lets the bucket fill for a second first, and checks the same.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_store_budget.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_store_budget.py
@@ -27,7 +27,8 @@
     """Token bucket with a bound on permits in flight.
 
     ``share`` is the part of the rate that may be granted. A permit whose end is never
-    reported expires after the load timeout.
+    reported expires after the load timeout. The bucket begins empty, since another
+    issuer may have granted permits until now.
     """
 
     def __init__(self, rate: float, in_flight: int, timeout_s: float) -> None:
@@ -35,7 +36,7 @@
         self.share = 1.0
         self._limit = in_flight
         self._timeout_s = timeout_s
-        self._tokens = 2.0
+        self._tokens = 0.0
         self._updated_at: float | None = None
         self._deadlines: dict[str, float] = {}
 
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -222,12 +222,24 @@
 
 def test_store_budget_keeps_one_permit_for_quick_work() -> None:
     budget = coordination.StoreBudget(rate=2.0, in_flight=8, timeout_s=60.0)
+    assert budget.take("r1", -1.0, urgent=False) > 0.0
     assert budget.take("r1", 0.0, urgent=False) == 0.0
     assert budget.take("r2", 0.0, urgent=False) > 0.0
     assert budget.take("r3", 0.0, urgent=True) == 0.0
     assert budget.take("r4", 0.0, urgent=True) > 0.0
 
 
+def test_issuers_killed_in_series_do_not_grant_more_than_the_rate() -> None:
+    """Each new issuer began with two permits beside those of its predecessor."""
+    started = 0
+    for tick in range(200):
+        now = tick / 10
+        if tick % 10 == 0:
+            budget = coordination.StoreBudget(rate=2.0, in_flight=100, timeout_s=60.0)
+        started += budget.take(f"r{tick}", now) == 0.0
+    assert 0 < started <= 2.0 * 20
+
+
 def test_expected_wait_grows_with_the_loads_ahead_of_a_request() -> None:
     scheduler = make_scheduler(make_weighted())
     assert scheduler.expected_wait_s("m0@1") == 0.0
