Let a new process of the own face earn its retry floor

The new test failed before (ten processes of half a second each spent 10 each and their requests' part).

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
@@ -74,7 +74,7 @@
         self._engines = engines
         self._crashes = crashes
         self._acquisition = acquisition
-        self._budget = RetryBudget(cfg.limits)
+        self._budget = RetryBudget(cfg.limits, clock)
 
     def run(self, request: CompletionRequest) -> Result[Response, Refusal]:
         """Run a completion; a stream that cannot be completed raises an error."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_idempotent_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_idempotent_requests.py
@@ -29,7 +29,7 @@
         self._clock = clock
         self._membership = membership
         self._services = services
-        self._budget = RetryBudget(cfg.limits)
+        self._budget = RetryBudget(cfg.limits, clock)
 
     def run(self, request: ServiceRequest) -> Result[Response, Refusal]:
         """Try the servers of the service in order, within the retry budget."""
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -150,13 +150,29 @@
 
 def test_retry_budget_bounds_repeats() -> None:
     cfg = state.LimitSettings(retry_budget_ratio=0.2, retry_budget_floor=10)
-    budget = coordination.RetryBudget(cfg)
+    clock = state.ManualClock()
+    budget = coordination.RetryBudget(cfg, clock)
     spent = 0
     for _ in range(1000):
+        clock.now += 0.01
         budget.deposit()
         while budget.try_withdraw():
             spent += 1
-    assert spent <= 10 + 0.2 * 1000 + 1
+    assert 0.2 * 1000 < spent <= 10 + 0.2 * 1000 + 1
+
+
+def test_processes_killed_in_series_do_not_get_the_retry_floor_anew() -> None:
+    cfg = state.LimitSettings(retry_budget_ratio=0.2, retry_budget_floor=10)
+    clock = state.ManualClock()
+    spent = 0
+    for _ in range(10):
+        budget = coordination.RetryBudget(cfg, clock)
+        for _ in range(10):
+            clock.now += 0.05
+            budget.deposit()
+            while budget.try_withdraw():
+                spent += 1
+    assert 0 < spent <= 10 + 0.2 * 100
 
 
 def test_store_budget_keeps_rate_and_flight() -> None:
