--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -11,7 +11,6 @@
     VmKind,
 )
 from gooseberryrun._internal.state.serving import (
-    FORMER_MEMBER_TTL_S,
     Crash,
     CrashEvidence,
     DirectoryState,
@@ -24,9 +23,7 @@
     RunnerPauses,
     RunnerStatements,
     ServingPolicy,
-    Topic,
     View,
-    estimate_vms,
     is_followed_from,
     reader_rank,
 )
@@ -131,43 +128,6 @@
         self.remote_views[group] = view
         return known is None or known.members != view.members
 
-    def known_vm_count(self) -> int:
-        """Return the number of VMs that may share an allowance, 0 if it is unknown.
-
-        It is unknown to a VM that has started in a partition and knows no other VM, nor
-        a view of its own domain.
-        """
-        self.count_vms()
-        return self.fleet_size.value(self.clock.monotonic())
-
-    def count_vms(self) -> int:
-        """Count the VMs known now; return the largest recent count, 0 if unknown."""
-        now = self.clock.monotonic()
-        self.fleet_size.count(self._known_vms(now), now)
-        return self.fleet_size.counted(now)
-
-    def _known_vms(self, now: float) -> int:
-        """Return the number of members and of other VMs that gossip was received from.
-
-        A VM that has started in a partition may know no member yet.
-        """
-        heard = {
-            vm
-            for vm, status in self.store_statuses.items()
-            if now - status.received_at <= FORMER_MEMBER_TTL_S
-        }
-        views = dict(self.remote_views)
-        if self.ownership.view.members:
-            views[self.cfg.vm.domain] = self.ownership.view
-        members = {
-            group: {member.vm for member in view.members}
-            for group, view in views.items()
-        }
-        if not heard and not any(members.values()):
-            return 0
-        domains = [*self.cfg.membership.domains, self.cfg.vm.domain]
-        return estimate_vms(members, set(domains), heard | {self.vm})
-
     def peer_ids(self) -> list[str]:
         """Return the ids of the other members."""
         return [vm for vm in self.members() if vm != self.vm]
@@ -260,21 +220,6 @@
                 return False
         return True
 
-    def knows_registry_of_all(self) -> bool:
-        """Return whether no VM can have read more of the registry than this one.
-
-        That is so while all VMs report that they cannot reach the store, and none has
-        read the registry further.
-        """
-        now = self.clock.monotonic()
-        peers = self.peer_ids()
-        if self.can_reach_store or len(peers) + 1 < self.known_vm_count():
-            return False
-        if not peers or not self.is_store_unreachable_for_all(peers, now):
-            return False
-        own_end = self.directory.ends[Topic.RUNNERS]
-        return all(self.store_statuses[vm].registry_end <= own_end for vm in peers)
-
 
 def make_context(
     cfg: ServingSettings, clock: Clock, ports: Ports, peers: Peers
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -13,6 +13,7 @@
 from .._serving_messages import ResidencyNotice, ServingGossip
 from .._tasks import spawn_until_done
 from ._context import Context, StoreStatus
+from ._fleet_knowledge import count_vms
 
 INTERVAL_S = 0.5
 FANOUT = 8
@@ -92,7 +93,7 @@
             limits=ctx.statements.recent(now),
             leaving=ctx.directory.stated_leaving(),
             configuration_version=ctx.directory.configuration_version,
-            counted_vms=ctx.count_vms(),
+            counted_vms=count_vms(ctx),
         )
 
     def _residency(self) -> list[ResidencyNotice]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_registry_check.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_registry_check.py
@@ -15,6 +15,7 @@
 
 from .._tasks import spawn
 from ._context import Context
+from ._fleet_knowledge import knows_registry_of_all
 
 CHECK_TIMEOUT_S = 0.3
 """Longest wait for the store before the registry counts as unconfirmed."""
@@ -38,7 +39,7 @@
         """Return whether no VM can know of other runners than this one."""
         if self._ctx.clock.boottime() - self._confirmed_at <= FRESH_S:
             return True
-        return self._is_read() or self._ctx.knows_registry_of_all()
+        return self._is_read() or knows_registry_of_all(self._ctx)
 
     def _is_read(self) -> bool:
         """Wait for a read; return whether it succeeded in time."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_retry_budgets.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_retry_budgets.py
@@ -8,6 +8,7 @@
 from .._metrics import RETRIES_DENIED, RETRIES_SPENT, RETRY_ALLOWANCE
 from ._active_request import ActiveRequest
 from ._context import Context
+from ._fleet_knowledge import known_vm_count
 
 
 class RetryBudgets:
@@ -28,13 +29,13 @@
         if not self.has_retry_left(active):
             return False
         now = self._ctx.clock.monotonic()
-        vms = self._ctx.known_vm_count()
+        vms = known_vm_count(self._ctx)
         return self._budget(active.service).try_withdraw(now, vms)
 
     def has_retry_left(self, active: ActiveRequest) -> bool:
         """Return whether the budget allows another attempt; log it if not."""
         now = self._ctx.clock.monotonic()
-        vms = self._ctx.known_vm_count()
+        vms = known_vm_count(self._ctx)
         allowance = self._budget(active.service).allowance(now, vms)
         if allowance.has_retry_left:
             return True
@@ -66,11 +67,11 @@
 
         def limit() -> float:
             now = ctx.clock.monotonic()
-            return budget.allowance(now, ctx.known_vm_count()).limit
+            return budget.allowance(now, known_vm_count(ctx)).limit
 
         def spent() -> float:
             now = ctx.clock.monotonic()
-            return budget.allowance(now, ctx.known_vm_count()).spent
+            return budget.allowance(now, known_vm_count(ctx)).spent
 
         RETRY_ALLOWANCE.labels(service=service).set_function(limit)
         RETRIES_SPENT.labels(service=service).set_function(spent)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
@@ -29,6 +29,7 @@
 from .._serving_messages import TurnAnswer, TurnRequest
 from ._active_request import ActiveRequest
 from ._context import Context
+from ._fleet_knowledge import known_vm_count
 from ._statements import record_limit
 
 GRANTERS = 3
@@ -113,7 +114,7 @@
                 break
         if turn is None:
             granter = "own_share"
-            share_per_s = limit_per_s / max(1, self._ctx.known_vm_count())
+            share_per_s = limit_per_s / max(1, known_vm_count(self._ctx))
             now = self._ctx.clock.monotonic()
             turn = self._own_share.take(runner.id, share_per_s, max_wait_s, now)
         outcome = "granted" if turn.is_granted else "refused"
--- a/tests/unit/serving/test_retry_slack_parts.py
+++ b/tests/unit/serving/test_retry_slack_parts.py
@@ -6,6 +6,10 @@
 
 import pytest
 from gooseberryrun._internal.coordination.serving import Context
+from gooseberryrun._internal.coordination.serving._fleet_knowledge import (
+    count_vms,
+    known_vm_count,
+)
 from gooseberryrun._internal.coordination.serving._gossip import Gossip
 from gooseberryrun._internal.state.serving import Member, View
 from gooseberryrun._internal.state.serving._fleet_size import HOLD_S
@@ -101,9 +105,9 @@
     new, peer = fleet.members[:2]
     ctx = fleet.restart(new)
     isolate(ctx)
-    assert ctx.known_vm_count() == 0
+    assert known_vm_count(ctx) == 0
     gossip_of(ctx).receive(gossip_of(fleet.contexts[peer.vm])._make_gossip())
-    assert ctx.known_vm_count() == len(fleet.members)
+    assert known_vm_count(ctx) == len(fleet.members)
 
 
 def test_number_that_peers_tell_one_another_does_not_last_for_ever(
@@ -115,14 +119,14 @@
     left, right = pair[:2]
     lost = [m for m in fleet.members if m.vm not in (left.vm, right.vm)]
     for ctx in pair:
-        ctx.count_vms()
+        count_vms(ctx)
     for ctx in (left, right):
         forget(ctx, lost)
     for _ in range(3 * int(HOLD_S)):
         fleet.clock.now += 1.0
         gossip_of(left).receive(gossip_of(right)._make_gossip())
         gossip_of(right).receive(gossip_of(left)._make_gossip())
-    assert left.known_vm_count() == right.known_vm_count() == 2
+    assert known_vm_count(left) == known_vm_count(right) == 2
 
 
 def test_vm_that_is_left_alone_gets_the_whole_slack_in_the_end(
@@ -130,7 +134,7 @@
 ) -> None:
     last = fleet.members[0]
     ctx = fleet.contexts[last.vm]
-    ctx.count_vms()
+    count_vms(ctx)
     forget(ctx, fleet.members[1:])
     fleet.clock.now += HOLD_S + 1.0
     assert spend(fleet, last) > 0.6 * fleet.cfg.slack
