Let a peer name the version that it has confirmed, not only say that one serves

The peer names the version now, once it has read the registry. The new test (a VM that missed a whole release) fails with the word alone.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -206,13 +206,12 @@
 class OriginAnswer(Message, frozen=True, array_like=True):
     """Software version that began a stream, None if the sender does not know it.
 
-    ``is_mixed`` is set if several versions serve the service or did so lately. Only
-    with ``is_current`` does the sender know the runners as they are now.
+    ``is_mixed`` is set if several versions serve the service or did so lately. Without
+    a version it proves nothing if it is not set: the sender may be out of touch.
     """
 
     software: str | None
     is_mixed: bool
-    is_current: bool = False
 
 
 class ServingGossip(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import eventlet
-import msgspec
 from eventlet.event import Event
 from result import Err, Ok
 
@@ -168,10 +167,11 @@
         return OriginAnswer(software, self._is_mixed(request.service, now))
 
     def _check_and_reply(self, inbound: InboundMessage, request: OriginRequest) -> None:
-        """Reply that a single version serves, once the registry is confirmed."""
-        is_current = self._registry.is_current()
-        answer = self._answer(request)
-        inbound.reply(msgspec.structs.replace(answer, is_current=is_current))
+        """Reply with the single version that serves, if it is one for certain."""
+        if not self._is_uniform(request.service):
+            inbound.reply(self._answer(request))
+            return
+        inbound.reply(OriginAnswer(self._any_version(request.service), False))
 
     def constrain(self, active: ActiveRequest) -> LocalResponse | None:
         """Confine a request that takes a stream up to the version that began it.
@@ -211,28 +211,30 @@
         told = self._ask_keepers(root, service)
         if told.software is not None:
             return told.software
-        if self._is_uniform(service, told):
-            now = self._ctx.clock.monotonic()
-            return next(iter(self._ctx.directory.software.lately(service, now)), None)
+        if not told.is_mixed and self._is_uniform(service):
+            return self._any_version(service)
         if root:
             self._read_store()
         return self._known(root, service)
 
-    def _is_uniform(self, service: str, told: OriginAnswer) -> bool:
+    def _any_version(self, service: str) -> str | None:
+        now = self._ctx.clock.monotonic()
+        return next(iter(self._ctx.directory.software.lately(service, now)), None)
+
+    def _is_uniform(self, service: str) -> bool:
         """Return whether a single version has served a service for long, for certain.
 
         Silence is no evidence: a VM that is cut off hears of no release.
         """
         if not self._is_informed:
             self._read_store()
-        if told.is_mixed or self._may_be_mixed(service):
+        if self._may_be_mixed(service) or not self._registry.is_current():
             return False
-        is_current = told.is_current or self._registry.is_current()
-        return is_current and not self._may_be_mixed(service)
+        return not self._may_be_mixed(service)
 
     def _ask_keepers(self, root: str, service: str) -> OriginAnswer:
         """Return what the keepers know together of the origin of a stream."""
-        is_mixed = is_current = False
+        is_mixed = False
         for vm in self._keepers() if root else []:
             answer = self._ask(vm, OriginRequest(root, service))
             if answer is None:
@@ -240,8 +242,7 @@
             if answer.software is not None:
                 return answer
             is_mixed = is_mixed or answer.is_mixed
-            is_current = is_current or answer.is_current
-        return OriginAnswer(None, is_mixed, is_current)
+        return OriginAnswer(None, is_mixed)
 
     def _known(self, root: str, service: str) -> str | None:
         now = self._ctx.clock.monotonic()
--- a/tests/unit/serving/test_stream_origins.py
+++ b/tests/unit/serving/test_stream_origins.py
@@ -236,7 +236,7 @@
         vm.keeper.handle_origin_request(inbound, message)
     assert replies == [OriginAnswer("v1", False)]
     eventlet.sleep(0.01)
-    assert replies[1:] == [OriginAnswer(None, False, is_current=True)]
+    assert replies[1:] == [OriginAnswer("v1", False)]
 
 
 def test_caller_that_resumes_again_names_the_first_request(store: GroupStore) -> None:
--- a/tests/unit/serving/test_vms_out_of_step.py
+++ b/tests/unit/serving/test_vms_out_of_step.py
@@ -14,6 +14,7 @@
     Position,
     Topic,
 )
+from gooseberryrun._internal.state.serving._software import ENDED_VERSION_TTL_S
 from result import Err, Ok, Result
 
 from tests.lib.fleet import GroupStore, make_members
@@ -148,3 +149,16 @@
     for number in range(50):
         assert vm.take_up(f"r{number}") == "v1"
     assert store.calls["read_changes"] == 1
+
+
+def test_vm_that_missed_a_whole_release_believes_a_peer_that_knows_the_new_version(
+    store: GroupStore,
+) -> None:
+    """The old version has ended so long ago that the peer does not know it."""
+    asking, asked = make_keepers(store, 2)
+    cut_off(asking)
+    connect(asking, asked)
+    asked.register(1, NEW)
+    asked.register(2, None, OLD.id)
+    asked.clock.now += ENDED_VERSION_TTL_S + 1.0
+    assert asking.take_up("of-another-vm") == "v2"
