Give the VMs of functional tests their whole share of the retries after half a second

Traced from the log: the VM was 0.13 and 0.19 s old (limit=0.1, vms=0; limit=0.34, vms=1), so the retry of its second request was denied, as the budget now demands: by two requests a VM earns 0.4 of a retry at the most. The test is of which answers may be repeated, not of the budget: sites of functional tests have a window of 0.5 s, and this test waits until the VM knows its view. All its checks stay.

--- a/tests/functional/serving/test_serving.py
+++ b/tests/functional/serving/test_serving.py
@@ -116,6 +116,8 @@
     site: Site, fault: str
 ) -> None:
     """A response without a length that ends in a reset must not look complete."""
+    log = site.vms[0].log
+    wait_for(lambda: "event=view_adopted" in log.read_text(), "a share of the retries")
     for runner in site.plain:
         runner.fault, runner.fault_count = fault, 1
     status, body, _ = site.vms[0].send_request("POST", "/order/1", "r1", b"kit")
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -28,6 +28,8 @@
 """Lowest port of the tests; all are below those that the system gives connections, so
 that no connection takes a port between its choice and its use."""
 PORTS_PER_WORKER = 3000
+RETRY_WINDOW_S = 0.5
+"""Window of the retry budget: a process younger than it has a part of its share."""
 
 
 def _worker_ports() -> Iterator[int]:
@@ -144,6 +146,8 @@
 lease_s = 1.2
 renew_interval_s = 0.2
 outside_s = 2.4
+[repeats]
+window_s = {RETRY_WINDOW_S}
 """,
             encoding="utf-8",
         )
