--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
@@ -171,7 +171,7 @@
         if not self._is_uniform(request.service):
             inbound.reply(self._answer(request))
             return
-        inbound.reply(OriginAnswer(self._any_version(request.service), False))
+        inbound.reply(OriginAnswer(self._single_version(request.service), False))
 
     def constrain(self, active: ActiveRequest) -> LocalResponse | None:
         """Confine a request that takes a stream up to the version that began it.
@@ -212,12 +212,12 @@
         if told.software is not None:
             return told.software
         if not told.is_mixed and self._is_uniform(service):
-            return self._any_version(service)
+            return self._single_version(service)
         if root:
             self._read_store()
         return self._known(root, service)
 
-    def _any_version(self, service: str) -> str | None:
+    def _single_version(self, service: str) -> str | None:
         now = self._ctx.clock.monotonic()
         return next(iter(self._ctx.directory.software.lately(service, now)), None)
 
