Count the VMs once for a retry, and work out its allowance in one place

The last read of the change: a granted retry counted the known VMs and worked out the allowance twice, on the path that is busiest while a service fails, and each gauge had a copy of the same lines. withdraw asks the budget once now, and the denial is recorded by one function.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_retry_budgets.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_retry_budgets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from gooseberryrun._internal.state.serving import ServiceRetryBudget
+from gooseberryrun._internal.state.serving import RetryAllowance, ServiceRetryBudget
 
 from .._events import log_event
 from .._metrics import RETRIES_DENIED, RETRIES_SPENT, RETRY_ALLOWANCE
@@ -26,52 +26,52 @@
         """Take an attempt of a request from the budget; the first one is free."""
         if active.sends == 0:
             return True
-        if not self.has_retry_left(active):
-            return False
         now = self._ctx.clock.monotonic()
         vms = known_vm_count(self._ctx)
-        return self._budget(active.service).try_withdraw(now, vms)
+        budget = self._budget(active.service)
+        if budget.try_withdraw(now, vms):
+            return True
+        _record_denial(active, budget.allowance(now, vms))
+        return False
 
     def has_retry_left(self, active: ActiveRequest) -> bool:
         """Return whether the budget allows another attempt; log it if not."""
+        allowance = self._allowance(active.service)
+        if not allowance.has_retry_left:
+            _record_denial(active, allowance)
+        return allowance.has_retry_left
+
+    def _allowance(self, service: str) -> RetryAllowance:
         now = self._ctx.clock.monotonic()
-        vms = known_vm_count(self._ctx)
-        allowance = self._budget(active.service).allowance(now, vms)
-        if allowance.has_retry_left:
-            return True
-        RETRIES_DENIED.labels(service=active.service).inc()
-        log_event(
-            "repeat_denied",
-            request=active.metadata.request_id,
-            service=active.service,
-            sends=active.sends,
-            limit=allowance.limit,
-            spent=allowance.spent,
-            requests=allowance.requests,
-            vms=allowance.vms,
-            age_s=allowance.age_s,
-        )
-        return False
+        return self._budget(service).allowance(now, known_vm_count(self._ctx))
 
     def _budget(self, service: str) -> ServiceRetryBudget:
         if service not in self._budgets:
             self._budgets[service] = ServiceRetryBudget(
                 self._ctx.cfg.repeats, self._ctx.started_at
             )
-            self._export(service, self._budgets[service])
+            self._export(service)
         return self._budgets[service]
 
-    def _export(self, service: str, budget: ServiceRetryBudget) -> None:
+    def _export(self, service: str) -> None:
         """Let the gauges of a service show what its budget is when they are read."""
-        ctx = self._ctx
-
-        def limit() -> float:
-            now = ctx.clock.monotonic()
-            return budget.allowance(now, known_vm_count(ctx)).limit
+        limit = RETRY_ALLOWANCE.labels(service=service)
+        limit.set_function(lambda: self._allowance(service).limit)
+        spent = RETRIES_SPENT.labels(service=service)
+        spent.set_function(lambda: self._allowance(service).spent)
 
-        def spent() -> float:
-            now = ctx.clock.monotonic()
-            return budget.allowance(now, known_vm_count(ctx)).spent
 
-        RETRY_ALLOWANCE.labels(service=service).set_function(limit)
-        RETRIES_SPENT.labels(service=service).set_function(spent)
+def _record_denial(active: ActiveRequest, allowance: RetryAllowance) -> None:
+    """Log and count a retry that the budget does not allow."""
+    RETRIES_DENIED.labels(service=active.service).inc()
+    log_event(
+        "repeat_denied",
+        request=active.metadata.request_id,
+        service=active.service,
+        sends=active.sends,
+        limit=allowance.limit,
+        spent=allowance.spent,
+        requests=allowance.requests,
+        vms=allowance.vms,
+        age_s=allowance.age_s,
+    )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -8,7 +8,7 @@
     SlotWaitEstimator,
     Step,
 )
-from ._budget import ServiceRetryBudget
+from ._budget import RetryAllowance, ServiceRetryBudget
 from ._crash_evidence import (
     MAX_PARTS,
     RECENT_ANSWER_S,
@@ -146,6 +146,7 @@
     "RouteKind",
     "RouteTable",
     "Runner",
+    "RetryAllowance",
     "RunnerLoads",
     "RunnerPauses",
     "RunnerQueue",
