Decide in a module of its own when a stopping process may exit

The rule (served until the load balancer has removed the VM, then a while without open requests) stood in the process of the platform's mode.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.pyi
@@ -201,6 +201,7 @@
     RunnerTask,
 )
 from ._scheduler import LOAD_INTERVAL_GAIN, Grant, LoadOrder, RunnerScheduler
+from ._shutdown import IDLE_BEFORE_EXIT_S, Shutdown
 from ._store_budget import (
     MAX_PERMIT_PAUSE_S,
     PERMIT_ISSUER_KEY,
@@ -250,6 +251,8 @@
     "DOMAIN_TIMEOUT_S",
     "CRASH_RECHECK_PAUSES_S",
     "EMPTY_QUEUE",
+    "IDLE_BEFORE_EXIT_S",
+    "Shutdown",
     "END_BATCH_S",
     "EVICTIONS",
     "EXIT_BROKEN_INVARIANT",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -12,7 +12,7 @@
 import eventlet
 from eventlet.timeout import Timeout
 
-from gooseberryrun._internal.coordination import log_event
+from gooseberryrun._internal.coordination import Shutdown, log_event
 from gooseberryrun._internal.coordination.serving import (
     ControlStore,
     HeaderCodec,
@@ -47,8 +47,6 @@
 """Time in which the last open requests get their responses before the exit."""
 RELEASE_TIMEOUT_S = 0.3
 """Time limit for the release of the runners at the end of a stop."""
-IDLE_BEFORE_EXIT_S = 0.4
-"""Time without open requests after which a stopping process exits."""
 
 
 class PlatformIntegration:
@@ -184,7 +182,7 @@
             eventlet.spawn(self._serving.release)
         eventlet.spawn_after(IDLE_CLOSE_DELAY_S, self._callers.close_idle)
         self._ctx.stop_deadline = exit_deadline - ANSWER_TIME_S
-        self._drain(started_at + BALANCER_REMOVAL_S, self._ctx.stop_deadline)
+        self._drain(Shutdown(started_at + BALANCER_REMOVAL_S, self._ctx.stop_deadline))
         self._end_open_requests(exit_deadline)
         log_event(
             "stopped",
@@ -206,25 +204,19 @@
         while self._callers.state.open_requests and self._clock.monotonic() < latest:
             eventlet.sleep(POLL_INTERVAL_S / 4)
 
-    def _drain(self, earliest: float, latest: float) -> None:
+    def _drain(self, shutdown: Shutdown) -> None:
         """Serve until the load balancer sends no more requests and none is open.
 
-        New requests are refused from ``earliest`` on: they could not finish by
-        ``latest``.
+        New requests are refused once it has removed this VM: they could not finish.
         """
-        idle_since = earliest
-        while True:
+        may_exit = False
+        while not may_exit:
             eventlet.sleep(POLL_INTERVAL_S / 4)
             now = self._clock.monotonic()
-            if now >= earliest and not self._callers.state.refuses_new:
+            if shutdown.is_removed(now) and not self._callers.state.refuses_new:
                 self._callers.state.refuses_new = True
                 self._callers.close_idle()
-            if self._callers.state.open_requests:
-                idle_since = now
-            if now >= latest or (
-                now >= earliest and now - idle_since >= IDLE_BEFORE_EXIT_S
-            ):
-                return
+            may_exit = shutdown.may_exit(now, not self._callers.state.open_requests)
 
 
 def _parse_address(address: str) -> tuple[str, int]:
