Serve until the balancer has noticed a stop, on the own face too

Cause: drain() returned at the first look without open requests. A request is open from the moment its head has been read; one that was in the listen queue, or whose head was on its way, was closed with the process. A VM that owns nothing was gone within 0.25 s of SIGTERM, so no balancer could ever have seen its 503, though docs/callers.md says that a stopping VM still serves what arrives. Ruled out: a request cut while it ran (the text would be a truncated stream, and drain() waits for those). Test: test_stopping_vm_serves_until_the_balancer_has_noticed (before: gone before it ever answered 503).

--- a/fakes/src/gooseberry_fakes/cluster.py
+++ b/fakes/src/gooseberry_fakes/cluster.py
@@ -21,6 +21,8 @@
 OPERATOR_TOKEN = "operator-token-of-the-stand-ins"
 PEER_SECRET = "peer-secret-of-the-stand-ins"
 READY_TIMEOUT_S = 30.0
+BALANCER_REMOVAL_S = 0.5
+"""Time for which a VM that is stopped gets requests; no balancer stands before it."""
 ROOT = Path(__file__).resolve().parents[3]
 
 
@@ -247,6 +249,7 @@
             for key, name in (("log", "log"), ("store", "store"), ("vm_list", "vms"))
         }
         cfg["log"] = {"retention_s": self.deployment.retention_s}
+        cfg["stop"] = {"balancer_removal_s": BALANCER_REMOVAL_S}
         for section, values in self.overrides.items():
             cfg.setdefault(section, {}).update(values)
         return cfg
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_node.py
@@ -49,6 +49,7 @@
 from ._ports import Engines, InboundMessage, Log, Peers, Services, VmList
 from ._refresh import RecordRefresher
 from ._replica import Replica
+from ._shutdown import Shutdown
 from ._store_budget import StorePermits
 from ._tasks import run_protected, spawn_periodic
 
@@ -287,14 +288,17 @@
     # Graceful shutdown.
 
     def drain(self) -> bool:
-        """Transfer runners and finish requests; return whether all is done in time."""
+        """Transfer runners and finish requests; return whether all is done in time.
+
+        Requests are served until the load balancer sends no more.
+        """
         log_event("stopping", vm=self._cfg.vm.id)
         self.stopping = True
         self.membership.leaving = True
-        deadline = self._clock.monotonic() + self._cfg.stop.deadline_s
-        while self._clock.monotonic() < deadline:
-            if self._is_idle():
-                return True
+        now = self._clock.monotonic()
+        cfg = self._cfg.stop
+        shutdown = Shutdown(now + cfg.balancer_removal_s, now + cfg.deadline_s)
+        while not shutdown.may_exit(self._clock.monotonic(), self._is_idle()):
             eventlet.sleep(STOP_POLL_S)
         return self._is_idle()
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
@@ -137,6 +137,8 @@
     """Graceful shutdown."""
 
     deadline_s: float = Field(default=60.0, gt=0)
+    balancer_removal_s: float = Field(default=2.6, ge=0)
+    """Time by which the load balancer sends no requests to a VM that is not ready."""
 
 
 class NodeSettings(Section):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_server.py
@@ -99,7 +99,7 @@
         ]
         if traceparent:
             headers.append(("traceparent", traceparent))
-        if isinstance(routed, Err):
+        if isinstance(routed, Err) or self._node.stopping:
             headers.append(("Connection", "close"))
         phrase = status_phrase(response.status)
         start_response(f"{response.status} {phrase}", headers)
--- a/tests/functional/test_leaving.py
+++ b/tests/functional/test_leaving.py
@@ -80,6 +80,23 @@
             cluster.wait_owned()
 
 
+def test_stopping_vm_serves_until_the_balancer_has_noticed(tmp_path: Path) -> None:
+    """It exited as soon as no request was open, and cut what had just arrived."""
+    removal = {"stop": {"balancer_removal_s": 3.0}}
+    with run_cluster(tmp_path, overrides=removal) as cluster:
+        vm = cluster.entry_vms()[0]
+        cluster.signal(vm, signal.SIGTERM)
+        wait_until(
+            lambda: cluster.send(vm, "GET", "/readyz").status == 503, 2, "not ready"
+        )
+        time.sleep(1.0)
+        assert cluster.send(vm, "GET", "/readyz").status == 503
+        reply = cluster.complete(vm, MODELS[0], "late", stream=True, max_tokens=5)
+        assert reply.status == 200
+        assert reply.headers["connection"] == "close"
+        assert cluster.processes[vm].wait(timeout=30) == 0
+
+
 def test_operator_stops_an_entry_vm(tmp_path: Path) -> None:
     with run_cluster(tmp_path) as cluster:
         assert cluster.operate("stop thies-2", "dakar-1").status == 200
