Measure the window of the retry budget in time that counts suspensions

The window ran on the steady clock, which stands still with a suspended VM; so after 25 s of standing still VMs retried by the requests of the window before it, of which the service has seen none for 25 s. Why it works: the window of the rule passes in real time, and so does the one counted now; the age of a process, too, so that the sum over its lives still holds.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -55,8 +55,8 @@
 class Context:
     """Settings, ports and state of one entry VM.
 
-    The process began at ``started_at`` on the monotonic clock. Once it is stopping, all
-    responses are due at ``stop_deadline``.
+    The process began at ``started_at`` by the clock's ``boottime``. Once it is
+    stopping, all responses are due at the monotonic time ``stop_deadline``.
     """
 
     cfg: ServingSettings
@@ -242,5 +242,5 @@
         ),
         RunnerLoads(),
         CrashEvidence(has_returned),
-        clock.monotonic(),
+        clock.boottime(),
     )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_retry_budgets.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_retry_budgets.py
@@ -20,13 +20,13 @@
 
     def count_request(self, service: str) -> None:
         """Count a caller's request for a service."""
-        self._budget(service).count_request(self._ctx.clock.monotonic())
+        self._budget(service).count_request(self._ctx.clock.boottime())
 
     def withdraw(self, active: ActiveRequest) -> bool:
         """Take an attempt of a request from the budget; the first one is free."""
         if active.sends == 0:
             return True
-        now = self._ctx.clock.monotonic()
+        now = self._ctx.clock.boottime()
         vms = known_vm_count(self._ctx)
         budget = self._budget(active.service)
         if budget.try_withdraw(now, vms):
@@ -42,7 +42,7 @@
         return allowance.has_retry_left
 
     def _allowance(self, service: str) -> RetryAllowance:
-        now = self._ctx.clock.monotonic()
+        now = self._ctx.clock.boottime()
         return self._budget(service).allowance(now, known_vm_count(self._ctx))
 
     def _budget(self, service: str) -> ServiceRetryBudget:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
@@ -5,7 +5,8 @@
 spent in the window, so the allowance of a window is split: a process that has lived for
 a whole window may spend the one part of its VM's share, all younger ones together the
 other. Their part of the slack grows with their age, and a window has no more of it
-than their ages add up to.
+than their ages add up to. Times are those of a clock that counts suspensions, since the
+window passes for the backend servers while a VM stands still.
 """
 
 from __future__ import annotations
--- a/tests/lib/retries.py
+++ b/tests/lib/retries.py
@@ -70,18 +70,21 @@
         self._attempts[member.vm] = Attempts(ctx, guard)
         return ctx
 
+    def count_request(self, member: Member) -> None:
+        """Let a VM take a caller's request."""
+        self._attempts[member.vm].count_request(SERVICE)
+        self.requests.append(self.clock.boottime())
+
     def fail_request(self, member: Member) -> int:
         """Let a caller's request fail at every attempt; return its retries."""
-        now = self.clock.now
+        self.count_request(member)
         attempts = self._attempts[member.vm]
-        attempts.count_request(SERVICE)
-        self.requests.append(now)
         active: Any = type("Active", (), {"sends": 1, "service": SERVICE})()
         active.metadata = type("Metadata", (), {"request_id": "r"})()
         granted = 0
         while granted < MAX_RETRIES and attempts.withdraw_attempt(active):
             granted += 1
-        self.retries += [now] * granted
+        self.retries += [self.clock.boottime()] * granted
         return granted
 
     def excess(self) -> float:
--- a/tests/unit/serving/test_restarted_retry_budgets.py
+++ b/tests/unit/serving/test_restarted_retry_budgets.py
@@ -57,3 +57,15 @@
     fleet = FailingFleet(7)
     granted = sum(fleet.fail_request(fleet.members[0]) for _ in range(10))
     assert granted >= 0.7 * fleet.cfg.slack / 7 - 1
+
+
+def test_vms_that_stood_still_do_not_retry_by_requests_of_before() -> None:
+    """Their window took no account of the time for which they were suspended."""
+    fleet = FailingFleet(7)
+    for _ in range(100):
+        fleet.clock.now += STEP_S
+        for member in fleet.members:
+            fleet.count_request(member)
+    fleet.clock.suspend(2.5 * fleet.cfg.window_s)
+    play(fleet, set(), steps=10)
+    assert fleet.excess() <= 0
