--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_origins.py
@@ -8,13 +8,11 @@
 from __future__ import annotations
 
 import eventlet
-from eventlet.event import Event
-from result import Err, Ok
+from result import Ok
 
 from gooseberryrun._internal.state.serving import (
     MAX_ORIGIN_S,
     READERS_PER_DOMAIN,
-    Position,
     Runner,
     StreamOrigin,
     StreamOrigins,
@@ -29,16 +27,15 @@
 from ._active_request import ActiveRequest, LocalResponse
 from ._context import Context
 from ._origin_log import OriginLog
+from ._origin_reader import OriginReader
 from ._registry_check import RegistryCheck
 from ._responses import failure_response
 from ._rewrites import schedule_rewrite
-from ._store_calls import count_store_call
 
 TELL_DELAY_S = 0.02
 """Time for which origins are batched before they are sent to peers."""
 ANSWER_TIMEOUT_S = 0.15
 EXPIRE_INTERVAL_S = 5.0
-RECOVERY_RETRY_S = 0.5
 UNKNOWN_RETRY_S = 0.3
 """Retry delay sent with a refusal to take a stream up; it may start anew then."""
 
@@ -51,16 +48,14 @@
         self._registry = registry
         self._origins = StreamOrigins()
         self._log = OriginLog(ctx, self._origins)
+        self._reader = OriginReader(ctx, self._origins)
         self._untold: list[StreamOrigin] = []
         self._mixed: set[str] = set()
-        self._read_until = Position()
-        self._reading: Event | None = None
-        self._is_informed = False
         self._was_cut_off = False
 
     def start(self) -> None:
         """Learn in a green thread what is known already, and drop what is old."""
-        spawn_until_done("origins_recovery", self._recover)
+        self._reader.start()
         spawn_until_done("origins_expiry", self._expire)
 
     def record(self, active: ActiveRequest, runner: Runner) -> None:
@@ -139,18 +134,10 @@
 
     def handle_origins_notice(self, _sender: str, notice: OriginsNotice) -> None:
         """Record where streams of another VM began."""
-        self._record_all(notice.origins)
+        self._reader.record(notice.origins)
         if notice.is_to_keep:
             self._keep(notice.origins)
 
-    def _record_all(self, origins: list[StreamOrigin]) -> None:
-        now = self._ctx.clock.monotonic()
-        for origin in origins:
-            self._origins.record(origin, now)
-            self._ctx.directory.software.record_seen(
-                origin.service, origin.software, now
-            )
-
     def handle_origin_request(
         self, inbound: InboundMessage, request: OriginRequest
     ) -> None:
@@ -214,7 +201,7 @@
         if not told.is_mixed and self._is_uniform(service):
             return self._single_version(service)
         if root:
-            self._read_store()
+            self._reader.read()
         return self._known(root, service)
 
     def _single_version(self, service: str) -> str | None:
@@ -226,8 +213,8 @@
 
         Silence is no evidence: a VM that is cut off hears of no release.
         """
-        if not self._is_informed:
-            self._read_store()
+        if not self._reader.is_informed:
+            self._reader.read()
         if self._may_be_mixed(service) or not self._registry.is_current():
             return False
         return not self._may_be_mixed(service)
@@ -251,7 +238,7 @@
     def _may_be_mixed(self, service: str) -> bool:
         """Return whether a stream may have begun at one of several versions."""
         now = self._ctx.clock.monotonic()
-        return not self._is_informed or self._is_mixed(service, now)
+        return not self._reader.is_informed or self._is_mixed(service, now)
 
     def _ask(self, vm: str, request: OriginRequest) -> OriginAnswer | None:
         deadline = self._ctx.clock.monotonic() + ANSWER_TIMEOUT_S
@@ -261,38 +248,6 @@
         log_event("origin_unanswered", peer=vm, resumes=request.request)
         return None
 
-    def _read_store(self) -> bool:
-        """Record what the store has kept since the last read; return whether it did.
-
-        Requests that come during a read wait for it.
-        """
-        if self._reading is not None:
-            return bool(self._reading.wait())
-        reading = self._reading = Event()
-        is_read = False
-        try:
-            is_read = self._read_new()
-        finally:
-            self._reading = None
-            reading.send(is_read)
-        return is_read
-
-    def _read_new(self) -> bool:
-        read = self._ctx.ports.store.read_origins(self._read_until)
-        count_store_call("read_origins", read)
-        if isinstance(read, Err):
-            log_event("origins_unread", level="warning", why=read.err_value.detail)
-            return False
-        self._read_until = read.ok_value.end
-        self._record_all(read.ok_value.origins)
-        self._is_informed = True
-        return True
-
-    def _recover(self) -> None:
-        """Read what VMs have kept, after which an unknown stream means something."""
-        while not self._is_informed and not self._read_store():
-            eventlet.sleep(RECOVERY_RETRY_S)
-
     def _expire(self) -> None:
         while True:
             eventlet.sleep(EXPIRE_INTERVAL_S)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_registry_check.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_registry_check.py
@@ -10,12 +10,9 @@
 import math
 from collections.abc import Callable
 
-from eventlet.event import Event
-from eventlet.timeout import Timeout
-
-from .._tasks import spawn
 from ._context import Context
 from ._fleet_knowledge import knows_registry_of_all
+from ._shared_read import SharedRead
 
 CHECK_TIMEOUT_S = 0.3
 """Longest wait for the store before the registry counts as unconfirmed."""
@@ -24,7 +21,7 @@
 
 
 class RegistryCheck:
-    """Reads the registry of runners on demand, once for all that wait for it.
+    """Reads the registry of runners on demand.
 
     ``read`` reads the latest records of the registry and returns whether it could.
     """
@@ -32,33 +29,19 @@
     def __init__(self, ctx: Context, read: Callable[[], bool]) -> None:
         self._ctx = ctx
         self._read = read
-        self._reading: Event | None = None
+        self._shared_read = SharedRead("registry_check", self._read_and_note)
         self._confirmed_at = -math.inf
 
     def is_current(self) -> bool:
         """Return whether no VM can know of other runners than this one."""
         if self._ctx.clock.boottime() - self._confirmed_at <= FRESH_S:
             return True
-        return self._is_read() or knows_registry_of_all(self._ctx)
-
-    def _is_read(self) -> bool:
-        """Wait for a read; return whether it succeeded in time."""
-        if self._reading is None:
-            self._reading = Event()
-            spawn("registry_check", self._run)
-        reading = self._reading
-        with Timeout(CHECK_TIMEOUT_S, False):
-            return bool(reading.wait())
-        return False
+        is_read = self._shared_read.wait(CHECK_TIMEOUT_S)
+        return is_read or knows_registry_of_all(self._ctx)
 
-    def _run(self) -> None:
+    def _read_and_note(self) -> bool:
         started_at = self._ctx.clock.boottime()
-        is_read = False
-        try:
-            is_read = self._read()
-        finally:
-            if is_read:
-                self._confirmed_at = started_at
-            reading, self._reading = self._reading, None
-            if reading is not None:
-                reading.send(is_read)
+        is_read = self._read()
+        if is_read:
+            self._confirmed_at = started_at
+        return is_read
--- a/tests/unit/serving/test_stream_origins.py
+++ b/tests/unit/serving/test_stream_origins.py
@@ -122,7 +122,7 @@
         ctx, peers = make_vm(member, store, [], clock)
         vms.append(Vm(make_keeper(ctx), clock, peers))
         vms[-1].register(0, OLD)
-        assert vms[-1].keeper._read_store()
+        assert vms[-1].keeper._reader.read()
     return vms
 
 
