--- a/tests/lib/retries.py
+++ b/tests/lib/retries.py
@@ -17,6 +17,16 @@
 """Retries that each request asks for while it fails."""
 
 
+def withdraw_retries(attempts: Attempts, most: int) -> int:
+    """Retry a request until the budget denies it; return the retries granted."""
+    active: Any = type("Active", (), {"sends": 1, "service": SERVICE})()
+    active.metadata = type("Metadata", (), {"request_id": "r"})()
+    granted = 0
+    while granted < most and attempts.withdraw_attempt(active):
+        granted += 1
+    return granted
+
+
 def worst_excess(
     cfg: RetrySettings, requests: list[float], retries: list[float]
 ) -> float:
@@ -79,11 +89,7 @@
         """Let a caller's request fail at every attempt; return its retries."""
         self.count_request(member)
         attempts = self._attempts[member.vm]
-        active: Any = type("Active", (), {"sends": 1, "service": SERVICE})()
-        active.metadata = type("Metadata", (), {"request_id": "r"})()
-        granted = 0
-        while granted < MAX_RETRIES and attempts.withdraw_attempt(active):
-            granted += 1
+        granted = withdraw_retries(attempts, MAX_RETRIES)
         self.retries += [self.clock.boottime()] * granted
         return granted
 
--- a/tests/unit/serving/test_retry_shares.py
+++ b/tests/unit/serving/test_retry_shares.py
@@ -13,7 +13,7 @@
 from gooseberryrun._internal.state import ManualClock
 
 from tests.lib.fleet import GroupStore, make_members, make_runners, make_vm
-from tests.lib.retries import FailingFleet
+from tests.lib.retries import FailingFleet, withdraw_retries
 
 
 def test_vms_that_know_no_member_yet_share_the_retries_of_all() -> None:
@@ -34,11 +34,7 @@
             ctx.store_statuses[vm] = StoreStatus(clock.now, can_reach_store=False)
         slack = ctx.cfg.repeats.slack
         guard: Any = None
-        attempts = Attempts(ctx, guard)
-        active: Any = type("Active", (), {"sends": 1, "service": "s"})()
-        active.metadata = type("Metadata", (), {"request_id": "r"})()
-        while attempts.withdraw_attempt(active):
-            granted += 1
+        granted += withdraw_retries(Attempts(ctx, guard), most=1000)
     assert 0 < granted <= slack
 
 
--- a/tests/unit/serving/test_stream_origins.py
+++ b/tests/unit/serving/test_stream_origins.py
@@ -4,7 +4,7 @@
 
 import math
 import struct
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 import eventlet
@@ -15,28 +15,12 @@
     OriginRequest,
     OriginsNotice,
 )
-from gooseberryrun._internal.coordination.serving import (
-    ActiveRequest,
-    Context,
-    InboundRequest,
-    RequestMetadata,
-)
-from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
 from gooseberryrun._internal.coordination.serving._origin_log import MAX_BATCH
-from gooseberryrun._internal.coordination.serving._origins import OriginKeeper
-from gooseberryrun._internal.coordination.serving._registry_check import RegistryCheck
 from gooseberryrun._internal.state import ManualClock
 from gooseberryrun._internal.state.serving import (
-    DirectoryRecord,
-    Position,
-    Route,
-    RouteKind,
-    Runner,
     SoftwareVersions,
     StreamOrigin,
     StreamOrigins,
-    Topic,
-    WeightedService,
 )
 from gooseberryrun._internal.state.serving._software import (
     ENDED_VERSION_TTL_S,
@@ -48,59 +32,15 @@
 from result import Ok, Result
 
 from tests.lib.fleet import GroupStore, make_members, make_vm
-
-OLD = Runner("i-1", "s", "h", 1, "d0", 64, False, 1, 0, (), "v1")
-NEW = replace(OLD, id="i-2", software_version="v2")
-ROUTE = Route(
-    "r",
-    "h",
-    "/",
-    RouteKind.STREAM,
-    15.0,
-    1.0,
-    0,
-    (WeightedService("s", 1.0),),
-    2,
-    True,
+from tests.lib.origins import (
+    NEW,
+    OLD,
+    WAIT_S,
+    KeeperVm,
+    make_keeper,
+    make_keepers,
+    make_request,
 )
-WAIT_S = 15.0
-
-
-def request(request_id: str, resumes: str = "") -> ActiveRequest:
-    nobody: Any = None
-    metadata = RequestMetadata(
-        request_id, WAIT_S, last_event_id="4" if resumes else "", resumes=resumes
-    )
-    inbound = InboundRequest("POST", "/", "h", [], b"", 10.0)
-    return ActiveRequest(inbound, metadata, nobody, ROUTE, "s", 25.0)
-
-
-@dataclass
-class Vm:
-    """Keeper of one VM, whose clock and peers a test moves by hand."""
-
-    keeper: OriginKeeper
-    clock: ManualClock
-    peers: Any
-
-    def register(self, offset: int, runner: Runner | None, key: str = "") -> None:
-        key = runner.id if runner else key
-        position = Position(0, offset)
-        record = DirectoryRecord(Topic.RUNNERS, position, key, runner=runner)
-        self.keeper._ctx.directory.apply(record, self.clock.now)
-
-    def flush(self) -> None:
-        """Send and append what is scheduled."""
-        self.keeper._send_untold()
-        self.keeper._log.append()
-
-    def take_up(self, root: str) -> str | None:
-        """Take a stream up; return the version that it is confined to."""
-        active = request("again", root)
-        refusal = self.keeper.constrain(active)
-        assert (refusal is None) is (active.required_software is not None)
-        assert refusal is None or refusal.status == 503
-        return active.required_software
 
 
 @pytest.fixture(autouse=True)
@@ -108,24 +48,6 @@
     monkeypatch.setattr("eventlet.spawn_after", lambda *args: None)
 
 
-def make_keeper(ctx: Context) -> OriginKeeper:
-    """Return the keeper of a VM that reads the registry when it has to."""
-    registry = RegistryCheck(ctx, DirectoryFollower(ctx).read_registry)
-    return OriginKeeper(ctx, registry)
-
-
-def make_keepers(store: GroupStore, count: int = 3) -> list[Vm]:
-    """Return VMs of one domain that have read the store and know a runner of v1."""
-    vms = []
-    for member in store.groups["d0"][:count]:
-        clock = ManualClock(10.0)
-        ctx, peers = make_vm(member, store, [], clock)
-        vms.append(Vm(make_keeper(ctx), clock, peers))
-        vms[-1].register(0, OLD)
-        assert vms[-1].keeper._reader.read()
-    return vms
-
-
 @pytest.fixture(name="store")
 def _store() -> GroupStore:
     return GroupStore(make_members(1, 3))
@@ -139,7 +61,7 @@
 
 def test_nothing_is_written_while_one_version_serves(store: GroupStore) -> None:
     vm = make_keepers(store)[0]
-    vm.keeper.record(request("r1"), OLD)
+    vm.keeper.record(make_request("r1"), OLD)
     vm.flush()
     assert not store.origins
     assert not [m for _, m in vm.peers.sent if getattr(m, "origins", None)]
@@ -149,10 +71,10 @@
     store: GroupStore,
 ) -> None:
     vm, other, _ = make_keepers(store)
-    vm.keeper.record(request("r1"), OLD)
+    vm.keeper.record(make_request("r1"), OLD)
     for each in (vm, other):
         each.register(1, NEW)
-    vm.keeper.record(request("r2"), NEW)
+    vm.keeper.record(make_request("r2"), NEW)
     vm.flush()
     kept = [(origin.request, origin.software) for origin in store.origins]
     assert kept == [("r1", "v1"), ("r2", "v2")]
@@ -164,7 +86,7 @@
     vm, other, _ = make_keepers(store)
     for each in (vm, other):
         each.register(1, NEW)
-    vm.keeper.record(request("r1"), NEW)
+    vm.keeper.record(make_request("r1"), NEW)
     vm.flush()
     notices = [(to, m) for to, m in vm.peers.sent if isinstance(m, OriginsNotice)]
     assert sorted(to for to, _ in notices) == ["vm-001", "vm-002"]
@@ -190,11 +112,11 @@
 def test_vm_that_starts_learns_from_the_store(store: GroupStore) -> None:
     vm = make_keepers(store)[0]
     vm.register(1, NEW)
-    vm.keeper.record(request("r1"), OLD)
+    vm.keeper.record(make_request("r1"), OLD)
     vm.flush()
     clock = ManualClock(50.0)
     ctx, peers = make_vm(store.groups["d0"][1], store, [], clock)
-    fresh = Vm(make_keeper(ctx), clock, peers)
+    fresh = KeeperVm(make_keeper(ctx), clock, peers)
     fresh.register(0, NEW)
     # The only runner of v1 has left meanwhile.
     assert fresh.take_up("r1") == "v1"
@@ -207,7 +129,7 @@
     store.is_refusing = True
     clock = ManualClock(50.0)
     ctx, peers = make_vm(store.groups["d0"][0], store, [], clock)
-    fresh = Vm(make_keeper(ctx), clock, peers)
+    fresh = KeeperVm(make_keeper(ctx), clock, peers)
     fresh.register(0, OLD)
     assert fresh.take_up("r1") is None
     store.is_refusing = False
@@ -228,7 +150,7 @@
 
 def test_peer_is_answered_from_memory(store: GroupStore) -> None:
     vm = make_keepers(store)[0]
-    vm.keeper.record(request("r1"), OLD)
+    vm.keeper.record(make_request("r1"), OLD)
     replies: list[PeerMessage] = []
     for root in ("r1", "r2"):
         message = OriginRequest(root, "s")
@@ -242,8 +164,8 @@
 def test_caller_that_resumes_again_names_the_first_request(store: GroupStore) -> None:
     vm = make_keepers(store)[0]
     vm.register(1, NEW)
-    vm.keeper.record(request("r1"), NEW)
-    again = request("r2", resumes="r1")
+    vm.keeper.record(make_request("r1"), NEW)
+    again = make_request("r2", resumes="r1")
     assert vm.keeper.constrain(again) is None
     vm.keeper.record(again, NEW)
     assert vm.take_up("r1") == "v2"
@@ -254,8 +176,8 @@
 ) -> None:
     vm = make_keepers(store)[0]
     vm.register(1, NEW)
-    vm.keeper.record(request("r1"), OLD)
-    active = request("r2", resumes="r1")
+    vm.keeper.record(make_request("r1"), OLD)
+    active = make_request("r2", resumes="r1")
     active.metadata = replace(active.metadata, last_event_id="")
     vm.keeper.record(active, NEW)
     assert (vm.take_up("r1"), vm.take_up("r2")) == ("v1", "v2")
@@ -265,7 +187,7 @@
     """An id may be as long as all headers together."""
     vm = make_keepers(store)[0]
     vm.register(1, NEW)
-    vm.keeper.record(request("x" * 16_000), NEW)
+    vm.keeper.record(make_request("x" * 16_000), NEW)
     assert max(len(key) for key in vm.keeper._origins._kept) <= 128
     assert vm.take_up("x" * 16_000) == "v2"
 
@@ -274,7 +196,7 @@
     """JSON has no infinity: the store's record of it could not be read."""
     vm = make_keepers(store)[0]
     vm.register(1, NEW)
-    active = request("r1")
+    active = make_request("r1")
     active.metadata = replace(active.metadata, wait_s=math.inf)
     vm.keeper.record(active, NEW)
     vm.flush()
@@ -298,7 +220,7 @@
     vm.register(1, NEW)
     store.is_refusing = True
     for root in ("r1", "r2"):
-        vm.keeper.record(request(root), NEW)
+        vm.keeper.record(make_request(root), NEW)
         vm.flush()
     assert vm.take_up("r1") == "v2"
     assert not store.origins
@@ -313,7 +235,7 @@
     vm = make_keepers(store)[0]
     vm.register(1, NEW)
     store.is_refusing = True
-    vm.keeper.record(request("r1"), NEW)
+    vm.keeper.record(make_request("r1"), NEW)
     vm.flush()
     vm.clock.now += WAIT_S + 1
     store.is_refusing = False
@@ -327,9 +249,9 @@
     """All that ran when a release began went into one call, which has a bound."""
     vm = make_keepers(store)[0]
     for number in range(2 * MAX_BATCH + 1):
-        vm.keeper.record(request(f"r{number}"), OLD)
+        vm.keeper.record(make_request(f"r{number}"), OLD)
     vm.register(1, NEW)
-    vm.keeper.record(request("last"), NEW)
+    vm.keeper.record(make_request("last"), NEW)
     for _ in range(3):
         vm.flush()
     assert len(store.origins) == 2 * MAX_BATCH + 2
@@ -342,7 +264,7 @@
     """The store came back from an older copy, and all VMs were killed after it."""
     vm = make_keepers(store)[0]
     vm.register(1, NEW)
-    vm.keeper.record(request("r1"), OLD)
+    vm.keeper.record(make_request("r1"), OLD)
     vm.flush()
     store.origins.clear()
     vm.keeper._keep_all()
@@ -385,14 +307,14 @@
     """Its entry is late, and it may run any software."""
     vm = make_keepers(store)[0]
     directory = vm.keeper._ctx.directory
-    vm.keeper.record(request("r1"), OLD)
+    vm.keeper.record(make_request("r1"), OLD)
     assert directory.record_restart(OLD.id, 2, vm.clock.now)
     assert not directory.record_restart(OLD.id, 2, vm.clock.now)
     restarted = directory.runner(OLD.id)
     assert restarted is not None
     assert restarted.born_ms == 2
     assert not directory.takes_new_work(OLD, vm.clock.now)
-    vm.keeper.record(request("r2"), restarted)
+    vm.keeper.record(make_request("r2"), restarted)
     assert vm.take_up("r1") == "v1"
     assert vm.take_up("r2") == restarted.software_version != "v1"
     assert vm.take_up("unknown") is None
--- a/tests/unit/serving/test_vms_out_of_step.py
+++ b/tests/unit/serving/test_vms_out_of_step.py
@@ -18,12 +18,12 @@
 from result import Err, Ok, Result
 
 from tests.lib.fleet import GroupStore, make_members
-from tests.unit.serving.test_stream_origins import (
+from tests.lib.origins import (
     NEW,
     OLD,
-    Vm,
+    KeeperVm,
     make_keepers,
-    request,
+    make_request,
 )
 
 
@@ -37,7 +37,7 @@
     return GroupStore(make_members(1, 3))
 
 
-def cut_off(vm: Vm) -> None:
+def cut_off(vm: KeeperVm) -> None:
     """Let a VM reach neither the store nor its peers."""
     store = GroupStore(make_members(1, 3))
     store.is_refusing = True
@@ -45,7 +45,7 @@
     vm.keeper._ctx.can_reach_store = False
 
 
-def connect(asking: Vm, asked: Vm) -> None:
+def connect(asking: KeeperVm, asked: KeeperVm) -> None:
     """Let one VM reach another."""
 
     def request_from(
@@ -118,10 +118,10 @@
     store: GroupStore,
 ) -> None:
     vms = make_keepers(store)
-    vms[0].keeper.record(request("before"), OLD)
+    vms[0].keeper.record(make_request("before"), OLD)
     for vm in vms:
         cut_off(vm)
-    vms[0].keeper.record(request("after"), OLD)
+    vms[0].keeper.record(make_request("after"), OLD)
     vms[0].flush()
     for _, message in vms[0].peers.sent:
         vms[1].keeper.handle_origins_notice("vm-000", message)
