Let an owner that missed a view acquire its runners anew

Cause: krakow-b-1 gave no orders while its view was stale, but adopting the later view made its ownership continuous again, old token included. Class: a pause in the use of a right is taken for its continuity. Change: where generations were missed and the view was stale for longer than the grace, ownership starts anew, by a handover or after the wait; that is what an expired lease does already.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -38,7 +38,7 @@
 from ._epochs import Position, combine_generation, generation_number
 from ._fleet_size import FleetSize, estimate_vms
 from ._loads import RunnerLoads, RunnerView
-from ._ownership import FORMER_MEMBER_TTL_S, OwnershipState
+from ._ownership import OwnershipState
 from ._pauses import RunnerPauses
 from ._placement import (
     Candidate,
@@ -82,7 +82,7 @@
     Turn,
     TurnSchedules,
 )
-from ._views import Member, View
+from ._views import FORMER_MEMBER_TTL_S, Member, View
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S, SlotWait
 
 __all__ = [
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -11,10 +11,8 @@
 from ._adopted_views import AdoptedViews, Assignment
 from ._member_lease import MemberLease
 from ._runners import Runner
-from ._views import Member, View
+from ._views import FormerMembers, Member, View
 
-FORMER_MEMBER_TTL_S = 12.0
-"""Time for which a member that left the view still gets messages."""
 MAX_STALE_VIEW_S = 2.0
 """Time for which a VM that knows of a newer view keeps using its own: less than the
 lease, which a runner's owner by the newer view waits out."""
@@ -49,10 +47,7 @@
         started_at: float,
         group: str | None = None,
     ) -> None:
-        """Start without a view and without a lease.
-
-        Only runners of the failure domain ``group`` are assigned; all if it is None.
-        """
+        """Start without a view; assign only runners of domain ``group``, if given."""
         self._group = group
         self._started_at = started_at
         self._vm = vm
@@ -60,7 +55,7 @@
         self._cfg = cfg
         self._reacquire_delay_s = cfg.turn_ms / 1000
         self._adopted = AdoptedViews(vm)
-        self._former: dict[str, tuple[Member, float]] = {}
+        self._former = FormerMembers()
         self._tokens: dict[str, int] = {}
         self._handovers: dict[str, _Handover] = {}
         self._ordered: set[str] = set()
@@ -93,15 +88,26 @@
         """Put a view in force; return False if it is neither newer nor fuller."""
         if not view.supersedes(self.view):
             return False
-        for member in self.view.members:
-            self._former[member.vm] = (member, now + FORMER_MEMBER_TTL_S)
-        for member in view.members:
-            self._former.pop(member.vm, None)
+        self._former.replace(self.view, view, now)
+        if self._may_have_lost_runners(view, now):
+            self._forget_runners()
         self._adopted.adopt(view, now)
         self._stale_view_deadline = float("inf")
         self._check_view_age(now)
         return True
 
+    def _may_have_lost_runners(self, view: View, now: float) -> bool:
+        """Return whether others may have owned the runners until a view is adopted.
+
+        They may have waited out the lease by a view between, which this VM missed.
+        """
+        is_successor = view.generation <= self.view.generation + 1
+        return not is_successor and now >= self._stale_view_deadline
+
+    def _forget_runners(self) -> None:
+        self._adopted.clear()
+        self._tokens.clear()
+
     def _check_view_age(self, now: float) -> None:
         """Set the deadline of a view that a newer generation has made stale."""
         is_stale = self.view.generation < self.generation
@@ -110,8 +116,7 @@
 
     def former_members(self, now: float) -> list[Member]:
         """Return the members that left the view at most FORMER_MEMBER_TTL_S ago."""
-        self._former = {vm: kept for vm, kept in self._former.items() if now < kept[1]}
-        return [member for member, _ in self._former.values()]
+        return self._former.members(now)
 
     def owner_of(self, runner: Runner) -> Member | None:
         """Return the member that a runner is assigned to."""
@@ -194,8 +199,7 @@
         """Renew the lease with the group's generation, as returned at ``now``."""
         if self._lease.has_expired(now) and generation != self.generation:
             # Another VM may have owned the runners since the lease expired.
-            self._adopted.clear()
-            self._tokens.clear()
+            self._forget_runners()
             self._handovers.clear()
         self.generation = max(self.generation, generation)
         self._check_view_age(now)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_views.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_views.py
@@ -7,6 +7,9 @@
 from .._hashing import top_node
 from ._runners import Runner
 
+FORMER_MEMBER_TTL_S = 12.0
+"""Time for which a member that left the view still gets messages."""
+
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
     """Entry VM in the group, with its failure domain and its address for peers.
@@ -55,3 +58,22 @@
         candidates = {m.vm: m for m in self.eligible_owners(runner.domain)}
         vm = top_node(runner.id, candidates)
         return None if vm is None else candidates[vm]
+
+
+class FormerMembers:
+    """Members that are no longer in the view, for some time after they left it."""
+
+    def __init__(self) -> None:
+        self._left: dict[str, tuple[Member, float]] = {}
+
+    def replace(self, before: View, after: View, now: float) -> None:
+        """Record a change of the view; ``now`` is in seconds."""
+        for member in before.members:
+            self._left[member.vm] = (member, now + FORMER_MEMBER_TTL_S)
+        for member in after.members:
+            self._left.pop(member.vm, None)
+
+    def members(self, now: float) -> list[Member]:
+        """Return the members that left at most FORMER_MEMBER_TTL_S ago."""
+        self._left = {vm: kept for vm, kept in self._left.items() if now < kept[1]}
+        return [member for member, _ in self._left.values()]
--- a/tests/unit/serving/test_ownership.py
+++ b/tests/unit/serving/test_ownership.py
@@ -448,3 +448,34 @@
     assert state.fencing_token(runner, 14.2) is None
     state.adopt(make_view(6, "a1"), 14.3)
     assert state.fencing_token(runner, 14.4) is not None
+
+
+def make_returning_owner() -> tuple[OwnershipState, Runner]:
+    """Return an owner that adopts a view after it stayed behind a view without it.
+
+    Its lease was extended throughout. By the view that it missed, a2 owned the runner.
+    """
+    both = make_view(5, "a1", "a2")
+    runner = make_reassigned_runner("a1", "a2", both, make_view(7, "a2"))
+    state = make_state()
+    start(state, both, 0.0)
+    assert state.fencing_token(runner, 0.1) == 5
+    state.renew(7, 1.0, 1.0)
+    for at in (2.0, 3.0, 4.0, 5.0, 6.0):
+        state.extend(at, at + 1.5, True)
+    change(state, make_view(9, "a1", "a2"), 7.0)
+    return state, runner
+
+
+def test_owner_that_missed_a_view_without_it_does_not_order_by_its_old_token() -> None:
+    """A restored store had dropped it; the other VM gave orders until then."""
+    state, runner = make_returning_owner()
+    assert state.fencing_token(runner, 7.1) is None
+    state.renew(9, 11.1, 11.1)
+    assert state.fencing_token(runner, 11.2) == 9
+
+
+def test_owner_that_missed_a_view_goes_on_by_a_handover() -> None:
+    state, runner = make_returning_owner()
+    state.receive_handover([runner.id], 9, 7.1)
+    assert state.fencing_token(runner, 7.2) == 9
