--- a/tests/functional/test_once.py
+++ b/tests/functional/test_once.py
@@ -158,12 +158,17 @@
         return
     cluster.control(SERVER, lose_answers=1)
     assert cluster.book("dakar-1", "settle-me").outcome == "unknown"
+    operated = "thies-3"
     wait_until(
-        lambda: [r for r in cluster.rows("show unknown") if "settle-me" in r["key"]],
+        lambda: [
+            row
+            for row in cluster.rows("show unknown", operated)
+            if "settle-me" in row["key"]
+        ],
         10,
         "key listed as unknown",
     )
-    reply = cluster.operate("settle orders:settle-me as ran", "thies-3")
+    reply = cluster.operate("settle orders:settle-me as ran", operated)
     assert reply.status == 200
     assert cluster.book("saint-louis-3", "settle-me").outcome == "ran"
     assert effects_of(cluster, "settle-me") == 1
