Let a VM that regains the store wait for peers that went on by its word

A VM extends its lease while all others say that they lost the store; one that reaches it again counts the time of the cut as part of its wait, and acquired a runner at its first renewal, while the other hears of that up to 1.3 s later and goes on for 0.6 s more. Needs views that differ before the cut (a restored store). Test: test_vm_that_regains_the_store_waits_for_peers_that_went_on_by_its_word, two owners before, with the real lease renewals. Cost: runners without an owner stay without one for 2 s after an outage, only where the wait for the lease would have ended sooner.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
@@ -59,6 +59,8 @@
             self.on_regained()
         is_renewed = isinstance(renewed, Ok)
         if self._is_own_domain:
+            if is_renewed and not ctx.can_reach_store:
+                self._ownership.record_store_regained(ctx.clock.boottime())
             ctx.can_reach_store = is_renewed
         outcome = (
             "lost"
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -16,6 +16,9 @@
 MAX_STALE_VIEW_S = 2.0
 """Time for which a VM that knows of a newer view keeps using its own: less than the
 lease, which a runner's owner by the newer view waits out."""
+PEER_EXTENSION_S = 2.0
+"""Time after which no peer extends its lease any more on the word of a VM that the
+store is away: until that word is out of date, and one extension."""
 HANDOVER_TTL_S = 3.0
 """Age up to which a handover is valid: less than the wait of an owner without one."""
 
@@ -62,6 +65,7 @@
         self._released_at: dict[str, float] = {}
         self._lease = MemberLease(cfg)
         self._stale_view_deadline = float("inf")
+        self._peers_extend_until = float("-inf")
         self.generation = 0
 
     @property
@@ -213,6 +217,10 @@
         if now < self._lease.local_deadline:
             self._lease.extend(until, is_unreachable_for_all)
 
+    def record_store_regained(self, now: float) -> None:
+        """Record that this VM reaches the store again, as peers have not heard yet."""
+        self._peers_extend_until = now + PEER_EXTENSION_S
+
     def _deadline_for(self, runner: Runner) -> float:
         is_local = runner.domain == self._domain
         return self._lease.local_deadline if is_local else self._lease.deadline
@@ -257,7 +265,7 @@
         assignment = self._assignment(runner)
         if assignment is None:
             return 0.0
-        return max(0.0, assignment.since + self._takeover_wait_s(runner) - now)
+        return max(0.0, self._takeover_at(runner, assignment) - now)
 
     def _acquire(self, runner: Runner, assignment: Assignment, now: float) -> None:
         """Take the ownership of an assigned runner if it is safe to do so."""
@@ -273,7 +281,7 @@
             self._tokens[runner.id] = self.view.generation
         # A renewal after the wait proves that this VM's view is still the newest.
         elif (
-            self._lease.renewed_at >= assignment.since + self._takeover_wait_s(runner)
+            self._lease.renewed_at >= self._takeover_at(runner, assignment)
             and not self.needs_view()
         ):
             self._tokens[runner.id] = assignment.generation
@@ -290,9 +298,11 @@
         # The reacquire delay may have to pass before the handover can be used.
         return now - handover.received_at < HANDOVER_TTL_S + self._reacquire_delay_s
 
-    def _takeover_wait_s(self, runner: Runner) -> float:
+    def _takeover_at(self, runner: Runner, assignment: Assignment) -> float:
+        """Return when every earlier lease on an assigned runner has ended."""
         is_local = runner.domain == self._domain
-        return self._cfg.lease_s if is_local else self._cfg.outside_s
+        wait_s = self._cfg.lease_s if is_local else self._cfg.outside_s
+        return max(assignment.since + wait_s, self._peers_extend_until)
 
     def _assignment(self, runner: Runner) -> Assignment | None:
         """Return the assignment of a runner to this VM, None if it has none."""
--- a/tests/unit/serving/test_membership.py
+++ b/tests/unit/serving/test_membership.py
@@ -27,19 +27,28 @@
     StoreStatus,
     make_context,
 )
+from gooseberryrun._internal.coordination.serving._context import STORE_STATUS_TTL_S
+from gooseberryrun._internal.coordination.serving._lease_renewals import (
+    EXTENSION_S,
+    LeaseRenewals,
+)
 from gooseberryrun._internal.coordination.serving._membership import Membership
 from gooseberryrun._internal.state import ManualClock, ServingSettings
 from gooseberryrun._internal.state.serving import (
     DirectoryRecord,
     Member,
+    OwnershipState,
     Position,
     Runner,
     Topic,
     View,
 )
+from gooseberryrun._internal.state.serving._ownership import PEER_EXTENSION_S
 from msgspec.structs import replace
 from result import Err, Ok, Result
 
+from tests.lib.fleet import GroupStore, make_members, make_runners, make_vm
+
 BOTH = (Member("vm-a", "d", "127.0.0.1", 1), Member("vm-b", "d", "127.0.0.1", 2))
 REFUSED = StoreFault(StoreFaultKind.REFUSED, "503")
 
@@ -239,3 +248,43 @@
     peers.sent.clear()
     views._repeat(View(5, BOTH))
     assert not peers.sent
+
+
+def make_extending_owner(ctx: Context, member: Member) -> OwnershipState:
+    """Return the state of an owner that has heard of no other member of its domain."""
+    owner = OwnershipState(member.vm, member.domain, ctx.cfg.membership, -10.0)
+    alone = View(1, (member,))
+    owner.resume_predecessor(alone.members, 0.0)
+    owner.renew(alone.generation, 0.0, 0.0)
+    owner.adopt(alone, 0.0)
+    return owner
+
+
+def test_vm_that_regains_the_store_waits_for_peers_that_went_on_by_its_word() -> None:
+    """It acquired a runner at once that a peer still ordered under an extension."""
+    members = make_members(1, 2)["d0"]
+    store, clock = GroupStore({"d0": members}), ManualClock()
+    ctx, _ = make_vm(members[0], store, [], clock)
+    peer = make_extending_owner(ctx, members[1])
+    runner = next(r for r in make_runners(1, 20) if ctx.ownership.is_assigned(r, 0.0))
+    renewals = LeaseRenewals(ctx, "d0", ctx.ownership)
+
+    def owners() -> int:
+        states = (ctx.ownership, peer)
+        return sum(s.fencing_token(runner, clock.now) is not None for s in states)
+
+    assert owners() == 1
+    for step in range(1, 25):
+        clock.now = step * EXTENSION_S / 3
+        store.is_refusing = step < 24
+        renewals.renew()
+        peer.extend(clock.now, clock.now + EXTENSION_S, is_unreachable_for_all=True)
+        assert owners() == 1
+    clock.now += PEER_EXTENSION_S
+    assert renewals.renew()
+    assert ctx.ownership.fencing_token(runner, clock.now) is not None
+    assert owners() == 1
+
+
+def test_wait_for_peers_outlasts_what_they_may_extend() -> None:
+    assert PEER_EXTENSION_S > STORE_STATUS_TTL_S + EXTENSION_S
