--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -5,10 +5,10 @@
 import math
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from .._serving_settings import MembershipSettings
 from ._adopted_views import AdoptedViews, Assignment
+from ._handovers import HANDOVER_TTL_S, Handovers
 from ._member_lease import MemberLease
 from ._runners import Runner
 from ._views import FormerMembers, Member, View
@@ -19,16 +19,6 @@
 PEER_EXTENSION_S = 2.0
 """Time after which no peer extends its lease any more on the word of a VM that the
 store is away: until that word is out of date, and one extension."""
-HANDOVER_TTL_S = 3.0
-"""Age up to which a handover is valid: less than the wait of an owner without one."""
-
-
-@dataclass(frozen=True, slots=True)
-class _Handover:
-    """Ownership of a runner as released by its owner at a view's generation."""
-
-    generation: int
-    received_at: float
 
 
 class OwnershipState:
@@ -60,7 +50,7 @@
         self._adopted = AdoptedViews(vm)
         self._former = FormerMembers()
         self._tokens: dict[str, int] = {}
-        self._handovers: dict[str, _Handover] = {}
+        self._handovers = Handovers(self._reacquire_delay_s)
         self._ordered: set[str] = set()
         self._released_at: dict[str, float] = {}
         self._lease = MemberLease(cfg)
@@ -149,15 +139,10 @@
     def _expire(self, now: float) -> None:
         """Remove releases and handovers that are too old to have an effect."""
         released_since = now - self._reacquire_delay_s
-        received_since = released_since - HANDOVER_TTL_S
         self._released_at = {
             r: at for r, at in self._released_at.items() if at > released_since
         }
-        self._handovers = {
-            runner: handover
-            for runner, handover in self._handovers.items()
-            if handover.received_at > received_since
-        }
+        self._handovers.expire(now)
 
     def _release(self, runner: Runner, now: float) -> bool:
         """Give up a runner; return whether there is an ownership to transfer."""
@@ -166,12 +151,8 @@
             self._released_at[runner.id] = now
         self._ordered.discard(runner.id)
         self._tokens.pop(runner.id, None)
-        handover = self._handovers.get(runner.id)
-        is_due = handover and handover.generation <= self.view.generation
-        if handover is None or not is_due:
-            return is_owned
-        del self._handovers[runner.id]
-        return is_owned or now - handover.received_at < HANDOVER_TTL_S
+        generation = self.view.generation
+        return self._handovers.withdraw(runner.id, generation, now) or is_owned
 
     def leave(self, runners: Iterable[Runner], now: float) -> dict[str, list[str]]:
         """Release all runners; return their ids by the VM that they go to."""
@@ -196,8 +177,7 @@
         if generation < self._adopted.generation_at(now - HANDOVER_TTL_S):
             # The message was delayed; another member may have waited out the lease.
             return
-        for runner in runners:
-            self._handovers[runner] = _Handover(generation, now)
+        self._handovers.receive(runners, generation, now)
 
     def renew(self, generation: int, requested_at: float, now: float) -> None:
         """Renew the lease with the group's generation, as returned at ``now``."""
@@ -276,8 +256,8 @@
         released_at = self._released_at.get(runner.id, self._started_at)
         if now < released_at + self._reacquire_delay_s:
             return
-        if self._has_handover(runner, now):
-            del self._handovers[runner.id]
+        if self._handovers.has(runner.id, self.view.generation, now):
+            self._handovers.use(runner.id)
             self._tokens[runner.id] = self.view.generation
         # A renewal after the wait proves that this VM's view is still the newest.
         elif (
@@ -286,18 +266,6 @@
         ):
             self._tokens[runner.id] = assignment.generation
 
-    def _has_handover(self, runner: Runner, now: float) -> bool:
-        """Return whether there is a recent handover by this view or an earlier one.
-
-        A handover by a newer view has to wait for that view, which may assign the
-        runner to another member.
-        """
-        handover = self._handovers.get(runner.id)
-        if handover is None or handover.generation > self.view.generation:
-            return False
-        # The reacquire delay may have to pass before the handover can be used.
-        return now - handover.received_at < HANDOVER_TTL_S + self._reacquire_delay_s
-
     def _takeover_at(self, runner: Runner, assignment: Assignment) -> float:
         """Return when every earlier lease on an assigned runner has ended."""
         is_local = runner.domain == self._domain
