--- a/tests/unit/serving/test_follower.py
+++ b/tests/unit/serving/test_follower.py
@@ -24,6 +24,7 @@
 
 SILENT = StoreFault(StoreFaultKind.UNREACHABLE, "timed out")
 LONG_S = 60.0
+LIMIT_S = 10.0
 
 
 class LogStore(GroupStore):
@@ -71,6 +72,13 @@
     eventlet.sleep(0.05)
 
 
+def wait_for_reads(store: LogStore, count: int) -> None:
+    """Let other green threads run until the store was read often enough."""
+    with eventlet.Timeout(LIMIT_S):
+        while len(store.waits) < count:
+            eventlet.sleep(0.005)
+
+
 def test_poll_that_hangs_delays_nothing_once_the_store_is_back() -> None:
     """The outage was too short to fail the poll, which was never answered."""
     check_catch_up(failures=0)
@@ -104,7 +112,7 @@
     store = LogStore()
     store.failures = 3
     make_follower(store)
-    settle()
+    wait_for_reads(store, 5)
     assert store.waits[0] > 0.0
     assert store.waits[1:4] == [0.0] * 3
     assert store.waits[4] > 0.0
