Share the fixtures and the route of origin tests

Last read of the change: the store of three VMs and the fixture that schedules nothing stood in two test files, the route of a stream in a third as well. No check changed; unit tests of serving pass but for the known red one.

--- /dev/null
+++ b/tests/unit/serving/conftest.py
@@ -0,0 +1,19 @@
+"""Fixtures of the tests of serving by routes."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.lib.fleet import GroupStore, make_members
+
+
+@pytest.fixture
+def nothing_scheduled(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let nothing run later by itself; a test runs what is scheduled by hand."""
+    monkeypatch.setattr("eventlet.spawn_after", lambda *args: None)
+
+
+@pytest.fixture(name="store")
+def _store() -> GroupStore:
+    """Return the store of a domain with three VMs."""
+    return GroupStore(make_members(1, 3))
--- a/tests/unit/serving/test_interruptions.py
+++ b/tests/unit/serving/test_interruptions.py
@@ -14,22 +14,9 @@
 )
 from gooseberryrun._internal.coordination.serving._model_requests import ModelRequests
 from gooseberryrun._internal.state import ManualClock
-from gooseberryrun._internal.state.serving import Route, RouteKind, WeightedService
 
 from tests.lib.fleet import GroupStore, make_members, make_vm
-
-ROUTE = Route(
-    "r",
-    "h",
-    "/",
-    RouteKind.STREAM,
-    15.0,
-    1.0,
-    0,
-    (WeightedService("s", 1.0),),
-    2,
-    True,
-)
+from tests.lib.origins import ROUTE
 
 
 class Responses:
--- a/tests/unit/serving/test_stream_origins.py
+++ b/tests/unit/serving/test_stream_origins.py
@@ -31,7 +31,7 @@
 from gooseberryrun_platform._origins import decode_origins, encode_origins
 from result import Ok, Result
 
-from tests.lib.fleet import GroupStore, make_members, make_vm
+from tests.lib.fleet import GroupStore, make_vm
 from tests.lib.origins import (
     NEW,
     OLD,
@@ -42,15 +42,7 @@
     make_request,
 )
 
-
-@pytest.fixture(autouse=True)
-def _nothing_scheduled(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("eventlet.spawn_after", lambda *args: None)
-
-
-@pytest.fixture(name="store")
-def _store() -> GroupStore:
-    return GroupStore(make_members(1, 3))
+pytestmark = pytest.mark.usefixtures("nothing_scheduled")
 
 
 def test_stream_goes_on_anywhere_while_one_version_serves(store: GroupStore) -> None:
--- a/tests/unit/serving/test_vms_out_of_step.py
+++ b/tests/unit/serving/test_vms_out_of_step.py
@@ -26,15 +26,7 @@
     make_request,
 )
 
-
-@pytest.fixture(autouse=True)
-def _nothing_scheduled(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("eventlet.spawn_after", lambda *args: None)
-
-
-@pytest.fixture(name="store")
-def _store() -> GroupStore:
-    return GroupStore(make_members(1, 3))
+pytestmark = pytest.mark.usefixtures("nothing_scheduled")
 
 
 def cut_off(vm: KeeperVm) -> None:
