--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,10 @@
-"""A VM that starts while the store is slow misses a configuration for good."""
+"""Two VMs order one runner: a peer that once said it leaves is believed for good."""
 
 from __future__ import annotations
 
+import http.client
+import itertools
+import signal
 import sys
 import threading
 import time
@@ -11,9 +14,10 @@
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
 from standins import (  # noqa: E402
+    CannotRunError,
     EntryVm,
     Journal,
-    PlainServer,
+    ModelRunner,
     Store,
     configuration,
     main,
@@ -22,74 +26,109 @@
     wait_ready,
 )
 
-ADAPTERS = 600
-"""Adapters with a declared version; the sites have 3,000 adapters and more."""
-ANSWER_S = 0.004
-"""Time of an answer of the store, as the sheets say."""
-SLOW_X = 60
-"""How many times as long an answer takes while the store is slow, as the site says."""
-SLOW_FOR_S = 4.5
-CHANGE_AFTER_S = 0.1
-"""Time from the VM's first call for the configuration to the operator's change."""
-SETTLE_S = 12.0
-"""Time from the change to the first request that is judged: more than
-``config_apply_ms`` + ``max_stretch_ms`` + ``stable_window_ms`` after the slow store."""
-REQUESTS = 40
+RUNNERS = 4
+ADAPTERS = 40
+REFUSED_FOR_S = 9.0
+"""How long the store refuses one VM: `platform_down`, `nodes`, for_s 9.0."""
+BUSY_S = 3.0
+"""Time for which the VM that stops still has a request to finish."""
+RESTART_S = 0.2
+"""Time from its end to the start of its next process."""
+LEASE_S = 3.0
+"""``lease_ms``."""
 
 
 def run(journal: Journal, folder: Path, vms: list[EntryVm]) -> bool:
-    """Return whether requests were run as only the older version allows."""
+    """Return whether two VMs gave orders to one runner by turns."""
     store = Store()
-    servers = [
-        PlainServer(store, journal, f"i-{s}", s, "zone-a") for s in ("old", "new")
-    ]
-    store.put("keyed.op", "config", configuration(1, [route("/stock/", "safe", "old")]))
-    for number in range(ADAPTERS):
-        declare(store, number, 2)
-    slow_until = time.monotonic() + (SLOW_FOR_S if trouble() else 0.0)
-
-    def delay_s(path: str, _query: dict[str, str]) -> float:
-        is_slow = time.monotonic() < slow_until
-        return ANSWER_S * (SLOW_X if is_slow else 1)
-
-    is_read = threading.Event()
-
-    def on_call(path: str, query: dict[str, str]) -> None:
-        if path in ("/v1/log-newest", "/v1/log-read"):
-            journal.write(f"store {path} {query}")
-        if path == "/v1/log-newest" and query["topic"] == "keyed.op":
-            is_read.set()
-
-    store.delay_s, store.on_call = delay_s, on_call
-    vms.append(EntryVm(folder, "vm-1", "zone-a", store.port))
-    is_read.wait(20)
-    time.sleep(CHANGE_AFTER_S)
-    at = store.put(
-        "keyed.op", "config", configuration(2, [route("/stock/", "safe", "new")])
-    )
-    journal.write(f"operator: configuration 2 confirmed at offset {at}")
-    at = declare(store, ADAPTERS - 1, 3)
-    journal.write(f"operator: a version of an adapter confirmed at offset {at}")
-    changed_at = time.monotonic()
+    refused: set[str] = set()
+    store.refuses = lambda member: member.partition("@")[0] in refused
+    runners = [ModelRunner(store, journal, f"i-{n}", "zone-a") for n in range(RUNNERS)]
+    routes = [route("/fold/", "stream", "models", timeout_ms=5000, gap_aim_ms=250)]
+    store.put("keyed.op", "config", configuration(1, routes))
+    for name in ("vm-a", "vm-b", "vm-c"):
+        vms.append(EntryVm(folder, name, "zone-a", store.port))
+    vm_a, vm_b, vm_c = vms
     wait_ready(vms)
-    journal.write("ready")
-    time.sleep(max(0.0, changed_at + SETTLE_S - time.monotonic()))
-    for number in range(REQUESTS):
-        request_id = f"{number:016x}"
-        journal.write(f"send {request_id}")
-        status, body = vms[0].ask("GET", "/stock/1", request_id)
-        journal.write(f"answer {request_id}: {status} {body!r}")
-        time.sleep(0.1)
-    old, new = (len(server.arrivals) for server in servers)
-    journal.write(f"run by the old service {old}, by the new one {new}")
-    return old > 0
-
-
-def declare(store: Store, number: int, version: int) -> int:
-    """Declare a version of an adapter; return the offset of the record."""
-    adapter = f"a{number + 1}"
-    value = {"model": "m0", "adapter": adapter, "version": version}
-    return store.put("keyed.op", f"version/m0.{adapter}", value)
+    time.sleep(8.0)
+    stop(vm_c, journal)
+    is_over = threading.Event()
+    for vm in (vm_a, vm_b):
+        for part in range(2):
+            args = (vm, part, journal, is_over)
+            threading.Thread(target=ask_often, args=args, daemon=True).start()
+    time.sleep(6.0)
+    if trouble():
+        refused.add("vm-a")
+        journal.write("the store refuses vm-a")
+    time.sleep(0.3)
+    started_at = time.monotonic()
+    stop(vm_b, journal, BUSY_S)
+    time.sleep(RESTART_S)
+    vm_b.restart()
+    journal.write("vm-b starts again")
+    time.sleep(max(0.0, started_at + REFUSED_FOR_S - 0.3 - time.monotonic()))
+    refused.clear()
+    journal.write("the store serves vm-a again")
+    time.sleep(4.0)
+    is_over.set()
+    broken = [judge(runner, journal) for runner in runners]
+    return any(broken)
+
+
+def stop(vm: EntryVm, journal: Journal, least_s: float = 0.0) -> None:
+    """Send SIGTERM and wait for the end of the process."""
+    began_at = time.monotonic()
+    journal.write(f"SIGTERM to {vm.name}")
+    vm.process.send_signal(signal.SIGTERM)
+    vm.process.wait(12)
+    if vm.process.returncode:
+        raise CannotRunError(f"{vm.name} ended with {vm.process.returncode}")
+    journal.write(f"{vm.name} has ended")
+    time.sleep(max(0.0, began_at + least_s - time.monotonic()))
+
+
+_NUMBERS = itertools.count()
+
+
+def ask_often(
+    vm: EntryVm, part: int, journal: Journal, is_over: threading.Event
+) -> None:
+    """Send requests for adapters of changing names until the run is over."""
+    while not is_over.is_set():
+        number = next(_NUMBERS)
+        key = f"{number:016x}"
+        model = f"m0/a{1 + (number * 7 + part) % ADAPTERS}"
+        more = {
+            "Model": model,
+            "Token_Count": "100,6",
+            "Prompt_Prefix": f"{number:x}:100",
+        }
+        try:
+            status, _ = vm.ask("POST", "/fold/1", key, 5000, **more)
+            journal.write(f"answer {key} of {vm.name}: {status}")
+        except (OSError, http.client.HTTPException) as exc:
+            journal.write(f"no answer {key} of {vm.name}: {exc!r}")
+            time.sleep(0.1)
+        time.sleep(0.02)
+
+
+def judge(runner: ModelRunner, journal: Journal) -> bool:
+    """Return whether holders took turns or a generation number went down."""
+    broken = False
+    last: dict[str, float] = {}
+    previous, highest = "", 0
+    for at, holder, fence in runner.orders:
+        turned = holder != previous and at - last.get(holder, -LEASE_S) < LEASE_S
+        if previous and (turned or fence < highest):
+            journal.write(
+                f"broken at {runner.name}, {at:.3f}: {holder} with generation {fence}"
+                f" after {previous} with {highest}"
+            )
+            broken = True
+        last[holder] = at
+        previous, highest = holder, max(highest, fence)
+    return broken
 
 
 if __name__ == "__main__":
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -66,6 +66,7 @@
         self.generations: dict[str, int] = {}
         self.delay_s = lambda _path, _query: 0.0
         self.on_call = lambda _path, _query: None
+        self.refuses = lambda _member: False
         self.changed = threading.Condition()
         self.server = _serve(_StoreHandler, "store", self)
 
@@ -178,13 +179,36 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def __init__(self, address: tuple[str, int], handler: type) -> None:
+        super().__init__(address, handler)
+        self._open: set[socket.socket] = set()
+
+    def process_request(self, request: socket.socket, client_address: object) -> None:
+        """Remember a channel, so that a crash can close it."""
+        self._open.add(request)
+        super().process_request(request, client_address)
+
+    def end(self) -> None:
+        """Close all channels at once and accept no more."""
+        self.socket.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self._end, daemon=True).start()
+        for sock in list(self._open):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
+    def _end(self) -> None:
+        self.shutdown()
+        self.server_close()
+
     def handle_error(self, request: object, client_address: object) -> None:
         """Ignore connections that the other side closed."""
 
 
-def _serve(handler: type, name: str, owner: object) -> _Server:
+def _serve(handler: type, name: str, owner: object, port: int = 0) -> _Server:
     made = type(f"{handler.__name__}Of", (handler,), {name: owner})
-    server = _Server((HOST, 0), made)
+    server = _Server((HOST, port), made)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
 
@@ -246,6 +270,8 @@
         if path == "/v1/log-owners":
             return 200, json.dumps(self.store.owners(query["group"])).encode()
         body = json.loads(data or b"{}")
+        if self.store.refuses(str(body.get("member", ""))):
+            return 503, b""
         call = {"/v1/log-join": self.store.join, "/v1/log-leave": self.store.leave}
         return 200, json.dumps(call[path](body)).encode()
 
@@ -315,6 +341,185 @@
         self.answer(200, headers, f"{self.plain.name} {request_id}".encode())
 
 
+class ModelRunner:
+    """A sound model runner with adapters, which records its orders and requests."""
+
+    LOAD_S = 0.25
+    PLACES = 6
+    EVENTS = 3
+    EVENT_S = 0.02
+    RESTART_S = 2.0
+    MODEL_LOAD_S = 1.3
+
+    def __init__(self, store: Store, journal: Journal, name: str, zone: str) -> None:
+        self.crash_times: list[float] = []
+        self.name, self.zone, self.journal = name, zone, journal
+        self.orders: list[tuple[float, str, int]] = []
+        self.arrivals: list[tuple[float, str]] = []
+        self.adapters: dict[str, int] = {}
+        self.coming: dict[str, tuple[float, int]] = {}
+        self.seq = 0
+        self.born_ms = 1
+        self.holds_model = True
+        self.lock = threading.RLock()
+        self._store = store
+        self.server = _serve(_ModelHandler, "model", self)
+        self.port = self.server.server_address[1]
+        self.register()
+
+    def crashes_at(self, _body: bytes) -> int:
+        """Return the event before which a request crashes the runner, 0 if none."""
+        return 0
+
+    def _finish_model(self) -> None:
+        self.holds_model = True
+        self.register()
+
+    def crash(self) -> None:
+        """Close all channels and accept none; come back empty after a time."""
+        with self.lock:
+            self.crash_times.append(self.journal.now())
+        self.journal.write(f"{self.name} crashes")
+        self.server.end()
+        threading.Timer(self.RESTART_S, self._restart).start()
+
+    def _restart(self) -> None:
+        with self.lock:
+            self.adapters.clear()
+            self.coming.clear()
+            self.seq = 0
+            self.born_ms += 1
+            self.holds_model = False
+        self.server = _serve(_ModelHandler, "model", self, self.port)
+        self.journal.write(f"{self.name} is back")
+        self.register()
+
+    def models(self) -> list[dict[str, object]]:
+        """Finish the loads that are due; return what the runner holds."""
+        with self.lock:
+            for name, (at, version) in list(self.coming.items()):
+                if time.monotonic() >= at:
+                    self.adapters[name] = version
+                    del self.coming[name]
+            held = [f"{name}@{version}" for name, version in self.adapters.items()]
+        model = {"name": "m0", "version": 1, "adapters": held}
+        return [model] if self.holds_model else []
+
+    def register(self) -> None:
+        """Write this runner's entry into the registry."""
+        entry = {
+            "service": "models",
+            "address": f"{HOST}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 64,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": self.seq,
+            "born": self.born_ms,
+            "models": self.models(),
+        }
+        self._store.put("keyed.servers", self.name, entry)
+
+    def report(self) -> dict[str, object]:
+        """Return the report."""
+        models = self.models()
+        with self.lock:
+            coming = [f"m0/{name}@{v}" for name, (_, v) in self.coming.items()]
+            return {
+                "stage": "colocated",
+                "models": models,
+                "busy": False,
+                "seq": self.seq,
+                "born": self.born_ms,
+                "coming": coming,
+                "queued": 0,
+                "in_flight": 0,
+                "kv_used": 0,
+                "kv_total": 90000,
+                "handles": 0,
+            }
+
+    def order(self, body: dict[str, object]) -> int:
+        """Carry out an order; return the status."""
+        self.models()
+        with self.lock:
+            holder, fence = str(body["holder"]), int(str(body["fence"]))
+            self.orders.append((self.journal.now(), holder, fence))
+            status = self._carry_out(body)
+        self.journal.write(
+            f"order at {self.name}: {body['op']} {body.get('adapter', '')} of {holder},"
+            f" generation {fence}, expect {body.get('expect')}: {status}"
+        )
+        return status
+
+    def _carry_out(self, body: dict[str, object]) -> int:
+        name = str(body.get("adapter", ""))
+        if body["op"] == "load" and not name and self.holds_model:
+            return 200
+        if body["op"] == "load" and name in self.adapters:
+            return 200
+        if body["op"] == "load" and name in self.coming:
+            return 202
+        if body.get("expect", self.seq) != self.seq:
+            return 409
+        self.seq += 1
+        if body["op"] == "unload":
+            self.adapters.pop(name, None)
+            return 200
+        if not name:
+            threading.Timer(self.MODEL_LOAD_S, self._finish_model).start()
+            return 202
+        self.coming[name] = (time.monotonic() + self.LOAD_S, 1)
+        return 202
+
+
+class _ModelHandler(_Handler):
+    model: ModelRunner
+    body = b""
+
+    def do_GET(self) -> None:  # noqa: N802
+        """Answer a call for the report, or refuse."""
+        self.answer(200, {}, json.dumps(self.model.report()).encode())
+
+    def do_POST(self) -> None:  # noqa: N802
+        """Carry out an order or run a request."""
+        data = self.body = self.read_body()
+        if self.headers.get(f"{PREFIX}Expect-Instance") != self.model.name:
+            self.answer(421, {}, b"")
+        elif self.path == "/v1/order":
+            self.answer(self.model.order(json.loads(data)), {}, b"")
+        else:
+            self._run()
+
+    def _run(self) -> None:
+        model = self.model
+        request_id = self.headers.get(f"{PREFIX}Request-Id", "")
+        adapter = self.headers.get(f"{PREFIX}Model", "").partition("/")[2]
+        held = model.models()
+        if not held or (adapter and adapter not in model.adapters):
+            self.answer(421, {f"{PREFIX}Request-Id": request_id}, b"")
+            return
+        model.arrivals.append((model.journal.now(), request_id))
+        model.journal.write(f"run {request_id} at {model.name}")
+        self.send_response(200)
+        self.send_header(f"{PREFIX}Request-Id", request_id)
+        self.send_header(f"{PREFIX}Server-Stamp", f"stamp.{model.name}")
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for number in range(1, max(model.EVENTS, model.crashes_at(self.body)) + 1):
+            time.sleep(model.EVENT_S)
+            if number == model.crashes_at(self.body):
+                model.crash()
+                self.close_connection = True
+                return
+            event = f"id: {number}\ndata: {number}\n\n".encode()
+            self.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            self.wfile.flush()
+        self.wfile.write(b"0\r\n\r\n")
+
+
 class Proxy:
     """Passes bytes on to a port; the channels that are open can fall silent."""
 
@@ -350,6 +555,23 @@
                 sock.close()
 
 
+ENGINE = {
+    "models": [
+        {
+            "name": "m0",
+            "weights_mb": 72700,
+            "load_time_s": 4.3,
+            "adapters": 3000,
+            "adapter_size_mb": 66,
+        }
+    ],
+    "weights_mb": 75000,
+    "max_adapters": 6,
+    "loads_per_s": 2.1,
+}
+"""The engine of the model service, as on the sheet of papillon-hq."""
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that are free now, all different."""
     sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
@@ -377,11 +599,17 @@
 
 def configuration(version: int, routes: list[dict[str, object]]) -> dict[str, object]:
     """Return a whole configuration."""
-    services = sorted({str(made["service"]) for made in routes})
+    names = sorted({str(made["service"]) for made in routes})
+    services: list[dict[str, object]] = [
+        {"name": name, "max_conns": 110} for name in names
+    ]
+    for service in services:
+        if service["name"] == "models":
+            service["engine"] = ENGINE
     return {
         "version": version,
         "routes": routes,
-        "services": [{"name": name, "max_conns": 110} for name in services],
+        "services": services,
         "limits": {
             "max_header_bytes": 16384,
             "max_body_bytes": 4194304,
@@ -463,12 +691,19 @@
             return False
 
     def ask(
-        self, method: str, path: str, request_id: str, deadline_ms: int = 4000
+        self,
+        method: str,
+        path: str,
+        request_id: str,
+        deadline_ms: int = 4000,
+        **headers: str,
     ) -> tuple[int, bytes]:
         """Send one request on a new channel; return the status and the body."""
-        conn = http.client.HTTPConnection(HOST, self.port, timeout=10)
+        conn = http.client.HTTPConnection(HOST, self.port, timeout=20)
         body = b"order" if method == "POST" else None
-        conn.request(method, path, body, request_headers(request_id, deadline_ms))
+        own = {f"{PREFIX}{name.replace('_', '-')}": v for name, v in headers.items()}
+        every = request_headers(request_id, deadline_ms) | own
+        conn.request(method, path, body, every)
         response = conn.getresponse()
         data = response.read()
         conn.close()
