--- a/review/1/case.py
+++ b/review/1/case.py
@@ -42,12 +42,12 @@
     """Return whether two VMs gave orders to one runner by turns."""
     store = Store()
     refused: set[str] = set()
-    store.refuses = lambda member: member.partition("@")[0] in refused
+    store.refuses = lambda machine: machine in refused
     runners = [ModelRunner(store, journal, f"i-{n}", "zone-a") for n in range(RUNNERS)]
     routes = [route("/fold/", "stream", "models", timeout_ms=5000, gap_aim_ms=250)]
     store.put("keyed.op", "config", configuration(1, routes))
     for name in ("vm-a", "vm-b", "vm-c"):
-        vms.append(EntryVm(folder, name, "zone-a", store.port))
+        vms.append(EntryVm(folder, name, "zone-a", store.port_for(name)))
     vm_a, vm_b, vm_c = vms
     wait_ready(vms)
     time.sleep(8.0)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 ROUTE_HOST = "review.example"
+PARTS = 16
 PAGE_ITEMS = 500
 """Most items in one answer of ``log-newest``, as PROTOCOL.md says."""
 PREFIX = "X-Gooseberryrun-"
@@ -53,6 +54,66 @@
             self._file.flush()
 
 
+class _Group:
+    """Members of a group and the partitions that they hold.
+
+    A partition that a member loses by a change stays with it until it joins with the
+    generation of that change, as PROTOCOL.md says.
+    """
+
+    def __init__(self) -> None:
+        self.generation = 0
+        self._deadlines: dict[str, float] = {}
+        self._topics: list[str] = []
+        self._holders: dict[tuple[str, int], str] = {}
+
+    def expire(self) -> None:
+        """Remove the members that have sent nothing for their time."""
+        now = time.monotonic()
+        for name in [n for n, at in self._deadlines.items() if now >= at]:
+            self.remove(name)
+
+    def remove(self, name: str) -> None:
+        """Remove a member; its partitions go to the others at once."""
+        if self._deadlines.pop(name, None) is None:
+            return
+        self.generation += 1
+        self._holders = {k: v for k, v in self._holders.items() if v != name}
+        self._deal()
+
+    def join(self, body: dict[str, object]) -> dict[str, object]:
+        """Add or keep a member; return the generation and its partitions."""
+        name = str(body["member"])
+        self._topics = list(body["topics"])  # type: ignore[call-overload]
+        if name not in self._deadlines:
+            self.generation += 1
+        self._deadlines[name] = time.monotonic() + float(str(body["ttl_ms"])) / 1000
+        due = self._due()
+        if body.get("generation") == self.generation:
+            self._holders = {
+                k: v for k, v in self._holders.items() if v != name or due[k] == name
+            }
+        self._deal()
+        held = [k for k, v in self._holders.items() if v == name and due[k] == name]
+        parts = [[topic, part, 0] for topic, part in held]
+        return {"generation": self.generation, "parts": parts}
+
+    def rows(self) -> list[list[object]]:
+        """Return topic, partition, member and offset of what is held."""
+        return [[topic, part, v, 0] for (topic, part), v in self._holders.items()]
+
+    def _due(self) -> dict[tuple[str, int], str]:
+        """Return the member that each partition is to go to."""
+        names = sorted(self._deadlines)
+        keys = [(topic, part) for topic in self._topics for part in range(PARTS)]
+        return {key: names[n % len(names)] for n, key in enumerate(keys) if names}
+
+    def _deal(self) -> None:
+        """Give the partitions that nobody holds to the members that they go to."""
+        for key, name in self._due().items():
+            self._holders.setdefault(key, name)
+
+
 class Store:
     """The platform's store: keyed and plain topics, and groups.
 
@@ -62,11 +123,10 @@
 
     def __init__(self) -> None:
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
-        self.groups: dict[str, dict[str, float]] = {}
-        self.generations: dict[str, int] = {}
+        self.groups: dict[str, _Group] = {}
         self.delay_s = lambda _path, _query: 0.0
         self.on_call = lambda _path, _query: None
-        self.refuses = lambda _member: False
+        self.refuses = lambda _machine: False
         self.changed = threading.Condition()
         self.server = _serve(_StoreHandler, "store", self)
 
@@ -137,42 +197,30 @@
 
     def join(self, body: dict[str, object]) -> dict[str, object]:
         """Add a member to its group, or keep it there."""
-        group, member = str(body["group"]), str(body["member"])
         with self.changed:
-            self._expire(group)
-            members = self.groups.setdefault(group, {})
-            if member not in members:
-                self._change(group)
-            members[member] = time.monotonic() + float(str(body["ttl_ms"])) / 1000
-            return {"generation": self.generations.get(group, 0), "parts": []}
+            return self._group(str(body["group"])).join(body)
 
     def leave(self, body: dict[str, object]) -> dict[str, object]:
         """Remove a member from its group."""
-        group = str(body["group"])
         with self.changed:
-            if self.groups.get(group, {}).pop(str(body["member"]), None):
-                self._change(group)
+            self._group(str(body["group"])).remove(str(body["member"]))
         return {}
 
     def owners(self, group: str) -> dict[str, object]:
-        """Return a row for each partition, dealt evenly to the members."""
+        """Return a row for each partition that a member holds."""
         with self.changed:
-            self._expire(group)
-            names = sorted(self.groups.get(group, {}))
-        if not names:
-            return {"parts": []}
-        rows = [["seats-0", part, names[part % len(names)], 0] for part in range(16)]
-        return {"parts": rows}
-
-    def _expire(self, group: str) -> None:
-        now = time.monotonic()
-        members = self.groups.get(group, {})
-        for name in [name for name, deadline in members.items() if now >= deadline]:
-            del members[name]
-            self._change(group)
+            return {"parts": self._group(group).rows()}
+
+    def _group(self, name: str) -> _Group:
+        group = self.groups.setdefault(name, _Group())
+        group.expire()
+        return group
 
-    def _change(self, group: str) -> None:
-        self.generations[group] = self.generations.get(group, 0) + 1
+    def port_for(self, machine: str) -> int:
+        """Return a port of its own for a machine, so that it can be refused."""
+        server = _serve(_StoreHandler, "store", self)
+        server.RequestHandlerClass.machine = machine  # type: ignore[attr-defined]
+        return int(server.server_address[1])
 
 
 class _Server(ThreadingHTTPServer):
@@ -236,6 +284,7 @@
 
 class _StoreHandler(_Handler):
     store: Store
+    machine = ""
 
     def do_GET(self) -> None:  # noqa: N802
         """Answer a reading call."""
@@ -250,6 +299,9 @@
         url = urlsplit(self.path)
         query = dict(parse_qsl(url.query))
         self.store.on_call(url.path, query)
+        if self.store.refuses(self.machine):
+            self.answer(503, {"Store-Era": "1"}, b"")
+            return
         status, reply = self._reply(url.path, query, data)
         time.sleep(self.store.delay_s(url.path, query))
         self.answer(status, {"Store-Era": "1"}, reply)
@@ -270,8 +322,6 @@
         if path == "/v1/log-owners":
             return 200, json.dumps(self.store.owners(query["group"])).encode()
         body = json.loads(data or b"{}")
-        if self.store.refuses(str(body.get("member", ""))):
-            return 503, b""
         call = {"/v1/log-join": self.store.join, "/v1/log-leave": self.store.leave}
         return 200, json.dumps(call[path](body)).encode()
 
@@ -753,15 +803,30 @@
     """The case could not run."""
 
 
+MOST_S = 115.0
+"""Time after which a run that has not ended is given up."""
+
+
+def _give_up(journal: Journal, vms: list[EntryVm]) -> None:
+    """End a run that takes too long, with its processes."""
+    for vm in vms:
+        vm.process.kill()
+    journal.write(f"could not run: not over after {MOST_S} s")
+    os._exit(2)
+
+
 def main(case: object, folder: Path) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if neither."""
     journal = Journal(folder / "record.txt")
     vms: list[EntryVm] = []
     status = 2
+    watchdog = threading.Timer(MOST_S, _give_up, (journal, vms))
+    watchdog.daemon = True
+    watchdog.start()
     with tempfile.TemporaryDirectory() as temporary:
         try:
             status = 1 if case(journal, Path(temporary), vms) else 0  # type: ignore[operator]
-        except (CannotRunError, OSError, http.client.HTTPException) as exc:
+        except Exception as exc:
             journal.write(f"could not run: {exc!r}")
         finally:
             for vm in vms:
