--- a/review/4/case.py
+++ b/review/4/case.py
@@ -24,7 +24,7 @@
 )
 
 VMS = 2
-"""VMs of the zone, as two of the three zones of kowalczyk-hire have."""
+"""VMs of the zone, as dakar-c of papillon-hq has."""
 IN_TOUCH_S = 3.0
 """``stable_window_ms``: from then on the machines are in touch again."""
 CHANGES = 4
