Bound what a VM's goodbye vouches for, and count reports from their question

Cause: a VM that the store refuses took a peer's goodbye as 'cannot reach the store' for 60 s, though the peer's next process reaches it and waits for one lease only. Class: a belief without 'said when, by which incarnation, good until when'; ordinary reports counted from receipt. Change: questions with a time on the asker's own clock; their answers, and the proof of both halves of the bound in state/serving/_outage_reports.py; the next process answers and vouches. The old test of a leaving member's status asserted the fault (9 s and later still vouched); the new ones bound it from both sides.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.pyi
@@ -201,6 +201,7 @@
     RunnerTask,
 )
 from ._scheduler import LOAD_INTERVAL_GAIN, Grant, LoadOrder, RunnerScheduler
+from ._serving_messages import StoreStatusAnswer
 from ._shutdown import IDLE_BEFORE_EXIT_S, Shutdown
 from ._store_budget import (
     MAX_PERMIT_PAUSE_S,
@@ -401,6 +402,7 @@
     "StorePermitEnd",
     "StorePermitRequest",
     "StorePermits",
+    "StoreStatusAnswer",
     "StreamBlock",
     "StreamPosition",
     "StreamTruncatedError",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -79,7 +79,34 @@
 
 
 class LeavingNotice(Message, frozen=True, array_like=True):
-    """The sender is leaving its domain's group or has just left it."""
+    """The sender is leaving its domain's group or has just left it.
+
+    ``asked_at`` is the time of the recipient's last question that a sender without the
+    store answers with this notice; it last renewed ``renewal_age_s`` ago.
+    """
+
+    asked_at: float | None = None
+    renewal_age_s: float = 0.0
+
+
+class StoreStatusRequest(Message, frozen=True, array_like=True):
+    """Question of a VM without the store whether the recipient reaches it.
+
+    ``asked_at`` is seconds on the sender's clock, which the answer repeats.
+    """
+
+    asked_at: float
+
+
+class StoreStatusAnswer(Message, frozen=True, array_like=True):
+    """Whether the sender reaches the store, as of after ``asked_at``.
+
+    It has read the registry of runners up to ``registry_end``.
+    """
+
+    asked_at: float
+    can_reach_store: bool
+    registry_end: Position = Position()
 
 
 class RenewRequest(Message, frozen=True, array_like=True):
@@ -276,6 +303,8 @@
     | ViewNotice
     | HandoverNotice
     | LeavingNotice
+    | StoreStatusRequest
+    | StoreStatusAnswer
     | RenewRequest
     | RenewAnswer
     | ResidencyNotice
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -40,14 +40,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreStatus:
-    """Last reported status of a member: store reachability, or that it is leaving.
+    """Last reported status of a member: whether it reaches the store.
 
     The member has read the registry of runners up to ``registry_end``.
     """
 
     received_at: float
     can_reach_store: bool
-    is_leaving: bool = False
     registry_end: Position = Position()
 
 
@@ -73,6 +72,7 @@
     pauses: RunnerPauses = field(default_factory=RunnerPauses)
     policy: ServingPolicy = ServingPolicy()
     can_reach_store: bool = True
+    has_called_store: bool = False
     stop_deadline: float = float("inf")
     is_new: bool = True
     store_statuses: dict[str, StoreStatus] = field(default_factory=dict)
@@ -199,27 +199,27 @@
         }
 
     def is_store_unreachable_for_all(self, peers: list[str], now: float) -> bool:
-        """Return whether all these members recently reported the store unreachable.
-
-        Then none of them can take over a runner. A member that is leaving is treated
-        as unable to reach the store: the next process on its VM takes over no runner of
-        other members without a wait.
-        """
-        members = self.members()
-        if any(
-            status.can_reach_store and now - status.received_at <= STORE_STATUS_TTL_S
-            for vm, status in self.store_statuses.items()
-            if vm not in members
-        ):
+        """Return whether all these members recently reported the store unreachable."""
+        if self.is_store_reached_by_any(peers, now):
             return False
         for peer in peers:
             status = self.store_statuses.get(peer)
-            if status is None or status.can_reach_store:
-                return False
-            if not status.is_leaving and now - status.received_at > STORE_STATUS_TTL_S:
+            if status is None or now - status.received_at > STORE_STATUS_TTL_S:
                 return False
         return True
 
+    def is_store_reached_by_any(self, peers: list[str], now: float) -> bool:
+        """Return whether one of these VMs, or one that is no member, reaches the store.
+
+        Reports that are out of date do not count.
+        """
+        members = self.members()
+        return any(
+            status.can_reach_store and now - status.received_at <= STORE_STATUS_TTL_S
+            for vm, status in self.store_statuses.items()
+            if vm in peers or vm not in members
+        )
+
 
 def make_context(
     cfg: ServingSettings, clock: Clock, ports: Ports, peers: Peers
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 
-import eventlet
 from result import Err, Ok, Result
 
 from gooseberryrun._internal.state.serving import OwnershipState
@@ -17,8 +16,6 @@
 from ._context import STORE_STATUS_TTL_S, Context
 from ._store_port import StoreFault
 
-EXTENSION_S = 0.6
-"""Time by which a check of the other members extends the lease."""
 MAX_RELAYS = 2
 """Members that are requested to renew on behalf of one that cannot reach the store."""
 RELAY_TIMEOUT_S = 0.4
@@ -62,6 +59,7 @@
             if is_renewed and not ctx.can_reach_store:
                 self._ownership.record_store_regained(ctx.clock.boottime())
             ctx.can_reach_store = is_renewed
+            ctx.has_called_store = True
         outcome = (
             "lost"
             if not is_renewed
@@ -114,24 +112,6 @@
         )
         inbound.reply(RenewAnswer(generation))
 
-    def run_extension(self) -> None:
-        """Extend the lease while no member of the domain can reach the store."""
-        while not self._is_closed:
-            eventlet.sleep(EXTENSION_S / 3)
-            ctx = self._ctx
-            now = ctx.clock.monotonic()
-            if ctx.can_reach_store or not ctx.is_store_unreachable_for_all(
-                ctx.local_peer_ids(), now
-            ):
-                continue
-            is_unreachable_for_all = ctx.is_store_unreachable_for_all(
-                ctx.peer_ids(), now
-            )
-            boottime = ctx.clock.boottime()
-            self._ownership.extend(
-                boottime, boottime + EXTENSION_S, is_unreachable_for_all
-            )
-
     def _lease_left_s(self) -> float:
         return self._ownership.lease_left_s(self._ctx.clock.boottime())
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -14,7 +14,8 @@
 from .._metrics import VIEW_MEMBERS
 from .._serving_messages import HandoverNotice, LeavingNotice, ViewNotice
 from .._tasks import run_protected, spawn_until_done
-from ._context import Context, StoreStatus
+from ._context import Context
+from ._lease_extension import LeaseExtension
 from ._lease_renewals import LeaseRenewals
 from ._view_forwarding import ViewForwarding
 
@@ -46,6 +47,7 @@
         self._ownership = ctx.ownership if group is None else ctx.covered_domains[group]
         self._views = ViewForwarding(ctx, self._group, self._ownership)
         self.renewals = LeaseRenewals(ctx, self._group, self._ownership)
+        self.extension = LeaseExtension(ctx, self._ownership)
         self._has_left = False
         self._is_renewal_due = False
         self._unlisted_reads = 0
@@ -57,19 +59,22 @@
         """Start the renewal loop and, for the own domain, the lease extension loop."""
         spawn_until_done("membership", self._run_renewal)
         if self._is_own_domain:
-            spawn_until_done("lease_extension", self.renewals.run_extension)
+            spawn_until_done("lease_extension", self.extension.run)
 
     def leave(self) -> None:
         """Release ownership of all runners and leave the group."""
         ctx = self._ctx
         self._has_left = True
         self.renewals.close()
+        self.extension.close()
         peers = self._views.recipients()
+        notices = {vm: self.extension.make_leaving_notice(vm) for vm in peers}
         generation = self._ownership.view.generation
         runners = ctx.directory.all_runners()
         handovers = self._ownership.leave(runners, ctx.clock.boottime())
         if self._is_own_domain:
-            self._views.send(peers, LeavingNotice())
+            for vm, notice in notices.items():
+                ctx.peers.send_to(vm, notice)
         left = ctx.ports.store.leave(self._group, ctx.own_member)
         why = left.err_value.detail if isinstance(left, Err) else ""
         log_event("group_left", group=self._group, error=why)
@@ -131,10 +136,9 @@
             self._transfer_reassigned()
         self.on_change()
 
-    def handle_leaving_notice(self, vm: str) -> None:
+    def handle_leaving_notice(self, vm: str, notice: LeavingNotice) -> None:
         """Record that a member is leaving and renew to get the next view."""
-        received_at = self._ctx.clock.monotonic()
-        self._ctx.store_statuses[vm] = StoreStatus(received_at, False, is_leaving=True)
+        self.extension.record_departure(vm, notice)
         self.schedule_renewal()
 
     def _adopt(self, view: View, source: str) -> None:
@@ -174,6 +178,8 @@
             if not self.renewals.is_store_unreachable:
                 log_event("members_unread", level="warning", why=read.err_value.detail)
             self.renewals.record_store_unreachable(read.err_value.detail)
+            self._ctx.can_reach_store = False
+            self._ctx.has_called_store = True
             eventlet.sleep(PREDECESSOR_RETRY_S)
         members = [member for member in read.ok_value if not member.is_copied]
         is_listed = any(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -21,6 +21,8 @@
     RenewRequest,
     ResidencyNotice,
     ServingGossip,
+    StoreStatusAnswer,
+    StoreStatusRequest,
     TurnRequest,
     UseNotice,
     ViewNotice,
@@ -142,9 +144,7 @@
             EvidenceNotice: _by_sender(self.guard.handle_evidence_notice),
             EvidenceRequest: self.guard.handle_evidence_request,
             HandoverNotice: self._handle_handover_notice,
-            LeavingNotice: lambda inbound, _: self.membership.handle_leaving_notice(
-                inbound.sender
-            ),
+            LeavingNotice: _by_sender(self.membership.handle_leaving_notice),
             OriginRequest: self._origins.handle_origin_request,
             OriginsNotice: _by_sender(self._origins.handle_origins_notice),
             PrefillNotice: lambda _, notice: self.owned_runners.handle_prefill_notice(
@@ -153,6 +153,8 @@
             RenewRequest: self.membership.renewals.handle_request,
             ResidencyNotice: _by_sender(self._adapters.handle_residency_notice),
             ServingGossip: self._handle_gossip,
+            StoreStatusAnswer: self.membership.extension.handle_answer,
+            StoreStatusRequest: self.membership.extension.handle_request,
             TurnRequest: self._turns.handle_turn_request,
             UseNotice: _by_sender(self.owned_runners.handle_use_notice),
             ViewNotice: self._handle_view_notice,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -10,15 +10,13 @@
 from ._adopted_views import AdoptedViews, Assignment
 from ._handovers import HANDOVER_TTL_S, Handovers
 from ._member_lease import MemberLease
+from ._outage_reports import TAKEOVER_DELAY_S
 from ._runners import Runner
 from ._views import FormerMembers, Member, View
 
 MAX_STALE_VIEW_S = 2.0
 """Time for which a VM that knows of a newer view keeps using its own: less than the
 lease, which a runner's owner by the newer view waits out."""
-PEER_EXTENSION_S = 2.0
-"""Time after which no peer extends its lease any more on the word of a VM that the
-store is away: until that word is out of date, and one extension."""
 
 
 class OwnershipState:
@@ -197,9 +195,18 @@
         if now < self._lease.local_deadline:
             self._lease.extend(until, is_unreachable_for_all)
 
+    @property
+    def renewed_at(self) -> float:
+        """Return when the newest renewal was requested."""
+        return self._lease.renewed_at
+
     def record_store_regained(self, now: float) -> None:
         """Record that this VM reaches the store again, as peers have not heard yet."""
-        self._peers_extend_until = now + PEER_EXTENSION_S
+        self._peers_extend_until = now + TAKEOVER_DELAY_S
+
+    def record_extending_peer(self, now: float) -> None:
+        """Record that a VM outside the view extends its lease on its peers' word."""
+        self._peers_extend_until = max(self._peers_extend_until, now + TAKEOVER_DELAY_S)
 
     def _deadline_for(self, runner: Runner) -> float:
         is_local = runner.domain == self._domain
@@ -250,6 +257,8 @@
     def _acquire(self, runner: Runner, assignment: Assignment, now: float) -> None:
         """Take the ownership of an assigned runner if it is safe to do so."""
         if self._adopted.is_resumed(runner):
+            if now < self._peers_extend_until:
+                return
             self._tokens[runner.id] = assignment.generation
             return
         # Reacquiring a runner too soon would make its ownership flap between VMs.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
@@ -34,6 +34,7 @@
     PeerMessage,
     Peers,
     Ping,
+    StoreStatusAnswer,
     log_event,
 )
 from gooseberryrun._internal.protocol import (
@@ -309,6 +310,6 @@
         pending = link.pending.pop(envelope.id, None)
         if pending is not None:
             pending.response_event.send(Ok(decoded.ok_value))
-        elif isinstance(decoded.ok_value, GrantAnswer):
-            late = InboundMessage(link.vm, decoded.ok_value, lambda message: None)
-            self.dispatch(late)
+        elif isinstance(decoded.ok_value, GrantAnswer | StoreStatusAnswer):
+            unawaited = InboundMessage(link.vm, decoded.ok_value, lambda message: None)
+            self.dispatch(unawaited)
