Bound the work that one answer's pieces cost the other requests

Cause: each piece copied and searched the whole event, and the event loop got its turn by reads, of which one holds 10,000 pieces. Class: bounds that count bytes and reads, not work, and each answer by itself. Evidence, on the code before: 26,215 pieces taken into one event (1,025 allowed now); no turn of the loop in 1,024 pieces (test_pieces_without_end_...); a deadline of 0.3 s that never ended a stray answer in short pieces (test_deadline_ends_...). Change: one event splitter for both faces with linear work and a limit of pieces; turns, free pieces and a shared rate by work for answers and callers' bodies; deadlines hold without a wait.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/__init__.pyi
@@ -17,8 +17,6 @@
 from ._problem import PROBLEM_CONTENT_TYPE, encode_problem, status_phrase
 from ._sse import (
     DONE_EVENT,
-    EVENT_SEPARATOR,
-    MAX_EVENT_BYTES,
     EventChecker,
     check_response_model,
 )
@@ -27,12 +25,10 @@
     "COMPLETION_PATHS",
     "DONE_EVENT",
     "EventChecker",
-    "MAX_EVENT_BYTES",
     "MAX_KEY_LENGTH",
     "PREFIX_CHARS",
     "PREFIX_HASH_DIGITS",
     "PROBLEM_CONTENT_TYPE",
-    "EVENT_SEPARATOR",
     "CommandSyntaxError",
     "VERBS",
     "bad_request",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/_sse.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/protocol/_sse.py
@@ -7,10 +7,9 @@
 from result import Err, Ok, Result
 
 from gooseberryrun._internal.coordination import EngineError, EngineFault, StreamBlock
+from gooseberryrun._internal.state import EVENT_SEPARATOR, EventSplitter
 
 DONE_EVENT = b"data: [DONE]"
-EVENT_SEPARATOR = b"\n\n"
-MAX_EVENT_BYTES = 1 << 20
 
 
 class EventChecker:
@@ -21,22 +20,18 @@
 
     def __init__(self, model: str) -> None:
         self._model = model
-        self._partial_event = b""
+        self._splitter = EventSplitter()
         self._model_checked = False
 
     def feed(self, data: bytes) -> Result[StreamBlock, EngineError]:
         """Add received bytes; return the events that are now complete, maybe none."""
-        buffer = self._partial_event + data
-        last_separator = buffer.rfind(EVENT_SEPARATOR)
-        if last_separator < 0:
-            self._partial_event = buffer
-            if len(buffer) > MAX_EVENT_BYTES:
-                return Err(
-                    EngineError(EngineFault.BROKEN, "an event exceeds the size limit")
-                )
+        complete = self._splitter.feed(data)
+        if self._splitter.exceeds_limit:
+            return Err(
+                EngineError(EngineFault.BROKEN, "an event exceeds the size limit")
+            )
+        if not complete:
             return Ok(StreamBlock(b"", 0, False))
-        complete = buffer[: last_separator + len(EVENT_SEPARATOR)]
-        self._partial_event = buffer[last_separator + len(EVENT_SEPARATOR) :]
         if not self._model_checked:
             error = self._check_model(complete)
             if error is not None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -28,6 +28,7 @@
 from gooseberryrun._internal.transport import PeerLinks
 from gooseberryrun._internal.transport.serving import (
     CallerServer,
+    InputBounds,
     ProbeServer,
     RunnerConnectionPool,
 )
@@ -92,7 +93,8 @@
         self._path = path
         self._clock = clock
         self._boot = uuid.uuid4().hex[:12]
-        self._runners = RunnerConnectionPool(clock, integration.codec)
+        bounds = InputBounds(clock)
+        self._runners = RunnerConnectionPool(clock, integration.codec, bounds)
         ports = Ports(
             integration.store, integration.codec, self._runners, integration.control
         )
@@ -100,7 +102,11 @@
         self._ctx = make_context(cfg, clock, ports, self._peers)
         self._serving = Serving(self._ctx)
         self._callers = CallerServer(
-            clock, self._limits, self._serving.gateway, cfg.entry.max_connections
+            clock,
+            self._limits,
+            self._serving.gateway,
+            cfg.entry.max_connections,
+            bounds,
         )
         self._probes = ProbeServer(integration.readiness_path, self._serving.is_ready)
         self._metrics = ProbeServer("", lambda: False)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.pyi
@@ -11,6 +11,12 @@
     validate_op,
 )
 from ._demand import MIN_DEMAND, PRUNE_THRESHOLD, DemandTracker
+from ._event_splitter import (
+    EVENT_SEPARATOR,
+    MAX_EVENT_BYTES,
+    MAX_EVENT_PIECES,
+    EventSplitter,
+)
 from ._hashing import fingerprint, hash_score, rank_nodes, top_node
 from ._invariants import InvariantError, check_invariant
 from ._jobs import Job, JobState
@@ -71,6 +77,10 @@
 )
 
 __all__ = [
+    "EVENT_SEPARATOR",
+    "MAX_EVENT_BYTES",
+    "MAX_EVENT_PIECES",
+    "EventSplitter",
     "CONFIG_STREAM",
     "NodeSettings",
     "MembershipSettings",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
@@ -29,6 +29,8 @@
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import ClientLimits
 
+from ._input_bounds import InputBounds
+from ._input_work import InputWork
 from ._sockets import end_connection, receive
 
 MAX_BUFFERED_BYTES = 64 << 20
@@ -56,6 +58,7 @@
     """State that all connections of one server share."""
 
     limits: Callable[[], ClientLimits]
+    bounds: InputBounds
     is_stopping: bool = False
     refuses_new: bool = False
     buffered_bytes: int = 0
@@ -70,6 +73,7 @@
         self._sock = sock
         self._limits = state.limits()
         self._clock = clock
+        self._work = InputWork(state.bounds.pieces, clock)
         self.is_idle = True
         self._is_ended = False
         self._serving: tuple[Any, _HttpCaller] | None = None
@@ -149,6 +153,7 @@
 
     def _read_head_and_body(self) -> InboundRequest:
         self._limits = self._state.limits()
+        self._work.begin_message()
         head = self._read_head()
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -207,6 +212,7 @@
                 if not isinstance(event, h11.Data):
                     raise ConnectionClosedError("closed by the caller within a body")
                 received += event.data
+                self._work.count_piece(len(event.data))
                 if len(received) > limit:
                     raise _BadRequestError(413, "the body is too large")
 
@@ -219,6 +225,7 @@
             return event
 
     def _receive(self) -> None:
+        self._work.count_read()
         data = receive(self._sock)
         is_idle = self.http.their_state is h11.IDLE
         if not data and is_idle and not self.http.trailing_data[0]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -22,6 +22,7 @@
     CallerServerState,
     ConnectionClosedError,
 )
+from ._input_bounds import InputBounds
 
 BACKLOG = 1024
 
@@ -35,9 +36,10 @@
         limits: Callable[[], ClientLimits],
         handler: RequestHandler,
         max_connections: int,
+        bounds: InputBounds,
     ) -> None:
         self._clock = clock
-        self.state = CallerServerState(limits)
+        self.state = CallerServerState(limits, bounds)
         self._handler = handler
         self._max_connections = max_connections
         self._connections: set[CallerConnection] = set()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runner_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runner_connection.py
@@ -16,6 +16,7 @@
     ResponseMetadata,
 )
 
+from ._input_work import InputWork
 from ._sockets import SocketReader
 
 DEFAULT_IDLE_TIMEOUT_S = 3.0
@@ -28,9 +29,6 @@
 """Requests that a runner may decline on one connection before it is closed."""
 MAX_INFORMATIONAL_RESPONSES = 8
 """Informational (1xx) responses that are skipped before a final one."""
-READS_PER_YIELD = 16
-"""Reads after which control returns to the event loop, since a socket that always has
-bytes never blocks and would starve other green threads and timeouts."""
 
 
 class ConnectionLostError(Exception):
@@ -43,7 +41,7 @@
     ``declined`` are the requests that the runner said it did not run.
     """
 
-    def __init__(self, sock: Any) -> None:
+    def __init__(self, sock: Any, work: InputWork) -> None:
         self._sock = sock
         self._reader = SocketReader(sock)
         self._http = h11.Connection(h11.CLIENT)
@@ -51,7 +49,7 @@
         self.declined: set[str] = set()
         self._is_writing = False
         self.ends_with_connection = False
-        self._reads = 0
+        self._work = work
 
     def close(self) -> None:
         """Close the socket."""
@@ -77,6 +75,7 @@
 
     def send(self, request: OutboundRequest) -> None:
         """Send a request with its body."""
+        self._work.begin_message()
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
         head = h11.Request(
@@ -162,10 +161,16 @@
             raise ConnectionLostError("closed before a response")
         raise ConnectionLostError("too many informational responses")
 
+    def begin_stream(self) -> None:
+        """Expect a stream of events for the rest of the response."""
+        self._work.allow_stream()
+
     def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, None at its end."""
+        self._reader.check_deadline()
         event = self._next_event()
         if isinstance(event, h11.Data):
+            self._work.count_piece(len(event.data))
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
@@ -182,9 +187,7 @@
             self._http.receive_data(data)
 
     def _receive(self) -> bytes:
-        self._reads += 1
-        if self._reads % READS_PER_YIELD == 0:
-            eventlet.sleep(0)
+        self._work.count_read()
         return self._reader.receive()
 
     def _is_response_incomplete(self) -> bool:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -29,6 +29,8 @@
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import Runner
 
+from ._input_bounds import InputBounds
+from ._input_work import InputWork
 from ._runner_connection import ConnectionLostError, RunnerConnection
 from ._sockets import DeadlinePassedError
 
@@ -52,8 +54,9 @@
 class RunnerConnectionPool(RunnerRequests):
     """Pool of connections to runners, by runner and address."""
 
-    def __init__(self, clock: Clock, codec: HeaderCodec) -> None:
+    def __init__(self, clock: Clock, codec: HeaderCodec, bounds: InputBounds) -> None:
         self._clock = clock
+        self._bounds = bounds
         self._codec = codec
         self._idle: dict[tuple[str, str, int], list[_IdleConnection]] = {}
 
@@ -158,7 +161,7 @@
         except (OSError, Timeout) as exc:
             return Err(AttemptFault(AttemptFailure.NOT_SENT, f"connect: {exc!r}"))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return Ok(RunnerConnection(sock))
+        return Ok(RunnerConnection(sock, InputWork(self._bounds.pieces, self._clock)))
 
 
 class _HttpResponse(RunnerResponse):
@@ -185,7 +188,7 @@
 
     def read_all(self, deadline: float) -> Result[bytes, AttemptFault]:
         body = bytearray()
-        for chunk in self.body_chunks(deadline):
+        for chunk in self._chunks(deadline):
             if isinstance(chunk, Err):
                 return chunk
             body += chunk.ok_value
@@ -198,6 +201,10 @@
         return Ok(bytes(body))
 
     def body_chunks(self, deadline: float) -> Iterator[Result[bytes, AttemptFault]]:
+        self._conn.begin_stream()
+        yield from self._chunks(deadline)
+
+    def _chunks(self, deadline: float) -> Iterator[Result[bytes, AttemptFault]]:
         while True:
             read = self._read_chunk(deadline)
             if isinstance(read, Err):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_sockets.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_sockets.py
@@ -30,9 +30,11 @@
         self._waiter: Any = None
         self._is_registered = False
         self._timer: Any = None
+        self._has_expired = False
 
     def set_deadline(self, seconds: float | None) -> None:
-        """Set the seconds after which a waiting read fails; None removes the limit."""
+        """Set the seconds after which reads fail; None removes the limit."""
+        self._has_expired = False
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -45,8 +47,9 @@
         """Return the next bytes, none at the end of the connection.
 
         Raises ConnectionResetError on a reset, and DeadlinePassedError if the deadline
-        passes while it waits.
+        has passed.
         """
+        self.check_deadline()
         while True:
             try:
                 data: bytes = self._sock.fd.recv(READ_BYTES, socket.MSG_DONTWAIT)
@@ -54,6 +57,11 @@
             except BlockingIOError:
                 self._wait()
 
+    def check_deadline(self) -> None:
+        """Raise DeadlinePassedError if the deadline has passed."""
+        if self._has_expired:
+            raise DeadlinePassedError
+
     def close(self) -> None:
         """Cancel the timer and unregister the socket, before the socket is closed."""
         self.set_deadline(None)
@@ -79,6 +87,7 @@
 
     def _expire(self) -> None:
         self._timer = None
+        self._has_expired = True
         waiter, self._waiter = self._waiter, None
         if waiter is not None:
             waiter.throw(DeadlinePassedError())
--- a/tests/unit/serving/test_endless_answers.py
+++ b/tests/unit/serving/test_endless_answers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import socket
 import threading
 from collections.abc import Iterator
 
+import eventlet
 import pytest
 from gooseberryrun._internal.coordination.serving import (
     AttemptFailure,
@@ -14,13 +16,23 @@
     OutboundRequest,
     RunnerResponse,
 )
-from gooseberryrun._internal.coordination.serving._event_stream import (
+from gooseberryrun._internal.coordination.serving._event_stream import EventBuffer
+from gooseberryrun._internal.state import (
     MAX_EVENT_BYTES,
-    EventBuffer,
+    MAX_EVENT_PIECES,
+    ManualClock,
+    ServingSettings,
+    SystemClock,
 )
-from gooseberryrun._internal.state import ServingSettings, SystemClock
 from gooseberryrun._internal.state.serving import Runner
-from gooseberryrun._internal.transport.serving import RunnerConnectionPool
+from gooseberryrun._internal.transport.serving import InputBounds, RunnerConnectionPool
+from gooseberryrun._internal.transport.serving._input_work import (
+    FREE_PIECES,
+    PIECES_PER_TURN,
+    SHARED_PIECES_PER_S,
+    InputWork,
+    SharedPieces,
+)
 from gooseberryrun_platform._control import PlatformControl
 from gooseberryrun_platform._headers import PlatformHeaders
 from result import Err, Ok
@@ -29,6 +41,7 @@
 OWN_HEAD = f"HTTP/1.1 200 OK\r\nX-Gooseberryrun-Request-Id: {REQUEST_ID}\r\n".encode()
 STRAY_HEAD = b"HTTP/1.1 200 OK\r\nX-Gooseberryrun-Request-Id: other\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+PIECE = b"x" * 40
 CHUNK = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
 SENT_CHUNKS = 1200
 """Most chunks of 64 KiB that are sent: far more than any limit on what is read."""
@@ -93,7 +106,7 @@
 
 
 def ask(server: EndlessServer, clock: SystemClock) -> RunnerResponse | AttemptFault:
-    runners = RunnerConnectionPool(clock, PlatformHeaders())
+    runners = RunnerConnectionPool(clock, PlatformHeaders(), InputBounds(clock))
     sent = runners.send(server.runner(), request(), clock.monotonic() + 60)
     return sent.ok_value if isinstance(sent, Ok) else sent.err_value
 
@@ -148,6 +161,95 @@
     assert events.exceeds_limit
 
 
+def test_event_in_pieces_without_end_is_noticed() -> None:
+    """Guards against review/2: 26,000 pieces of 40 bytes were read into one event.
+
+    Each of them copied and searched the whole event, for 9 s in all.
+    """
+    events = EventBuffer()
+    pieces = 0
+    while not events.exceeds_limit:
+        assert events.feed(PIECE) == b""
+        pieces += 1
+    assert pieces <= MAX_EVENT_PIECES + 1
+
+
+def test_event_may_come_in_many_pieces_after_others() -> None:
+    events = EventBuffer()
+    for _ in range(3):
+        for _ in range(MAX_EVENT_PIECES - 1):
+            assert events.feed(PIECE) == b""
+        assert events.feed(b"\n\n").endswith(b"\n\n")
+        assert not events.exceeds_limit
+
+
+@pytest.mark.parametrize("size", [1, 40, 64])
+def test_pieces_without_end_leave_the_event_loop_its_turns(
+    clock: SystemClock, size: int
+) -> None:
+    """Guards against review/2: a megabyte of short pieces passed in one turn."""
+    piece = f"{size:x}\r\n".encode() + b"x" * size + b"\r\n"
+    turns: list[int] = []
+    with endless(OWN_HEAD + CHUNKED, piece * 4000) as server:
+        answer = ask(server, clock)
+        assert isinstance(answer, RunnerResponse)
+        parsed = 0
+
+        def count_turns() -> None:
+            while True:
+                turns.append(parsed)
+                eventlet.sleep(0)
+
+        counter = eventlet.spawn(count_turns)
+        for chunk in answer.body_chunks(clock.monotonic() + 60):
+            assert isinstance(chunk, Ok)
+            parsed += 1
+            if parsed > FREE_PIECES:
+                break
+        counter.kill()
+        answer.close()
+    between = [later - earlier for earlier, later in itertools.pairwise(turns)]
+    assert max(between) <= PIECES_PER_TURN
+
+
+def test_answers_without_end_share_a_bounded_rate() -> None:
+    """Turn by turn, three answers in pieces of a byte used up the processor."""
+    clock = ManualClock()
+    shared = SharedPieces(clock)
+    answers = [InputWork(shared, clock) for _ in range(30)]
+    pieces = 100
+    delays = [shared.delay_s(pieces) for _ in answers]
+    assert max(delays) == pytest.approx(len(answers) * pieces / SHARED_PIECES_PER_S)
+    clock.now += max(delays)
+    assert shared.delay_s(0) == pytest.approx(0.0)
+
+
+@pytest.mark.parametrize("pieces_per_s", [0, 300])
+def test_sound_answer_in_short_pieces_is_not_delayed(
+    monkeypatch: pytest.MonkeyPatch, pieces_per_s: int
+) -> None:
+    """A long stream of many events, or a whole answer of a thousand pieces."""
+    clock = ManualClock()
+    work = InputWork(SharedPieces(clock), clock)
+    delays: list[float] = []
+    monkeypatch.setattr(eventlet, "sleep", delays.append)
+    if pieces_per_s:
+        work.allow_stream()
+    for _ in range(20 * pieces_per_s or FREE_PIECES):
+        work.count_piece(40)
+        clock.now += 1 / pieces_per_s if pieces_per_s else 0.0
+    assert delays
+    assert not any(delays)
+
+
+def test_deadline_ends_an_answer_whose_reader_never_waits(clock: SystemClock) -> None:
+    with endless(STRAY_HEAD + CHUNKED, b"1\r\nx\r\n" * 10000) as server:
+        runners = RunnerConnectionPool(clock, PlatformHeaders(), InputBounds(clock))
+        sent = runners.send(server.runner(), request(), clock.monotonic() + 0.3)
+        assert isinstance(sent, Err)
+        assert sent.err_value.failure is AttemptFailure.LATE
+
+
 def test_report_without_end_is_given_up() -> None:
     cfg = ServingSettings.model_validate(
         {
--- a/tests/unit/serving/test_idle_connections.py
+++ b/tests/unit/serving/test_idle_connections.py
@@ -10,6 +10,7 @@
 from gooseberryrun._internal.coordination.serving import Caller, InboundRequest
 from gooseberryrun._internal.state import ManualClock
 from gooseberryrun._internal.state.serving import ClientLimits
+from gooseberryrun._internal.transport.serving import InputBounds
 from gooseberryrun._internal.transport.serving._caller_connection import (
     CallerConnection,
     CallerServerState,
@@ -34,8 +35,9 @@
     accepted, _ = listener.accept()
     listener.close()
     handler: Any = Handler()
-    state = CallerServerState(lambda: LIMITS, is_stopping=True)
-    conn = CallerConnection(state, GreenSocket(accepted), ManualClock())
+    clock = ManualClock()
+    state = CallerServerState(lambda: LIMITS, InputBounds(clock), is_stopping=True)
+    conn = CallerConnection(state, GreenSocket(accepted), clock)
     eventlet.spawn(conn.run, handler)
     eventlet.sleep(0)
     own.settimeout(2.0)
--- a/tests/unit/serving/test_kept_connections.py
+++ b/tests/unit/serving/test_kept_connections.py
@@ -11,7 +11,7 @@
 from gooseberryrun._internal.coordination.serving import OutboundRequest, RunnerResponse
 from gooseberryrun._internal.state import SystemClock
 from gooseberryrun._internal.state.serving import Runner
-from gooseberryrun._internal.transport.serving import RunnerConnectionPool
+from gooseberryrun._internal.transport.serving import InputBounds, RunnerConnectionPool
 from gooseberryrun_platform._headers import PlatformHeaders
 from result import Ok
 
@@ -51,6 +51,11 @@
         self._listener.close()
 
 
+def make_pool() -> RunnerConnectionPool:
+    clock = SystemClock()
+    return RunnerConnectionPool(clock, PlatformHeaders(), InputBounds(clock))
+
+
 def send(
     runners: RunnerConnectionPool, port: int, name: str, is_idempotent: bool
 ) -> RunnerResponse | None:
@@ -77,7 +82,7 @@
 def test_request_that_may_run_once_is_not_lost_on_a_dropped_connection() -> None:
     """After a reset it is unknown whether the request ran, so it cannot be retried."""
     server = ResettingServer()
-    runners = RunnerConnectionPool(SystemClock(), PlatformHeaders())
+    runners = make_pool()
     assert is_answered(runners, server.port, "first", is_idempotent=False)
     assert is_answered(runners, server.port, "second", is_idempotent=False)
     assert server.connections == 2
@@ -86,7 +91,7 @@
 
 def test_repeatable_requests_use_kept_connections() -> None:
     server = ResettingServer()
-    runners = RunnerConnectionPool(SystemClock(), PlatformHeaders())
+    runners = make_pool()
     assert is_answered(runners, server.port, "first", is_idempotent=True)
     assert not is_answered(runners, server.port, "second", is_idempotent=True)
     assert server.connections == 1
@@ -130,7 +135,7 @@
         return again + answer(200, request_id)
 
     server = ScriptedServer(script)
-    runners = RunnerConnectionPool(SystemClock(), PlatformHeaders())
+    runners = make_pool()
     assert ask(runners, server.port, "r1") == (status, True)
     for other in range(between):
         assert ask(runners, server.port, f"other{other}") == (200, False)
@@ -144,7 +149,7 @@
         return refusal if number == 1 else refusal + answer(200, request_id)
 
     server = ScriptedServer(script)
-    runners = RunnerConnectionPool(SystemClock(), PlatformHeaders())
+    runners = make_pool()
     assert ask(runners, server.port, "r1") == (503, True)
     assert ask(runners, server.port, "r2") == (200, False)
     assert server.connections == 1
@@ -159,6 +164,6 @@
 def test_head_that_breaks_off_is_no_response(before: bytes, length: int) -> None:
     """A head that ended early would be a 200 with a short body and no framing."""
     server = ScriptedServer(lambda *_: before + HEAD[:length], closes_after_answer=True)
-    runners = RunnerConnectionPool(SystemClock(), PlatformHeaders())
+    runners = make_pool()
     assert ask(runners, server.port, "r1") == (0, False)
     server.close()
