Bound the memory that the bodies of all requests share

Cause: each answer was bounded, their sum was not, and callers' bodies counted only when they were complete.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.pyi
@@ -94,6 +94,8 @@
 )
 from ._metrics import (
     BATCH_FILL,
+    BODIES_GIVEN_UP,
+    BUFFERED_BYTES,
     EVICTIONS,
     GRANT_WAIT,
     INTERNAL_ERRORS,
@@ -217,6 +219,8 @@
 from ._waiters import T, Waiters
 
 __all__ = [
+    "BODIES_GIVEN_UP",
+    "BUFFERED_BYTES",
     "ABSENT_READS_TO_REMOVE",
     "AVOID_RUNNER_FAULTS",
     "AVOID_S",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -104,6 +104,12 @@
 JOBS = Counter(PREFIX + "jobs", "Patient jobs, by event", ["event"])
 PEER_BYTES = Counter(PREFIX + "peer_bytes", "Bytes to peers", ["direction"])
 PEER_MESSAGES = Counter(PREFIX + "peer_messages", "Messages to peers", ["direction"])
+BUFFERED_BYTES = Gauge(
+    PREFIX + "buffered_bytes", "Bytes of bodies that are held for requests"
+)
+BODIES_GIVEN_UP = Counter(
+    PREFIX + "bodies_given_up", "Bodies given up for want of memory"
+)
 INTERNAL_ERRORS = Counter(PREFIX + "internal_errors", "Bugs caught", ["task"])
 LOG_LINES_DROPPED = Counter(
     PREFIX + "log_lines_dropped", "Log lines dropped for want of a reader"
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
@@ -29,12 +29,11 @@
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import ClientLimits
 
+from ._body_buffers import BodyBuffer, BodyGivenUpError
 from ._input_bounds import InputBounds
 from ._input_work import InputWork
 from ._sockets import end_connection, receive
 
-MAX_BUFFERED_BYTES = 64 << 20
-"""Bytes of request bodies that may be held in memory at the same time."""
 REJECTED_RETRY_S = "0.1"
 """Retry delay sent with a 503 for a request that is not served here."""
 SEND_TIMEOUT_S = 20.0
@@ -61,7 +60,6 @@
     bounds: InputBounds
     is_stopping: bool = False
     refuses_new: bool = False
-    buffered_bytes: int = 0
     open_requests: int = 0
 
 
@@ -77,6 +75,7 @@
         self.is_idle = True
         self._is_ended = False
         self._serving: tuple[Any, _HttpCaller] | None = None
+        self._body: BodyBuffer | None = None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
@@ -110,26 +109,35 @@
 
     def run(self, handler: RequestHandler) -> None:
         """Serve requests until the connection ends."""
-        while True:
-            read = self._read_request()
-            if isinstance(read, Err):
-                self._reject(read.err_value)
-                return
-            if self._state.refuses_new:
-                self._reject(_BadRequestError(503, "stopping"))
-                return
-            self._serve(handler, read.ok_value)
-            self.is_idle = True
-            if self.http.our_state is not h11.DONE or (
-                self.http.their_state is not h11.DONE
-            ):
-                return
-            self.http.start_next_cycle()
+        is_open = True
+        while is_open:
+            try:
+                is_open = self._run_request(handler)
+            finally:
+                if self._body is not None:
+                    self._body.release()
+
+    def _run_request(self, handler: RequestHandler) -> bool:
+        """Serve a request; return whether another one may follow."""
+        read = self._read_request()
+        if isinstance(read, Err):
+            self._reject(read.err_value)
+            return False
+        if self._state.refuses_new:
+            self._reject(_BadRequestError(503, "stopping"))
+            return False
+        self._serve(handler, read.ok_value)
+        self.is_idle = True
+        if self.http.our_state is not h11.DONE or (
+            self.http.their_state is not h11.DONE
+        ):
+            return False
+        self.http.start_next_cycle()
+        return True
 
     def _serve(self, handler: RequestHandler, request: InboundRequest) -> None:
         caller = _HttpCaller(self, request)
         self._state.open_requests += 1
-        self._state.buffered_bytes += len(request.body)
         self._serving = (eventlet.getcurrent(), caller)
         watcher = eventlet.spawn(
             _watch_disconnect, self._sock, eventlet.getcurrent(), caller
@@ -141,13 +149,14 @@
             self._serving = None
             watcher.kill()
             self._state.open_requests -= 1
-            self._state.buffered_bytes -= len(request.body)
 
     def _read_request(self) -> Result[InboundRequest, _BadRequestError]:
         try:
             return Ok(self._read_head_and_body())
         except _BadRequestError as exc:
             return Err(exc)
+        except BodyGivenUpError:
+            return Err(_BadRequestError(503, "too many bodies are buffered"))
         except h11.RemoteProtocolError as exc:
             return Err(_BadRequestError(exc.error_status_hint, str(exc)))
 
@@ -193,14 +202,15 @@
 
     def _read_body(self, headers: Headers) -> bytes:
         limit = self._limits.max_body_bytes
-        for name, value in headers:
-            if name.lower() == "content-length" and int(value) > limit:
-                raise _BadRequestError(413, "the body is too large")
-        if self._state.buffered_bytes > MAX_BUFFERED_BYTES:
-            raise _BadRequestError(503, "too many request bodies are buffered")
+        length = _content_length(headers)
+        if length > limit:
+            raise _BadRequestError(413, "the body is too large")
+        buffers = self._state.bounds.buffers
+        if not buffers.has_room(length):
+            raise _BadRequestError(503, "too many bodies are buffered")
+        self._body = buffers.open()
         if self.http.they_are_waiting_for_100_continue:
             self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
-        received = bytearray()
         with Timeout(
             self._limits.idle_timeout_s,
             _BadRequestError(408, "the body did not arrive in time"),
@@ -208,12 +218,12 @@
             while True:
                 event = self._next_event()
                 if isinstance(event, h11.EndOfMessage):
-                    return bytes(received)
+                    return self._body.complete()
                 if not isinstance(event, h11.Data):
                     raise ConnectionClosedError("closed by the caller within a body")
-                received += event.data
+                self._body.append(event.data)
                 self._work.count_piece(len(event.data))
-                if len(received) > limit:
+                if self._body.size > limit:
                     raise _BadRequestError(413, "the body is too large")
 
     def _next_event(self) -> Any:
@@ -238,7 +248,7 @@
         sent = self._send_now(data)
         if sent < len(data):
             with Timeout(SEND_TIMEOUT_S):
-                self._sock.sendall(data[sent:])
+                self._sock.sendall(memoryview(data)[sent:])
 
     def _send_now(self, data: bytes) -> int:
         """Send what the socket accepts without blocking; return the number of bytes."""
@@ -287,6 +297,12 @@
         raise _BadRequestError(400, "more than one Host header")
 
 
+def _content_length(headers: Headers) -> int:
+    """Return the announced length of a body, 0 if there is none."""
+    lengths = [value for name, value in headers if name.lower() == "content-length"]
+    return int(lengths[0]) if lengths else 0
+
+
 def _watch_disconnect(sock: Any, request: Any, caller: _HttpCaller) -> None:
     """Interrupt the green thread of a request when its caller disconnects."""
     try:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_input_bounds.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_input_bounds.py
@@ -4,11 +4,13 @@
 
 from gooseberryrun._internal.state import Clock
 
+from ._body_buffers import BodyBuffers
 from ._input_work import SharedPieces
 
 
 class InputBounds:
-    """Bounds of the work that the input of all connections together may cost."""
+    """Bounds of the work and memory that the input of all connections may cost."""
 
     def __init__(self, clock: Clock) -> None:
         self.pieces = SharedPieces(clock)
+        self.buffers = BodyBuffers()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runner_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runner_connection.py
@@ -98,9 +98,9 @@
             sent = 0
         if sent < len(data):
             self._is_writing = True
-            eventlet.spawn(self._write_rest, data[sent:])
+            eventlet.spawn(self._write_rest, memoryview(data)[sent:])
 
-    def _write_rest(self, data: bytes) -> None:
+    def _write_rest(self, data: memoryview) -> None:
         try:
             self._sock.sendall(data)
             self._is_writing = False
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -29,6 +29,7 @@
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import Runner
 
+from ._body_buffers import BodyGivenUpError
 from ._input_bounds import InputBounds
 from ._input_work import InputWork
 from ._runner_connection import ConnectionLostError, RunnerConnection
@@ -56,7 +57,7 @@
 
     def __init__(self, clock: Clock, codec: HeaderCodec, bounds: InputBounds) -> None:
         self._clock = clock
-        self._bounds = bounds
+        self.bounds = bounds
         self._codec = codec
         self._idle: dict[tuple[str, str, int], list[_IdleConnection]] = {}
 
@@ -161,7 +162,7 @@
         except (OSError, Timeout) as exc:
             return Err(AttemptFault(AttemptFailure.NOT_SENT, f"connect: {exc!r}"))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return Ok(RunnerConnection(sock, InputWork(self._bounds.pieces, self._clock)))
+        return Ok(RunnerConnection(sock, InputWork(self.bounds.pieces, self._clock)))
 
 
 class _HttpResponse(RunnerResponse):
@@ -183,22 +184,24 @@
         self.headers = headers
         self.metadata = metadata
         self.ends_with_connection = conn.ends_with_connection
+        self._body = pool.bounds.buffers.open()
         self._is_read = False
         self._deadline: float | None = None
 
     def read_all(self, deadline: float) -> Result[bytes, AttemptFault]:
-        body = bytearray()
+        try:
+            return self._read_all(deadline)
+        except BodyGivenUpError:
+            return _invalid_response("too many bodies are buffered")
+
+    def _read_all(self, deadline: float) -> Result[bytes, AttemptFault]:
         for chunk in self._chunks(deadline):
             if isinstance(chunk, Err):
                 return chunk
-            body += chunk.ok_value
-            if len(body) > MAX_BUFFERED_RESPONSE_BYTES:
-                return Err(
-                    AttemptFault(
-                        AttemptFailure.INVALID_RESPONSE, "the body is too long"
-                    )
-                )
-        return Ok(bytes(body))
+            self._body.append(chunk.ok_value)
+            if self._body.size > MAX_BUFFERED_RESPONSE_BYTES:
+                return _invalid_response("the body is too long")
+        return Ok(self._body.complete())
 
     def body_chunks(self, deadline: float) -> Iterator[Result[bytes, AttemptFault]]:
         self._conn.begin_stream()
@@ -232,8 +235,13 @@
             return Err(AttemptFault(AttemptFailure.INVALID_RESPONSE, repr(exc)))
 
     def close(self) -> None:
+        self._body.release()
         self._conn.set_deadline(None)
         if self._is_read and self._conn.is_reusable():
             self._pool.put_back(self._runner, self._conn)
         else:
             self._conn.close()
+
+
+def _invalid_response(why: str) -> Err[AttemptFault]:
+    return Err(AttemptFault(AttemptFailure.INVALID_RESPONSE, why))
