--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/__init__.pyi
@@ -1,3 +1,4 @@
+from ._bounded_response import BoundedResponse
 from ._caller_routes import CallerRoutes
 from ._engine_client import (
     BOOT_HEADER,
@@ -31,6 +32,7 @@
 from ._service_client import KEY_HEADER, HttpServices
 
 __all__ = [
+    "BoundedResponse",
     "BOOT_HEADER",
     "CONNECT_TIMEOUT_S",
     "CallerRoutes",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_engine_client.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_engine_client.py
@@ -27,6 +27,8 @@
 from ._http_client import HttpClient, HttpFailure, describe_error
 
 READ_CHUNK_BYTES = 65536
+MAX_COMPLETE_BYTES = 16 << 20
+"""Longest response that is not a stream."""
 BOOT_HEADER = "X-Engine-Boot"
 FENCING_HEADER = "Fencing-Number"
 REPORT_TIMEOUT_S = 1.0
@@ -64,7 +66,9 @@
             return Err(EngineError(EngineFault.BROKEN, describe_error(exc)))
 
     def _read_complete(self) -> Result[StreamBlock, EngineError]:
-        body = self._response.read()
+        body = self._response.read(MAX_COMPLETE_BYTES + 1)
+        if len(body) > MAX_COMPLETE_BYTES:
+            return Err(EngineError(EngineFault.BROKEN, "the response is too long"))
         mismatch = check_response_model(body, self._model)
         if mismatch is not None:
             return Err(mismatch)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_client.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_http_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextvars
-import http.client
 import socket
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -17,6 +16,8 @@
 from gooseberryrun._internal.coordination import SendCheck, current_traceparent
 from gooseberryrun._internal.state import Settings
 
+from ._bounded_response import BoundedResponse
+
 CONNECT_TIMEOUT_S = 1.0
 USER_TIMEOUT_MS = 3000
 """TCP_USER_TIMEOUT: limit for bytes that stay unacknowledged."""
@@ -55,7 +56,7 @@
         return getattr(self.raw, name)
 
 
-class _WholeHeadResponse(http.client.HTTPResponse):
+class _WholeHeadResponse(BoundedResponse):
     """Response whose head has to end with an empty line.
 
     The base class takes the end of the connection for the end of the head.
--- a/packages/gooseberryrun/src/gooseberryrun/serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/serving.py
@@ -47,8 +47,10 @@
     combine_generation,
     generation_number,
 )
+from gooseberryrun._internal.transport import BoundedResponse
 
 __all__ = [
+    "BoundedResponse",
     "PlatformIntegration",
     "AdapterVersion",
     "ResponseMetadata",
--- a/tests/unit/serving/test_endless_answers.py
+++ b/tests/unit/serving/test_endless_answers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import io
 import itertools
 import socket
 import threading
 from collections.abc import Iterator
+from typing import Any
 
 import eventlet
 import pytest
@@ -25,6 +27,8 @@
     SystemClock,
 )
 from gooseberryrun._internal.state.serving import Runner
+from gooseberryrun._internal.transport import BoundedResponse
+from gooseberryrun._internal.transport._bounded_response import READS_PER_TURN
 from gooseberryrun._internal.transport.serving import InputBounds, RunnerConnectionPool
 from gooseberryrun._internal.transport.serving._input_work import (
     FREE_PIECES,
@@ -53,6 +57,7 @@
     def __init__(self, head: bytes, repeated: bytes) -> None:
         self._head = head
         self._repeated = repeated
+        self.was_read_to_end = False
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port: int = self._listener.getsockname()[1]
         threading.Thread(target=self._serve, daemon=True).start()
@@ -69,6 +74,7 @@
             conn.sendall(self._head)
             for _ in range(SENT_CHUNKS):
                 conn.sendall(self._repeated)
+            self.was_read_to_end = True
 
     def runner(self) -> Runner:
         return Runner(
@@ -250,7 +256,22 @@
         assert sent.err_value.failure is AttemptFailure.LATE
 
 
-def test_report_without_end_is_given_up() -> None:
+REPORT_HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.mark.parametrize(
+    ("head", "repeated"),
+    [
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
+        (REPORT_HEAD, b"x-more: " + b"y" * 60000 + b"\r\n"),
+        (REPORT_HEAD + CHUNKED, CHUNK),
+        (REPORT_HEAD + CHUNKED, b"1\r\nx\r\n" * 10000),
+        (REPORT_HEAD + CHUNKED, b"1;" + b"e" * 60000),
+        (REPORT_HEAD + b"\r\n", b"x" * 65536),
+    ],
+)
+def test_report_without_end_is_given_up(head: bytes, repeated: bytes) -> None:
+    """Guards against reports that keep the event loop until their runner closes."""
     cfg = ServingSettings.model_validate(
         {
             "vm": {"id": "vm-a", "domain": "d", "address": "127.0.0.1"},
@@ -259,7 +280,54 @@
             "store": {"address": "a:4"},
         }
     )
-    with endless(b"HTTP/1.1 200 OK\r\n" + CHUNKED) as server:
+    with endless(head, repeated) as server:
         report = PlatformControl(cfg).read_report(server.runner())
         assert isinstance(report, Err)
-        assert "too long" in report.err_value
+        assert not server.was_read_to_end
+
+
+class CountingSocket:
+    """Socket that always has bytes, and counts its reads between two turns."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self.reads = 0
+
+    def makefile(self, _mode: str) -> io.BufferedReader:
+        """Return a reader without end."""
+        return io.BufferedReader(_EndlessReader(self, self._data))
+
+
+class _EndlessReader(io.RawIOBase):
+    def __init__(self, sock: CountingSocket, data: bytes) -> None:
+        self._sock = sock
+        self._data = data
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        self._sock.reads += 1
+        count = min(len(buffer), len(self._data))
+        buffer[:count] = self._data[:count]
+        return count
+
+
+def test_endless_head_leaves_the_event_loop_its_turns() -> None:
+    """Guards against a loop over informational answers that nothing interrupts."""
+    sock: Any = CountingSocket(b"HTTP/1.1 100 Continue\r\n\r\n" * 300)
+    response = BoundedResponse(sock)
+    most = last = 0
+
+    def count_turns() -> None:
+        nonlocal most, last
+        while True:
+            most, last = max(most, sock.reads - last), sock.reads
+            eventlet.sleep(0)
+
+    counter = eventlet.spawn(count_turns)
+    with pytest.raises(OSError, match="too long"):
+        response.begin()
+    counter.kill()
+    assert sock.reads > READS_PER_TURN
+    assert most <= READS_PER_TURN
