End polls of the store when another call shows that connections went silent

Class: a wait that nothing else ends. Change: a call that times out ends the polls in progress and closes idle connections; each poll then reads once without waiting. Polls take 3 s at most.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -23,7 +23,7 @@
 from ._context import Context
 from ._directory_log import DirectoryLog
 from ._directory_peers import DirectoryPeers
-from ._store_calls import count_store_call
+from ._store_calls import check_for_silence, count_store_call
 from ._store_port import StoreFault, StoreFaultKind
 
 CATCH_UP_TRIES = 3
@@ -36,9 +36,13 @@
 each heartbeat, and one that leaves has to be known within 2 s."""
 READER_CHECK_S = 0.25
 """Interval at which a VM that does not read the store checks whether it has to."""
+MAX_POLL_S = 3.0
+"""Longest poll. A connection that goes silent is noticed by a call that times out, at
+the latest by the poll itself: MAX_POLL_S, the store's timeout of 1 s and a new read, in
+all less than the 5 s within which a VM counts as in touch again and a configuration has
+to be in force."""
 MAX_READER_POLL_S = 2.5
-"""Longest poll of a VM that reads for others; bounds the time until a dead connection
-is noticed."""
+"""Longest poll of a VM that reads for others, which get its notice after that."""
 KEEPALIVE_INTERVAL_S = 1.0
 """Interval of the notices that a reader sends to the VMs it reads for."""
 
@@ -52,6 +56,7 @@
         self._notice_received_at: dict[Topic, float] = {}
         self._read_at: dict[Topic, float] = {}
         self._is_reading = dict.fromkeys(Topic, True)
+        self._interrupted: set[Topic] = set()
         self._announced_ends: dict[Topic, Position] = {}
         self._log = DirectoryLog()
         self.peers = DirectoryPeers(
@@ -84,6 +89,8 @@
             was_overtaken = not pacing.needs_snapshot and self._has_read_since(
                 topic, started_at
             )
+            if isinstance(read, Err) and self._was_interrupted(topic, read.err_value):
+                continue
             if isinstance(read, Err) and not was_overtaken:
                 eventlet.sleep(self._handle_fault(topic, read.err_value, pacing))
                 continue
@@ -92,6 +99,14 @@
             if isinstance(read, Ok) and read.ok_value:
                 eventlet.sleep(BATCH_PAUSE_S[topic])
 
+    def _was_interrupted(self, topic: Topic, fault: StoreFault) -> bool:
+        """Return whether a read was ended from within; the next one does not wait."""
+        check_for_silence(self._ctx.ports.store, f"read_{topic}", fault)
+        is_interrupted = fault.kind is StoreFaultKind.INTERRUPTED
+        if is_interrupted:
+            self._interrupted.add(topic)
+        return is_interrupted
+
     def _handle_fault(
         self, topic: Topic, fault: StoreFault, pacing: ReadPacing
     ) -> float:
@@ -104,6 +119,7 @@
 
     def catch_up(self) -> None:
         """Read both topics at once, since polls from before an outage may hang."""
+        self._ctx.ports.store.interrupt_reads()
         for topic in self._read_at:
             if self._is_reading[topic]:
                 spawn("catch_up", partial(self._catch_up, topic))
@@ -154,12 +170,13 @@
     def _poll_s(self, topic: Topic) -> float:
         """Return how long a read waits for records.
 
-        It does not wait after a failed one, to learn at once that the store is back.
+        It does not wait after one that failed or was interrupted, to learn at once
+        whether the store is there.
         """
-        if topic in self._unreachable_since:
+        if topic in self._unreachable_since or topic in self._interrupted:
             return 0.0
-        wait_s = self._ctx.cfg.store.poll_wait_s
-        return min(MAX_READER_POLL_S, wait_s) if self._reads_for_others() else wait_s
+        longest_s = MAX_READER_POLL_S if self._reads_for_others() else MAX_POLL_S
+        return min(longest_s, self._ctx.cfg.store.poll_wait_s)
 
     def _send_keepalives(self) -> None:
         """Notify the VMs that this VM reads for that it is still reading."""
@@ -227,6 +244,7 @@
         count_store_call(f"read_{topic}", read)
         if isinstance(read, Err):
             return read
+        self._interrupted.discard(topic)
         records = read.ok_value
         start = directory.ends[topic]
         if records.end.epoch < start.epoch:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
@@ -14,6 +14,7 @@
 from .._serving_messages import RenewAnswer, RenewRequest
 from .._tasks import spawn
 from ._context import STORE_STATUS_TTL_S, Context
+from ._store_calls import check_for_silence
 from ._store_port import StoreFault
 
 MAX_RELAYS = 2
@@ -47,6 +48,7 @@
             self._group, ctx.own_member, self._ownership.generation
         )
         if isinstance(renewed, Err):
+            check_for_silence(ctx.ports.store, "renew", renewed.err_value)
             self.record_store_unreachable(renewed.err_value.detail)
             requested_at = ctx.clock.boottime()
             renewed = self._renew_through_peers(renewed.err_value)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_store_calls.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_store_calls.py
@@ -1,4 +1,4 @@
-"""Counting of the calls to the operators' store."""
+"""Counting of the calls to the operators' store, and what one tells of others."""
 
 from __future__ import annotations
 
@@ -6,8 +6,9 @@
 
 from result import Err, Result
 
+from .._events import log_event
 from .._metrics import STORE_CALLS
-from ._store_port import StoreFault
+from ._store_port import ControlStore, StoreFault, StoreFaultKind
 
 
 def count_store_call(call: str, result: Result[Any, StoreFault]) -> str:
@@ -15,3 +16,14 @@
     outcome: str = result.err_value.kind if isinstance(result, Err) else "ok"
     STORE_CALLS.labels(call=call, outcome=outcome).inc()
     return outcome
+
+
+def check_for_silence(store: ControlStore, call: str, fault: StoreFault) -> None:
+    """Leave all connections from before a call that got no response in time.
+
+    Connections may go silent together. A read that waits for records would notice only
+    when its own time is over.
+    """
+    if fault.kind is StoreFaultKind.TIMED_OUT:
+        interrupted = store.interrupt_reads()
+        log_event("store_silent", call=call, interrupted_reads=interrupted)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_store_port.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_store_port.py
@@ -22,6 +22,10 @@
     """Why a call to the store gave no result."""
 
     UNREACHABLE = "unreachable"
+    TIMED_OUT = "timed_out"
+    """There was no response in time; the connection may have gone silent."""
+    INTERRUPTED = "interrupted"
+    """The wait for records was ended from within."""
     REFUSED = "refused"
     EXPIRED = "expired"
     """The store does not have the records that were asked for."""
@@ -71,6 +75,13 @@
     ) -> Result[Records, StoreFault]:
         """Wait up to ``wait_s`` for records from a position on; there may be none."""
 
+    @abstractmethod
+    def interrupt_reads(self) -> int:
+        """End the reads that wait for records, and forget idle connections.
+
+        Both may be on connections that have gone silent. Returns the number of reads.
+        """
+
     @abstractmethod
     def renew(
         self, group: str, member: Member, generation: int
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -51,6 +51,10 @@
             listed.append(member)
         return Ok(len(listed))
 
+    def interrupt_reads(self) -> int:
+        self.calls["interrupt_reads"] += 1
+        return 0
+
     def read_changes(
         self, topic: Topic, start: Position, wait_s: float
     ) -> Result[Records, StoreFault]:
