Let only reads that cover what lies between move a topic's position

Cause: applying a record moved the position behind it, also for records of later pages. Class: a position that says more than was read. Evidence: three new tests failed on the code before (the end was 10 where the first page ended at 8; a runner that drained in the gap stayed in use). Change: apply moves no position; receive and replace do, with the position up to which was read. Two tests that set a position by applying one record receive it now, with the same checks.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -22,7 +22,10 @@
     """Configuration, adapter versions and runners from the records applied so far.
 
     Records may arrive in any order and more than once: an older record of a key never
-    replaces a newer one. ``ends`` are the positions up to which each topic is applied.
+    replaces a newer one. ``ends`` are the positions before which all records of a topic
+    are applied. Only a read that covers what lies between may move one: a single record
+    says nothing of those before it, and pages of a snapshot hold records from after the
+    position at which the first one was read.
     """
 
     def __init__(self) -> None:
@@ -118,7 +121,10 @@
         return self._operator.accepts_earlier_epochs(now)
 
     def apply(self, record: DirectoryRecord, now: float) -> bool:
-        """Apply one record; return whether it is a change or an unreadable entry."""
+        """Apply one record; return whether it is a change or an unreadable entry.
+
+        The end of the topic stays where it is.
+        """
         topic = record.topic
         if record.position.epoch < self.ends[topic].epoch:
             return self._apply_earlier_epoch(record, now)
@@ -126,7 +132,6 @@
         if known is not None and known.position >= record.position:
             return False
         self._newest[topic][record.key] = record
-        self.ends[topic] = max(self.ends[topic], record.position.next())
         if topic is Topic.CONFIGURATION:
             return self._operator.apply(record, now)
         return self._apply_runner(record, known, now)
@@ -140,9 +145,10 @@
     def receive(
         self, topic: Topic, records: list[DirectoryRecord], end: Position, now: float
     ) -> list[DirectoryRecord]:
-        """Apply the records that a peer has from this VM's end on; return the changes.
+        """Apply all records from this VM's end up to ``end``; return the changes.
 
-        Those of a later epoch are all that the peer knows of it.
+        They were read from the store, or a peer has them. There may be others from
+        after ``end``. Those of a later epoch are all that the peer knows of it.
         """
         if end.epoch > self.ends[topic].epoch:
             return self.replace(topic, records, end, now)
@@ -158,7 +164,10 @@
     def replace(
         self, topic: Topic, records: list[DirectoryRecord], end: Position, now: float
     ) -> list[DirectoryRecord]:
-        """Apply a snapshot of a topic read at position ``end``; return the changes."""
+        """Apply a snapshot of a topic; return the changes.
+
+        ``end`` is the position of its first page; later pages may hold newer records.
+        """
         if end.epoch > self.ends[topic].epoch:
             self._begin_epoch(topic, end, now)
         changed = self._apply_all(topic, records, end, now)
--- a/tests/unit/serving/test_directory.py
+++ b/tests/unit/serving/test_directory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from gooseberryrun._internal.state.serving import (
     AdapterVersion,
     ClientLimits,
@@ -121,14 +123,72 @@
     assert state.runners("s", 0.0) == []
 
 
+def declared(offset: int, key: str) -> DirectoryRecord:
+    version = AdapterVersion("m", key, 1)
+    return DirectoryRecord(
+        Topic.CONFIGURATION, at(offset), key, adapter_version=version
+    )
+
+
+def read_pages_with_a_gap(state: DirectoryState) -> None:
+    """Read a first page, then a second one after two more records were written.
+
+    The first of them replaces a record of the page that was read already.
+    """
+    pages = [config(3, 1, "/old/"), declared(9, "z")]
+    state.replace(Topic.CONFIGURATION, pages, at(8), 0.0)
+
+
+def test_configuration_written_between_two_pages_is_read() -> None:
+    """Guards against review/3: it was never read, and nothing but a restart helped.
+
+    The newest record of the second page moved the end past what the first page lacks.
+    """
+    state = DirectoryState()
+    read_pages_with_a_gap(state)
+    assert state.ends[Topic.CONFIGURATION] == at(8)
+    changes = [config(8, 2, "/new/"), declared(9, "z")]
+    state.receive(Topic.CONFIGURATION, changes, at(10), 0.0)
+    assert state.configuration_version == 2
+    assert state.ends[Topic.CONFIGURATION] == at(10)
+
+
+def test_peer_does_not_take_over_the_gap_of_another() -> None:
+    state, other = DirectoryState(), DirectoryState()
+    read_pages_with_a_gap(state)
+    end = state.ends[Topic.CONFIGURATION]
+    records = state.records_since(Topic.CONFIGURATION, Position())
+    other.receive(Topic.CONFIGURATION, records, end, 0.0)
+    assert other.ends[Topic.CONFIGURATION] == at(8)
+    assert other.version_of("m", "z") == 1
+
+
+def test_what_happens_to_a_runner_between_two_pages_is_read() -> None:
+    """It drains or is removed after the page with its entry was read."""
+    for change in (runner(draining=True), None):
+        state = DirectoryState()
+        late = dataclasses.replace(runner(), id="z")
+        pages = [
+            entry(3, runner()),
+            DirectoryRecord(Topic.RUNNERS, at(9), "z", runner=late),
+        ]
+        state.replace(Topic.RUNNERS, pages, at(8), 0.0)
+        start = state.ends[Topic.RUNNERS]
+        written = [entry(8, change), pages[1]]
+        changes = [record for record in written if record.position >= start]
+        state.receive(Topic.RUNNERS, changes, at(10), 0.0)
+        known = state.runner("r1")
+        assert known is None or known.draining
+
+
 def test_peers_get_what_they_lack_with_removals() -> None:
     state = DirectoryState()
     state.apply(entry(1, runner()), 0.0)
     state.apply(entry(5, None), 0.0)
     other = DirectoryState()
     other.apply(entry(1, runner()), 0.0)
-    for record in state.records_since(Topic.RUNNERS, other.ends[Topic.RUNNERS]):
-        other.apply(record, 0.0)
+    records = state.records_since(Topic.RUNNERS, other.ends[Topic.RUNNERS])
+    other.receive(Topic.RUNNERS, records, state.ends[Topic.RUNNERS], 0.0)
     assert other.runners("s", 0.0) == []
     assert other.ends == state.ends
 
--- a/tests/unit/serving/test_fleets.py
+++ b/tests/unit/serving/test_fleets.py
@@ -160,7 +160,7 @@
     reader, _ = make_follower(0)
     table = Configuration(7, (), (), ClientLimits())
     entry = DirectoryRecord(Topic.CONFIGURATION, at(3), "config", configuration=table)
-    reader._ctx.directory.apply(entry, 0.0)
+    reader._ctx.directory.receive(Topic.CONFIGURATION, [entry], at(4), 0.0)
     reader._send_notice(Topic.CONFIGURATION, at(3), [entry])
     peers = reader._ctx.peers
     assert isinstance(peers, CountingPeers)
--- a/tests/unit/serving/test_restored_directory.py
+++ b/tests/unit/serving/test_restored_directory.py
@@ -68,7 +68,9 @@
     state = DirectoryState()
     read_all(state, 1, 9, config(1, 8, 4), now=0.0)
     read_all(state, 2, 3, config(2, 2, 4), now=LONG_AGO_S)
-    assert state.apply(config(2, 3, 5), LONG_AGO_S)
+    changes = [config(2, 3, 5)]
+    end = Position(2, 4)
+    assert state.receive(Topic.CONFIGURATION, changes, end, LONG_AGO_S) == changes
     assert version_in_force(state) == 5
     assert state.ends[Topic.CONFIGURATION] == Position(2, 4)
 
