--- a/packages/gooseberryrun/src/gooseberryrun/__main__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/__main__.py
@@ -4,11 +4,15 @@
 
 import gc
 import os
+import signal
 import warnings
 
 # Imports create no garbage; each mode enables the collector after them.
 gc.disable()
 
+# Settings are read at the start anyway; the default action would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # VMs are addressed by IP, so eventlet's DNS resolver would only cost memory.
 os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 
