Gossip as widely in an outage as otherwise

A VM without the store sent its gossip to all VMs of its domain so that they keep their leases; the questions of the lease extension do that now, with messages of some 30 bytes.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -53,18 +53,15 @@
             self._ctx.peers.send_to_all(self._pick_peers(), gossip)
 
     def _pick_peers(self) -> set[str]:
-        """Return random peers, and those that need this VM's store status.
+        """Return random peers, and former members, which need this VM's store status.
 
-        Former members may be partitioned from the store only. A VM that cannot reach
-        the store keeps its runners while its local peers report the same.
+        They may be partitioned from the store only.
         """
         ctx = self._ctx
         local = ctx.local_peer_ids()
         picked = set(self._remote_contacts(max(REMOTE_FANOUT, FANOUT - len(local))))
         picked.update(random.sample(local, min(FANOUT - len(picked), len(local))))
         picked.update(ctx.former_peer_ids()[:FANOUT])
-        if not ctx.can_reach_store:
-            picked.update(ctx.local_peer_ids())
         return picked
 
     def _remote_contacts(self, count: int) -> list[str]:
