Keep the questions of the lease extension linear in the VMs

Read once more: each question built the members of all domains to look up one, and each check of the statuses searched a list of peers for each of them, so the work of a domain without the store grew with the square of its VMs. Also: former peers are taken from the context, which has them; leaving notices are made where they are sent; the gauge of buffered bytes is read at a scrape, not set for each piece and body. Behaviour and tests unchanged.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -101,6 +101,11 @@
         views = [*self.remote_views.values(), self.ownership.view]
         return {member.vm: member for view in views for member in view.members}
 
+    def is_member(self, vm: str) -> bool:
+        """Return whether a VM is a known member, without building all of them."""
+        views = (self.ownership.view, *self.remote_views.values())
+        return any(member.vm == vm for view in views for member in view.members)
+
     def domains(self) -> list[str]:
         """Return the known failure domains, sorted."""
         found = {*self.cfg.membership.domains, self.cfg.vm.domain, *self.remote_views}
@@ -213,11 +218,11 @@
 
         Reports that are out of date do not count.
         """
-        members = self.members()
+        others = self.members().keys() - set(peers)
         return any(
             status.can_reach_store and now - status.received_at <= STORE_STATUS_TTL_S
             for vm, status in self.store_statuses.items()
-            if vm in peers or vm not in members
+            if vm not in others
         )
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_extension.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_extension.py
@@ -59,7 +59,9 @@
 
     def _ask(self, now: float) -> None:
         self._asked_at = now
-        recipients = dict.fromkeys([*self._vouchers(), *self._former_local_peers()])
+        # A next process may run on a VM that left the view lately.
+        former = self._ctx.former_peer_ids()
+        recipients = dict.fromkeys([*self._vouchers(), *former])
         self._ctx.peers.send_to_all(recipients, StoreStatusRequest(now))
 
     def _vouchers(self) -> list[str]:
@@ -73,12 +75,6 @@
             return local
         return local + remote[:MAX_REMOTE_VOUCHERS]
 
-    def _former_local_peers(self) -> list[str]:
-        """Return the VMs that left the view lately; a next process may run there."""
-        former = self._ownership.former_members(self._ctx.clock.boottime())
-        domain = self._ctx.cfg.vm.domain
-        return [m.vm for m in former if m.domain == domain and m.vm != self._ctx.vm]
-
     def _extend(self, now: float) -> None:
         ctx = self._ctx
         local = ctx.local_peer_ids()
@@ -110,7 +106,7 @@
         if not ctx.has_called_store:
             return
         self._questions[inbound.sender] = request.asked_at
-        if inbound.sender not in ctx.members():
+        if not ctx.is_member(inbound.sender):
             # The store's list lacks a VM that may still order its runners.
             self._ownership.record_extending_peer(ctx.clock.boottime())
         registry_end = ctx.directory.ends[Topic.RUNNERS]
@@ -129,10 +125,10 @@
     def make_leaving_notice(self, vm: str) -> LeavingNotice:
         """Return the last report of this process to a peer."""
         ctx = self._ctx
-        renewal_age_s = ctx.clock.boottime() - self._ownership.renewed_at
         asked_at = self._questions.get(vm)
         if ctx.can_reach_store or asked_at is None:
             return LeavingNotice()
+        renewal_age_s = ctx.clock.boottime() - self._ownership.renewed_at
         return LeavingNotice(asked_at, renewal_age_s)
 
     def record_departure(self, vm: str, notice: LeavingNotice) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -68,13 +68,12 @@
         self.renewals.close()
         self.extension.close()
         peers = self._views.recipients()
-        notices = {vm: self.extension.make_leaving_notice(vm) for vm in peers}
         generation = self._ownership.view.generation
         runners = ctx.directory.all_runners()
         handovers = self._ownership.leave(runners, ctx.clock.boottime())
         if self._is_own_domain:
-            for vm, notice in notices.items():
-                ctx.peers.send_to(vm, notice)
+            for vm in peers:
+                ctx.peers.send_to(vm, self.extension.make_leaving_notice(vm))
         left = ctx.ports.store.leave(self._group, ctx.own_member)
         why = left.err_value.detail if isinstance(left, Err) else ""
         log_event("group_left", group=self._group, error=why)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_body_buffers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_body_buffers.py
@@ -64,6 +64,7 @@
     def __init__(self) -> None:
         self._open: set[BodyBuffer] = set()
         self.held_bytes = 0
+        BUFFERED_BYTES.set_function(lambda: self.held_bytes)
 
     def open(self) -> BodyBuffer:
         """Return the buffer of a body that is about to be read."""
@@ -89,7 +90,6 @@
                 open_bodies=len(self._open),
             )
             largest.give_up()
-        BUFFERED_BYTES.set(self.held_bytes)
 
     def complete(self, buffer: BodyBuffer) -> None:
         """Record that a body is read to its end and is not given up any more."""
@@ -99,4 +99,3 @@
         """Remove a buffer with its bytes."""
         self._open.discard(buffer)
         self.held_bytes -= buffer.size
-        BUFFERED_BYTES.set(self.held_bytes)
