Retry to listen while a port of the VM is in use

Callers saw: a VM whose process ended at its start with EADDRINUSE, was never ready and served nothing. Cause: the peer port, free when it was chosen, had become the port of another program's connection (or of the process before) when the process bound it; the first failed bind ended the process.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -108,8 +108,10 @@
             cfg.entry.max_connections,
             bounds,
         )
-        self._probes = ProbeServer(integration.readiness_path, self._serving.is_ready)
-        self._metrics = ProbeServer("", lambda: False)
+        self._probes = ProbeServer(
+            clock, integration.readiness_path, self._serving.is_ready
+        )
+        self._metrics = ProbeServer(clock, "", lambda: False)
         self._signals: list[str] = []
 
     def run(self) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
@@ -45,6 +45,7 @@
 )
 from gooseberryrun._internal.state import Clock, NodeSettings, Vm
 
+from ._listening import bind
 from ._liveness import Liveness, LivenessAction
 
 MAX_QUEUED_MESSAGES = 10000
@@ -173,9 +174,13 @@
         """Listen for peers and start the liveness checks."""
         secret = self._cfg.peer.secret.get_secret_value()
         service = _PeerService(secret, lambda inbound: self.dispatch(inbound))
-        self._server = grpclib.server.Server([service])
-        address = str(self._cfg.vm.address)
-        spawn_for_awaitable(self._server.start(address, self._cfg.peer.port)).wait()
+        server = self._server = grpclib.server.Server([service])
+        address, port = str(self._cfg.vm.address), self._cfg.peer.port
+        bind(
+            f"{address}:{port}",
+            self._clock,
+            lambda: spawn_for_awaitable(server.start(address, port)).wait(),
+        )
         eventlet.spawn(self._check_liveness)
 
     def send_to(self, vm: str, message: PeerMessage) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -17,6 +17,7 @@
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import ClientLimits
 
+from .._listening import bind
 from ._caller_connection import (
     CallerConnection,
     CallerServerState,
@@ -47,7 +48,11 @@
 
     def serve(self, host: str, port: int) -> None:
         """Listen in a separate green thread."""
-        self._listener = eventlet.listen((host, port), backlog=BACKLOG)
+        self._listener = bind(
+            f"{host}:{port}",
+            self._clock,
+            lambda: eventlet.listen((host, port), backlog=BACKLOG),
+        )
         eventlet.spawn(self._accept_all)
 
     def close(self) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_probes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_probes.py
@@ -10,13 +10,20 @@
 import eventlet.wsgi
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from gooseberryrun._internal.state import Clock
+
+from .._listening import bind
+
 METRICS_PATH = "/metrics"
 
 
 class ProbeServer:
     """WSGI server of the readiness path and of the metrics."""
 
-    def __init__(self, readiness_path: str, is_ready: Callable[[], bool]) -> None:
+    def __init__(
+        self, clock: Clock, readiness_path: str, is_ready: Callable[[], bool]
+    ) -> None:
+        self._clock = clock
         self._readiness_path = readiness_path
         self._is_ready = is_ready
 
@@ -25,9 +32,12 @@
         discard_logger = stdlib_logging.getLogger("eventlet.wsgi.quiet")
         discard_logger.propagate = False
         discard_logger.addHandler(stdlib_logging.NullHandler())
+        listener = bind(
+            f"{host}:{port}", self._clock, lambda: eventlet.listen((host, port))
+        )
         eventlet.spawn(
             eventlet.wsgi.server,
-            eventlet.listen((host, port)),
+            listener,
             self._application,
             log=discard_logger,
             log_output=False,
