--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -288,11 +288,16 @@
 
 
 class DirectoryReply(Message, frozen=True, array_like=True):
-    """Records that a peer has read, and the position up to which it has read."""
+    """Records that a peer has read, and the position up to which it has read.
+
+    ``is_snapshot`` is set if they are all that it knows: it cannot name each runner
+    that was removed since the position asked for.
+    """
 
     topic: Topic
     end: Position
     records: list[DirectoryRecord]
+    is_snapshot: bool = False
 
 
 ServingMessage = (
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_peers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_peers.py
@@ -79,9 +79,10 @@
     def apply_reply(self, peer: str, reply: DirectoryReply) -> None:
         """Apply records of a peer."""
         now = self._ctx.clock.monotonic()
-        applied = self._ctx.directory.receive(
-            reply.topic, reply.records, reply.end, now
-        )
+        directory = self._ctx.directory
+        is_snapshot = reply.is_snapshot and reply.end >= directory.ends[reply.topic]
+        apply = directory.replace if is_snapshot else directory.receive
+        applied = apply(reply.topic, reply.records, reply.end, now)
         self._log.log_applied(applied, f"peer:{peer}")
 
     def handle_directory_request(
@@ -89,6 +90,9 @@
     ) -> None:
         """Reply with the records that a peer lacks."""
         directory = self._ctx.directory
-        records = directory.records_since(request.topic, request.start)
-        end = directory.ends[request.topic]
-        inbound.reply(DirectoryReply(request.topic, end, records))
+        topic = request.topic
+        is_snapshot = not directory.has_removals_since(topic, request.start)
+        start = Position() if is_snapshot else request.start
+        records = directory.records_since(topic, start)
+        end = directory.ends[topic]
+        inbound.reply(DirectoryReply(topic, end, records, is_snapshot))
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -32,6 +32,7 @@
         self.ends = dict.fromkeys(Topic, Position())
         self.store_reachable_since = float("-inf")
         self._newest: dict[Topic, dict[str, DirectoryRecord]] = {t: {} for t in Topic}
+        self._removals_since = Position()
         self._operator = OperatorRecords()
         self._runners = RunnerIndex()
         self._expiry_deadlines: dict[str, float] = {}
@@ -116,6 +117,13 @@
             found.append(held_over)
         return sorted(found, key=lambda record: record.position)
 
+    def has_removals_since(self, topic: Topic, start: Position) -> bool:
+        """Return whether ``records_since`` returns all removals from ``start`` on.
+
+        A snapshot tells nothing of the runners that were removed before it.
+        """
+        return topic is not Topic.RUNNERS or start >= self._removals_since
+
     def accepts_held_over(self, now: float) -> bool:
         """Return whether a configuration that the store lost may be put in force."""
         return self._operator.accepts_earlier_epochs(now)
@@ -174,6 +182,7 @@
         if topic is Topic.RUNNERS:
             present = {record.key for record in records if record.runner is not None}
             changed += self._remove_missing(present, end, now)
+            self._removals_since = max(self._removals_since, end)
         return changed
 
     def _begin_epoch(self, topic: Topic, end: Position, now: float) -> None:
@@ -218,7 +227,8 @@
         self, record: DirectoryRecord, known_record: DirectoryRecord | None, now: float
     ) -> bool:
         known = self._runners.get(record.key)
-        drop_old_removals(self._newest[Topic.RUNNERS], len(self._runners))
+        known_since = drop_old_removals(self._newest[Topic.RUNNERS], len(self._runners))
+        self._removals_since = max(self._removals_since, known_since)
         if record.runner is None:
             if known is None:
                 return bool(record.unreadable)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory_records.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory_records.py
@@ -45,13 +45,16 @@
     unreadable: str = ""
 
 
-def drop_old_removals(records: dict[str, DirectoryRecord], entries: int) -> None:
+def drop_old_removals(records: dict[str, DirectoryRecord], entries: int) -> Position:
     """Drop the older half of the removals among records if there are too many.
 
-    ``entries`` is the number of the other records.
+    ``entries`` is the number of the other records. Returns the position from which on
+    no removal was dropped.
     """
     if len(records) <= MAX_REMOVALS_KEPT + entries:
-        return
+        return Position()
     removed = [record for record in records.values() if record.runner is None]
-    for record in sorted(removed, key=lambda r: r.position)[: len(removed) // 2]:
+    dropped = sorted(removed, key=lambda r: r.position)[: len(removed) // 2]
+    for record in dropped:
         del records[record.key]
+    return dropped[-1].position.next() if dropped else Position()
--- a/tests/unit/serving/test_directory.py
+++ b/tests/unit/serving/test_directory.py
@@ -17,6 +17,7 @@
     Topic,
     WeightedService,
 )
+from gooseberryrun._internal.state.serving._directory_records import MAX_REMOVALS_KEPT
 
 
 def route(prefix: str, *services: str) -> Route:
@@ -204,3 +205,31 @@
             0.0,
         )
     assert state.version_of("m", "a1") == 4
+
+
+def test_removal_that_a_peer_never_knew_is_not_skipped() -> None:
+    """Guards against a runner that stays registered for good after its removal.
+
+    A VM that started from a snapshot after the removal has no record of it. Its reply
+    moved the position of a VM that still had the runner behind the removal.
+    """
+    behind = DirectoryState()
+    behind.replace(Topic.RUNNERS, [entry(0, runner())], at(1), 0.0)
+    started_later = DirectoryState()
+    started_later.replace(Topic.RUNNERS, [], at(2), 0.0)
+    start = behind.ends[Topic.RUNNERS]
+    assert not started_later.has_removals_since(Topic.RUNNERS, start)
+    everything = started_later.records_since(Topic.RUNNERS, Position())
+    behind.replace(Topic.RUNNERS, everything, started_later.ends[Topic.RUNNERS], 1.0)
+    assert behind.runner("r1") is None
+    assert not behind.has_removals_since(Topic.RUNNERS, start)
+
+
+def test_removals_that_were_dropped_count_as_unknown() -> None:
+    """Guards against the same skip after so many removals that old ones are dropped."""
+    state = DirectoryState()
+    for number in range(MAX_REMOVALS_KEPT + 2):
+        removal = DirectoryRecord(Topic.RUNNERS, at(number), f"gone-{number}")
+        state.receive(Topic.RUNNERS, [removal], at(number + 1), 0.0)
+    assert not state.has_removals_since(Topic.RUNNERS, at(1))
+    assert state.has_removals_since(Topic.RUNNERS, at(MAX_REMOVALS_KEPT))
