--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -139,6 +139,9 @@
         known = self._newest[topic].get(record.key)
         if known is not None and known.position >= record.position:
             return False
+        if known is None and not self.has_removals_since(topic, record.position):
+            # A read that ended late: the runner was removed before a later snapshot.
+            return False
         self._newest[topic][record.key] = record
         if topic is Topic.CONFIGURATION:
             return self._operator.apply(record, now)
--- a/tests/unit/serving/test_directory.py
+++ b/tests/unit/serving/test_directory.py
@@ -233,3 +233,19 @@
         state.receive(Topic.RUNNERS, [removal], at(number + 1), 0.0)
     assert not state.has_removals_since(Topic.RUNNERS, at(1))
     assert state.has_removals_since(Topic.RUNNERS, at(MAX_REMOVALS_KEPT))
+
+
+def test_read_that_ends_after_a_later_snapshot_brings_no_removed_runner_back() -> None:
+    """Guards against a removed runner that returns for good with an older read.
+
+    The later of two snapshots was read first and does not name the runner; its position
+    is behind the removal, which is therefore not read any more.
+    """
+    state = DirectoryState()
+    state.replace(Topic.RUNNERS, [], at(2), 0.0)
+    state.replace(Topic.RUNNERS, [entry(0, runner())], at(1), 0.0)
+    assert state.runner("r1") is None
+    state.receive(Topic.RUNNERS, [entry(0, runner())], at(1), 0.0)
+    assert state.runner("r1") is None
+    state.receive(Topic.RUNNERS, [entry(2, runner())], at(3), 0.0)
+    assert state.runner("r1") is not None
