Define the types of client accounts

The parts on accounts, caps and fair admission share them. Configuration.accounts and Route.is_public default to a configuration without accounts, and nothing reads them yet.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -18,6 +18,7 @@
     Verdict,
     adapter_key,
 )
+from gooseberryrun._internal.state.serving.accounts import ClientAccount
 
 from ._request_ports import Caller, InboundRequest, RequestMetadata
 
@@ -36,6 +37,7 @@
     whether its response has started, and the time of its first event. Once a stream has
     begun, it goes on only at runners of ``required_software``. ``is_in_flight`` is set
     from the send of an attempt until the head of its response or its failure.
+    ``account`` is the client account that sent it, None without a key or accounts.
     """
 
     request: InboundRequest
@@ -62,12 +64,20 @@
     is_answer_recorded: bool = False
     required_software: str | None = None
     is_in_flight: bool = False
+    account: ClientAccount | None = None
 
     @property
     def adapter_key(self) -> str:
         """Return the key of the request's model and adapter."""
         return adapter_key(self.metadata.model, self.metadata.adapter)
 
+    @property
+    def priority(self) -> int:
+        """Return the account's priority, the route's if the account has none."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
+
     @property
     def takes_up_stream(self) -> bool:
         """Return whether the request goes on with a stream that broke off."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from result import Result
@@ -31,6 +31,8 @@
     ``wait_s`` is the time the caller waits for a response. ``adapter`` is empty for the
     base model. A request that takes up a broken stream has the id of the stream's last
     event and ``resumes``, the id of the request that brought its first one.
+    ``credential`` is the API key, empty without exactly one of the expected scheme; it
+    is never logged. Without ``has_token_count`` the caller stated no token counts.
     """
 
     request_id: str
@@ -42,6 +44,8 @@
     prompt: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
     resumes: str = ""
+    credential: str = field(default="", repr=False)
+    has_token_count: bool = False
 
     @property
     def stream_id(self) -> str:
@@ -69,13 +73,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardingMetadata:
-    """Metadata added to the caller's headers of a request to a runner."""
+    """Metadata added to the caller's headers of a request to a runner.
+
+    ``account`` is None where the configuration has no accounts: the caller's headers
+    stay as they are. Otherwise its credential and account headers are dropped, and the
+    account's name is set unless it is empty.
+    """
 
     runner: str
     left_s: float
     urgency: int | None = None
     adapter_version: int = 0
     last_event_id: str = ""
+    account: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_routes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_routes.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from .._hashing import hash_score
+from .accounts import AccountTable, ClientAccount
 
 
 class RouteKind(StrEnum):
@@ -32,7 +33,8 @@
     """Rule that maps a host and a path prefix to services.
 
     Times are in seconds; ``priority`` 0 is the highest. A stream with a pause of more
-    than ``max_pause_s`` between two events is late; 0 stands for no such bound.
+    than ``max_pause_s`` between two events is late; 0 stands for no such bound. A
+    public route serves requests without an API key as well.
     """
 
     name: str
@@ -46,6 +48,7 @@
     max_attempts: int
     resumable: bool
     max_pause_s: float = 0.0
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -109,20 +112,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version of the operators' configuration, applied atomically."""
+    """One version of the operators' configuration, applied atomically.
+
+    Where ``accounts`` is None, requests need no API key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: ClientLimits
+    accounts: tuple[ClientAccount, ...] | None = None
 
 
 class RouteTable:
-    """Routes of one configuration by host, and services by name."""
+    """Routes of one configuration by host, services by name and accounts by key."""
 
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
         self.services = {service.name: service for service in configuration.services}
+        accounts = configuration.accounts
+        self.accounts = AccountTable(accounts) if accounts else None
         self._by_host: dict[str, list[Route]] = {}
         self._max_pauses: dict[str, float] = {}
         for route in configuration.routes:
--- a/packages/gooseberryrun/src/gooseberryrun/serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/serving.py
@@ -47,6 +47,12 @@
     combine_generation,
     generation_number,
 )
+from gooseberryrun._internal.state.serving.accounts import (
+    ClientAccount,
+    UsageCap,
+    UsageUnit,
+    key_digest,
+)
 from gooseberryrun._internal.transport import BoundedResponse
 
 __all__ = [
@@ -54,6 +60,7 @@
     "PlatformIntegration",
     "AdapterVersion",
     "ResponseMetadata",
+    "ClientAccount",
     "ClientLimits",
     "Configuration",
     "ControlStore",
@@ -71,6 +78,7 @@
     "StreamOrigin",
     "Position",
     "combine_generation",
+    "key_digest",
     "generation_number",
     "PromptPart",
     "Records",
@@ -91,6 +99,8 @@
     "Topic",
     "Trait",
     "TraitKind",
+    "UsageCap",
+    "UsageUnit",
     "WeightedService",
     "load_settings_as",
     "log_event",
