Authenticate requests by the accounts of the configuration

Customers with several accounts need to know who sent a request. A configuration with tenants now requires an API key on routes that are not public. A request without a valid key gets 401 from its head; its body is discarded as it arrives, so that the connection is not reset and serves on. Runners get the account's name and never the key. A VM that has not confirmed its configuration lately answers 503 for a key that it does not find.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -47,7 +47,8 @@
 
     ``ran`` are the ids of the requests that ran, ``resumed`` the last event ids of
     resumed streams, ``abandoned`` the ids of streams whose client disconnected,
-    ``begun`` the requests that brought the first events of the streams that ran here.
+    ``begun`` the requests that brought the first events of the streams that ran here,
+    ``received`` the headers of all requests by id, with their names in lower case.
     """
 
     id: str
@@ -77,6 +78,7 @@
     ran: list[str] = field(default_factory=list)
     resumed: list[str] = field(default_factory=list)
     begun: list[str] = field(default_factory=list)
+    received: dict[str, list[tuple[str, str]]] = field(default_factory=dict)
     orders: list[dict[str, Any]] = field(default_factory=list)
     order_times: list[float] = field(default_factory=list)
     abandoned: list[str] = field(default_factory=list)
@@ -305,6 +307,9 @@
     def _handle_request(self) -> None:
         self.rfile.read(int(self.headers.get("Content-Length") or 0))
         self.runner.arrivals.append(time.monotonic())
+        self.runner.received[self.headers["X-Gooseberryrun-Request-Id"]] = [
+            (name.lower(), value) for name, value in self.headers.items()
+        ]
         fault = self.runner.take_fault()
         name = self.headers.get("X-Gooseberryrun-Model", "").partition("/")[2]
         self.runner.models()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -13,6 +13,9 @@
 REQUESTS = Counter(
     PREFIX + "requests", "Requests answered, by route and status", ["route", "status"]
 )
+AUTHENTICATIONS = Counter(
+    PREFIX + "authentications", "Checks of requests' API keys, by outcome", ["outcome"]
+)
 REFUSALS = Counter(PREFIX + "refusals", "Refusals, by code", ["code"])
 SERVED_SECONDS = Histogram(
     PREFIX + "served_seconds",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -27,6 +27,7 @@
     is_followed_from,
     reader_rank,
 )
+from gooseberryrun._internal.state.serving.accounts import ConfigurationFreshness
 
 from .._ports import Peers
 from ._ports import Ports
@@ -77,12 +78,14 @@
     is_new: bool = True
     store_statuses: dict[str, StoreStatus] = field(default_factory=dict)
     residency: Residency = field(init=False)
+    freshness: ConfigurationFreshness = field(init=False)
     remote_views: dict[str, View] = field(default_factory=dict)
     covered_domains: dict[str, OwnershipState] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Begin without any notice of a runner's owner."""
+        """Begin without any notice of a runner's owner, or of the configuration."""
         self.residency = Residency(self.clock)
+        self.freshness = ConfigurationFreshness(self.clock.boottime())
 
     @property
     def vm(self) -> str:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_log.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from gooseberryrun._internal.state.serving import DirectoryRecord, Position, Topic
+from gooseberryrun._internal.state.serving.accounts import find_shared_keys
 
 from .._events import log_event
 from .._metrics import CONFIGURATION_VERSION
@@ -23,8 +24,7 @@
     def log_applied(self, applied: list[DirectoryRecord], source: str) -> None:
         """Log records that were applied, with the store or the peer they came from."""
         for record in applied:
-            if record.configuration is not None:
-                CONFIGURATION_VERSION.set(record.configuration.version)
+            _record_configuration(record)
             if self._is_heartbeat(record):
                 continue
             log_event(
@@ -67,8 +67,7 @@
     def log_settled(self, records: list[DirectoryRecord]) -> None:
         """Log records of a restored store that replace newer ones that it lost."""
         for record in records:
-            if record.configuration is not None:
-                CONFIGURATION_VERSION.set(record.configuration.version)
+            _record_configuration(record)
             log_event(
                 "record_rolled_back",
                 level="warning",
@@ -94,6 +93,23 @@
         return is_known
 
 
+def _record_configuration(record: DirectoryRecord) -> None:
+    """Record a configuration that was put in force; log its shared API keys."""
+    configuration = record.configuration
+    if configuration is None:
+        return
+    CONFIGURATION_VERSION.set(configuration.version)
+    shared = find_shared_keys(configuration.accounts or ())
+    if shared:
+        log_event(
+            "account_key_shared",
+            level="warning",
+            version=configuration.version,
+            count=len(shared),
+            accounts="; ".join(f"{owner}, {other}" for owner, other in shared),
+        )
+
+
 def _describe(record: DirectoryRecord) -> str:
     """Return a short description of a record for the log."""
     if record.unreadable:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_peers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_peers.py
@@ -38,6 +38,10 @@
 
     def fetch_missing(self, peer: str, gossip: ServingGossip) -> None:
         """Fetch the records that a peer has read and this VM lacks."""
+        ends = self._ctx.directory.ends
+        topic = Topic.CONFIGURATION
+        if gossip.can_reach_store and gossip.ends.get(topic) == ends[topic]:
+            self._ctx.freshness.record_peer(self._ctx.clock.boottime())
         for topic, end in gossip.ends.items():
             if self._lacks(topic, end, gossip) and topic not in self._fetching:
                 self._fetching.add(topic)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -41,6 +41,8 @@
 the latest by the poll itself: MAX_POLL_S, the store's timeout of 1 s and a new read, in
 all less than the 5 s within which a VM counts as in touch again and a configuration has
 to be in force."""
+MAX_ACCOUNTS_POLL_S = 2.0
+"""Longest poll of a configuration with accounts: less than CONFIRMATION_TTL_S."""
 MAX_READER_POLL_S = 2.5
 """Longest poll of a VM that reads for others, which get its notice after that."""
 KEEPALIVE_INTERVAL_S = 1.0
@@ -176,12 +178,16 @@
         if topic in self._unreachable_since or topic in self._interrupted:
             return 0.0
         longest_s = MAX_READER_POLL_S if self._reads_for_others() else MAX_POLL_S
+        table = self._ctx.directory.table
+        if topic is Topic.CONFIGURATION and table and table.accounts:
+            longest_s = MAX_ACCOUNTS_POLL_S
         return min(longest_s, self._ctx.cfg.store.poll_wait_s)
 
     def _send_keepalives(self) -> None:
         """Notify the VMs that this VM reads for that it is still reading."""
         while True:
             eventlet.sleep(KEEPALIVE_INTERVAL_S)
+            self._ctx.freshness.tick(self._ctx.clock.boottime())
             now = self._ctx.clock.monotonic()
             for topic, read_at in self._read_at.items():
                 if (
@@ -237,6 +243,7 @@
         """Read and apply records; return their number."""
         directory = self._ctx.directory
         store = self._ctx.ports.store
+        asked_at = self._ctx.clock.boottime()
         if needs_snapshot:
             read = store.read_snapshot(topic)
         else:
@@ -253,6 +260,8 @@
         self._record_store_reachable(topic)
         now = self._ctx.clock.monotonic()
         self._read_at[topic] = now
+        if topic is Topic.CONFIGURATION:
+            self._ctx.freshness.record_read(asked_at, self._ctx.clock.boottime())
         if needs_snapshot:
             applied = directory.replace(topic, records.records, records.end, now)
         else:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from gooseberryrun._internal.state.serving import Handling, Route, RouteTable
+from gooseberryrun._internal.state.serving.accounts import ClientAccount
 
 from .._events import bind_request, log_event
 from .._metrics import REFUSALS
@@ -17,11 +18,14 @@
 from ._request_ports import (
     Caller,
     CallerDisconnectedError,
+    EarlyRefusal,
+    Headers,
     InboundRequest,
     RequestHandler,
     RequestMetadata,
 )
 from ._responses import ResponseWriter
+from .accounts import Authenticator
 
 NOT_READY_RETRY_S = 0.5
 """Retry delay sent by a VM that has no configuration yet."""
@@ -40,12 +44,30 @@
         models: ModelRequests,
     ) -> None:
         self._ctx = ctx
+        self._authenticator = Authenticator(ctx)
         self._guard = guard
         self._attempts = attempts
         self._responses = responses
         self._plain = plain
         self._models = models
 
+    def refuse_early(self, request: InboundRequest) -> EarlyRefusal | None:
+        """Refuse a request without a valid key before its body is read."""
+        table = self._ctx.directory.table
+        if table is None or table.accounts is None:
+            return None
+        decoded = self._ctx.ports.codec.decode_request(request.headers)
+        if isinstance(decoded, Err):
+            return None
+        metadata = decoded.ok_value
+        route = table.find(request.host, request.path)
+        checked = self._authenticator.check(table, route, metadata.credential)
+        if checked.refusal is None:
+            return None
+        checked.count()
+        headers = self._record_rejection(request, checked.refusal, metadata.request_id)
+        return EarlyRefusal(checked.refusal.status, headers)
+
     def handle(self, request: InboundRequest, caller: Caller) -> None:
         """Serve a request, or reject it if it is malformed or has no route."""
         decoded = self._ctx.ports.codec.decode_request(request.headers)
@@ -54,22 +76,30 @@
             return
         metadata = decoded.ok_value
         bind_request(metadata.request_id)
-        found = self._find_route(request)
+        found = self._find_route(request, metadata)
         if isinstance(found, Err):
             self._reject(request, caller, found.err_value, metadata.request_id)
             return
+        route, account = found.ok_value
         self._serve(
-            self._make_active_request(request, metadata, caller, found.ok_value)
+            self._make_active_request(request, metadata, caller, route, account)
         )
 
-    def _find_route(self, request: InboundRequest) -> Result[Route, LocalResponse]:
+    def _find_route(
+        self, request: InboundRequest, metadata: RequestMetadata
+    ) -> Result[tuple[Route, ClientAccount | None], LocalResponse]:
+        """Return the request's route, and the account that sent it."""
         table: RouteTable | None = self._ctx.directory.table
         if table is None:
             return Err(LocalResponse(503, "no_configuration", NOT_READY_RETRY_S))
         route = table.find(request.host, request.path)
+        checked = self._authenticator.check(table, route, metadata.credential)
+        checked.count()
+        if checked.refusal is not None:
+            return Err(checked.refusal)
         if route is None:
             return Err(LocalResponse(404, f"no_route_in_{table.configuration.version}"))
-        return Ok(route)
+        return Ok((route, checked.account))
 
     def _make_active_request(
         self,
@@ -77,6 +107,7 @@
         metadata: RequestMetadata,
         caller: Caller,
         route: Route,
+        account: ClientAccount | None,
     ) -> ActiveRequest:
         wait_s = min(metadata.wait_s, route.timeout_s)
         deadline = min(request.read_at + wait_s, self._ctx.stop_deadline)
@@ -89,6 +120,7 @@
             route.pick_service(metadata.stream_id),
             deadline,
             traits=request_traits(request, metadata, version),
+            account=account,
         )
 
     def _serve(self, active: ActiveRequest) -> None:
@@ -115,6 +147,13 @@
         response: LocalResponse,
         request_id: str,
     ) -> None:
+        headers = self._record_rejection(request, response, request_id)
+        caller.respond(response.status, headers, b"")
+
+    def _record_rejection(
+        self, request: InboundRequest, response: LocalResponse, request_id: str
+    ) -> Headers:
+        """Log and count a rejection; return the headers of the response."""
         REFUSALS.labels(code=response.reason.partition("_in_")[0]).inc()
         log_event(
             "request",
@@ -126,4 +165,6 @@
         )
         codec = self._ctx.ports.codec
         headers = codec.encode_refusal(request_id, response.retry_in_s)
-        caller.respond(response.status, headers, b"")
+        if response.status == 401:
+            headers = [*headers, *codec.challenge]
+        return headers
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -26,11 +26,12 @@
 from ._runner_choice import RunnerChooser
 from ._stream_relay import StreamProgress, StreamRelay, after_fault
 from ._turns import Turns
+from .accounts import forwarded_account
 
 MAX_ROUNDS = 6
 """Largest number of rounds for one request; each round chooses a runner."""
 URGENCY_STEP = 2
-"""Difference in engine urgency between two adjacent route priorities."""
+"""Difference in engine urgency between two adjacent priorities."""
 MAX_URGENCY = 9
 BUSY_RETRY_S = 1.0
 """Retry delay sent with a refusal for lack of capacity."""
@@ -149,7 +150,7 @@
             active.adapter_key,
             self._chooser.wanted_version(active),
             active.request.read_at + active.route.target_latency_s,
-            active.route.priority,
+            active.priority,
             active.metadata.request_id,
             active.missing_on == runner.id,
             active.metadata.prompt_tokens if needs_grant else 0,
@@ -244,9 +245,10 @@
         return ForwardingMetadata(
             runner.id,
             active.deadline - self._ctx.clock.monotonic(),
-            min(MAX_URGENCY, 1 + URGENCY_STEP * active.route.priority),
+            min(MAX_URGENCY, 1 + URGENCY_STEP * active.priority),
             version,
             progress.events.last_id or active.metadata.last_event_id,
+            forwarded_account(self._ctx, active),
         )
 
     def _after_not_run(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -23,6 +23,7 @@
     run_rounds,
 )
 from ._turns import Turns
+from .accounts import forwarded_account
 
 MAX_SENDS = 5
 """Largest number of sends for one request."""
@@ -85,7 +86,9 @@
         self, active: ActiveRequest, runner: Runner, deadline: float
     ) -> LocalResponse | Round:
         left_s = active.deadline - self._ctx.clock.monotonic()
-        forwarding = ForwardingMetadata(runner.id, left_s)
+        forwarding = ForwardingMetadata(
+            runner.id, left_s, account=forwarded_account(self._ctx, active)
+        )
         sent = self._attempts.send(active, runner, forwarding, deadline)
         if isinstance(sent, Err):
             return self._after_fault(active, sent.err_value.failure)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -61,7 +61,7 @@
     method: str
     target: str
     host: str
-    headers: Headers
+    headers: Headers = field(repr=False)
     body: bytes
     read_at: float
 
@@ -106,7 +106,12 @@
 
 
 class HeaderCodec(ABC):
-    """Decodes and encodes the platform's own headers."""
+    """Decodes and encodes the platform's own headers.
+
+    ``challenge`` are the headers of a response with status 401.
+    """
+
+    challenge: Headers = []
 
     @abstractmethod
     def decode_request(self, headers: Headers) -> Result[RequestMetadata, str]:
@@ -155,9 +160,24 @@
         """Let the request continue even if the caller disconnects."""
 
 
+@dataclass(frozen=True, slots=True)
+class EarlyRefusal:
+    """Response without a body to a request whose own body need not be read."""
+
+    status: int
+    headers: Headers
+
+
 class RequestHandler(ABC):
     """Serves complete requests."""
 
+    def refuse_early(self, request: InboundRequest) -> EarlyRefusal | None:
+        """Return the refusal of a request whose body has not been read, if any.
+
+        ``request`` has an empty body. What is not refused here is handled later.
+        """
+        return None
+
     @abstractmethod
     def handle(self, request: InboundRequest, caller: Caller) -> None:
         """Serve a request; CallerDisconnectedError propagates."""
@@ -227,7 +247,7 @@
 
     method: str
     target: str
-    headers: Headers
+    headers: Headers = field(repr=False)
     body: bytes
     request_id: str
     is_idempotent: bool
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
@@ -147,6 +147,7 @@
             sends=active.sends,
             attempts=active.attempts,
             **_stream_fields(active),
+            **({"account": active.account.name} if active.account else {}),
         )
 
 
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_authentication.py
@@ -0,0 +1,69 @@
+"""Authentication of requests by the accounts of the configuration in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gooseberryrun._internal.state.serving import Route, RouteTable
+from gooseberryrun._internal.state.serving.accounts import (
+    ClientAccount,
+    KeyOutcome,
+    check_key,
+)
+
+from ..._metrics import AUTHENTICATIONS
+from .._active_request import ActiveRequest, LocalResponse
+from .._context import Context
+
+UNCONFIRMED_RETRY_S = 0.5
+"""Retry delay sent by a VM that may lack a newer key."""
+_REFUSALS = {
+    KeyOutcome.MISSING: LocalResponse(401, "no_key"),
+    KeyOutcome.UNKNOWN: LocalResponse(401, "unknown_key"),
+    KeyOutcome.UNCONFIRMED: LocalResponse(503, "unconfirmed_key", UNCONFIRMED_RETRY_S),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Authentication:
+    """Account of a request, or the refusal; ``outcome`` is None without accounts."""
+
+    outcome: KeyOutcome | None = None
+    account: ClientAccount | None = None
+    refusal: LocalResponse | None = None
+
+    def count(self) -> None:
+        """Count the outcome; each request is counted once."""
+        if self.outcome is not None:
+            AUTHENTICATIONS.labels(outcome=self.outcome).inc()
+
+
+class Authenticator:
+    """Looks the key of each request up in the configuration in force."""
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+
+    def check(
+        self, table: RouteTable, route: Route | None, credential: str
+    ) -> Authentication:
+        """Check a request's key; one without a route needs a key as well."""
+        if table.accounts is None:
+            return Authentication()
+        is_confirmed = self._ctx.freshness.is_confirmed(self._ctx.clock.boottime())
+        is_public = route is not None and route.is_public
+        outcome, account = check_key(
+            table.accounts, credential, is_public, is_confirmed
+        )
+        return Authentication(outcome, account, _REFUSALS.get(outcome))
+
+
+def forwarded_account(ctx: Context, active: ActiveRequest) -> str | None:
+    """Return the account's name for a runner, empty without one.
+
+    None stands for a configuration without accounts.
+    """
+    if active.account is not None:
+        return active.account.name
+    table = ctx.directory.table
+    return "" if table is not None and table.accounts is not None else None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_accounts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_accounts.py
@@ -54,23 +54,17 @@
 
 
 class AccountTable:
-    """Accounts of one configuration by the digests of their keys."""
+    """Accounts of one configuration by the digests of their keys.
+
+    A key of several accounts belongs to the first of them in the list.
+    """
 
     def __init__(self, accounts: tuple[ClientAccount, ...]) -> None:
         self.accounts = accounts
-        self.shared_by: list[tuple[str, str]] = []
-        """Names of the accounts that have a key in common: the one that the key belongs
-        to, which is the first in the list, and the other one."""
         self._by_digest: dict[bytes, tuple[bytes, ClientAccount]] = {}
         for account in accounts:
             for digest in account.key_digests:
-                self._add(digest, account)
-
-    def _add(self, digest: bytes, account: ClientAccount) -> None:
-        _, owner = self._by_digest.setdefault(digest, (digest, account))
-        pair = (owner.name, account.name)
-        if owner is not account and pair not in self.shared_by:
-            self.shared_by.append(pair)
+                self._by_digest.setdefault(digest, (digest, account))
 
     def find(self, key: str) -> ClientAccount | None:
         """Return the account that a presented key belongs to, None without one."""
@@ -79,6 +73,18 @@
         return account if key and hmac.compare_digest(known, digest) else None
 
 
+def find_shared_keys(accounts: tuple[ClientAccount, ...]) -> list[tuple[str, str]]:
+    """Return the names of accounts that share a key, the one it belongs to first."""
+    owners: dict[bytes, ClientAccount] = {}
+    found: dict[tuple[str, str], None] = {}
+    for account in accounts:
+        for digest in account.key_digests:
+            owner = owners.setdefault(digest, account)
+            if owner is not account:
+                found[owner.name, account.name] = None
+    return list(found)
+
+
 def key_digest(key: str) -> bytes:
     """Return the SHA-256 digest of an API key.
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
@@ -8,8 +8,8 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any
+from dataclasses import dataclass, replace
+from typing import Any, TypeVar
 
 import eventlet
 import h11
@@ -21,6 +21,7 @@
 from gooseberryrun._internal.coordination.serving import (
     Caller,
     CallerDisconnectedError,
+    EarlyRefusal,
     Headers,
     InboundRequest,
     RequestHandler,
@@ -34,6 +35,7 @@
 from ._input_work import InputWork
 from ._sockets import end_connection, receive
 
+T = TypeVar("T")
 REJECTED_RETRY_S = "0.1"
 """Retry delay sent with a 503 for a request that is not served here."""
 SEND_TIMEOUT_S = 20.0
@@ -54,10 +56,14 @@
 
 @dataclass(slots=True)
 class CallerServerState:
-    """State that all connections of one server share."""
+    """State that all connections of one server share.
+
+    ``refuse_early`` is called for requests whose body has not been read.
+    """
 
     limits: Callable[[], ClientLimits]
     bounds: InputBounds
+    refuse_early: Callable[[InboundRequest], EarlyRefusal | None] = lambda _: None
     is_stopping: bool = False
     refuses_new: bool = False
     open_requests: int = 0
@@ -119,7 +125,15 @@
 
     def _run_request(self, handler: RequestHandler) -> bool:
         """Serve a request; return whether another one may follow."""
-        read = self._read_request()
+        head = self._read(self._read_head)
+        if isinstance(head, Err):
+            self._reject(head.err_value)
+            return False
+        request = head.ok_value
+        refusal = self._refuse_early(request)
+        if refusal is not None:
+            return self._answer_early(refusal)
+        read = self._read(lambda: self._read_rest(request))
         if isinstance(read, Err):
             self._reject(read.err_value)
             return False
@@ -127,6 +141,10 @@
             self._reject(_BadRequestError(503, "stopping"))
             return False
         self._serve(handler, read.ok_value)
+        return self._end_cycle()
+
+    def _end_cycle(self) -> bool:
+        """Prepare for the next request; return whether one may follow."""
         self.is_idle = True
         if self.http.our_state is not h11.DONE or (
             self.http.their_state is not h11.DONE
@@ -150,20 +168,70 @@
             watcher.kill()
             self._state.open_requests -= 1
 
-    def _read_request(self) -> Result[InboundRequest, _BadRequestError]:
+    def _refuse_early(self, request: InboundRequest) -> EarlyRefusal | None:
+        """Return the refusal of a request that has a body, if it needs no reading."""
+        if self._state.refuses_new or not _has_body(request.headers):
+            return None
+        return self._state.refuse_early(request)
+
+    def _answer_early(self, refusal: EarlyRefusal) -> bool:
+        """Answer before the body has been read; return whether a request may follow.
+
+        The body is discarded as it arrives, at most as much as a caller may send: a
+        connection that is closed with unread bytes is reset, and the caller may lose
+        the answer.
+        """
+        close = self.closes_after() or self.http.they_are_waiting_for_100_continue
+        headers = [*refusal.headers, ("content-length", "0")]
+        if close:
+            headers.append(("connection", "close"))
+        self.send_event(
+            h11.Response(status_code=refusal.status, headers=headers),
+            h11.EndOfMessage(),
+        )
+        read = self._read(self._discard_body)
+        if isinstance(read, Ok) and not close:
+            return self._end_cycle()
+        self._sock.shutdown(socket.SHUT_WR)
+        self._discard_input()
+        return False
+
+    def _discard_body(self) -> None:
+        """Discard the body of a request that has been answered."""
+        size = 0
+        with Timeout(
+            self._limits.idle_timeout_s,
+            _BadRequestError(408, "the body did not arrive in time"),
+        ):
+            while True:
+                event = self._next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    return
+                if not isinstance(event, h11.Data):
+                    raise ConnectionClosedError("closed by the caller within a body")
+                self._work.count_piece(len(event.data))
+                size += len(event.data)
+                if size > self._limits.max_body_bytes:
+                    raise _BadRequestError(413, "the body is too large")
+
+    def _read(self, read: Callable[[], T]) -> Result[T, _BadRequestError]:
+        """Read a part of a request; return what makes it a bad one on error."""
         try:
-            return Ok(self._read_head_and_body())
+            return Ok(read())
         except _BadRequestError as exc:
             return Err(exc)
         except BodyGivenUpError:
             return Err(_BadRequestError(503, "too many bodies are buffered"))
         except h11.RemoteProtocolError as exc:
-            return Err(_BadRequestError(exc.error_status_hint, str(exc)))
+            # The text after the colon quotes the request, perhaps with an API key.
+            detail = str(exc).partition(":")[0]
+            return Err(_BadRequestError(exc.error_status_hint, detail))
 
-    def _read_head_and_body(self) -> InboundRequest:
+    def _read_head(self) -> InboundRequest:
+        """Return a request without its body."""
         self._limits = self._state.limits()
         self._work.begin_message()
-        head = self._read_head()
+        head = self._read_h11_head()
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers.raw_items()
@@ -173,17 +241,21 @@
         if size > self._limits.max_header_bytes:
             raise _BadRequestError(431, "the headers are too large")
         hosts = [value for name, value in headers if name.lower() == "host"]
-        body = self._read_body(headers)
         return InboundRequest(
             method=head.method.decode("ascii"),
             target=head.target.decode("latin-1"),
             host=hosts[0] if hosts else "",
             headers=headers,
-            body=body,
+            body=b"",
             read_at=self._clock.monotonic(),
         )
 
-    def _read_head(self) -> h11.Request:
+    def _read_rest(self, request: InboundRequest) -> InboundRequest:
+        """Return a request with its body."""
+        body = self._read_body(request.headers)
+        return replace(request, body=body, read_at=self._clock.monotonic())
+
+    def _read_h11_head(self) -> h11.Request:
         if not self.http.trailing_data[0]:
             with Timeout(self._limits.idle_timeout_s, ConnectionClosedError("idle")):
                 self._receive()
@@ -303,6 +375,12 @@
     return int(lengths[0]) if lengths else 0
 
 
+def _has_body(headers: Headers) -> bool:
+    """Return whether a request announces a body."""
+    chunked = any(name.lower() == "transfer-encoding" for name, _ in headers)
+    return chunked or _content_length(headers) > 0
+
+
 def _watch_disconnect(sock: Any, request: Any, caller: _HttpCaller) -> None:
     """Interrupt the green thread of a request when its caller disconnects."""
     try:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runner_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runner_connection.py
@@ -81,7 +81,10 @@
         head = h11.Request(
             method=request.method,
             target=request.target.encode("latin-1"),
-            headers=request.headers,
+            headers=[
+                (name.encode("latin-1"), value.encode("latin-1"))
+                for name, value in request.headers
+            ],
         )
         data = self._http.send(head) or b""
         if request.body:
