Wake up for signals and due liveness checks only

A process polled for signals and checked the liveness of its peer links ten times a second each, and looked for idle connections to runners once a second, also when there was nothing to check. Signals now wake the event loop, a liveness check runs when a reply, a ping or a link is due (at most every 0.1 s), idle connections are checked while there are any, and the settings file is read only when its metadata has changed.

Timers of an idle VM, per second: 21 before, none but the settings check after. A ping is sent 0.25 s after an unanswered request, 0.25 to 0.35 s before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -7,9 +7,10 @@
 import time
 import uuid
 from pathlib import Path
-from types import FrameType
 
 import eventlet
+from eventlet.hubs import get_hub
+from eventlet.queue import Empty, LightQueue
 from eventlet.timeout import Timeout
 
 from gooseberryrun._internal.coordination import Shutdown, log_event
@@ -33,8 +34,8 @@
     RunnerConnectionPool,
 )
 
-POLL_INTERVAL_S = 0.1
-"""Interval between checks for signals; a stop is polled four times as often."""
+STOP_POLL_S = 0.025
+"""Interval between checks of the open requests during a stop."""
 SETTINGS_CHECK_INTERVAL_S = 1.0
 """Interval between checks of the settings file for changes."""
 BALANCER_REMOVAL_S = 2.6
@@ -110,7 +111,7 @@
         )
         self._probes = ProbeServer(integration.readiness_path, self._serving.is_ready)
         self._metrics = ProbeServer("", lambda: False)
-        self._signals: list[str] = []
+        self._signals = LightQueue()
 
     def run(self) -> None:
         """Start, wait for SIGTERM or SIGINT, and stop."""
@@ -123,7 +124,6 @@
         self._callers.serve(*_parse_address(self._cfg.entry.callers))
         self._probes.serve(*_parse_address(self._cfg.entry.readiness))
         self._metrics.serve(str(self._cfg.vm.address), self._cfg.entry.metrics_port)
-        eventlet.spawn(self._sweep_runners)
         log_event(
             "started",
             vm=self._cfg.vm.id,
@@ -138,41 +138,41 @@
         table = self._ctx.directory.table
         return table.configuration.limits if table else ClientLimits()
 
-    def _sweep_runners(self) -> None:
-        while True:
-            eventlet.sleep(1.0)
-            self._runners.close_expired()
-
     def _install_signal_handlers(self) -> None:
-        def on_signal(number: int, _frame: FrameType | None) -> None:
-            self._signals.append(signal.Signals(number).name)
-
+        """Have the event loop woken by signals, instead of polling for them."""
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, on_signal)
+            get_hub().loop.add_signal_handler(number, self._signals.put_nowait, number)
 
     def _wait_for_stop(self) -> None:
+        version = _file_version(self._path)
         digest = _hash_settings(self._path)
-        checked_at = self._clock.monotonic()
         while True:
-            eventlet.sleep(POLL_INTERVAL_S)
-            received, self._signals = self._signals, []
-            if "SIGTERM" in received or "SIGINT" in received:
+            number = self._next_signal(SETTINGS_CHECK_INTERVAL_S)
+            if number in (signal.SIGTERM, signal.SIGINT):
                 return
-            now = self._clock.monotonic()
-            if received or now - checked_at >= SETTINGS_CHECK_INTERVAL_S:
-                checked_at = now
-                digest = self._check_settings(digest, received)
-
-    def _check_settings(self, known: str, signals: list[str]) -> str:
+            known, version = version, _file_version(self._path)
+            if number is not None or version != known:
+                name = "none" if number is None else signal.Signals(number).name
+                digest = self._check_settings(digest, name)
+
+    def _next_signal(self, timeout_s: float) -> int | None:
+        """Wait for a signal; return its number, None if there is none in time."""
+        try:
+            number: int = self._signals.get(timeout=timeout_s)
+            return number
+        except Empty:
+            return None
+
+    def _check_settings(self, known: str, received: str) -> str:
         """Log a change of the settings file, which takes effect at the next start.
 
         Returns the current hash of the file.
         """
         digest = _hash_settings(self._path)
-        if signals or digest != known:
+        if received != "none" or digest != known:
             log_event(
                 "settings_reread",
-                signals=",".join(signals) or "none",
+                signals=received,
                 changed=digest != known,
                 settings=digest,
             )
@@ -208,7 +208,7 @@
         log_event("requests_ended", open_requests=self._callers.state.open_requests)
         self._callers.interrupt_open()
         while self._callers.state.open_requests and self._clock.monotonic() < latest:
-            eventlet.sleep(POLL_INTERVAL_S / 4)
+            eventlet.sleep(STOP_POLL_S)
 
     def _drain(self, shutdown: Shutdown) -> None:
         """Serve until the load balancer sends no more requests and none is open.
@@ -217,7 +217,7 @@
         """
         may_exit = False
         while not may_exit:
-            eventlet.sleep(POLL_INTERVAL_S / 4)
+            eventlet.sleep(STOP_POLL_S)
             now = self._clock.monotonic()
             if shutdown.is_removed(now) and not self._callers.state.refuses_new:
                 self._callers.state.refuses_new = True
@@ -231,6 +231,15 @@
     return host, int(port)
 
 
+def _file_version(path: Path) -> tuple[int, ...]:
+    """Return what changes whenever a file does, without reading it."""
+    try:
+        stat = path.stat()
+    except OSError:
+        return ()
+    return stat.st_ino, stat.st_size, stat.st_mtime_ns, stat.st_ctime_ns
+
+
 def _hash_settings(path: Path) -> str:
     """Return a short hash of the settings file, empty if it cannot be read."""
     try:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/__init__.pyi
@@ -23,8 +23,8 @@
 from ._peer_links import (
     KEEPALIVE_INTERVAL_S,
     KEEPALIVE_TIMEOUT_S,
-    LIVENESS_CHECK_INTERVAL_S,
     MAX_QUEUED_MESSAGES,
+    MIN_CHECK_INTERVAL_S,
     RECONNECT_DELAY_S,
     PeerLinks,
 )
@@ -51,7 +51,7 @@
     "KEEPALIVE_INTERVAL_S",
     "KEEPALIVE_TIMEOUT_S",
     "KEY_HEADER",
-    "LIVENESS_CHECK_INTERVAL_S",
+    "MIN_CHECK_INTERVAL_S",
     "MAX_IDLE_CONNECTIONS_PER_HOST",
     "MAX_QUEUED_MESSAGES",
     "MAX_READ_RECORDS",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_liveness.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_liveness.py
@@ -48,6 +48,14 @@
         self._ping_deadline = now + self._timeout_s
         return LivenessAction.PING
 
+    def next_check_at(self, oldest_request_at: float | None) -> float | None:
+        """Return when ``next_action`` has something to do next, None if nothing."""
+        if self._ping_deadline is not None:
+            return self._ping_deadline
+        if oldest_request_at is None:
+            return None
+        return max(oldest_request_at, self._last_contact_at) + PING_AFTER_S
+
     def _check_ping(self, deadline: float, now: float) -> LivenessAction:
         if now < deadline:
             return LivenessAction.WAIT
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
@@ -14,11 +14,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import eventlet
 import grpclib.client
 import grpclib.server
 from eventlet.asyncio import spawn_for_awaitable
 from eventlet.event import Event
+from eventlet.hubs import get_hub
 from eventlet.timeout import Timeout
 from grpclib.config import Configuration
 from grpclib.const import Status
@@ -36,6 +36,7 @@
     Ping,
     StoreStatusAnswer,
     log_event,
+    run_protected,
 )
 from gooseberryrun._internal.protocol import (
     decode_message,
@@ -45,17 +46,21 @@
 )
 from gooseberryrun._internal.state import Clock, NodeSettings, Vm
 
-from ._liveness import Liveness, LivenessAction
+from ._liveness import PING_AFTER_S, Liveness, LivenessAction
 
 MAX_QUEUED_MESSAGES = 10000
 """Maximum length of a peer's queue; the oldest message is dropped when it is full."""
 RECONNECT_DELAY_S = 0.2
-LIVENESS_CHECK_INTERVAL_S = 0.1
+MIN_CHECK_INTERVAL_S = 0.1
+"""Shortest time between two liveness checks, which bounds their cost under load."""
 IDLE_TIMEOUT_S = 30.0
 """Idle time after which a link is closed."""
 KEEPALIVE_INTERVAL_S = 5.0
 KEEPALIVE_TIMEOUT_S = 3.0
 
+_PING_KIND, _PING_BODY = encode_message(Ping())
+_PING = peer_pb2.Envelope(id=0, kind=_PING_KIND, body=_PING_BODY)
+
 _BYTES_IN = PEER_BYTES.labels(direction="in")
 _BYTES_OUT = PEER_BYTES.labels(direction="out")
 _MESSAGES_IN = PEER_MESSAGES.labels(direction="in")
@@ -166,17 +171,19 @@
         self._links: dict[str, _Link] = {}
         self._request_ids = itertools.count(1)
         self._server: grpclib.server.Server | None = None
+        self._checked_at = float("-inf")
+        self._next_check_at = float("inf")
+        self._check_timer: Any = None
         self.find_vm: Callable[[str], Vm | None] = lambda vm: None
         self.dispatch: Callable[[InboundMessage], None] = lambda inbound: None
 
     def start(self) -> None:
-        """Listen for peers and start the liveness checks."""
+        """Listen for peers."""
         secret = self._cfg.peer.secret.get_secret_value()
         service = _PeerService(secret, lambda inbound: self.dispatch(inbound))
         self._server = grpclib.server.Server([service])
         address = str(self._cfg.vm.address)
         spawn_for_awaitable(self._server.start(address, self._cfg.peer.port)).wait()
-        eventlet.spawn(self._check_liveness)
 
     def send_to(self, vm: str, message: PeerMessage) -> None:
         """Queue a message; it is lost if the peer cannot be reached."""
@@ -201,6 +208,7 @@
         link.pending[request_id] = _PendingRequest(
             response_event, self._clock.monotonic()
         )
+        self._schedule_check(self._clock.monotonic() + PING_AFTER_S)
         kind, body = encode_message(message)
         _enqueue(link.queue, peer_pb2.Envelope(id=request_id, kind=kind, body=body))
         timeout_s = max(0.0, deadline - self._clock.monotonic())
@@ -216,6 +224,7 @@
             link = _Link(vm, Liveness(self._cfg.peer.connect_timeout_s))
             self._links[vm] = link
             spawn_for_awaitable(self._maintain_link(link))
+            self._schedule_check(self._clock.monotonic() + IDLE_TIMEOUT_S)
         link.used_at = self._clock.monotonic()
         return link
 
@@ -241,22 +250,47 @@
         for request in pending.values():
             request.response_event.send(Err(PeerError(link.vm, detail)))
 
+    def _schedule_check(self, due_at: float) -> None:
+        """Schedule a liveness check at a monotonic time, unless one is due earlier.
+
+        There is no periodic check: nothing can become overdue while no reply is
+        awaited, and an idle VM would only wake up.
+        """
+        due_at = max(due_at, self._checked_at + MIN_CHECK_INTERVAL_S)
+        if due_at >= self._next_check_at:
+            return
+        if self._check_timer is not None:
+            self._check_timer.cancel()
+        self._next_check_at = due_at
+        delay_s = max(0.0, due_at - self._clock.monotonic())
+        self._check_timer = get_hub().schedule_call_global(delay_s, self._run_check)
+
+    def _run_check(self) -> None:
+        self._check_timer = None
+        self._next_check_at = float("inf")
+        run_protected("peer_liveness", self._check_liveness)
+        if self._links:
+            self._schedule_check(min(map(self._link_due_at, self._links.values())))
+
+    def _link_due_at(self, link: _Link) -> float:
+        """Return when a link has to be checked again."""
+        overdue_at = link.liveness.next_check_at(link.oldest_request_at)
+        idle_at = link.used_at + IDLE_TIMEOUT_S
+        return idle_at if overdue_at is None else min(overdue_at, idle_at)
+
     def _check_liveness(self) -> None:
         """Ping peers with overdue replies, detect silent ones and close idle links."""
-        kind, body = encode_message(Ping())
-        while True:
-            now = self._clock.monotonic()
-            for link in list(self._links.values()):
-                if now - link.used_at > IDLE_TIMEOUT_S and not link.pending:
-                    self._close_idle_link(link)
-                    continue
-                action = link.liveness.next_action(link.oldest_request_at, now)
-                if action is LivenessAction.MARK_SILENT:
-                    log_event("peer_silent", peer=link.vm)
-                    self._fail_pending(link, "the peer is silent")
-                elif action is LivenessAction.PING:
-                    _enqueue(link.queue, peer_pb2.Envelope(id=0, kind=kind, body=body))
-            eventlet.sleep(LIVENESS_CHECK_INTERVAL_S)
+        now = self._checked_at = self._clock.monotonic()
+        for link in list(self._links.values()):
+            if now - link.used_at >= IDLE_TIMEOUT_S and not link.pending:
+                self._close_idle_link(link)
+                continue
+            action = link.liveness.next_action(link.oldest_request_at, now)
+            if action is LivenessAction.MARK_SILENT:
+                log_event("peer_silent", peer=link.vm)
+                self._fail_pending(link, "the peer is silent")
+            elif action is LivenessAction.PING:
+                _enqueue(link.queue, _PING)
 
     def _close_idle_link(self, link: _Link) -> None:
         """Close an idle link; the next message opens a new one."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -13,6 +13,7 @@
 
 import h11
 from eventlet.green import socket as green_socket
+from eventlet.hubs import get_hub
 from eventlet.timeout import Timeout
 from result import Err, Ok, Result
 
@@ -39,6 +40,8 @@
 """Timeout of a new connection: less than the first retransmission of a lost packet."""
 MAX_IDLE_CONNECTIONS = 2
 """Idle connections kept per runner."""
+SWEEP_INTERVAL_S = 1.0
+"""Interval at which idle connections are checked, while there are any."""
 MAX_BUFFERED_RESPONSE_BYTES = 16 << 20
 """Largest body in bytes that is buffered before it is passed on."""
 PROBE_TIMEOUT_S = 0.25
@@ -60,6 +63,7 @@
         self.bounds = bounds
         self._codec = codec
         self._idle: dict[tuple[str, str, int], list[_IdleConnection]] = {}
+        self._is_sweep_scheduled = False
 
     def send(
         self, runner: Runner, request: OutboundRequest, deadline: float
@@ -118,6 +122,18 @@
         idle.append(_IdleConnection(conn, idle_deadline))
         if len(idle) > MAX_IDLE_CONNECTIONS:
             idle.pop(0).conn.close()
+        self._schedule_sweep()
+
+    def _schedule_sweep(self) -> None:
+        if not self._is_sweep_scheduled:
+            self._is_sweep_scheduled = True
+            get_hub().schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
+
+    def _sweep(self) -> None:
+        self._is_sweep_scheduled = False
+        self.close_expired()
+        if self._idle:
+            self._schedule_sweep()
 
     def close_expired(self) -> None:
         """Close the idle connections that timed out or that the runner closed."""
