Gossip to a few contacts while there is nothing new

Each VM told 8 random peers its figures twice a second, whatever had changed: 16 messages a second and links to nearly all VMs of its domain before any request. A VM without load and news now tells 4 fixed contacts in turns, 2 per round. Load, a change of a report, an outage here or at a peer, and residency of owned runners still go to 8 random peers, and for 2.5 s longer, which is how long peers use load figures.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -1,4 +1,8 @@
-"""Periodic exchange of load figures and status between entry VMs."""
+"""Periodic exchange of load figures and status between entry VMs.
+
+A VM with load, or with news that peers may need, tells ``FANOUT`` peers in each round.
+An idle one tells a few fixed contacts, which is enough to know that it is there.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +12,13 @@
 
 import eventlet
 
-from gooseberryrun._internal.state.serving import Position, Topic
+from gooseberryrun._internal.state.serving import (
+    IDLE_FANOUT,
+    GossipActivity,
+    Position,
+    Topic,
+    idle_contacts,
+)
 
 from .._serving_messages import ResidencyNotice, ServingGossip
 from .._tasks import spawn_until_done
@@ -39,8 +49,10 @@
         self._handle_residency_notice = handle_residency_notice
         self._own_residency = own_residency
         self._rounds = itertools.count()
+        self._turns = itertools.count()
         self._contacts: list[str] = []
         self._contact_rounds = 0
+        self._activity = GossipActivity()
 
     def start(self) -> None:
         """Start the gossip loop in a green thread."""
@@ -49,8 +61,51 @@
     def _run(self) -> None:
         while True:
             eventlet.sleep(INTERVAL_S * random.uniform(0.8, 1.2))
-            gossip = self._make_gossip()
-            self._ctx.peers.send_to_all(self._pick_peers(), gossip)
+            self.send_round()
+
+    def send_round(self) -> None:
+        """Send this VM's figures and reports to the peers of one round."""
+        gossip = self._make_gossip()
+        self._record_activity(gossip)
+        peers = self._pick_peers() if self._is_wide(gossip) else self._pick_contacts()
+        self._ctx.peers.send_to_all(peers, gossip)
+
+    def _record_activity(self, gossip: ServingGossip) -> None:
+        now = self._ctx.clock.monotonic()
+        if gossip.views or not gossip.can_reach_store:
+            self._activity.record_news(now)
+        if not gossip.configuration_version:
+            # All VMs that start read their first configuration, which is no news.
+            return
+        # The end of the registry changes with each heartbeat of a runner, and peers
+        # get it from the readers of their domain.
+        reports = (
+            gossip.can_reach_store,
+            gossip.ends.get(Topic.CONFIGURATION),
+            gossip.configuration_version,
+            gossip.evidence_digest,
+            tuple(sorted((runner, lim) for runner, (_, lim) in gossip.limits.items())),
+            tuple(sorted(gossip.leaving.items())),
+        )
+        self._activity.record_reports(reports, now)
+
+    def _is_wide(self, gossip: ServingGossip) -> bool:
+        """Return whether this round goes to as many peers as under load.
+
+        Rounds with residency always do: a peer that missed a change learns it so.
+        """
+        now = self._ctx.clock.monotonic()
+        return bool(gossip.residency) or self._activity.is_active(now)
+
+    def _pick_contacts(self) -> list[str]:
+        """Return the contacts of an idle VM whose turn it is, and former members."""
+        ctx = self._ctx
+        local = ctx.local_peer_ids()
+        remote = self._remote_contacts(max(REMOTE_FANOUT, FANOUT - len(local)))
+        contacts = idle_contacts(ctx.vm, local, remote)
+        turn = next(self._turns) % max(1, -(-len(contacts) // IDLE_FANOUT))
+        picked = contacts[turn * IDLE_FANOUT : (turn + 1) * IDLE_FANOUT]
+        return list(dict.fromkeys([*picked, *ctx.former_peer_ids()[:FANOUT]]))
 
     def _pick_peers(self) -> set[str]:
         """Return random peers, and former members, which need this VM's store status.
@@ -107,6 +162,9 @@
             gossip.can_reach_store,
             registry_end=gossip.ends.get(Topic.RUNNERS, Position()),
         )
+        if not gossip.can_reach_store:
+            # It may need a peer that renews its lease or has newer records.
+            self._activity.record_news(now)
         ctx.fleet_size.hear(gossip.counted_vms, now)
         for notice in gossip.residency:
             runner = ctx.directory.runner(notice.runner)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -37,6 +37,13 @@
 )
 from ._epochs import Position, combine_generation, generation_number
 from ._fleet_size import FleetSize, estimate_vms
+from ._gossip_fanout import (
+    ACTIVE_HOLD_S,
+    IDLE_CONTACTS,
+    IDLE_FANOUT,
+    GossipActivity,
+    idle_contacts,
+)
 from ._loads import RunnerLoads, RunnerView
 from ._outage_reports import (
     REPORT_TTL_S,
@@ -103,6 +110,11 @@
     "MAX_TURN_WAIT_S",
     "READERS_PER_DOMAIN",
     "RECENT_ANSWER_S",
+    "ACTIVE_HOLD_S",
+    "IDLE_CONTACTS",
+    "IDLE_FANOUT",
+    "GossipActivity",
+    "idle_contacts",
     "REPORT_TTL_S",
     "TAKEOVER_DELAY_S",
     "AdapterSlots",
