Route requests to other failure domains by shares of measured pressure

Cause: a constant decided when a request leaves its failure domain, 0.03 s at a model runner and half of the slots at a plain server. VMs of a domain with 6 runners or more follow only these, and none knows the load of servers elsewhere.

Change: the readers of a domain summarise the pressure of each service, and the existing gossip carries the summaries. Each VM corrects the share of requests that go to each other domain by the gap of the expected waits, and selects requests by a hash of their id. Without recent figures the constants apply as before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -55,6 +55,19 @@
 TURNS = Counter(
     PREFIX + "turns", "Turns asked for at runners with a rate limit", ["outcome"]
 )
+CROSSING_SHARE = Gauge(
+    PREFIX + "crossing_share",
+    "Share of a service's requests that goes to another failure domain",
+    ["service", "domain"],
+)
+CROSSINGS = Counter(
+    PREFIX + "crossings", "Requests selected for another failure domain", ["service"]
+)
+PRESSURE_SECONDS = Gauge(
+    PREFIX + "pressure_seconds",
+    "Expected wait at the own failure domain's servers of a service",
+    ["service"],
+)
 STORE_CALLS = Counter(
     PREFIX + "store_calls", "Calls to the operators' store", ["call", "outcome"]
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -15,6 +15,7 @@
     Turn,
     View,
 )
+from gooseberryrun._internal.state.serving.crossing import PressureSummary
 
 from ._message_base import Message
 
@@ -250,7 +251,8 @@
     each with its age in seconds, ``leaving`` the incarnations of runners that said that
     they leave, by runner. ``configuration_version`` is that of the configuration in
     force, which a restored store may have lost. ``counted_vms`` is the largest number
-    of VMs that the sender has known lately.
+    of VMs that the sender has known lately. ``pressure`` are recent summaries: of all
+    failure domains to a VM of the own one, to others those of the own domain.
     """
 
     vm: str
@@ -263,6 +265,7 @@
     leaving: dict[str, int] = {}
     configuration_version: int = 0
     counted_vms: int = 0
+    pressure: list[PressureSummary] = []
 
 
 class DirectoryRequest(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -4,9 +4,11 @@
 
 import itertools
 import random
+from collections import defaultdict
 from collections.abc import Callable
 
 import eventlet
+import msgspec
 
 from gooseberryrun._internal.state.serving import Position, Topic
 
@@ -14,12 +16,16 @@
 from .._tasks import spawn_until_done
 from ._context import Context, StoreStatus
 from ._fleet_knowledge import count_vms
+from .crossing import Crossing
 
 INTERVAL_S = 0.5
 FANOUT = 8
 """Peers per round; fixed, so that the cost does not grow with the number of VMs."""
 REMOTE_FANOUT = 2
 """Smallest number of peers of other failure domains per round."""
+MIN_LOCAL_FANOUT = 2
+"""Peers of the own failure domain that a reader keeps per round: it tells each other
+domain the pressure of its own."""
 RESIDENCY_ROUNDS = 6
 """Rounds between two repetitions of the owned runners' residency."""
 CONTACT_ROUNDS = 40
@@ -34,13 +40,16 @@
         ctx: Context,
         own_residency: Callable[[], list[ResidencyNotice]],
         handle_residency_notice: Callable[[str, ResidencyNotice], None],
+        crossing: Crossing | None = None,
     ) -> None:
         self._ctx = ctx
+        self._crossing = crossing
         self._handle_residency_notice = handle_residency_notice
         self._own_residency = own_residency
         self._rounds = itertools.count()
         self._contacts: list[str] = []
         self._contact_rounds = 0
+        self._was_reader = False
 
     def start(self) -> None:
         """Start the gossip loop in a green thread."""
@@ -49,8 +58,23 @@
     def _run(self) -> None:
         while True:
             eventlet.sleep(INTERVAL_S * random.uniform(0.8, 1.2))
-            gossip = self._make_gossip()
-            self._ctx.peers.send_to_all(self._pick_peers(), gossip)
+            self._send_round()
+
+    def _send_round(self) -> None:
+        """Send one round; traffic between domains costs, so it carries less there."""
+        peers = self._ctx.peers
+        if self._crossing is not None:
+            self._crossing.step()
+        picked = self._pick_peers()
+        gossip = self._make_gossip()
+        if self._crossing is None or not self._crossing.is_enabled:
+            peers.send_to_all(picked, gossip)
+            return
+        local = picked.intersection(self._ctx.local_peer_ids())
+        own = self._crossing.summaries_for_others()
+        known = self._crossing.summaries_for_domain()
+        peers.send_to_all(local, msgspec.structs.replace(gossip, pressure=known))
+        peers.send_to_all(picked - local, msgspec.structs.replace(gossip, pressure=own))
 
     def _pick_peers(self) -> set[str]:
         """Return random peers, and former members, which need this VM's store status.
@@ -59,7 +83,11 @@
         """
         ctx = self._ctx
         local = ctx.local_peer_ids()
-        picked = set(self._remote_contacts(max(REMOTE_FANOUT, FANOUT - len(local))))
+        remote_count = max(REMOTE_FANOUT, FANOUT - len(local))
+        if self._crossing is not None and self._crossing.is_reader:
+            others = min(len(ctx.remote_views), FANOUT - MIN_LOCAL_FANOUT)
+            remote_count = max(remote_count, others)
+        picked = set(self._remote_contacts(remote_count))
         picked.update(random.sample(local, min(FANOUT - len(picked), len(local))))
         picked.update(ctx.former_peer_ids()[:FANOUT])
         return picked
@@ -72,11 +100,31 @@
         remote = self._ctx.remote_peer_ids()
         self._contact_rounds += 1
         self._contacts = [vm for vm in self._contacts if vm in remote][:count]
+        is_reader = self._crossing is not None and self._crossing.is_reader
         is_due = self._contact_rounds % CONTACT_ROUNDS == 0
+        if is_reader is not self._was_reader:
+            self._was_reader = is_reader
+            is_due = True
         if is_due or len(self._contacts) < min(count, len(remote)):
-            self._contacts = random.sample(remote, min(count, len(remote)))
+            self._contacts = self._choose_contacts(remote, count)
         return self._contacts
 
+    def _choose_contacts(self, remote: list[str], count: int) -> list[str]:
+        """Return random contacts; a reader has them in as many domains as possible.
+
+        Each domain thus gets the summaries of the others.
+        """
+        if not self._was_reader:
+            return random.sample(remote, min(count, len(remote)))
+        members = self._ctx.members()
+        by_domain: defaultdict[str, list[str]] = defaultdict(list)
+        for vm in random.sample(remote, len(remote)):
+            by_domain[members[vm].domain].append(vm)
+        columns = itertools.zip_longest(
+            *random.sample([*by_domain.values()], len(by_domain))
+        )
+        return [vm for column in columns for vm in column if vm][:count]
+
     def _make_gossip(self) -> ServingGossip:
         ctx = self._ctx
         now = ctx.clock.monotonic()
@@ -108,6 +156,8 @@
             registry_end=gossip.ends.get(Topic.RUNNERS, Position()),
         )
         ctx.fleet_size.hear(gossip.counted_vms, now)
+        if self._crossing is not None:
+            self._crossing.receive(gossip.pressure)
         for notice in gossip.residency:
             runner = ctx.directory.runner(notice.runner)
             if runner is None or ctx.follows(runner):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -26,6 +26,7 @@
 from ._runner_choice import RunnerChooser
 from ._stream_relay import StreamProgress, StreamRelay, after_fault
 from ._turns import Turns
+from .crossing import Crossing
 
 MAX_ROUNDS = 6
 """Largest number of rounds for one request; each round chooses a runner."""
@@ -49,6 +50,7 @@
         attempts: Attempts,
         responses: ResponseWriter,
         origins: OriginKeeper,
+        crossing: Crossing,
     ) -> None:
         self._ctx = ctx
         self._guard = guard
@@ -58,7 +60,7 @@
         self._attempts = attempts
         self._responses = responses
         self._availability = availability
-        self._chooser = RunnerChooser(ctx, adapters, turns, availability)
+        self._chooser = RunnerChooser(ctx, adapters, turns, availability, crossing)
         self._relay = StreamRelay(ctx, attempts, responses, self._chooser.stream_pace)
 
     def serve(self, active: ActiveRequest) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -23,6 +23,7 @@
     run_rounds,
 )
 from ._turns import Turns
+from .crossing import Crossing
 
 MAX_SENDS = 5
 """Largest number of sends for one request."""
@@ -42,8 +43,10 @@
         availability: Availability,
         attempts: Attempts,
         responses: ResponseWriter,
+        crossing: Crossing,
     ) -> None:
         self._ctx = ctx
+        self._crossing = crossing
         self._turns = turns
         self._availability = availability
         self._attempts = attempts
@@ -141,12 +144,16 @@
 
     def _choose(self, active: ActiveRequest, now: float) -> Runner | None:
         ctx = self._ctx
+        departure = self._crossing.select(active)
         candidates = [
             Candidate(
                 runner,
                 ctx.loads.total(runner.id, now),
                 self._is_local(runner),
                 turn_wait_s=self._turns.expected_wait_s(runner, now),
+                crossing_cost=self._crossing.plain_cost(
+                    active, departure, runner.domain
+                ),
             )
             for runner in ctx.directory.runners(active.service, now)
             if self._availability.may_serve(active, runner, now)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import dataclasses
+from dataclasses import dataclass
+
 from gooseberryrun._internal.state import rank_nodes
 from gooseberryrun._internal.state.serving import (
     Candidate,
     Choice,
     Handling,
+    PrefillLoad,
     Runner,
     StreamPace,
     Verdict,
@@ -18,6 +22,7 @@
 from ._availability import Availability
 from ._context import Context
 from ._turns import Turns
+from .crossing import Crossing, Departure
 
 HOME_RUNNERS = 2
 """Runners of an adapter's home domain that are candidates in all other domains."""
@@ -25,6 +30,14 @@
 """Requests by which a runner has to be the busiest to be spared suspect requests."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Eligible:
+    """Runners that may be chosen; ``is_partial`` if other domains are not followed."""
+
+    runners: list[Runner]
+    is_partial: bool
+
+
 class RunnerChooser:
     """Collects the runners that could serve a request, and chooses one."""
 
@@ -34,11 +47,13 @@
         adapters: Adapters,
         turns: Turns,
         availability: Availability,
+        crossing: Crossing,
     ) -> None:
         self._ctx = ctx
         self._adapters = adapters
         self._turns = turns
         self._availability = availability
+        self._crossing = crossing
         self.stream_pace = StreamPace()
 
     def wanted_version(self, active: ActiveRequest) -> int:
@@ -53,13 +68,21 @@
         """Return the best runner that was not tried yet, None if there is none."""
         adapter = active.adapter_key
         eligible = self._eligible(active, adapter, now)
+        departure = None
+        if verdict.handling is Handling.FREE and eligible.is_partial:
+            departure = self._crossing.select(active)
+        runners = eligible.runners
+        if departure is not None:
+            runners = runners + self._homes_in(departure.domain, active, runners)
         if verdict.handling is Handling.CONFINED:
             confined_to = self.confined_runner(active, verdict, now)
-            eligible = [confined_to] if confined_to else []
+            runners = [confined_to] if confined_to else []
         candidates = []
-        for runner in eligible:
+        for runner in runners:
             if self._may_serve(active, runner, now):
                 candidates.append(self._candidate(active, runner, adapter, now))
+        if departure is not None:
+            candidates = _with_departure(candidates, departure)
         tokens = active.metadata.prompt_tokens
         return choose_model_runner(candidates, adapter, tokens, self._ctx.policy)
 
@@ -95,9 +118,7 @@
             return False
         return any(model.name == active.metadata.model for model in runner.models)
 
-    def _eligible(
-        self, active: ActiveRequest, adapter: str, now: float
-    ) -> list[Runner]:
+    def _eligible(self, active: ActiveRequest, adapter: str, now: float) -> _Eligible:
         """Return the runners that this VM follows, and an adapter's home runners.
 
         All domains agree on the home runners, so that loads of a rare adapter are
@@ -106,13 +127,29 @@
         runners = self._ctx.directory.runners(active.service, now)
         found = [runner for runner in runners if self._ctx.follows(runner)]
         if len(found) == len(runners):
-            return found
+            return _Eligible(found, is_partial=False)
         by_domain = self._ctx.directory.runners_by_domain(active.service)
         home = by_domain[rank_nodes(adapter, by_domain)[0]]
         ranking = rank_nodes(adapter, [runner.id for runner in home])
         homes = set(ranking[:HOME_RUNNERS])
         known = {runner.id for runner in found}
-        return found + [r for r in home if r.id in homes and r.id not in known]
+        added = [r for r in home if r.id in homes and r.id not in known]
+        return _Eligible(found + added, is_partial=True)
+
+    def _homes_in(
+        self, domain: str, active: ActiveRequest, known: list[Runner]
+    ) -> list[Runner]:
+        """Return the runners of a domain that are the likeliest to hold an adapter.
+
+        A request without an adapter has none: its id spreads such requests.
+        """
+        by_domain = self._ctx.directory.runners_by_domain(active.service)
+        runners = {runner.id: runner for runner in by_domain.get(domain, [])}
+        metadata = active.metadata
+        key = active.adapter_key if metadata.adapter else metadata.request_id
+        listed = {runner.id for runner in known}
+        homes = rank_nodes(key, runners)[:HOME_RUNNERS]
+        return [runners[home] for home in homes if home not in listed]
 
     def _candidate(
         self, active: ActiveRequest, runner: Runner, adapter: str, now: float
@@ -149,3 +186,28 @@
     def _max_pause_s(self, active: ActiveRequest) -> float:
         table = self._ctx.directory.table
         return table.max_pause_s(active.service) if table else 0.0
+
+
+def _with_departure(
+    candidates: list[Candidate], departure: Departure
+) -> list[Candidate]:
+    """Return the candidates with what is known of the domain that a request leaves for.
+
+    A runner there without a recent answer of its owner is expected to be as busy as its
+    domain, and to hold an adapter that the own domain holds: that is a popular one.
+    """
+    is_popular = any(c.has_adapter and c.is_local for c in candidates)
+    found = []
+    for candidate in candidates:
+        if candidate.runner.domain != departure.domain:
+            found.append(candidate)
+            continue
+        changed = dataclasses.replace(candidate, crossing_cost=departure.price_s)
+        if candidate.prefill == PrefillLoad():
+            changed = dataclasses.replace(
+                changed,
+                prefill=PrefillLoad(running_s=departure.wait_s),
+                held_recently=is_popular or candidate.held_recently,
+            )
+        found.append(changed)
+    return found
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -46,6 +46,7 @@
 from ._statements import record_gossip
 from ._sweep import Sweep
 from ._turns import Turns
+from .crossing import Crossing
 
 
 class Serving:
@@ -67,8 +68,12 @@
         self._origins = OriginKeeper(ctx, registry)
         adapters = Adapters(ctx, self.owned_runners, self.membership)
         self._adapters = adapters
+        crossing = Crossing(ctx, adapters, self._turns)
         self._gossip = Gossip(
-            ctx, self.owned_runners.residency, adapters.handle_residency_notice
+            ctx,
+            self.owned_runners.residency,
+            adapters.handle_residency_notice,
+            crossing,
         )
         self.owned_runners.residency_listener = adapters.handle_residency_notice
         self.gateway = Gateway(
@@ -76,7 +81,9 @@
             self.guard,
             attempts,
             responses,
-            PlainRequests(ctx, self._turns, availability, attempts, responses),
+            PlainRequests(
+                ctx, self._turns, availability, attempts, responses, crossing
+            ),
             ModelRequests(
                 ctx,
                 self.guard,
@@ -86,6 +93,7 @@
                 attempts,
                 responses,
                 self._origins,
+                crossing,
             ),
         )
         self.membership.on_change = self.owned_runners.refresh
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -51,6 +51,17 @@
     window_s: float = Field(default=10.0, gt=0)
 
 
+class CrossingSettings(Section):
+    """Requests that go to another failure domain because the own one is too full."""
+
+    is_enabled: bool = True
+    byte_cost_s: float = Field(default=7e-6, ge=0, le=1e-3)
+    """Wait in seconds that is accepted to save a byte between failure domains; with
+    the usual 4,000 bytes of a request and its response, 0.03 s for a crossing."""
+    max_share: float = Field(default=0.6, ge=0, le=1)
+    """Largest share of a service's requests that go to all other domains together."""
+
+
 class GracefulStopSettings(Section):
     """Graceful shutdown."""
 
@@ -64,4 +75,5 @@
     store: StoreSettings
     membership: MembershipSettings = MembershipSettings()
     repeats: RetrySettings = RetrySettings()
+    crossing: CrossingSettings = CrossingSettings()
     stop: GracefulStopSettings = GracefulStopSettings()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
@@ -135,6 +135,11 @@
                 return
             self._remove_peer(peer)
 
+    def known_peers(self, now: float) -> set[str]:
+        """Return the peers with recent figures."""
+        self._expire_peers(now)
+        return set(self._peers)
+
     def own_views(self, now: float) -> dict[str, RunnerView]:
         """Return this VM's figures, without runners that have nothing to report."""
         views = {}
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -21,6 +21,8 @@
 TURN_COST_PER_S = 10.0
 """Cost of a wait for a turn at a plain server, in fillings of its slots: about the
 requests that a slot serves in a second."""
+PLAIN_REMOTE_COST = 0.5
+"""Cost of a plain server in another domain without figures of it, in fillings."""
 RESULT_PRIOR = 2
 """Successes assumed for every runner, so that few results do not decide."""
 
@@ -34,7 +36,9 @@
     ``needs_grant`` is set if the prompt is so long that it waits for those before it,
     ``breaks_streams`` if it makes running streams pause for too long; ``stream_s`` is
     the expected time from the request's first to its last event. ``turn_wait_s`` is the
-    expected wait for a turn at a runner that limits its requests.
+    expected wait for a turn at a runner that limits its requests. ``crossing_cost`` is
+    the cost of a runner in another domain, in seconds or, for a plain server, fillings;
+    None: a constant.
     """
 
     runner: Runner
@@ -52,6 +56,7 @@
     breaks_streams: bool = False
     stream_s: float = 0.0
     turn_wait_s: float = 0.0
+    crossing_cost: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,7 +145,14 @@
 def _runner_cost_s(candidate: Candidate, policy: ServingPolicy) -> float:
     """Return the cost of a runner that fails or is far away."""
     cost_s = policy.failure_cost_s * failure_rate(candidate.view) ** 2
-    return cost_s + (0.0 if candidate.is_local else policy.remote_cost_s)
+    return cost_s + _crossing_cost(candidate, policy.remote_cost_s)
+
+
+def _crossing_cost(candidate: Candidate, default: float) -> float:
+    """Return the cost of another domain, ``default`` without figures of it."""
+    if candidate.is_local:
+        return 0.0
+    return default if candidate.crossing_cost is None else candidate.crossing_cost
 
 
 def _load_cost_s(
@@ -155,14 +167,14 @@
 def choose_plain_server(candidates: list[Candidate], request_id: str) -> Choice | None:
     """Return the server that responds first.
 
-    One in another domain costs half its slots.
+    One in another domain costs half its slots if there are no figures of it.
     """
     best: tuple[float, int, Choice] | None = None
     ranking = rank_nodes(request_id, [c.runner.id for c in candidates])
     for candidate in candidates:
         fill = candidate.view.in_flight / max(1, candidate.runner.slots)
         cost = fill * candidate.view.slowness + 4 * failure_rate(candidate.view) ** 2
-        cost += 0.0 if candidate.is_local else 0.5
+        cost += _crossing_cost(candidate, PLAIN_REMOTE_COST)
         cost += TURN_COST_PER_S * candidate.turn_wait_s
         rank = ranking.index(candidate.runner.id)
         if best is None or (cost, rank) < best[:2]:
