Order pressure summaries by the clock of their maker

Cause: the age of a summary does not count its time on the way. One that VMs pass back and forth looked newer with each hop, and a VM that was suspended read frames of before with the ages of then, which kept newer figures out.

Change: a summary names its maker and the time on that VM's clock; those of one maker are compared by it. Figures that are not finite are ignored.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_crossing.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_crossing.py
@@ -6,7 +6,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from gooseberryrun._internal.state.serving import READERS_PER_DOMAIN, Service
+from gooseberryrun._internal.state.serving import (
+    READERS_PER_DOMAIN,
+    Service,
+    follows_all_domains,
+)
 from gooseberryrun._internal.state.serving.crossing import (
     ClassMix,
     CrossingPrice,
@@ -76,9 +80,10 @@
         if self._is_reader:
             for summary in self._builder.build(services, now):
                 self._table.update(summary, now)
-        for service in services:
+        crossing = [service for service in services if self._uses_shares(service)]
+        for service in crossing:
             self._step_service(service.name, now)
-        gone = self._controllers.keys() - {service.name for service in services}
+        gone = self._controllers.keys() - {service.name for service in crossing}
         for name in gone:
             del self._controllers[name]
 
@@ -90,6 +95,12 @@
         by_domain = self._ctx.directory.runners_by_domain
         return [s for s in table.services.values() if len(by_domain(s.name)) > 1]
 
+    def _uses_shares(self, service: Service) -> bool:
+        """Return whether requests follow shares: not if all runners are followed."""
+        domain = self._ctx.cfg.vm.domain
+        local = self._ctx.directory.local_runner_count(service.name, domain)
+        return service.engine is None or not follows_all_domains(local)
+
     def _step_service(self, service: str, now: float) -> None:
         domain = self._ctx.cfg.vm.domain
         own = self._table.find(service, domain, now)
@@ -168,7 +179,7 @@
             return None
         now = self._ctx.clock.monotonic()
         summary = self._table.find(active.service, domain, now)
-        if summary is None or not summary.servers:
+        if summary is None or not summary.capacity:
             return None
         log_event(
             "crossing_selected",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_summaries.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_summaries.py
@@ -64,7 +64,8 @@
         else:
             loads = [self._model_load(*pair, coverage, now) for pair in usable]
             found = summarise(domain, service.name, loads)
-        return _scale(found, len(known) / len(sample)) if sample else found
+        made = msgspec.structs.replace(found, maker=ctx.vm, made_at=now)
+        return _scale(made, len(known) / len(sample)) if sample else made
 
     def _summarise_plain(
         self, service: str, usable: list[tuple[Runner, RunnerView]], coverage: float
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/crossing/_pressure.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/crossing/_pressure.py
@@ -19,6 +19,9 @@
 
 MAX_AGE_S = 1.5
 """Age up to which a summary is used and passed on."""
+MAKER_TTL_S = 5.0
+"""Time for which the clock of a summary's maker is remembered; after a restart of the
+VM it begins anew."""
 DEFAULT_WORK_S = 0.05
 """Work per plain request that is assumed while too few results are known."""
 MIN_RESULTS = 6
@@ -36,7 +39,8 @@
 
     ``capacity`` and ``running`` count slots, ``waiting`` requests beyond them or in
     owners' queues. ``wait_s`` is the expected wait of a request that arrives now, its
-    own work excluded. ``age_s`` is the time since the figures were collected.
+    own work excluded. ``age_s`` is the time since the figures were collected. ``maker``
+    is the VM that made the summary, at ``made_at`` seconds on its own clock.
     """
 
     domain: str
@@ -47,6 +51,15 @@
     waiting: float
     wait_s: float
     age_s: float = 0.0
+    maker: str = ""
+    made_at: float = 0.0
+
+    @property
+    def is_valid(self) -> bool:
+        """Return whether the figures can be used."""
+        figures = (self.running, self.waiting, self.wait_s)
+        is_finite = all(0.0 <= figure < math.inf for figure in figures)
+        return is_finite and 0.0 <= self.age_s <= MAX_AGE_S and self.capacity >= 0
 
     @property
     def idle(self) -> float:
@@ -176,15 +189,27 @@
 
     def __init__(self) -> None:
         self._newest: dict[tuple[str, str], tuple[float, PressureSummary]] = {}
+        self._made: dict[tuple[str, str, str], tuple[float, float]] = {}
 
     def update(self, summary: PressureSummary, now: float) -> bool:
-        """Store a summary unless a newer one is known or it is too old to be used."""
-        if not 0.0 <= summary.age_s <= MAX_AGE_S:
+        """Store a summary unless a newer one is known or it is too old to be used.
+
+        Ages do not count the time on the way, which is long if this VM was suspended.
+        Summaries of one VM are therefore compared by its own clock: one that comes back
+        by another way does not look newer than it is.
+        """
+        if not summary.is_valid:
             return False
         key = (summary.service, summary.domain)
+        maker_key = (*key, summary.maker)
+        made_at, _ = self._made.get(maker_key, (-math.inf, 0.0))
+        if summary.made_at <= made_at:
+            return False
         measured_at = now - summary.age_s
+        self._made[maker_key] = (summary.made_at, now)
         known = self._newest.get(key)
-        if known is not None and known[0] >= measured_at:
+        is_successor = known is not None and known[1].maker == summary.maker
+        if known is not None and known[0] >= measured_at and not is_successor:
             return False
         self._newest[key] = (measured_at, summary)
         return True
@@ -203,6 +228,11 @@
             for key, known in self._newest.items()
             if now - known[0] <= MAX_AGE_S
         }
+        self._made = {
+            key: made
+            for key, made in self._made.items()
+            if now - made[1] <= MAKER_TTL_S
+        }
         return [
             msgspec.structs.replace(summary, age_s=round(now - at, 3))
             for at, summary in self._newest.values()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/crossing/_share.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/crossing/_share.py
@@ -107,9 +107,9 @@
         A domain without a recent summary or without servers gets nothing, nor does any
         if there is no recent summary of the own domain.
         """
-        known = {other.domain: other for other in others if other.servers > 0}
+        known = {other.domain: other for other in others if other.capacity > 0}
         shares: dict[str, float] = {}
-        if own is not None and own.servers > 0:
+        if own is not None and own.capacity > 0:
             kept = max(0.05, 1.0 - sum(self._shares.values()))
             for domain, other in known.items():
                 share = self._corrected(own, other, kept, price_s, limits.target_s)
--- a/tests/lib/crossing_replay.py
+++ b/tests/lib/crossing_replay.py
@@ -354,7 +354,8 @@
             PlainLoad(runner.slots, smoothed[runner.id], view.ok)
             for runner, view in loads.items()
         ]
-        return summarise_plain(vm.domain, SERVICE, servers, (1 + heard) / len(vms))
+        found = summarise_plain(vm.domain, SERVICE, servers, (1 + heard) / len(vms))
+        return msgspec.structs.replace(found, maker=vm.name, made_at=now)
 
 
 def _runner(name: str, domain: str, slots: int) -> Runner:
--- a/tests/unit/serving/test_crossing_shares.py
+++ b/tests/unit/serving/test_crossing_shares.py
@@ -5,7 +5,6 @@
 import dataclasses
 import math
 
-import msgspec
 import pytest
 from gooseberryrun._internal.state.serving import (
     Candidate,
@@ -94,7 +93,7 @@
 
 def test_domain_without_servers_gets_nothing() -> None:
     controller = ShareController()
-    gone = msgspec.structs.replace(make_summary("b", 0.0), servers=0)
+    gone = make_summary("b", 0.0, demand=0.0, capacity=0)
     assert step_often(controller, make_summary("a", 0.5), gone) == 0.0
 
 
@@ -226,14 +225,18 @@
     assert counts.update({"y": 4}) == {"y": 4.0}
 
 
+def make_figure(
+    domain: str, wait_s: float, maker: str, made_at: float, age_s: float = 0.0
+) -> PressureSummary:
+    return PressureSummary(domain, "s", 1, 6, 1.0, 0.0, wait_s, age_s, maker, made_at)
+
+
 def test_table_keeps_the_newest_figure_of_each_domain() -> None:
     """Summaries of three readers arrive by several ways, in any order."""
     table = PressureTable()
-    assert table.update(make_summary("a", 0.2, age_s=0.1), 10.0)
-    assert not table.update(make_summary("a", 0.9, age_s=0.5), 10.1)
-    assert not table.update(make_summary("a", 0.9, age_s=-3.0), 10.1)
-    assert not table.update(make_summary("a", 0.9, age_s=math.nan), 10.1)
-    assert table.update(make_summary("b", 0.3, age_s=0.0), 10.2)
+    assert table.update(make_figure("a", 0.2, "v1", 70.0, age_s=0.1), 10.0)
+    assert not table.update(make_figure("a", 0.9, "v2", 3.0, age_s=0.5), 10.1)
+    assert table.update(make_figure("b", 0.3, "v3", 3.0), 10.2)
     found = table.find("s", "a", 10.4)
     assert found is not None
     assert found.wait_s == 0.2
@@ -243,6 +246,40 @@
     assert [s.domain for s in table.recent(11.6)] == ["b"]
 
 
+def test_figure_passed_back_and_forth_does_not_look_newer() -> None:
+    """Each hop takes time that the age does not count, so a figure never expired."""
+    table = PressureTable()
+    assert table.update(make_figure("a", 0.2, "v1", 70.0, age_s=0.1), 10.0)
+    assert not table.update(make_figure("a", 0.2, "v1", 70.0, age_s=0.3), 10.9)
+    assert table.find("s", "a", 11.5) is None
+
+
+def test_figures_received_after_a_suspension_are_replaced() -> None:
+    """A resumed VM reads frames of before it was suspended, with the ages of then."""
+    table = PressureTable()
+    assert table.update(make_figure("a", 0.0, "v1", 70.0, age_s=0.1), 20.0)
+    assert table.update(make_figure("a", 0.5, "v1", 79.0, age_s=0.4), 20.0)
+    found = table.find("s", "a", 20.0)
+    assert found is not None
+    assert found.wait_s == 0.5
+
+
+def test_clock_of_a_restarted_vm_may_begin_anew() -> None:
+    table = PressureTable()
+    assert table.update(make_figure("a", 0.2, "v1", 70.0), 10.0)
+    assert not table.update(make_figure("a", 0.3, "v1", 1.0), 11.0)
+    table.recent(16.0)
+    assert table.update(make_figure("a", 0.3, "v1", 6.0), 16.0)
+
+
+@pytest.mark.parametrize("wrong", [math.nan, math.inf, -1.0])
+def test_figures_that_cannot_be_used_are_ignored(wrong: float) -> None:
+    table = PressureTable()
+    assert not table.update(make_figure("a", wrong, "v1", 1.0), 10.0)
+    assert not table.update(make_figure("a", 0.1, "v1", 1.0, age_s=wrong), 10.0)
+    assert table.recent(10.0) == []
+
+
 def make_candidate(
     runner: str, domain: str, in_flight: int, cost: float | None = None
 ) -> Candidate:
