Decide about slots of plain servers in a fair, bounded queue

The new package holds the decisions, without I/O: start-time fair queueing over accounts within each priority, a queue of one server's slots in which claims wait at most until they would be late, the spaced times for those that are refused, and the search of one request among several servers.

--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/__init__.py
@@ -0,0 +1,25 @@
+"""Fair admission of requests where they queue for shared capacity."""
+
+from ._fair_order import Claim, FairShares, Rank, choose_displaced
+from ._slot_claims import SlotChanges, SlotClaim, SlotDecision, SlotOutcome
+from ._slot_queue import LATE_WAIT_SHARE, SlotQueue
+from ._slot_search import MAX_ASKS, SlotHold, SlotSearch, due_in_s
+from ._slot_waits import ExpectedSlotWaits
+
+__all__ = [
+    "Claim",
+    "ExpectedSlotWaits",
+    "FairShares",
+    "LATE_WAIT_SHARE",
+    "MAX_ASKS",
+    "Rank",
+    "SlotChanges",
+    "SlotClaim",
+    "SlotDecision",
+    "SlotHold",
+    "SlotOutcome",
+    "SlotQueue",
+    "SlotSearch",
+    "choose_displaced",
+    "due_in_s",
+]
