Grant slots of plain servers at the VM that they are assigned to

A request to a plain server asks the VM to which the server is assigned for a slot, waits there in the fair queue if none is free, and returns the slot once the response is read. While that VM does not answer within 0.1 s a deputy is asked, then the VM's own count applies as before. A request first looks for a server without a wait, then waits at the one with the shortest; it asks 5 times at most.

It is on where the configuration has accounts, or with plain_slots in the new section [admission] of the settings. Where it is off, no message, timer or log line is added.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -55,6 +55,16 @@
 TURNS = Counter(
     PREFIX + "turns", "Turns asked for at runners with a rate limit", ["outcome"]
 )
+SLOT_WAITS = Histogram(
+    PREFIX + "slot_waits_seconds",
+    "Time from the request for a slot of a plain server to the decision",
+    buckets=_SECONDS,
+)
+SLOT_DECISIONS = Counter(
+    PREFIX + "slot_decisions",
+    "Requests for slots of plain servers, by outcome",
+    ["outcome"],
+)
 STORE_CALLS = Counter(
     PREFIX + "store_calls", "Calls to the operators' store", ["call", "outcome"]
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -19,6 +19,7 @@
     adapter_key,
 )
 from gooseberryrun._internal.state.serving.accounts import ClientAccount
+from gooseberryrun._internal.state.serving.admission import SlotSearch
 
 from ._request_ports import Caller, InboundRequest, RequestMetadata
 
@@ -38,6 +39,7 @@
     begun, it goes on only at runners of ``required_software``. ``is_in_flight`` is set
     from the send of an attempt until the head of its response or its failure.
     ``account`` is the client account that sent it, None without a key or accounts.
+    ``slots`` is its search for a slot where plain servers' slots are granted.
     """
 
     request: InboundRequest
@@ -65,6 +67,7 @@
     required_software: str | None = None
     is_in_flight: bool = False
     account: ClientAccount | None = None
+    slots: SlotSearch | None = None
 
     @property
     def adapter_key(self) -> str:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -23,6 +23,7 @@
     run_rounds,
 )
 from ._turns import Turns
+from .admission import MAX_ASKS, PlainSlots
 
 MAX_SENDS = 5
 """Largest number of sends for one request."""
@@ -39,12 +40,14 @@
         self,
         ctx: Context,
         turns: Turns,
+        slots: PlainSlots,
         availability: Availability,
         attempts: Attempts,
         responses: ResponseWriter,
     ) -> None:
         self._ctx = ctx
         self._turns = turns
+        self._slots = slots
         self._availability = availability
         self._attempts = attempts
         self._responses = responses
@@ -53,8 +56,9 @@
         """Serve a request and respond to its caller."""
         if active.route.kind is RouteKind.UNSAFE:
             active.caller.continue_after_disconnect()
+        rounds = MAX_SENDS + (MAX_ASKS if self._slots.is_enabled() else 0)
         outcome = run_rounds(
-            active, MAX_SENDS, FULL_RETRY_S, lambda: self._try_once(active)
+            active, rounds, FULL_RETRY_S, lambda: self._try_once(active)
         )
         if isinstance(outcome, LocalResponse):
             self._responses.send_local(active, outcome)
@@ -64,12 +68,25 @@
         now = self._ctx.clock.monotonic()
         if now >= active.deadline:
             return failure_response(active, "deadline")
-        runner = self._choose(active, now)
+        is_spent = active.sends >= MAX_SENDS or self._slots.is_spent(active)
+        runner = None if is_spent else self._choose(active, now)
         if runner is None:
-            return self._availability.refusal(active, "no_server", FULL_RETRY_S, now)
+            refusal = self._slots.refusal(active)
+            return refusal or self._availability.refusal(
+                active, "no_server", FULL_RETRY_S, now
+            )
         if not self._turns.wait_for(active, runner):
             active.ungranted.add(runner.id)
             return Round.AGAIN
+        if not self._slots.take(active, runner):
+            return Round.AGAIN
+        try:
+            return self._attempt(active, runner)
+        finally:
+            self._slots.give_back(active, is_answered=False)
+
+    def _attempt(self, active: ActiveRequest, runner: Runner) -> LocalResponse | Round:
+        """Make one attempt at a server unless it became unavailable meanwhile."""
         now = self._ctx.clock.monotonic()
         if not self._availability.may_send(runner, now):
             return Round.AGAIN
@@ -101,6 +118,7 @@
         self, active: ActiveRequest, runner: Runner, response: RunnerResponse
     ) -> LocalResponse | Round:
         body = response.read_all(active.deadline)
+        self._slots.give_back(active, is_answered=not isinstance(body, Err))
         if isinstance(body, Err):
             self._attempts.record_invalid_response(active, runner, body.err_value)
             return self._after_fault(active, body.err_value.failure)
@@ -146,7 +164,10 @@
                 runner,
                 ctx.loads.total(runner.id, now),
                 self._is_local(runner),
-                turn_wait_s=self._turns.expected_wait_s(runner, now),
+                turn_wait_s=max(
+                    self._turns.expected_wait_s(runner, now),
+                    self._slots.expected_wait_s(active, runner),
+                ),
             )
             for runner in ctx.directory.runners(active.service, now)
             if self._availability.may_serve(active, runner, now)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -21,6 +21,9 @@
     RenewRequest,
     ResidencyNotice,
     ServingGossip,
+    SlotNotice,
+    SlotRelease,
+    SlotRequest,
     StoreStatusAnswer,
     StoreStatusRequest,
     TurnRequest,
@@ -46,6 +49,7 @@
 from ._statements import record_gossip
 from ._sweep import Sweep
 from ._turns import Turns
+from .admission import PlainSlots
 
 
 class Serving:
@@ -60,6 +64,7 @@
         self.owned_runners = OwnedRunners(ctx)
         self.guard = CrashGuard(ctx)
         self._turns = Turns(ctx)
+        self._slots = PlainSlots(ctx)
         availability = Availability(ctx, self._turns)
         attempts = Attempts(ctx, self.guard)
         responses = ResponseWriter(ctx)
@@ -76,7 +81,9 @@
             self.guard,
             attempts,
             responses,
-            PlainRequests(ctx, self._turns, availability, attempts, responses),
+            PlainRequests(
+                ctx, self._turns, self._slots, availability, attempts, responses
+            ),
             ModelRequests(
                 ctx,
                 self.guard,
@@ -124,6 +131,7 @@
             return
         self._is_released = True
         self.owned_runners.close()
+        self._slots.granter.close()
         self.remote_domains.close()
         self.membership.leave()
 
@@ -153,6 +161,9 @@
             RenewRequest: self.membership.renewals.handle_request,
             ResidencyNotice: _by_sender(self._adapters.handle_residency_notice),
             ServingGossip: self._handle_gossip,
+            SlotNotice: lambda _, notice: self._slots.handle_slot_notice(notice),
+            SlotRelease: _by_sender(self._slots.granter.handle_slot_release),
+            SlotRequest: self._slots.granter.handle_slot_request,
             StoreStatusAnswer: self.membership.extension.handle_answer,
             StoreStatusRequest: self.membership.extension.handle_request,
             TurnRequest: self._turns.handle_turn_request,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -51,6 +51,14 @@
     window_s: float = Field(default=10.0, gt=0)
 
 
+class AdmissionSettings(Section):
+    """Fair admission where requests queue."""
+
+    plain_slots: bool = False
+    """Whether one VM grants the slots of each plain server to the requests of all; also
+    on where the configuration has accounts."""
+
+
 class GracefulStopSettings(Section):
     """Graceful shutdown."""
 
@@ -64,4 +72,5 @@
     store: StoreSettings
     membership: MembershipSettings = MembershipSettings()
     repeats: RetrySettings = RetrySettings()
+    admission: AdmissionSettings = AdmissionSettings()
     stop: GracefulStopSettings = GracefulStopSettings()
