--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -34,7 +34,9 @@
     request runs, and no response comes).
 
     A prompt takes ``prompt_token_s`` a token before the first event; ``most_reading``
-    is the largest number of prompts that were being read at the same time.
+    is the largest number of prompts that were being read at the same time. A plain
+    request takes ``work_s``; ``most_working`` is the largest number of those that ran
+    at the same time.
 
     A prompt with one of ``deadly_parts`` crashes the server once the head of its
     response is sent: all connections close, and the server is back, empty and as
@@ -71,6 +73,9 @@
     refused_at: list[float] = field(default_factory=list)
     reading: int = 0
     most_reading: int = 0
+    work_s: float = 0.0
+    working: int = 0
+    most_working: int = 0
     adapters: dict[str, int] = field(default_factory=dict)
     coming: dict[str, tuple[float, int]] = field(default_factory=dict)
     seq: int = 0
@@ -199,6 +204,15 @@
         with self.lock:
             self.reading -= 1
 
+    def work(self) -> None:
+        """Take the time of a plain request."""
+        with self.lock:
+            self.working += 1
+            self.most_working = max(self.most_working, self.working)
+        time.sleep(self.work_s)
+        with self.lock:
+            self.working -= 1
+
     def take_fault(self) -> str:
         """Use up one count of the fault; return its name, or an empty string."""
         with self.lock:
@@ -349,6 +363,7 @@
                     "X-Gooseberryrun-Request-Id: other\r\nContent-Length: 1\r\n"
                 )
                 self.wfile.write(f"HTTP/1.1 200 OK\r\n{stray_headers}\r\nx".encode())
+            self.runner.work()
             body = f"body of {self.path}".encode()
             if fault == "unframed":
                 head = f"HTTP/1.1 200 OK\r\n{self._identity_headers()}\r\n"
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -120,7 +120,9 @@
 class EntryVm:
     """Process of an entry VM, with its addresses and log file."""
 
-    def __init__(self, name: str, store_port: int, folder: Path) -> None:
+    def __init__(
+        self, name: str, store_port: int, folder: Path, more_settings: str = ""
+    ) -> None:
         self.name = name
         self.port = free_port()
         self.ready_port = free_port()
@@ -148,6 +150,7 @@
 outside_s = 2.4
 [repeats]
 window_s = {RETRY_WINDOW_S}
+{more_settings}
 """,
             encoding="utf-8",
         )
@@ -219,7 +222,12 @@
     """A fake store, model runners (default two), two plain servers and entry VMs."""
 
     def __init__(
-        self, folder: Path, vms: int = 1, configured: bool = True, models: int = 2
+        self,
+        folder: Path,
+        vms: int = 1,
+        configured: bool = True,
+        models: int = 2,
+        more_settings: str = "",
     ) -> None:
         self.store = PlatformStore()
         self._store_server = serve_store(self.store)
@@ -234,7 +242,10 @@
         if configured:
             self.store.put("keyed.op", "config", make_config())
         port = self._store_server.server_address[1]
-        self.vms = [EntryVm(f"vm-{number}", port, folder) for number in range(vms)]
+        self.vms = [
+            EntryVm(f"vm-{number}", port, folder, more_settings)
+            for number in range(vms)
+        ]
         if configured:
             self._wait_until_ready()
 
