--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -62,6 +62,14 @@
     """Largest share of a service's requests that go to all other domains together."""
 
 
+class AdmissionSettings(Section):
+    """Fair admission where requests queue."""
+
+    plain_slots: bool = False
+    """Whether one VM grants the slots of each plain server to the requests of all; also
+    on where the configuration has accounts."""
+
+
 class GracefulStopSettings(Section):
     """Graceful shutdown."""
 
@@ -76,4 +84,5 @@
     membership: MembershipSettings = MembershipSettings()
     repeats: RetrySettings = RetrySettings()
     crossing: CrossingSettings = CrossingSettings()
+    admission: AdmissionSettings = AdmissionSettings()
     stop: GracefulStopSettings = GracefulStopSettings()
--- a/tests/unit/serving/test_crossing.py
+++ b/tests/unit/serving/test_crossing.py
@@ -71,6 +71,8 @@
 ) -> None:
     """Traffic between domains is billed: only readers tell, and only their own."""
     fleet = CrossingFleet((1,) * domains, 1, vms)
+    for ctx in fleet.contexts.values():
+        ctx.loads.begin(fleet.servers[0].id, 0)
     fleet.gossip(4)
     assert Counter(sender for sender, _, _ in fleet.sent) == dict.fromkeys(
         fleet.vms, min(FANOUT, vms - 1)
