--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -113,12 +113,10 @@
     def _is_wide(self, gossip: ServingGossip) -> bool:
         """Return whether this round goes to as many peers as under load.
 
-        Rounds with residency always do: a peer that missed a change learns it so. So do
-        those of a VM that tells other domains the pressure of its own.
+        Rounds with residency always do: a peer that missed a change learns it so.
         """
         now = self._ctx.clock.monotonic()
-        tells_pressure = self._crossing is not None and self._crossing.is_reader
-        return bool(gossip.residency) or tells_pressure or self._activity.is_active(now)
+        return bool(gossip.residency) or self._activity.is_active(now)
 
     def _pick_contacts(self) -> set[str]:
         """Return the contacts of an idle VM whose turn it is, and former members."""
