Bound what slow readers cost, and keep to a runner's memory

A caller that read nothing held a body, a server's slot and up to 4 MB of the system's buffers, and a body for a slow runner was copied and kept after its request had ended. Answers and bodies are now sent without a copy and count as buffered, callers that do not read are ended by a deadline or as the longest waiting ones, a plain server is free once its answer has been read, and a stream that breaks off for its caller is not blamed on the runner. A runner's kv_total limits the tokens that all VMs send it.

--- a/fakes/src/gooseberry_fakes/platform_runner.py
+++ b/fakes/src/gooseberry_fakes/platform_runner.py
@@ -8,7 +8,7 @@
 import struct
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
@@ -45,6 +45,13 @@
     ``arrivals`` are the times of all requests, those that are turned away included;
     ``refused_at`` are the times of refusals that ask for a pause.
 
+    Plain responses have ``body_bytes`` more bytes, and each event ``event_bytes`` more.
+    A response that stays unread for ``unread_timeout_s`` is reset and its id added to
+    ``unread``; bodies of requests are read only after ``read_delay_s``.
+
+    ``kv_total`` tokens of requests fit its memory, as it reports; ``most_kv_held`` is
+    the largest number that it held at once.
+
     ``ran`` are the ids of the requests that ran, ``resumed`` the last event ids of
     resumed streams, ``abandoned`` the ids of streams whose client disconnected,
     ``begun`` the requests that brought the first events of the streams that ran here,
@@ -59,6 +66,15 @@
     fault: str = ""
     fault_count: int = 0
     event_pause_s: float = 0.01
+    slots: int = 6
+    body_bytes: int = 0
+    event_bytes: int = 0
+    unread_timeout_s: float = 0.0
+    read_delay_s: float = 0.0
+    unread: list[str] = field(default_factory=list)
+    kv_total: int = 0
+    kv_held: int = 0
+    most_kv_held: int = 0
     prompt_token_s: float = 0.0
     deadly_parts: set[str] = field(default_factory=set)
     restart_s: float = 0.5
@@ -100,7 +116,7 @@
             "address": address,
             "zone": "zone-a",
             "version": self.software,
-            "slots": 6,
+            "slots": self.slots,
             "state": state,
             "cold_left_ms": 0,
             "seq": self.seq,
@@ -201,6 +217,19 @@
         with self.lock:
             self.reading -= 1
 
+    @contextlib.contextmanager
+    def holding(self, counts: str) -> Iterator[None]:
+        """Hold the prompt and output tokens of a request."""
+        tokens = sum(int(count) for count in counts.split(","))
+        with self.lock:
+            self.kv_held += tokens
+            self.most_kv_held = max(self.most_kv_held, self.kv_held)
+        try:
+            yield
+        finally:
+            with self.lock:
+                self.kv_held -= tokens
+
     def take_fault(self) -> str:
         """Use up one count of the fault; return its name, or an empty string."""
         with self.lock:
@@ -215,6 +244,8 @@
 
     daemon_threads = True
     allow_reuse_address = True
+    # Hundreds of requests may come at once.
+    request_queue_size = 512
     runner: PlatformRunner
 
     def __init__(self, address: tuple[str, int], runner: PlatformRunner) -> None:
@@ -290,6 +321,7 @@
                 "models": self.runner.models(),
                 "busy": False,
                 "seq": self.runner.seq,
+                "kv_total": self.runner.kv_total,
                 "born": self.runner.born_ms,
                 "coming": [f"{self.runner.model}/{n}@1" for n in self.runner.coming],
             }
@@ -305,6 +337,11 @@
         self._handle_request()
 
     def _handle_request(self) -> None:
+        if self.runner.read_delay_s:
+            time.sleep(self.runner.read_delay_s)
+        if self.runner.unread_timeout_s:
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+            self.connection.settimeout(self.runner.unread_timeout_s)
         self.rfile.read(int(self.headers.get("Content-Length") or 0))
         self.runner.arrivals.append(time.monotonic())
         self.runner.received[self.headers["X-Gooseberryrun-Request-Id"]] = [
@@ -354,7 +391,7 @@
                     "X-Gooseberryrun-Request-Id: other\r\nContent-Length: 1\r\n"
                 )
                 self.wfile.write(f"HTTP/1.1 200 OK\r\n{stray_headers}\r\nx".encode())
-            body = f"body of {self.path}".encode()
+            body = f"body of {self.path}".encode() + b"." * self.runner.body_bytes
             if fault == "unframed":
                 head = f"HTTP/1.1 200 OK\r\n{self._identity_headers()}\r\n"
                 self.wfile.write(head.encode() + body)
@@ -387,7 +424,11 @@
             self.close_connection = True
             return
         try:
-            self._send_events(first, fault)
+            with self.runner.holding(counts):
+                self._send_events(first, fault)
+        except TimeoutError:
+            self.runner.unread.append(self.headers["X-Gooseberryrun-Request-Id"])
+            self._reset()
         except OSError:
             self.runner.abandoned.append(self.headers["X-Gooseberryrun-Request-Id"])
             self.close_connection = True
@@ -395,7 +436,8 @@
     def _send_events(self, first: int, fault: str) -> None:
         for number in range(first, 11):
             time.sleep(self.runner.event_pause_s)
-            event = f"id: {number}\ndata: {number}\n\n".encode()
+            padding = "." * self.runner.event_bytes
+            event = f"id: {number}\ndata: {number}{padding}\n\n".encode()
             if fault == "crash" and number == 3:
                 self.server.end()
                 self.close_connection = True
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/__init__.pyi
@@ -113,6 +113,7 @@
     REFUSALS,
     REQUESTS,
     RETRIES,
+    SLOW_CALLERS_ENDED,
     STORE_PERMITS,
     TAKEOVERS,
 )
@@ -389,6 +390,7 @@
     "SPREAD_FACTOR",
     "STARVATION_FACTOR",
     "STOP_POLL_S",
+    "SLOW_CALLERS_ENDED",
     "STORE_PERMITS",
     "ServiceResponse",
     "ServiceCall",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -113,6 +113,11 @@
 BODIES_GIVEN_UP = Counter(
     PREFIX + "bodies_given_up", "Bodies given up for want of memory"
 )
+SLOW_CALLERS_ENDED = Counter(
+    PREFIX + "slow_callers_ended",
+    "Connections ended since their callers did not read, by the bound reached",
+    ["why"],
+)
 INTERNAL_ERRORS = Counter(PREFIX + "internal_errors", "Bugs caught", ["task"])
 LOG_LINES_DROPPED = Counter(
     PREFIX + "log_lines_dropped", "Log lines dropped for want of a reader"
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -129,7 +129,8 @@
     ``idle`` slots can take another adapter at once, and ``waiting`` adapters wait for
     one; each of them has to wait ``mean_slot_wait_s`` longer than the one before.
     ``prefill`` is the load of prompts as of the sending of the notice. The owner has no
-    entry of an incarnation that ``is_undeclared``.
+    entry of an incarnation that ``is_undeclared``. ``kv_total`` are the tokens that fit
+    the runner's memory, 0 if it does not tell.
     """
 
     runner: str
@@ -141,6 +142,7 @@
     mean_slot_wait_s: float
     prefill: PrefillLoad = PrefillLoad()
     is_undeclared: bool = False
+    kv_total: int = 0
 
 
 class AcquireAnswer(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -78,6 +78,11 @@
             return self.route.priority
         return self.account.priority
 
+    @property
+    def held_tokens(self) -> int:
+        """Return the tokens that a runner has to hold for the request at most."""
+        return self.metadata.prompt_tokens + self.metadata.output_tokens
+
     @property
     def takes_up_stream(self) -> bool:
         """Return whether the request goes on with a stream that broke off."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -117,6 +117,11 @@
             return PrefillLoad()
         return notice.prefill.after(self._ctx.residency.age_s(runner.id))
 
+    def kv_total(self, runner: Runner) -> int:
+        """Return the tokens that fit a runner's memory, 0 if that is not known."""
+        notice = self._current_notice(runner)
+        return 0 if notice is None else notice.kv_total
+
     def end_prefill(self, runner: Runner, request_id: str, took_s: float) -> None:
         """Return a prompt's grant to the runner's owner.
 
@@ -171,6 +176,7 @@
             queue.waiting,
             queue.mean_slot_wait_s,
             self.prefill_load(runner),
+            kv_total=self.kv_total(runner),
         )
         self._ctx.residency.record(notice)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_control_port.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_control_port.py
@@ -16,7 +16,8 @@
     """Self-reported state of a model runner, some hundred milliseconds old.
 
     ``loading`` maps each adapter being loaded, as ``model/adapter``, to its version.
-    ``born_ms`` identifies the incarnation, 0 if the report does not tell.
+    ``born_ms`` identifies the incarnation, 0 if the report does not tell; so does
+    ``kv_total``, the tokens of the requests that fit the runner's memory.
     """
 
     models: tuple[HeldModel, ...]
@@ -26,6 +27,7 @@
     in_flight: int
     queued: int
     born_ms: int = 0
+    kv_total: int = 0
 
 
 class OrderOp(StrEnum):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_load_tracker.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_load_tracker.py
@@ -29,7 +29,8 @@
         self._slowness = choice.candidate.view.slowness
         self._sent_at = ctx.clock.monotonic()
         self._is_prompt_unread = True
-        ctx.loads.begin(self._runner.id, self._tokens)
+        self._held_tokens = active.held_tokens
+        ctx.loads.begin(self._runner.id, self._tokens, self._held_tokens)
 
     def mark_prompt_read(self) -> None:
         """Record that the prompt was read, and how slow the runner was."""
@@ -50,7 +51,7 @@
             self._is_prompt_unread = False
             self._ctx.loads.record_first_event(self._runner.id, self._tokens)
             self._return_grant(WITHDRAWN_S)
-        self._ctx.loads.end(self._runner.id)
+        self._ctx.loads.end(self._runner.id, self._held_tokens)
 
     def _return_grant(self, took_s: float) -> None:
         if self._active.has_grant:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -119,12 +119,15 @@
     ) -> bool:
         """Return whether a request may still go to a runner after a wait.
 
-        Since the runner was chosen, it may have begun to leave or asked for a pause, or
-        a crash elsewhere may have made the request suspect.
+        Since the runner was chosen, it may have begun to leave or asked for a pause,
+        its memory may have been filled, or a crash elsewhere may have made the request
+        suspect.
         """
         now = self._ctx.clock.monotonic()
         if not self._availability.may_send(runner, now):
             return False
+        if not self._chooser.fits(active, runner, now):
+            return False
         verdict = self._guard.judge(active, now)
         if verdict.handling is Handling.CONFINED:
             return chosen_by.trait == verdict.trait
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from result import Err
 
 from gooseberryrun._internal.state.serving import (
@@ -33,6 +35,14 @@
 """Retry delay sent after every server was full."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Complete response of a server that is still to be relayed."""
+
+    response: RunnerResponse
+    body: bytes
+
+
 class PlainRequests:
     """Serves requests whose responses are buffered before they are relayed."""
 
@@ -78,13 +88,22 @@
             return failure_response(active, "repeat_budget", FULL_RETRY_S)
         self._ctx.loads.begin(runner.id, 0)
         try:
-            return self._send(active, runner, self._attempt_deadline(active))
+            answer = self._send(active, runner, self._attempt_deadline(active))
         finally:
             self._ctx.loads.end(runner.id)
+        return self._relay(active, answer) if isinstance(answer, _Answer) else answer
+
+    def _relay(self, active: ActiveRequest, answer: _Answer) -> Round:
+        """Relay an answer; its server is free, however slowly the caller reads."""
+        try:
+            self._responses.relay(active, answer.response, answer.body)
+        finally:
+            answer.response.close()
+        return Round.DONE
 
     def _send(
         self, active: ActiveRequest, runner: Runner, deadline: float
-    ) -> LocalResponse | Round:
+    ) -> LocalResponse | Round | _Answer:
         left_s = active.deadline - self._ctx.clock.monotonic()
         forwarding = ForwardingMetadata(
             runner.id, left_s, account=forwarded_account(self._ctx, active)
@@ -93,16 +112,20 @@
         if isinstance(sent, Err):
             return self._after_fault(active, sent.err_value.failure)
         response = sent.ok_value
+        answer: LocalResponse | Round | _Answer = Round.AGAIN
         try:
-            if response.metadata.is_not_run:
-                return Round.AGAIN
-            return self._handle_response(active, runner, response)
+            if not response.metadata.is_not_run:
+                answer = self._handle_response(active, runner, response)
+            return answer
         finally:
-            response.close()
+            if isinstance(answer, _Answer):
+                response.release()
+            else:
+                response.close()
 
     def _handle_response(
         self, active: ActiveRequest, runner: Runner, response: RunnerResponse
-    ) -> LocalResponse | Round:
+    ) -> LocalResponse | Round | _Answer:
         body = response.read_all(active.deadline)
         if isinstance(body, Err):
             self._attempts.record_invalid_response(active, runner, body.err_value)
@@ -115,8 +138,7 @@
         if is_failure and self._can_retry(active, now):
             return Round.AGAIN
         self._attempts.record_answer(active)
-        self._responses.relay(active, response, body.ok_value)
-        return Round.DONE
+        return _Answer(response, body.ok_value)
 
     def _can_retry(self, active: ActiveRequest, now: float) -> bool:
         """Return whether a failure may be followed by another attempt."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -236,6 +236,10 @@
     def body_chunks(self, deadline: float) -> Iterator[Result[bytes, AttemptFault]]:
         """Yield the body as it arrives; an error is the last item."""
 
+    @abstractmethod
+    def release(self) -> None:
+        """Return the connection of a body that is read, which is still buffered."""
+
     @abstractmethod
     def close(self) -> None:
         """Return the connection to the pool, or close it if the body is unread."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -11,6 +11,7 @@
     StreamPace,
     Verdict,
     choose_model_runner,
+    fits_memory,
 )
 
 from ._active_request import ActiveRequest
@@ -58,7 +59,7 @@
             eligible = [confined_to] if confined_to else []
         candidates = []
         for runner in eligible:
-            if self._may_serve(active, runner, now):
+            if self._may_serve(active, runner, now) and self.fits(active, runner, now):
                 candidates.append(self._candidate(active, runner, adapter, now))
         tokens = active.metadata.prompt_tokens
         return choose_model_runner(candidates, adapter, tokens, self._ctx.policy)
@@ -86,6 +87,14 @@
             return runners[ranking[1]]
         return runners[ranking[0]]
 
+    def fits(self, active: ActiveRequest, runner: Runner, now: float) -> bool:
+        """Return whether a runner's memory has room for a request."""
+        kv_total = self._adapters.kv_total(runner)
+        if not kv_total:
+            return True
+        held_tokens = self._ctx.loads.total(runner.id, now).held_tokens
+        return fits_memory(kv_total, held_tokens, active.held_tokens)
+
     def _may_serve(self, active: ActiveRequest, runner: Runner, now: float) -> bool:
         """Return whether a runner has the model and may get the request now."""
         required = active.required_software
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -61,6 +61,7 @@
         )
         self._evictions_allowed_at = float("inf")
         self._models: set[str] = set()
+        self._kv_total = 0
         self._wake: Event = Event()
         self._is_closed = False
         self._model_ordered_at = float("-inf")
@@ -117,6 +118,7 @@
             round(self._queue.slot_waits.mean_s, 3),
             self._queue.prefill_load(now),
             is_undeclared(runner.software_version),
+            self._kv_total,
         )
 
     def acquire(self, request: AcquireRequest, deadline: float) -> Result[int, Refusal]:
@@ -257,7 +259,8 @@
         self._evictions_allowed_at = min(
             self._evictions_allowed_at, now + USE_REPORT_WAIT_S
         )
-        changed = held != self._slots.held
+        changed = (held, report.kv_total) != (self._slots.held, self._kv_total)
+        self._kv_total = report.kv_total
         self._slots.held = held
         self._adapter_orders.adopt(dict(report.loading))
         if changed:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
@@ -8,6 +8,7 @@
 
 from gooseberryrun._internal.state.serving import Runner, StreamPace
 
+from .._events import log_event
 from ._active_request import ActiveRequest, LocalResponse, Round
 from ._attempts import Attempts
 from ._context import Context
@@ -16,13 +17,22 @@
 from ._request_ports import AttemptFailure, AttemptFault, RunnerResponse
 from ._responses import ResponseWriter, end_to_end, failure_response, is_valid_response
 
+MIN_UNREAD_S = 0.5
+"""Time of waits for a caller from which on they may explain a broken stream; a runner
+cuts a response off that stays unread for some seconds."""
+
 
 @dataclass(slots=True)
 class StreamProgress:
-    """Part of the stream that the caller has received."""
+    """Part of the stream that the caller has received.
+
+    ``unread_s`` is the time for which nothing was read from the runner of the present
+    attempt, since the caller did not read what had come before.
+    """
 
     events: EventBuffer = field(default_factory=EventBuffer)
     is_started: bool = False
+    unread_s: float = 0.0
 
 
 class StreamRelay:
@@ -84,6 +94,7 @@
         progress: StreamProgress,
         tracker: LoadTracker,
     ) -> LocalResponse | Round:
+        progress.unread_s = 0.0
         for chunk in response.body_chunks(active.deadline):
             if isinstance(chunk, Err):
                 return self._fail(active, runner, progress, chunk.err_value)
@@ -110,9 +121,32 @@
     ) -> LocalResponse | Round:
         """Record an invalid response; return what to do after it."""
         progress.events.discard_partial()
+        if progress.unread_s >= MIN_UNREAD_S:
+            return self._fail_slow_caller(active, runner, progress, fault)
         self._attempts.record_invalid_response(active, runner, fault)
         return after_fault(active, fault)
 
+    def _fail_slow_caller(
+        self,
+        active: ActiveRequest,
+        runner: Runner,
+        progress: StreamProgress,
+        fault: AttemptFault,
+    ) -> LocalResponse:
+        """End a stream that its caller read so slowly that it broke off.
+
+        The runner is not at fault. Another one would have to read the prompt again for
+        a caller that does not read.
+        """
+        log_event(
+            "unread_cut",
+            request=active.metadata.request_id,
+            runner=runner.id,
+            unread_s=progress.unread_s,
+            failure=fault.failure.value,
+        )
+        return failure_response(active, "caller_slow")
+
     def _send_events(
         self,
         active: ActiveRequest,
@@ -125,7 +159,9 @@
             active.caller.start(response.status, end_to_end(response.headers))
         active.timing.record_event(self._ctx.clock.monotonic())
         self._attempts.record_events(active)
+        sending_at = self._ctx.clock.monotonic()
         active.caller.send(events)
+        progress.unread_s += self._ctx.clock.monotonic() - sending_at
 
     def _finish(
         self,
@@ -135,7 +171,8 @@
         progress: StreamProgress,
     ) -> None:
         self._attempts.record_success(active, runner)
-        self._stream_pace.record(active.timing, active.metadata.output_tokens)
+        if progress.unread_s < MIN_UNREAD_S:
+            self._stream_pace.record(active.timing, active.metadata.output_tokens)
         remainder = progress.events.remainder()
         if remainder or not progress.is_started:
             self._send_events(active, response, progress, remainder)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -37,7 +37,7 @@
 )
 from ._epochs import Position, combine_generation, generation_number
 from ._fleet_size import FleetSize, estimate_vms
-from ._loads import RunnerLoads, RunnerView
+from ._loads import RunnerLoads, RunnerView, fits_memory
 from ._outage_reports import (
     REPORT_TTL_S,
     TAKEOVER_DELAY_S,
@@ -176,6 +176,7 @@
     "estimate_vms",
     "expected_first_event_s",
     "failure_rate",
+    "fits_memory",
     "follows_all_domains",
     "generation_number",
     "is_base_model",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
@@ -11,6 +11,12 @@
 """Age up to which results of attempts are used."""
 PEER_VIEW_TTL_S = 2.5
 """Age up to which a peer's load figures are used."""
+MEMORY_RESERVE = 0.1
+"""Share of a runner's memory that stays free: what peers have sent within the last
+round of gossip is not counted yet, and a runner whose memory is exceeded crashes."""
+UNCOUNTED_REQUESTS = 3
+"""Requests of the same size that peers may have sent since; a runner gets about four a
+second from all VMs."""
 SLOWNESS_WEIGHT = 0.2
 """Weight of the newest sample in the average slowness."""
 
@@ -21,6 +27,7 @@
     ``unread_tokens`` are prompt tokens of requests without a first event yet;
     ``slowness`` is the observed time to the first event over the expected one; ``ok``
     and ``failed`` count the attempts of the last RESULT_WINDOW_S seconds.
+    ``held_tokens`` are the prompt and output tokens of the requests in flight.
     """
 
     in_flight: int
@@ -28,6 +35,7 @@
     ok: int
     failed: int
     slowness: float
+    held_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -39,6 +47,7 @@
     results: deque[tuple[float, bool]] = field(default_factory=deque)
     slowness: float = 1.0
     slowness_at: float = 0.0
+    held_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -50,6 +59,7 @@
     ok: int = 0
     failed: int = 0
     slowness: float = 0.0
+    held_tokens: int = 0
     peers: int = 0
 
     def add(self, view: RunnerView, sign: int) -> None:
@@ -59,9 +69,23 @@
         self.ok += sign * view.ok
         self.failed += sign * view.failed
         self.slowness += sign * view.slowness
+        self.held_tokens += sign * view.held_tokens
         self.peers += sign
 
 
+def fits_memory(kv_total: int, held_tokens: int, tokens: int) -> bool:
+    """Return whether a runner can hold a request beside those sent to it; all tokens.
+
+    A runner that does not state its memory, 0, is not limited.
+    """
+    if not kv_total:
+        return True
+    if not held_tokens:
+        return tokens <= kv_total
+    reserve = max(MEMORY_RESERVE * kv_total, UNCOUNTED_REQUESTS * tokens)
+    return held_tokens + tokens + reserve <= kv_total
+
+
 class RunnerLoads:
     """Sums the load that this VM and its peers put on each runner.
 
@@ -75,19 +99,21 @@
         self._sums: dict[str, _PeerSum] = {}
         self._owner_totals: dict[str, tuple[float, RunnerView]] = {}
 
-    def begin(self, runner: str, tokens: int) -> None:
+    def begin(self, runner: str, tokens: int, held_tokens: int = 0) -> None:
         """Count a request that is being sent to a runner."""
         own = self._own.setdefault(runner, _OwnLoad())
         own.in_flight += 1
         own.unread_tokens += tokens
+        own.held_tokens += held_tokens
 
     def record_first_event(self, runner: str, tokens: int) -> None:
         """Subtract a prompt from the unread tokens: its first event has arrived."""
         self._own[runner].unread_tokens -= tokens
 
-    def end(self, runner: str) -> None:
+    def end(self, runner: str, held_tokens: int = 0) -> None:
         """Subtract a request that has ended from the count."""
         self._own[runner].in_flight -= 1
+        self._own[runner].held_tokens -= held_tokens
 
     def record_result(self, runner: str, ok: bool, now: float) -> None:
         """Record the result of an attempt."""
@@ -165,6 +191,7 @@
             view.ok + peers.ok,
             view.failed + peers.failed,
             (view.slowness + peers.slowness) / (1 + peers.peers),
+            view.held_tokens + peers.held_tokens,
         )
 
     def _with_owner_total(
@@ -180,6 +207,7 @@
             max(view.ok, total.ok),
             max(view.failed, total.failed),
             max(view.slowness, total.slowness),
+            max(view.held_tokens, total.held_tokens),
         )
 
     @staticmethod
@@ -187,7 +215,12 @@
         ok = sum(result for _, result in own.results)
         failed = len(own.results) - ok
         return RunnerView(
-            own.in_flight, own.unread_tokens, ok, failed, round(own.slowness, 2)
+            own.in_flight,
+            own.unread_tokens,
+            ok,
+            failed,
+            round(own.slowness, 2),
+            own.held_tokens,
         )
 
     @staticmethod
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
@@ -33,6 +33,8 @@
 from ._body_buffers import BodyBuffer, BodyGivenUpError
 from ._input_bounds import InputBounds
 from ._input_work import InputWork
+from ._output import limit_send_buffer, send_now, total_size
+from ._slow_readers import SlowReader
 from ._sockets import end_connection, receive
 
 T = TypeVar("T")
@@ -83,6 +85,7 @@
         self._serving: tuple[Any, _HttpCaller] | None = None
         self._body: BodyBuffer | None = None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        limit_send_buffer(sock)
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
@@ -314,20 +317,39 @@
             raise ConnectionClosedError("closed")
         self.http.receive_data(data)
 
-    def send_event(self, *events: Any) -> None:
-        """Send the bytes of some events together."""
-        data = b"".join(self.http.send(event) or b"" for event in events)
-        sent = self._send_now(data)
-        if sent < len(data):
-            with Timeout(SEND_TIMEOUT_S):
-                self._sock.sendall(memoryview(data)[sent:])
+    def send_event(self, *events: Any, is_counted: bool = False) -> None:
+        """Send the bytes of some events together.
 
-    def _send_now(self, data: bytes) -> int:
-        """Send what the socket accepts without blocking; return the number of bytes."""
+        ``is_counted`` states that they belong to a body that counts as buffered.
+        """
+        left = send_now(self._sock, [self.http.send(event) or b"" for event in events])
+        if left:
+            self._wait_for_reader(left, is_counted)
+
+    def _wait_for_reader(self, parts: list[memoryview], is_counted: bool) -> None:
+        """Send the rest as the caller reads it; end a connection that does not.
+
+        Nothing more is read from a runner meanwhile, so the rest is all that is held.
+        """
+        readers = self._state.bounds.slow_readers
+        reader = SlowReader(total_size(parts), is_counted, self.end)
+        readers.begin(reader)
+        timeout = Timeout(SEND_TIMEOUT_S)
         try:
-            return int(self._sock.fd.send(data, socket.MSG_DONTWAIT)) if data else 0
-        except BlockingIOError:
-            return 0
+            for part in parts:
+                self._sock.sendall(part)
+        except Timeout as exc:
+            if exc is not timeout:
+                raise
+            readers.record_end("deadline", reader.size)
+            raise CallerDisconnectedError from None
+        except OSError:
+            if reader.is_ended:
+                raise CallerDisconnectedError from None
+            raise
+        finally:
+            timeout.cancel()
+            readers.finish(reader)
 
     def _reject(self, exc: _BadRequestError) -> None:
         """Send an error response to a rejected request, then close the sending side."""
@@ -424,7 +446,7 @@
         events: list[Any] = [self._head(status, framed)]
         if body and self._request.method != "HEAD":
             events.append(h11.Data(data=body))
-        self._conn.send_event(*events, h11.EndOfMessage())
+        self._conn.send_event(*events, h11.EndOfMessage(), is_counted=True)
 
     def start(self, status: int, headers: Headers) -> None:
         self._conn.send_event(self._head(status, headers))
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_input_bounds.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_input_bounds.py
@@ -6,6 +6,7 @@
 
 from ._body_buffers import BodyBuffers
 from ._input_work import SharedPieces
+from ._slow_readers import SlowReaders
 
 
 class InputBounds:
@@ -14,3 +15,4 @@
     def __init__(self, clock: Clock) -> None:
         self.pieces = SharedPieces(clock)
         self.buffers = BodyBuffers()
+        self.slow_readers = SlowReaders(self.buffers)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runner_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runner_connection.py
@@ -17,6 +17,7 @@
 )
 
 from ._input_work import InputWork
+from ._output import send_now
 from ._sockets import SocketReader
 
 DEFAULT_IDLE_TIMEOUT_S = 3.0
@@ -48,11 +49,15 @@
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.declined: set[str] = set()
         self._is_writing = False
+        self._writer: Any = None
         self.ends_with_connection = False
         self._work = work
 
     def close(self) -> None:
-        """Close the socket."""
+        """Close the socket; a runner that does not read keeps no body in memory."""
+        if self._is_writing and self._writer is not None:
+            self._writer.kill()
+            self._writer = None
         self._reader.close()
         self._sock.close()
 
@@ -86,26 +91,28 @@
                 for name, value in request.headers
             ],
         )
-        data = self._http.send(head) or b""
+        parts = [self._http.send(head) or b""]
         if request.body:
-            data += self._http.send(h11.Data(data=request.body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        self._write(data)
-
-    def _write(self, data: bytes) -> None:
-        """Send without blocking; the rest is sent in a separate green thread."""
-        sent = 0
-        try:
-            sent = self._sock.fd.send(data, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            sent = 0
-        if sent < len(data):
+            # With a length, the body is sent as it is.
+            parts.append(self._http.send(h11.Data(data=request.body)) or b"")
+        parts.append(self._http.send(h11.EndOfMessage()) or b"")
+        self._write(parts)
+
+    def _write(self, parts: list[bytes]) -> None:
+        """Send without blocking; the rest is sent in a separate green thread.
+
+        A body is not copied: it counts as buffered for as long as its request is open,
+        and the thread ends with the connection.
+        """
+        left = send_now(self._sock, parts)
+        if left:
             self._is_writing = True
-            eventlet.spawn(self._write_rest, memoryview(data)[sent:])
+            self._writer = eventlet.spawn(self._write_rest, left)
 
-    def _write_rest(self, data: memoryview) -> None:
+    def _write_rest(self, parts: list[memoryview]) -> None:
         try:
-            self._sock.sendall(data)
+            for part in parts:
+                self._sock.sendall(part)
             self._is_writing = False
         except OSError as exc:
             log_event("runner_write_failed", level="debug", reason=repr(exc))
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -32,6 +32,7 @@
 from ._body_buffers import BodyGivenUpError
 from ._input_bounds import InputBounds
 from ._input_work import InputWork
+from ._output import limit_send_buffer
 from ._runner_connection import ConnectionLostError, RunnerConnection
 from ._sockets import DeadlinePassedError
 
@@ -162,6 +163,7 @@
         except (OSError, Timeout) as exc:
             return Err(AttemptFault(AttemptFailure.NOT_SENT, f"connect: {exc!r}"))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        limit_send_buffer(sock)
         return Ok(RunnerConnection(sock, InputWork(self.bounds.pieces, self._clock)))
 
 
@@ -186,6 +188,7 @@
         self.ends_with_connection = conn.ends_with_connection
         self._body = pool.bounds.buffers.open()
         self._is_read = False
+        self._is_released = False
         self._deadline: float | None = None
 
     def read_all(self, deadline: float) -> Result[bytes, AttemptFault]:
@@ -236,6 +239,12 @@
 
     def close(self) -> None:
         self._body.release()
+        self.release()
+
+    def release(self) -> None:
+        if self._is_released:
+            return
+        self._is_released = True
         self._conn.set_deadline(None)
         if self._is_read and self._conn.is_reusable():
             self._pool.put_back(self._runner, self._conn)
