--- a/tests/unit/serving/test_slow_readers.py
+++ b/tests/unit/serving/test_slow_readers.py
@@ -114,8 +114,8 @@
     assert fits_memory(0, 10**9, 10**6)
     assert fits_memory(10000, 0, 10000)
     assert not fits_memory(10000, 0, 10001)
-    assert fits_memory(90000, 80000, 2500)
-    assert not fits_memory(90000, 80001, 2500)
+    assert fits_memory(90000, 78500, 2500)
+    assert not fits_memory(90000, 78501, 2500)
     assert fits_memory(20000, 10000, 2500)
     assert not fits_memory(20000, 10001, 2500)
 
