--- a/tests/unit/serving/test_accounts.py
+++ b/tests/unit/serving/test_accounts.py
@@ -9,8 +9,14 @@
 
 import msgspec
 import pytest
-from gooseberryrun._internal.coordination._serving_messages import DirectoryReply
+from gooseberryrun._internal.coordination._serving_messages import (
+    DirectoryReply,
+    ServingGossip,
+)
 from gooseberryrun._internal.coordination.serving import InboundRequest, end_to_end
+from gooseberryrun._internal.coordination.serving._directory_log import DirectoryLog
+from gooseberryrun._internal.coordination.serving._directory_peers import DirectoryPeers
+from gooseberryrun._internal.state import ManualClock
 from gooseberryrun._internal.state.serving import DirectoryRecord, RouteTable, Topic
 from gooseberryrun._internal.state.serving.accounts import (
     AccountTable,
@@ -33,6 +39,8 @@
 from gooseberryrun_platform._headers import PlatformHeaders
 from result import Ok
 
+from tests.lib.fleet import GroupStore, make_vm
+from tests.lib.origins import make_request
 from tests.lib.platform_site import make_config
 
 ID = ("X-Gooseberryrun-Request-Id", "9c41")
@@ -338,3 +346,51 @@
     assert not freshness.is_confirmed(resumed_at + 0.02)
     freshness.record_peer(resumed_at + RESUME_S)
     assert freshness.is_confirmed(resumed_at + RESUME_S)
+
+
+def gossip(end: Position, can_reach_store: bool = True) -> ServingGossip:
+    """Return what a peer tells that has read the configurations up to ``end``."""
+    ends = {Topic.CONFIGURATION: end, Topic.RUNNERS: Position()}
+    return ServingGossip("vm-001", can_reach_store, ends, {}, [])
+
+
+@pytest.mark.parametrize(
+    ("heard", "is_confirmed"),
+    [
+        (gossip(Position(0, 4)), True),
+        (gossip(Position(0, 4), can_reach_store=False), False),
+        (gossip(Position(0, 3)), False),
+        (gossip(Position(0, 5)), False),
+        (gossip(Position(1, 4)), False),
+    ],
+)
+@pytest.mark.usefixtures("nothing_scheduled")
+def test_peer_that_reaches_the_store_confirms_the_configuration(
+    store: GroupStore, heard: ServingGossip, is_confirmed: bool
+) -> None:
+    """Most VMs of a large domain do not read the store and know it from peers only."""
+    clock = ManualClock(10.0)
+    ctx, _ = make_vm(store.groups["d0"][0], store, [], clock)
+    record = DirectoryRecord(
+        Topic.CONFIGURATION, Position(0, 3), "other", unreadable="x"
+    )
+    ctx.directory.receive(Topic.CONFIGURATION, [record], Position(0, 4), 10.0)
+    ctx.freshness.tick(clock.boottime())
+    peers = DirectoryPeers(ctx, DirectoryLog(), lambda _: False)
+    peers.fetch_missing("vm-001", heard)
+    assert ctx.freshness.is_confirmed(clock.boottime()) is is_confirmed
+    clock.suspend(2.0)
+    assert not ctx.freshness.is_confirmed(clock.boottime())
+
+
+def test_account_priority_comes_before_the_routes() -> None:
+    """It decides waiting at an owner and the urgency that a runner gets."""
+    active = make_request("r1")
+    route = active.route.priority
+    assert active.priority == route
+    active.account = account("a")
+    assert active.priority == route
+    active.account = account("b", priority=route + 2)
+    assert active.priority == route + 2
+    active.account = account("c", priority=0)
+    assert active.priority == 0
