--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -15,6 +15,7 @@
     StreamPace,
     Verdict,
     choose_model_runner,
+    fits_memory,
 )
 
 from ._active_request import ActiveRequest
@@ -79,7 +80,7 @@
             runners = [confined_to] if confined_to else []
         candidates = []
         for runner in runners:
-            if self._may_serve(active, runner, now):
+            if self._may_serve(active, runner, now) and self.fits(active, runner, now):
                 candidates.append(self._candidate(active, runner, adapter, now))
         if departure is not None:
             candidates = _with_departure(candidates, departure)
@@ -109,6 +110,14 @@
             return runners[ranking[1]]
         return runners[ranking[0]]
 
+    def fits(self, active: ActiveRequest, runner: Runner, now: float) -> bool:
+        """Return whether a runner's memory has room for a request."""
+        kv_total = self._adapters.kv_total(runner)
+        if not kv_total:
+            return True
+        held_tokens = self._ctx.loads.total(runner.id, now).held_tokens
+        return fits_memory(kv_total, held_tokens, active.held_tokens)
+
     def _may_serve(self, active: ActiveRequest, runner: Runner, now: float) -> bool:
         """Return whether a runner has the model and may get the request now."""
         required = active.required_software
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -44,7 +44,7 @@
     GossipActivity,
     idle_contacts,
 )
-from ._loads import RunnerLoads, RunnerView
+from ._loads import RunnerLoads, RunnerView, fits_memory
 from ._outage_reports import (
     REPORT_TTL_S,
     TAKEOVER_DELAY_S,
@@ -188,6 +188,7 @@
     "estimate_vms",
     "expected_first_event_s",
     "failure_rate",
+    "fits_memory",
     "follows_all_domains",
     "generation_number",
     "is_base_model",
--- a/tests/unit/serving/test_crossing.py
+++ b/tests/unit/serving/test_crossing.py
@@ -15,6 +15,7 @@
     Runner,
     Verdict,
 )
+from gooseberryrun._internal.state.serving.crossing import MAX_AGE_S
 
 from tests.lib.crossing_fleet import MODELS, PLAIN, CrossingFleet
 
