Separate the candidates and costs of a choice from recording it

Cause: an explanation of a choice has to use the functions that choose, without counting or logging a request.

Change: candidates() and the cost of one candidate are functions of their own, and the selection for another domain can be found without recording it. A request that is selected and stays is counted and logged.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -61,7 +61,9 @@
     ["service", "domain"],
 )
 CROSSINGS = Counter(
-    PREFIX + "crossings", "Requests selected for another failure domain", ["service"]
+    PREFIX + "crossings",
+    "Requests selected for another failure domain, and those of them that stayed",
+    ["service", "outcome"],
 )
 PRESSURE_SECONDS = Gauge(
     PREFIX + "pressure_seconds",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -23,7 +23,7 @@
     run_rounds,
 )
 from ._turns import Turns
-from .crossing import Crossing
+from .crossing import Crossing, Departure
 
 MAX_SENDS = 5
 """Largest number of sends for one request."""
@@ -143,9 +143,16 @@
         return now + RETRY_SHARE * (active.deadline - now)
 
     def _choose(self, active: ActiveRequest, now: float) -> Runner | None:
+        candidates = self.candidates(active, self._crossing.select(active), now)
+        choice = choose_plain_server(candidates, active.metadata.request_id)
+        return choice.candidate.runner if choice else None
+
+    def candidates(
+        self, active: ActiveRequest, departure: Departure | None, now: float
+    ) -> list[Candidate]:
+        """Return the servers that may get a request now."""
         ctx = self._ctx
-        departure = self._crossing.select(active)
-        candidates = [
+        return [
             Candidate(
                 runner,
                 ctx.loads.total(runner.id, now),
@@ -158,8 +165,6 @@
             for runner in ctx.directory.runners(active.service, now)
             if self._availability.may_serve(active, runner, now)
         ]
-        choice = choose_plain_server(candidates, active.metadata.request_id)
-        return choice.candidate.runner if choice else None
 
     def _is_local(self, runner: Runner) -> bool:
         return runner.domain == self._ctx.cfg.vm.domain
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-from dataclasses import dataclass
 
 from gooseberryrun._internal.state import rank_nodes
 from gooseberryrun._internal.state.serving import (
@@ -15,6 +14,7 @@
     StreamPace,
     Verdict,
     choose_model_runner,
+    follows_all_domains,
 )
 
 from ._active_request import ActiveRequest
@@ -30,14 +30,6 @@
 """Requests by which a runner has to be the busiest to be spared suspect requests."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Eligible:
-    """Runners that may be chosen; ``is_partial`` if other domains are not followed."""
-
-    runners: list[Runner]
-    is_partial: bool
-
-
 class RunnerChooser:
     """Collects the runners that could serve a request, and chooses one."""
 
@@ -66,12 +58,38 @@
         self, active: ActiveRequest, now: float, verdict: Verdict
     ) -> Choice | None:
         """Return the best runner that was not tried yet, None if there is none."""
-        adapter = active.adapter_key
-        eligible = self._eligible(active, adapter, now)
         departure = None
-        if verdict.handling is Handling.FREE and eligible.is_partial:
+        if verdict.handling is Handling.FREE and self._follows_in_part(active):
             departure = self._crossing.select(active)
-        runners = eligible.runners
+        candidates = self.candidates(active, now, verdict, departure)
+        tokens = active.metadata.prompt_tokens
+        choice = choose_model_runner(
+            candidates, active.adapter_key, tokens, self._ctx.policy
+        )
+        if departure is None or choice is None:
+            return choice
+        if choice.candidate.runner.domain != departure.domain:
+            self._crossing.record_stay(active, departure)
+        return choice
+
+    def find_departure(
+        self, active: ActiveRequest, now: float, verdict: Verdict
+    ) -> Departure | None:
+        """Return the domain that a request would be selected for, None to stay."""
+        if verdict.handling is Handling.FREE and self._follows_in_part(active):
+            return self._crossing.find_departure(active)
+        return None
+
+    def candidates(
+        self,
+        active: ActiveRequest,
+        now: float,
+        verdict: Verdict,
+        departure: Departure | None,
+    ) -> list[Candidate]:
+        """Return the runners that may get a request now."""
+        adapter = active.adapter_key
+        runners = self._eligible(active, adapter, now)
         if departure is not None:
             runners = runners + self._homes_in(departure.domain, active, runners)
         if verdict.handling is Handling.CONFINED:
@@ -83,8 +101,13 @@
                 candidates.append(self._candidate(active, runner, adapter, now))
         if departure is not None:
             candidates = with_departure(candidates, departure)
-        tokens = active.metadata.prompt_tokens
-        return choose_model_runner(candidates, adapter, tokens, self._ctx.policy)
+        return candidates
+
+    def _follows_in_part(self, active: ActiveRequest) -> bool:
+        """Return whether this VM does not follow the runners of other domains."""
+        domain = self._ctx.cfg.vm.domain
+        local = self._ctx.directory.local_runner_count(active.service, domain)
+        return not follows_all_domains(local)
 
     def confined_runner(
         self, active: ActiveRequest, verdict: Verdict, now: float
@@ -118,7 +141,9 @@
             return False
         return any(model.name == active.metadata.model for model in runner.models)
 
-    def _eligible(self, active: ActiveRequest, adapter: str, now: float) -> _Eligible:
+    def _eligible(
+        self, active: ActiveRequest, adapter: str, now: float
+    ) -> list[Runner]:
         """Return the runners that this VM follows, and an adapter's home runners.
 
         All domains agree on the home runners, so that loads of a rare adapter are
@@ -127,14 +152,13 @@
         runners = self._ctx.directory.runners(active.service, now)
         found = [runner for runner in runners if self._ctx.follows(runner)]
         if len(found) == len(runners):
-            return _Eligible(found, is_partial=False)
+            return found
         by_domain = self._ctx.directory.runners_by_domain(active.service)
         home = by_domain[rank_nodes(adapter, by_domain)[0]]
         ranking = rank_nodes(adapter, [runner.id for runner in home])
         homes = set(ranking[:HOME_RUNNERS])
         known = {runner.id for runner in found}
-        added = [r for r in home if r.id in homes and r.id not in known]
-        return _Eligible(found + added, is_partial=True)
+        return found + [r for r in home if r.id in homes and r.id not in known]
 
     def _homes_in(
         self, domain: str, active: ActiveRequest, known: list[Runner]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_crossing.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_crossing.py
@@ -34,11 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Departure:
-    """Domain that a request was selected for, with the expected wait there."""
+    """Domain that a request was selected for, with the expected wait there.
+
+    ``age_s`` is the age of the figures, ``share`` that of the requests which leave.
+    """
 
     domain: str
     wait_s: float
     price_s: float
+    share: float = 0.0
+    age_s: float = 0.0
 
 
 class Crossing:
@@ -167,31 +172,70 @@
         Only a first choice follows the shares; retries and streams that are taken up
         may leave at any time.
         """
+        if active.service in self._controllers and _is_first_choice(active):
+            self._mixes[active.service].record(active.route.priority)
+        departure = self.find_departure(active)
+        if departure is not None:
+            log_event(
+                "crossing_selected",
+                request=active.metadata.request_id,
+                service=active.service,
+                domain=departure.domain,
+                share=departure.share,
+                wait_s=departure.wait_s,
+                age_s=departure.age_s,
+            )
+            CROSSINGS.labels(service=active.service, outcome="selected").inc()
+        return departure
+
+    def find_departure(self, active: ActiveRequest) -> Departure | None:
+        """Return what ``select`` would return now, without recording anything."""
         controller = self._controllers.get(active.service)
         if controller is None or not _is_first_choice(active):
             return None
         mix = self._mixes[active.service]
-        priority = active.route.priority
-        mix.record(priority)
         request_id = active.metadata.request_id
-        domain = pick_domain(request_id, priority, controller.shares, mix)
+        shares = controller.shares
+        domain = pick_domain(request_id, active.route.priority, shares, mix)
         if domain is None:
             return None
         now = self._ctx.clock.monotonic()
         summary = self._table.find(active.service, domain, now)
         if summary is None or not summary.capacity:
             return None
+        return Departure(
+            domain, summary.wait_s, self._price_s, shares[domain], summary.age_s
+        )
+
+    def record_stay(self, active: ActiveRequest, departure: Departure) -> None:
+        """Count a selected request that stays, since its domain is faster for it."""
+        CROSSINGS.labels(service=active.service, outcome="stayed").inc()
         log_event(
-            "crossing_selected",
-            request=request_id,
+            "crossing_stayed",
+            request=active.metadata.request_id,
             service=active.service,
-            domain=domain,
-            share=controller.shares[domain],
-            wait_s=summary.wait_s,
-            age_s=summary.age_s,
+            domain=departure.domain,
         )
-        CROSSINGS.labels(service=active.service).inc()
-        return Departure(domain, summary.wait_s, self._price_s)
+
+    def describe(self, service: str) -> list[dict[str, object]]:
+        """Return the pressure of each domain and its share of a service's requests."""
+        now = self._ctx.clock.monotonic()
+        controller = self._controllers.get(service)
+        shares = controller.shares if controller else {}
+        return [
+            {
+                "domain": summary.domain,
+                "servers": summary.servers,
+                "slots": summary.capacity,
+                "running": summary.running,
+                "waiting": summary.waiting,
+                "wait_s": summary.wait_s,
+                "age_s": summary.age_s,
+                "share": round(shares.get(summary.domain, 0.0), 3),
+            }
+            for summary in self._table.recent(now)
+            if summary.service == service
+        ]
 
     def plain_cost(
         self, active: ActiveRequest, departure: Departure | None, domain: str
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -53,6 +53,8 @@
     choose_plain_server,
     expected_first_event_s,
     failure_rate,
+    model_runner_cost_s,
+    plain_server_cost,
 )
 from ._policy import ServingPolicy
 from ._prefill import PrefillAdmission, PrefillLoad, PrefillPace
@@ -180,6 +182,8 @@
     "generation_number",
     "is_base_model",
     "is_followed_from",
+    "model_runner_cost_s",
+    "plain_server_cost",
     "is_undeclared",
     "reader_rank",
     "readers",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -117,18 +117,36 @@
     for candidate in candidates:
         if not candidate.has_adapter and not candidate.can_load:
             continue
-        expected_s = expected_first_event_s(candidate, prompt_tokens, policy)
-        expected_s += max(expected_load_s(candidate), candidate.turn_wait_s)
-        cost_s = expected_s + _runner_cost_s(candidate, policy)
-        cost_s += policy.pause_cost_s * expected_pauses(candidate)
-        if not candidate.has_adapter:
-            rank = ranking[candidate.runner.id]
-            cost_s += _load_cost_s(candidate, rank, is_held, policy)
+        rank = ranking[candidate.runner.id]
+        cost_s, expected_s = model_runner_cost_s(
+            candidate, rank, is_held, prompt_tokens, policy
+        )
         if best is None or cost_s < best[0]:
             best = (cost_s, Choice(candidate, expected_s))
     return best[1] if best else None
 
 
+def model_runner_cost_s(
+    candidate: Candidate,
+    rank: int,
+    is_held: bool,
+    prompt_tokens: int,
+    policy: ServingPolicy,
+) -> tuple[float, float]:
+    """Return the cost of a runner, and the expected seconds until the first event.
+
+    ``rank`` is that of the runner for the adapter, which another one holds if
+    ``is_held``.
+    """
+    expected_s = expected_first_event_s(candidate, prompt_tokens, policy)
+    expected_s += max(expected_load_s(candidate), candidate.turn_wait_s)
+    cost_s = expected_s + _runner_cost_s(candidate, policy)
+    cost_s += policy.pause_cost_s * expected_pauses(candidate)
+    if not candidate.has_adapter:
+        cost_s += _load_cost_s(candidate, rank, is_held, policy)
+    return cost_s, expected_s
+
+
 def expected_pauses(candidate: Candidate) -> float:
     """Return the expected number of streams that pause for too long by a placement.
 
@@ -173,10 +191,16 @@
     ranking = rank_nodes(request_id, [c.runner.id for c in candidates])
     for candidate in candidates:
         fill = candidate.view.in_flight / max(1, candidate.runner.slots)
-        cost = fill * candidate.view.slowness + 4 * failure_rate(candidate.view) ** 2
-        cost += _crossing_cost(candidate, PLAIN_REMOTE_COST)
-        cost += TURN_COST_PER_S * candidate.turn_wait_s
+        cost = plain_server_cost(candidate)
         rank = ranking.index(candidate.runner.id)
         if best is None or (cost, rank) < best[:2]:
             best = (cost, rank, Choice(candidate, fill))
     return best[2] if best else None
+
+
+def plain_server_cost(candidate: Candidate) -> float:
+    """Return the cost of a plain server, in fillings of its slots."""
+    fill = candidate.view.in_flight / max(1, candidate.runner.slots)
+    cost = fill * candidate.view.slowness + 4 * failure_rate(candidate.view) ** 2
+    cost += _crossing_cost(candidate, PLAIN_REMOTE_COST)
+    return cost + TURN_COST_PER_S * candidate.turn_wait_s
--- a/tests/unit/serving/test_crossing.py
+++ b/tests/unit/serving/test_crossing.py
@@ -162,11 +162,9 @@
     active = next(fleet.requests(MODELS, 1, "a1"))
     now = fleet.clock.monotonic()
     eligible = chooser._eligible(active, active.adapter_key, now)
-    assert not eligible.is_partial
-    assert len(eligible.runners) == 6
-    for candidate in (
-        chooser._candidate(active, r, "m/a1", now) for r in eligible.runners
-    ):
+    assert chooser.find_departure(active, now, FREE) is None
+    assert len(eligible) == 6
+    for candidate in (chooser._candidate(active, r, "m/a1", now) for r in eligible):
         assert candidate.crossing_cost is None
 
 
