Let the periodic checks of an idle VM share their wake-ups

A VM that does not read the store looked eight times a second whether it had to, checked five times a second for a lease to extend, and looked for expired and owned runners at intervals of their own. Lease extension now waits until a renewal fails; the other checks share ticks of 0.25 s. The rank of a reader is computed once per view.

Each of a domain's three readers told all its VMs once a second, for both topics, that it still reads. Now the first one does, and another one 0.3 s per rank after the first is overdue, within the 2.2 s after which VMs read themselves. All readers still forward records.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -79,6 +79,7 @@
     residency: Residency = field(init=False)
     remote_views: dict[str, View] = field(default_factory=dict)
     covered_domains: dict[str, OwnershipState] = field(default_factory=dict)
+    _ranked: tuple[View, int] | None = None
 
     def __post_init__(self) -> None:
         """Begin without any notice of a runner's owner."""
@@ -150,7 +151,11 @@
 
     def reader_rank(self) -> int:
         """Return this VM's rank among those of its domain that may read the store."""
-        return reader_rank(self.vm, self.cfg.vm.domain, self.ownership.view.members)
+        view = self.ownership.view
+        if self._ranked is None or self._ranked[0] is not view:
+            rank = reader_rank(self.vm, self.cfg.vm.domain, view.members)
+            self._ranked = (view, rank)
+        return self._ranked[1]
 
     def follows(self, runner: Runner) -> bool:
         """Return whether this VM receives updates of a runner's adapters."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -25,6 +25,7 @@
 from ._directory_peers import DirectoryPeers
 from ._store_calls import check_for_silence, count_store_call
 from ._store_port import StoreFault, StoreFaultKind
+from ._ticks import MIN_SLEEP_S, sleep_until_tick
 
 CATCH_UP_TRIES = 3
 SNAPSHOT_KINDS = (StoreFaultKind.EXPIRED, StoreFaultKind.OTHER_EPOCH)
@@ -34,8 +35,6 @@
 BATCH_PAUSE_S = {Topic.CONFIGURATION: 0.0, Topic.RUNNERS: 0.8}
 """Pause after a read that returned records, to batch the next ones: runners write at
 each heartbeat, and one that leaves has to be known within 2 s."""
-READER_CHECK_S = 0.25
-"""Interval at which a VM that does not read the store checks whether it has to."""
 MAX_POLL_S = 3.0
 """Longest poll. A connection that goes silent is noticed by a call that times out, at
 the latest by the poll itself: MAX_POLL_S, the store's timeout of 1 s and a new read, in
@@ -44,7 +43,10 @@
 MAX_READER_POLL_S = 2.5
 """Longest poll of a VM that reads for others, which get its notice after that."""
 KEEPALIVE_INTERVAL_S = 1.0
-"""Interval of the notices that a reader sends to the VMs it reads for."""
+"""Interval of the notices that the first reader sends to the VMs it reads for."""
+KEEPALIVE_STEP_S = 0.3
+"""Additional time per rank after which another reader sends its own, if no earlier one
+has: the last of them does so within READER_TTL_S of the first one's last notice."""
 
 
 class DirectoryFollower:
@@ -82,7 +84,7 @@
         pacing = ReadPacing()
         while True:
             if not pacing.needs_snapshot and not self._must_read(topic):
-                eventlet.sleep(READER_CHECK_S)
+                sleep_until_tick(self._ctx.clock)
                 continue
             started_at = self._ctx.clock.monotonic()
             read = self._read(topic, pacing.needs_snapshot, self._poll_s(topic))
@@ -181,14 +183,38 @@
     def _send_keepalives(self) -> None:
         """Notify the VMs that this VM reads for that it is still reading."""
         while True:
-            eventlet.sleep(KEEPALIVE_INTERVAL_S)
-            now = self._ctx.clock.monotonic()
-            for topic, read_at in self._read_at.items():
-                if (
-                    topic not in self._unreachable_since
-                    and now - read_at <= 2 * MAX_READER_POLL_S
-                ):
-                    self._send_notice(topic, self._ctx.directory.ends[topic], [])
+            due_in_s = self._keepalive_due_at() - self._ctx.clock.boottime()
+            if 0.0 < due_in_s < KEEPALIVE_INTERVAL_S and self._reads_for_others():
+                eventlet.sleep(max(due_in_s, MIN_SLEEP_S))
+            else:
+                sleep_until_tick(self._ctx.clock, KEEPALIVE_INTERVAL_S)
+            self.send_due_keepalives()
+
+    def send_due_keepalives(self) -> None:
+        """Send a notice for both topics, unless an earlier reader has sent one."""
+        if self._ctx.clock.boottime() < self._keepalive_due_at():
+            return
+        now = self._ctx.clock.monotonic()
+        for topic, read_at in self._read_at.items():
+            if (
+                topic not in self._unreachable_since
+                and now - read_at <= 2 * MAX_READER_POLL_S
+            ):
+                self._send_notice(topic, self._ctx.directory.ends[topic], [])
+
+    def _keepalive_due_at(self) -> float:
+        """Return when this reader has to send a notice, by ``boottime``.
+
+        All readers forward records. A notice without records only says that there is
+        a reader, so those of one reader are enough.
+        """
+        rank = self._ctx.reader_rank()
+        if rank == 0:
+            return float("-inf")
+        heard_at = min(
+            self._notice_received_at.get(topic, float("-inf")) for topic in Topic
+        )
+        return heard_at + KEEPALIVE_INTERVAL_S + rank * KEEPALIVE_STEP_S
 
     def _send_notice(
         self, topic: Topic, start: Position, records: list[DirectoryRecord]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_extension.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_extension.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import eventlet
+from eventlet.event import Event
 
 from gooseberryrun._internal.state.serving import (
     REPORT_TTL_S,
@@ -35,16 +36,27 @@
         self._questions: dict[str, float] = {}
         self._is_extending = False
         self._is_closed = False
+        self._wake: Event = Event()
 
     def close(self) -> None:
         """Extend no more."""
         self._is_closed = True
+        self.wake()
+
+    def wake(self) -> None:
+        """Begin to check: the store cannot be reached."""
+        if not self._wake.ready():
+            self._wake.send(None)
 
     def run(self) -> None:
-        """Check at intervals whether the lease has to be extended."""
+        """Check whether the lease has to be extended while the store is away."""
         while not self._is_closed:
-            eventlet.sleep(CHECK_INTERVAL_S)
             self.check()
+            if self._ctx.can_reach_store:
+                self._wake.wait()
+                self._wake = Event()
+            else:
+                eventlet.sleep(CHECK_INTERVAL_S)
 
     def check(self) -> None:
         """Ask the peers and extend the lease as far as they vouch for it."""
@@ -134,6 +146,7 @@
     def record_departure(self, vm: str, notice: LeavingNotice) -> None:
         """Record that the process of a peer has left."""
         now = self._ctx.clock.boottime()
+        self._reports.expire(now)
         if notice.asked_at is None:
             self._reports.forget(vm)
             return
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
@@ -33,6 +33,7 @@
         self.is_store_unreachable = False
         self._is_closed = False
         self.on_regained: Callable[[], None] = lambda: None
+        self.on_lost: Callable[[], None] = lambda: None
 
     def close(self) -> None:
         """Stop renewing; a renewal in flight has no effect."""
@@ -62,6 +63,8 @@
                 self._ownership.record_store_regained(ctx.clock.boottime())
             ctx.can_reach_store = is_renewed
             ctx.has_called_store = True
+            if not is_renewed:
+                self.on_lost()
         outcome = (
             "lost"
             if not is_renewed
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -48,6 +48,7 @@
         self._views = ViewForwarding(ctx, self._group, self._ownership)
         self.renewals = LeaseRenewals(ctx, self._group, self._ownership)
         self.extension = LeaseExtension(ctx, self._ownership)
+        self.renewals.on_lost = self.extension.wake
         self._has_left = False
         self._is_renewal_due = False
         self._unlisted_reads = 0
@@ -179,6 +180,7 @@
             self.renewals.record_store_unreachable(read.err_value.detail)
             self._ctx.can_reach_store = False
             self._ctx.has_called_store = True
+            self.extension.wake()
             eventlet.sleep(PREDECESSOR_RETRY_S)
         members = [member for member in read.ok_value if not member.is_copied]
         is_listed = any(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -22,6 +22,7 @@
 from .._tasks import spawn, spawn_until_done
 from ._context import Context
 from ._runner_owner import RunnerOwner
+from ._ticks import sleep_until_tick
 from ._waiting_requests import Refusal
 
 ResidencyListener = Callable[[str, ResidencyNotice], None]
@@ -30,8 +31,6 @@
 """Shortest time for which residency changes are batched before they are sent."""
 BATCH_PER_FOLLOWER_S = 0.005
 """Batching time per local peer; bounds the rate of messages from an owner."""
-CHECK_INTERVAL_S = 0.3
-"""Interval of the checks of which runners this VM owns."""
 
 
 class OwnedRunners:
@@ -132,7 +131,7 @@
     def _check_all(self) -> None:
         while not self._is_closed:
             self._check()
-            eventlet.sleep(CHECK_INTERVAL_S)
+            sleep_until_tick(self._ctx.clock)
 
     def _check(self) -> None:
         owned = {runner.id: runner for runner in self._owned_runners()}
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_sweep.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_sweep.py
@@ -8,9 +8,8 @@
 from .._tasks import spawn_until_done
 from ._context import Context
 from ._directory_log import DirectoryLog
+from ._ticks import sleep_until_tick
 
-SWEEP_INTERVAL_S = 0.4
-"""Interval at which expired entries of runners are removed."""
 CLEANUP_INTERVAL_S = 30.0
 """Interval at which what is known of runners and VMs that are gone is dropped."""
 
@@ -29,7 +28,7 @@
 
     def _remove_expired(self) -> None:
         while True:
-            eventlet.sleep(SWEEP_INTERVAL_S)
+            sleep_until_tick(self._ctx.clock)
             now = self._ctx.clock.monotonic()
             for runner in self._ctx.directory.expire(now):
                 log_event(
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -15,7 +15,7 @@
     StoreFaultKind,
     make_context,
 )
-from gooseberryrun._internal.state import ManualClock, ServingSettings
+from gooseberryrun._internal.state import Clock, ServingSettings
 from gooseberryrun._internal.state.serving import (
     DirectoryRecord,
     Member,
@@ -116,7 +116,7 @@
 
 
 def make_vm(
-    member: Member, store: GroupStore, runners: list[Runner], clock: ManualClock
+    member: Member, store: GroupStore, runners: list[Runner], clock: Clock
 ) -> tuple[Context, CountingPeers]:
     """Return the context of a VM whose view has the members that the store lists."""
     cfg = ServingSettings.model_validate(
