--- a/packages/gooseberryrun/src/gooseberryrun/__main__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/__main__.py
@@ -21,10 +21,13 @@
 
 import eventlet  # noqa: E402
 import eventlet.hubs  # noqa: E402
+import eventlet.patcher  # noqa: E402
 
+from gooseberryrun._existing_locks import convert_existing_locks  # noqa: E402
 from gooseberryrun._hub import Hub  # noqa: E402
 
 eventlet.hubs.use_hub(Hub)
+eventlet.patcher._green_existing_locks = convert_existing_locks
 eventlet.monkey_patch()
 
 from gooseberryrun._internal.cli import run  # noqa: E402
