Cap the usage of client accounts over all VMs

Callers of an account come to any entry VM, so no VM alone can keep its cap. Ownership works for anything with an id and a domain now. The code that asks a VM and leaves silent ones alone is shared with the turns at limited runners.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -55,6 +55,14 @@
 TURNS = Counter(
     PREFIX + "turns", "Turns asked for at runners with a rate limit", ["outcome"]
 )
+USAGE_DECISIONS = Counter(
+    PREFIX + "usage_decisions",
+    "Requests of capped accounts that asked for a usage permit",
+    ["outcome"],
+)
+USAGE_QUESTIONS = Counter(
+    PREFIX + "usage_questions", "Requests for usage to other VMs", ["outcome"]
+)
 STORE_CALLS = Counter(
     PREFIX + "store_calls", "Calls to the operators' store", ["call", "outcome"]
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -210,6 +210,32 @@
     age_s: float
 
 
+class UsageRequest(Message, frozen=True, array_like=True):
+    """Request to the allocator of an account in a failure domain to grant usage.
+
+    ``cost`` and ``demand_per_s``, the sender's own demand, are in the ``unit`` of the
+    account's cap by the sender's configuration.
+    """
+
+    account: str
+    domain: str
+    unit: str
+    cost: float
+    demand_per_s: float
+    configuration_version: int
+
+
+class UsageAnswer(Message, frozen=True, array_like=True):
+    """Usage granted, or the time in which the account's next request can be served.
+
+    A VM that is not the allocator, or does not know the account's cap, says so.
+    """
+
+    granted: float
+    retry_in_s: float
+    is_allocator: bool
+
+
 class OriginsNotice(Message, frozen=True, array_like=True):
     """Software versions of the runners that streams of the sender were sent to.
 
@@ -316,6 +342,8 @@
     | EvidenceRequest
     | TurnRequest
     | TurnAnswer
+    | UsageRequest
+    | UsageAnswer
     | OriginsNotice
     | OriginRequest
     | OriginAnswer
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -18,7 +18,7 @@
     Verdict,
     adapter_key,
 )
-from gooseberryrun._internal.state.serving.accounts import ClientAccount
+from gooseberryrun._internal.state.serving.accounts import ClientAccount, UsagePermit
 
 from ._request_ports import Caller, InboundRequest, RequestMetadata
 
@@ -37,7 +37,8 @@
     whether its response has started, and the time of its first event. Once a stream has
     begun, it goes on only at runners of ``required_software``. ``is_in_flight`` is set
     from the send of an attempt until the head of its response or its failure.
-    ``account`` is the client account that sent it, None without a key or accounts.
+    ``account`` is the client account that sent it, None without a key or accounts;
+    ``usage_permit`` allows the next send of a request whose account has a cap.
     """
 
     request: InboundRequest
@@ -65,6 +66,7 @@
     required_software: str | None = None
     is_in_flight: bool = False
     account: ClientAccount | None = None
+    usage_permit: UsagePermit | None = None
 
     @property
     def adapter_key(self) -> str:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -71,6 +71,7 @@
             )
         requested_at = self._ctx.clock.monotonic()
         self._ctx.pauses.begin_send(runner, requested_at)
+        permit, active.usage_permit = active.usage_permit, None
         active.is_in_flight = True
         sent = self._ctx.ports.requests.send(runner, outbound, deadline)
         active.is_in_flight = False
@@ -78,6 +79,8 @@
             self.record_fault(active, runner, sent.err_value)
         else:
             self._record_response(active, runner, sent.ok_value, requested_at)
+        if _is_not_run(sent):
+            active.usage_permit = permit
         log_event(
             "attempt",
             request=active.metadata.request_id,
@@ -194,6 +197,13 @@
         return not known.draining
 
 
+def _is_not_run(sent: Result[RunnerResponse, AttemptFault]) -> bool:
+    """Return whether a runner certainly does not run the request that was sent."""
+    if isinstance(sent, Err):
+        return sent.err_value.failure is AttemptFailure.NOT_SENT
+    return sent.ok_value.metadata.is_not_run
+
+
 def _describe(sent: Result[RunnerResponse, AttemptFault]) -> str:
     """Return a short description of an attempt's outcome for the log."""
     if isinstance(sent, Ok):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -11,6 +11,7 @@
     VmKind,
 )
 from gooseberryrun._internal.state.serving import (
+    Assignable,
     Crash,
     CrashEvidence,
     DirectoryState,
@@ -23,6 +24,7 @@
     RunnerPauses,
     RunnerStatements,
     ServingPolicy,
+    UsageAllocation,
     View,
     is_followed_from,
     reader_rank,
@@ -112,11 +114,17 @@
         found.update(runner.domain for runner in self.directory.all_runners())
         return sorted(found)
 
-    def ownership_for(self, runner: Runner) -> OwnershipState:
+    def ownership_for(self, runner: Assignable) -> OwnershipState:
         """Return the ownership state of the group that can assign this VM a runner."""
         return self.covered_domains.get(runner.domain, self.ownership)
 
-    def owner_of(self, runner: Runner) -> Member | None:
+    def transferable(self, group: str, ownership: OwnershipState) -> list[Assignable]:
+        """Return all that a VM may own or hand over in a group."""
+        keys = ownership.known_allocations()
+        allocations = [UsageAllocation(key, group) for key in keys]
+        return [*self.directory.all_runners(), *allocations]
+
+    def owner_of(self, runner: Assignable) -> Member | None:
         """Return the member that a runner is assigned to, as far as this VM knows."""
         remote = self.remote_views.get(runner.domain)
         if runner.domain in self.covered_domains or remote is None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -20,8 +20,10 @@
     InboundRequest,
     RequestHandler,
     RequestMetadata,
+    StoppingError,
 )
-from ._responses import ResponseWriter
+from ._responses import ResponseWriter, stopping_response
+from .accounts import UsageCaps
 
 NOT_READY_RETRY_S = 0.5
 """Retry delay sent by a VM that has no configuration yet."""
@@ -38,6 +40,7 @@
         responses: ResponseWriter,
         plain: PlainRequests,
         models: ModelRequests,
+        usage: UsageCaps,
     ) -> None:
         self._ctx = ctx
         self._guard = guard
@@ -45,6 +48,7 @@
         self._responses = responses
         self._plain = plain
         self._models = models
+        self._usage = usage
 
     def handle(self, request: InboundRequest, caller: Caller) -> None:
         """Serve a request, or reject it if it is malformed or has no route."""
@@ -99,7 +103,10 @@
             self._responses.send_local(active, suspect_response(active, verdict, now))
             return
         try:
-            if active.metadata.model:
+            refusal = self._admit(active)
+            if refusal is not None:
+                self._responses.send_local(active, refusal)
+            elif active.metadata.model:
                 self._models.serve(active)
             else:
                 self._plain.serve(active)
@@ -107,6 +114,15 @@
             if not active.is_logged:
                 self._responses.log(active, 0, "caller_left")
             raise
+        finally:
+            self._usage.release(active)
+
+    def _admit(self, active: ActiveRequest) -> LocalResponse | None:
+        """Check a request against its account's cap; return the refusal, if any."""
+        try:
+            return self._usage.admit(active)
+        except StoppingError:
+            return stopping_response(active)
 
     def _reject(
         self,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -69,7 +69,7 @@
         self.extension.close()
         peers = self._views.recipients()
         generation = self._ownership.view.generation
-        runners = ctx.directory.all_runners()
+        runners = ctx.transferable(self._group, self._ownership)
         handovers = self._ownership.leave(runners, ctx.clock.boottime())
         if self._is_own_domain:
             for vm in peers:
@@ -160,7 +160,7 @@
     def _transfer_reassigned(self) -> None:
         """Transfer ownership of runners that are now assigned to other members."""
         ownership = self._ownership
-        runners = self._ctx.directory.all_runners()
+        runners = self._ctx.transferable(self._group, ownership)
         handovers = ownership.transfer_reassigned(runners, self._ctx.clock.boottime())
         self._send_handovers(handovers, ownership.view.generation)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -26,6 +26,7 @@
 from ._runner_choice import RunnerChooser
 from ._stream_relay import StreamProgress, StreamRelay, after_fault
 from ._turns import Turns
+from .accounts import UsageCaps
 
 MAX_ROUNDS = 6
 """Largest number of rounds for one request; each round chooses a runner."""
@@ -49,8 +50,10 @@
         attempts: Attempts,
         responses: ResponseWriter,
         origins: OriginKeeper,
+        usage: UsageCaps,
     ) -> None:
         self._ctx = ctx
+        self._usage = usage
         self._guard = guard
         self._origins = origins
         self._adapters = adapters
@@ -190,6 +193,8 @@
         try:
             if not self._wait_for_turn(active, runner):
                 return Round.AGAIN
+            if (refusal := self._usage.renew(active)) is not None:
+                return refusal
             if not self._may_send(active, runner, chosen_by):
                 return Round.AGAIN
             if not self._attempts.withdraw_attempt(active):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -23,6 +23,7 @@
     run_rounds,
 )
 from ._turns import Turns
+from .accounts import UsageCaps
 
 MAX_SENDS = 5
 """Largest number of sends for one request."""
@@ -42,8 +43,10 @@
         availability: Availability,
         attempts: Attempts,
         responses: ResponseWriter,
+        usage: UsageCaps,
     ) -> None:
         self._ctx = ctx
+        self._usage = usage
         self._turns = turns
         self._availability = availability
         self._attempts = attempts
@@ -70,6 +73,8 @@
         if not self._turns.wait_for(active, runner):
             active.ungranted.add(runner.id)
             return Round.AGAIN
+        if (refusal := self._usage.renew(active)) is not None:
+            return refusal
         now = self._ctx.clock.monotonic()
         if not self._availability.may_send(runner, now):
             return Round.AGAIN
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_remote_domains.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_remote_domains.py
@@ -16,6 +16,7 @@
 from .._tasks import spawn_until_done
 from ._context import Context
 from ._membership import Membership
+from .accounts import has_usage_caps
 
 CHECK_INTERVAL_S = 5.0
 """Interval at which one VM of each domain reads the members of the other domains."""
@@ -111,9 +112,15 @@
             self._start_covering(group)
 
     def _is_covering_domain(self, group: str) -> bool:
-        """Return whether this VM's domain is to cover ``group``, if it has runners."""
+        """Return whether this VM's domain is to cover ``group``, if that has a need.
+
+        It has if it has runners, or a part of the usage caps.
+        """
         ctx = self._ctx
-        if all(runner.domain != group for runner in ctx.directory.all_runners()):
+        has_runners = any(r.domain == group for r in ctx.directory.all_runners())
+        if not has_runners and not (
+            has_usage_caps(ctx) and group in ctx.cfg.membership.domains
+        ):
             return False
         domains_with_vms = [
             domain
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
@@ -100,6 +100,15 @@
     return replace(response, is_earliest=True)
 
 
+def refusal_over_cap(active: ActiveRequest, earliest_in_s: float) -> LocalResponse:
+    """Return the response to a request beyond its account's cap: 429 if it has not run.
+
+    A retry that the cap does not allow leaves the outcome of the request open.
+    """
+    response = refusal_until(active, "usage_cap", earliest_in_s)
+    return replace(response, status=429) if response.status == 503 else response
+
+
 class ResponseWriter:
     """Sends final responses and logs each with its reason."""
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -24,6 +24,7 @@
     StoreStatusAnswer,
     StoreStatusRequest,
     TurnRequest,
+    UsageRequest,
     UseNotice,
     ViewNotice,
 )
@@ -46,6 +47,7 @@
 from ._statements import record_gossip
 from ._sweep import Sweep
 from ._turns import Turns
+from .accounts import CappedAccounts, UsageAllocators, UsageCaps
 
 
 class Serving:
@@ -63,6 +65,9 @@
         availability = Availability(ctx, self._turns)
         attempts = Attempts(ctx, self.guard)
         responses = ResponseWriter(ctx)
+        accounts = CappedAccounts(ctx)
+        self._allocators = UsageAllocators(ctx, accounts)
+        usage = UsageCaps(ctx, self._allocators, accounts)
         registry = RegistryCheck(ctx, self.follower.read_registry)
         self._origins = OriginKeeper(ctx, registry)
         adapters = Adapters(ctx, self.owned_runners, self.membership)
@@ -76,7 +81,7 @@
             self.guard,
             attempts,
             responses,
-            PlainRequests(ctx, self._turns, availability, attempts, responses),
+            PlainRequests(ctx, self._turns, availability, attempts, responses, usage),
             ModelRequests(
                 ctx,
                 self.guard,
@@ -86,7 +91,9 @@
                 attempts,
                 responses,
                 self._origins,
+                usage,
             ),
+            usage,
         )
         self.membership.on_change = self.owned_runners.refresh
         self.membership.renewals.on_regained = self.follower.catch_up
@@ -156,6 +163,7 @@
             StoreStatusAnswer: self.membership.extension.handle_answer,
             StoreStatusRequest: self.membership.extension.handle_request,
             TurnRequest: self._turns.handle_turn_request,
+            UsageRequest: self._allocators.handle_usage_request,
             UseNotice: _by_sender(self.owned_runners.handle_use_notice),
             ViewNotice: self._handle_view_notice,
         }
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
@@ -7,10 +7,7 @@
 
 from __future__ import annotations
 
-import math
-
 import eventlet
-from result import Err
 
 from gooseberryrun._internal.state import rank_nodes
 from gooseberryrun._internal.state.serving import (
@@ -30,13 +27,12 @@
 from ._active_request import ActiveRequest
 from ._context import Context
 from ._fleet_knowledge import known_vm_count
+from ._peer_requests import PeerRequests
 from ._statements import record_limit
 
 GRANTERS = 3
 """VMs that are asked for a turn: that of the runner, and its deputies."""
 ANSWER_TIMEOUT_S = 0.25
-SILENCE_S = 1.0
-"""Time for which a VM that did not answer is not asked again."""
 
 
 class Turns:
@@ -47,7 +43,7 @@
         self._granted = TurnSchedules()
         self._own_share = TurnSchedules()
         self._expected = ExpectedTurns()
-        self._silent_until: dict[str, float] = {}
+        self._peers = PeerRequests(ctx, ANSWER_TIMEOUT_S)
 
     def expected_wait_s(self, runner: Runner, now: float) -> float:
         """Return the expected wait for a turn, 0 at a runner without a limit."""
@@ -153,26 +149,17 @@
         now = self._ctx.clock.monotonic()
         if granter == self._ctx.vm:
             return self._granted.take(runner.id, limit_per_s, max_wait_s, now)
-        if now < self._silent_until.get(granter, -math.inf):
-            return None
         limit, age_s = self._ctx.statements.newest(runner.id, now)
         request = TurnRequest(
             runner.id, active.metadata.request_id, max_wait_s, limit, age_s
         )
-        deadline = now + ANSWER_TIMEOUT_S
-        reply = self._ctx.peers.request_from(granter, request, deadline)
-        if isinstance(reply, Err) or not isinstance(reply.ok_value, TurnAnswer):
-            self._silent_until[granter] = self._ctx.clock.monotonic() + SILENCE_S
-            why = reply.err_value.detail if isinstance(reply, Err) else "another reply"
-            log_event(
-                "granter_unreachable",
-                request=active.metadata.request_id,
-                granter=granter,
-                why=why,
-            )
+        answer = self._peers.ask(
+            granter, request, TurnAnswer, active.metadata.request_id
+        )
+        if answer is None:
             return None
-        self._record(granter, runner.id, reply.ok_value.limit, reply.ok_value.age_s)
-        return reply.ok_value.turn
+        self._record(granter, runner.id, answer.limit, answer.age_s)
+        return answer.turn
 
     def handle_turn_request(
         self, inbound: InboundMessage, request: TurnRequest
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
@@ -0,0 +1,117 @@
+"""Allocators of usage: the buckets of the accounts that are assigned to this VM."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gooseberryrun._internal.state.serving import UsageAllocation, usage_allocation
+from gooseberryrun._internal.state.serving.accounts import (
+    UsageBucket,
+    UsageCap,
+    domain_allowance,
+)
+
+from ..._events import log_event
+from ..._ports import InboundMessage
+from ..._serving_messages import UsageAnswer, UsageRequest
+from .._context import Context
+from ._capped_accounts import CappedAccounts, usage_domains
+
+NOT_ALLOCATOR = UsageAnswer(0.0, 0.0, False)
+
+
+@dataclass(slots=True)
+class _Allocator:
+    """Bucket of an account in a domain, with what its allowance follows from."""
+
+    bucket: UsageBucket
+    cap: UsageCap
+    domains: int
+
+
+class UsageAllocators:
+    """Grants usage of the accounts that a domain's ownership assigns to this VM.
+
+    The ownership is checked at each request, and acquired with the first one: an
+    account without requests costs nothing. A bucket begins when the ownership of other
+    VMs had ended, so it has filled by then.
+    """
+
+    def __init__(self, ctx: Context, accounts: CappedAccounts) -> None:
+        self._ctx = ctx
+        self._accounts = accounts
+        self._allocators: dict[UsageAllocation, _Allocator] = {}
+
+    def handle_usage_request(
+        self, inbound: InboundMessage, request: UsageRequest
+    ) -> None:
+        """Answer a peer's request at once."""
+        inbound.reply(self.answer(request))
+
+    def answer(self, request: UsageRequest) -> UsageAnswer:
+        """Grant usage, or tell when the account's next request can be served."""
+        allocation = usage_allocation(request.account, request.domain)
+        ownership = self._ctx.ownership_for(allocation)
+        now = self._ctx.clock.boottime()
+        account = self._accounts.find(request.account)
+        if account is None or ownership.fencing_token(allocation, now) is None:
+            self._drop(allocation)
+            return NOT_ALLOCATOR
+        if account.cap is None:
+            # Only a newer configuration than that of the sender proves that the account
+            # has no cap any more.
+            is_known = self._accounts.version >= request.configuration_version
+            return UsageAnswer(request.cost, 0.0, True) if is_known else NOT_ALLOCATOR
+        if account.cap.unit != request.unit:
+            return NOT_ALLOCATOR
+        since = ownership.owned_since(allocation)
+        bucket = self._bucket(allocation, account.cap, now if since is None else since)
+        granted = bucket.take(request.cost, request.demand_per_s, now)
+        if granted >= request.cost and granted > 0.0:
+            return UsageAnswer(granted, 0.0, True)
+        return UsageAnswer(0.0, bucket.retry_in_s(request.cost, now), True)
+
+    def _bucket(
+        self, allocation: UsageAllocation, cap: UsageCap, since: float
+    ) -> UsageBucket:
+        """Return the bucket, a new one if another VM may have granted since."""
+        now = self._ctx.clock.boottime()
+        domains = len(usage_domains(self._ctx))
+        known = self._allocators.get(allocation)
+        if known and known.bucket.since == since and known.cap.unit == cap.unit:
+            if (known.cap, known.domains) != (cap, domains):
+                known.bucket.change(
+                    domain_allowance(cap, self._ctx.cfg.usage, domains), now
+                )
+                known.cap, known.domains = cap, domains
+            return known.bucket
+        self._drop_gone()
+        if known and known.bucket.since == since:
+            # What was granted in another unit cannot be counted in this one.
+            since = now
+        allowance = domain_allowance(cap, self._ctx.cfg.usage, domains)
+        self._allocators[allocation] = _Allocator(
+            UsageBucket(allowance, since), cap, domains
+        )
+        self._log(allocation, True, now - since)
+        return self._allocators[allocation].bucket
+
+    def _drop_gone(self) -> None:
+        """Forget the accounts that the configuration no longer has."""
+        for allocation in list(self._allocators):
+            if self._accounts.find(allocation.account) is None:
+                self._drop(allocation)
+
+    def _drop(self, allocation: UsageAllocation) -> None:
+        if self._allocators.pop(allocation, None) is not None:
+            self._log(allocation, False, 0.0)
+
+    @staticmethod
+    def _log(allocation: UsageAllocation, is_allocator: bool, since_s: float) -> None:
+        log_event(
+            "usage_allocator",
+            account=allocation.account,
+            domain=allocation.domain,
+            is_allocator=is_allocator,
+            since_s=since_s,
+        )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.pyi
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/__init__.pyi
@@ -57,7 +57,12 @@
     decode_record,
     encode_record,
 )
-from ._serving_settings import MembershipSettings, RetrySettings, ServingSettings
+from ._serving_settings import (
+    MembershipSettings,
+    RetrySettings,
+    ServingSettings,
+    UsageSettings,
+)
 from ._settings import (
     HttpSettings,
     LeaseSettings,
@@ -86,6 +91,7 @@
     "MembershipSettings",
     "RetrySettings",
     "ServingSettings",
+    "UsageSettings",
     "load_settings_as",
     "CacheEvent",
     "ChangeDecision",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -51,6 +51,18 @@
     window_s: float = Field(default=10.0, gt=0)
 
 
+class UsageSettings(Section):
+    """Bound on the usage of a client account over all entry VMs.
+
+    In each window of ``window_s`` it is ``(1 + overage)`` times what the account's cap
+    allows, plus ``slack`` tokens for a cap that counts tokens.
+    """
+
+    window_s: float = Field(default=8.0, gt=0)
+    overage: float = Field(default=0.1, ge=0)
+    slack: float = Field(default=17_000.0, ge=0)
+
+
 class GracefulStopSettings(Section):
     """Graceful shutdown."""
 
@@ -64,4 +76,5 @@
     store: StoreSettings
     membership: MembershipSettings = MembershipSettings()
     repeats: RetrySettings = RetrySettings()
+    usage: UsageSettings = UsageSettings()
     stop: GracefulStopSettings = GracefulStopSettings()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -88,7 +88,14 @@
     Turn,
     TurnSchedules,
 )
-from ._views import FORMER_MEMBER_TTL_S, Member, View
+from ._views import (
+    FORMER_MEMBER_TTL_S,
+    Assignable,
+    Member,
+    UsageAllocation,
+    View,
+    usage_allocation,
+)
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S, SlotWait
 
 __all__ = [
@@ -107,6 +114,7 @@
     "TAKEOVER_DELAY_S",
     "AdapterSlots",
     "AdapterVersion",
+    "Assignable",
     "Candidate",
     "Choice",
     "ClientLimits",
@@ -165,6 +173,7 @@
     "TraitKind",
     "Turn",
     "TurnSchedules",
+    "UsageAllocation",
     "Verdict",
     "View",
     "Waiter",
@@ -184,4 +193,5 @@
     "reader_rank",
     "readers",
     "reads_store",
+    "usage_allocation",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_adopted_views.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_adopted_views.py
@@ -5,8 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ._runners import Runner
-from ._views import Member, View
+from ._views import Assignable, Member, View
 
 MAX_ADOPTED_VIEWS = 32
 """Adopted views that are kept; successive views with the same members count as one."""
@@ -77,7 +76,7 @@
             del self._adopted[:-MAX_ADOPTED_VIEWS]
         self._owners.clear()
 
-    def owner_of(self, runner: Runner) -> Member | None:
+    def owner_of(self, runner: Assignable) -> Member | None:
         """Return the member that the view in force assigns a runner to."""
         if runner.id not in self._owners:
             self._owners[runner.id] = self.view.owner_of(runner)
@@ -88,12 +87,12 @@
         earlier = [a.first_generation for a in self._adopted if a.at <= at]
         return earlier[-1] if earlier else 0
 
-    def is_resumed(self, runner: Runner) -> bool:
+    def is_resumed(self, runner: Assignable) -> bool:
         """Return whether every view since the predecessor's assigns the runner here."""
         assigned = [self._assigns(adopted.view, runner) for adopted in self._adopted]
         return all(assigned) and self._adopted[0].is_predecessor
 
-    def assignment(self, runner: Runner) -> Assignment | None:
+    def assignment(self, runner: Assignable) -> Assignment | None:
         """Return since when the runner has been assigned to this VM without a break."""
         owner = self.owner_of(runner)
         if owner is None or owner.vm != self._vm:
@@ -109,7 +108,7 @@
         begun = self._adopted[first]
         return Assignment(begun.at, begun.first_generation)
 
-    def _assigns(self, view: View, runner: Runner) -> bool:
+    def _assigns(self, view: View, runner: Assignable) -> bool:
         """Return whether a view assigns the runner to this VM."""
         owner = view.owner_of(runner)
         return owner is not None and owner.vm == self._vm
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_handovers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_handovers.py
@@ -55,9 +55,16 @@
             return False
         return now - handover.received_at < self._usable_s
 
-    def use(self, runner: str) -> None:
-        """Remove the handover of a runner whose ownership was acquired by it."""
-        del self._received[runner]
+    def ids(self) -> list[str]:
+        """Return the ids of what was handed over."""
+        return list(self._received)
+
+    def use(self, runner: str) -> float:
+        """Remove the handover of a runner whose ownership was acquired by it.
+
+        Returns when it was received.
+        """
+        return self._received.pop(runner).received_at
 
     def withdraw(self, runner: str, generation: int, now: float) -> bool:
         """Remove a handover that is passed on; return whether it is valid."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -1,4 +1,4 @@
-"""Ownership of runners: which entry VM may order a runner, and when."""
+"""Ownership of runners and usage allocations: which entry VM may act, and when."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 from ._handovers import HANDOVER_TTL_S, Handovers
 from ._member_lease import MemberLease
 from ._outage_reports import TAKEOVER_DELAY_S
-from ._runners import Runner
-from ._views import FormerMembers, Member, View
+from ._owned_tokens import OwnedTokens
+from ._views import USAGE_ID_PREFIX, Assignable, FormerMembers, Member, View
 
 MAX_STALE_VIEW_S = 2.0
 """Time for which a VM that knows of a newer view keeps using its own: less than the
@@ -47,7 +47,7 @@
         self._reacquire_delay_s = cfg.turn_ms / 1000
         self._adopted = AdoptedViews(vm)
         self._former = FormerMembers()
-        self._tokens: dict[str, int] = {}
+        self._tokens = OwnedTokens()
         self._handovers = Handovers(self._reacquire_delay_s)
         self._ordered: set[str] = set()
         self._released_at: dict[str, float] = {}
@@ -110,14 +110,14 @@
         """Return the members that left the view at most FORMER_MEMBER_TTL_S ago."""
         return self._former.members(now)
 
-    def owner_of(self, runner: Runner) -> Member | None:
+    def owner_of(self, runner: Assignable) -> Member | None:
         """Return the member that a runner is assigned to."""
         if self._group is not None and runner.domain != self._group:
             return None
         return self._adopted.owner_of(runner)
 
     def transfer_reassigned(
-        self, runners: Iterable[Runner], now: float
+        self, runners: Iterable[Assignable], now: float
     ) -> dict[str, list[str]]:
         """Release the runners that are assigned to other members.
 
@@ -142,17 +142,17 @@
         }
         self._handovers.expire(now)
 
-    def _release(self, runner: Runner, now: float) -> bool:
+    def _release(self, runner: Assignable, now: float) -> bool:
         """Give up a runner; return whether there is an ownership to transfer."""
         is_owned = runner.id in self._tokens and now < self._deadline_for(runner)
         if is_owned and runner.id in self._ordered:
             self._released_at[runner.id] = now
         self._ordered.discard(runner.id)
-        self._tokens.pop(runner.id, None)
+        self._tokens.drop(runner.id)
         generation = self.view.generation
         return self._handovers.withdraw(runner.id, generation, now) or is_owned
 
-    def leave(self, runners: Iterable[Runner], now: float) -> dict[str, list[str]]:
+    def leave(self, runners: Iterable[Assignable], now: float) -> dict[str, list[str]]:
         """Release all runners; return their ids by the VM that they go to."""
         remaining = View(
             self.view.generation + 1,
@@ -208,7 +208,7 @@
         """Record that a VM outside the view extends its lease on its peers' word."""
         self._peers_extend_until = max(self._peers_extend_until, now + TAKEOVER_DELAY_S)
 
-    def _deadline_for(self, runner: Runner) -> float:
+    def _deadline_for(self, runner: Assignable) -> float:
         is_local = runner.domain == self._domain
         return self._lease.local_deadline if is_local else self._lease.deadline
 
@@ -216,7 +216,7 @@
         """Return the seconds until the lease expires, extensions not counted."""
         return self._lease.deadline - now
 
-    def is_assigned(self, runner: Runner, now: float) -> bool:
+    def is_assigned(self, runner: Assignable, now: float) -> bool:
         """Return whether the runner is assigned to this VM under a valid lease.
 
         Orders to it may not be allowed yet.
@@ -224,7 +224,7 @@
         is_leased = now < self._deadline_for(runner)
         return is_leased and self._assignment(runner) is not None
 
-    def fencing_token(self, runner: Runner, now: float) -> int | None:
+    def fencing_token(self, runner: Assignable, now: float) -> int | None:
         """Return the token for an order sent now, None if none may be sent.
 
         The token stays the same while the runner is owned, so that a delayed order does
@@ -237,9 +237,18 @@
             return None
         if runner.id not in self._tokens:
             self._acquire(runner, assignment, now)
-        return self._tokens.get(runner.id)
+        return self._tokens.token(runner.id)
 
-    def record_order(self, runner: Runner) -> None:
+    def owned_since(self, runner: Assignable) -> float | None:
+        """Return since when no other VM has been the owner, None if not owned."""
+        return self._tokens.since(runner.id)
+
+    def known_allocations(self) -> list[str]:
+        """Return the ids of the allocations that this VM owns or was handed over."""
+        ids = {*self._tokens.ids(), *self._handovers.ids()}
+        return sorted(key for key in ids if key.startswith(USAGE_ID_PREFIX))
+
+    def record_order(self, runner: Assignable) -> None:
         """Record that an order to an owned runner is sent.
 
         One that gets no order may be reacquired at once after its release, since its
@@ -247,41 +256,43 @@
         """
         self._ordered.add(runner.id)
 
-    def orders_allowed_in_s(self, runner: Runner, now: float) -> float:
+    def orders_allowed_in_s(self, runner: Assignable, now: float) -> float:
         """Return the longest time until orders to an assigned runner are allowed."""
         assignment = self._assignment(runner)
         if assignment is None:
             return 0.0
         return max(0.0, self._takeover_at(runner, assignment) - now)
 
-    def _acquire(self, runner: Runner, assignment: Assignment, now: float) -> None:
+    def _acquire(self, runner: Assignable, assignment: Assignment, now: float) -> None:
         """Take the ownership of an assigned runner if it is safe to do so."""
         if self._adopted.is_resumed(runner):
             if now < self._peers_extend_until:
                 return
-            self._tokens[runner.id] = assignment.generation
+            since = max(self._started_at, self._peers_extend_until)
+            self._tokens.take(runner.id, assignment.generation, since)
             return
         # Reacquiring a runner too soon would make its ownership flap between VMs.
         released_at = self._released_at.get(runner.id, self._started_at)
         if now < released_at + self._reacquire_delay_s:
             return
         if self._handovers.has(runner.id, self.view.generation, now):
-            self._handovers.use(runner.id)
-            self._tokens[runner.id] = self.view.generation
+            since = self._handovers.use(runner.id)
+            self._tokens.take(runner.id, self.view.generation, since)
         # A renewal after the wait proves that this VM's view is still the newest.
         elif (
             self._lease.renewed_at >= self._takeover_at(runner, assignment)
             and not self.needs_view()
         ):
-            self._tokens[runner.id] = assignment.generation
+            since = self._takeover_at(runner, assignment)
+            self._tokens.take(runner.id, assignment.generation, since)
 
-    def _takeover_at(self, runner: Runner, assignment: Assignment) -> float:
+    def _takeover_at(self, runner: Assignable, assignment: Assignment) -> float:
         """Return when every earlier lease on an assigned runner has ended."""
         is_local = runner.domain == self._domain
         wait_s = self._cfg.lease_s if is_local else self._cfg.outside_s
         return max(assignment.since + wait_s, self._peers_extend_until)
 
-    def _assignment(self, runner: Runner) -> Assignment | None:
+    def _assignment(self, runner: Assignable) -> Assignment | None:
         """Return the assignment of a runner to this VM, None if it has none."""
         if self._group is not None and runner.domain != self._group:
             return None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_views.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_views.py
@@ -1,16 +1,52 @@
-"""Members of the group of entry VMs, and the assignment of runners to them."""
+"""Members of the group of entry VMs, and what is assigned to them."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from typing import Protocol
+
 import msgspec
 
 from .._hashing import top_node
-from ._runners import Runner
 
 FORMER_MEMBER_TTL_S = 12.0
 """Time for which a member that left the view still gets messages."""
 
 
+USAGE_ID_PREFIX = "usage/"
+"""Start of the ids by which the allocators of client accounts are assigned."""
+
+
+class Assignable(Protocol):
+    """What the members of a failure domain own: a runner or an allocation of usage."""
+
+    @property
+    def id(self) -> str:
+        """Return the id, by which the owner is found."""
+
+    @property
+    def domain(self) -> str:
+        """Return the failure domain whose members may own it."""
+
+
+@dataclass(frozen=True, slots=True)
+class UsageAllocation:
+    """Allocation of a failure domain's part of an account's usage cap."""
+
+    id: str
+    domain: str
+
+    @property
+    def account(self) -> str:
+        """Return the name of the account."""
+        return self.id.removeprefix(USAGE_ID_PREFIX)
+
+
+def usage_allocation(account: str, domain: str) -> UsageAllocation:
+    """Return the allocation of an account's usage in a failure domain."""
+    return UsageAllocation(USAGE_ID_PREFIX + account, domain)
+
+
 class Member(msgspec.Struct, frozen=True, array_like=True):
     """Entry VM in the group, with its failure domain and its address for peers.
 
@@ -53,7 +89,7 @@
         found = local or list(self.members)
         return [member for member in found if not member.is_new] or found
 
-    def owner_of(self, runner: Runner) -> Member | None:
+    def owner_of(self, runner: Assignable) -> Member | None:
         """Return the member that a runner is assigned to, None without members."""
         candidates = {m.vm: m for m in self.eligible_owners(runner.domain)}
         vm = top_node(runner.id, candidates)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/__init__.py
@@ -1,5 +1,30 @@
 """Client accounts: who sent a request, and how much an account may use."""
 
 from ._accounts import AccountTable, ClientAccount, UsageCap, UsageUnit, key_digest
+from ._usage_bucket import UsageBucket
+from ._usage_credit import AccountCredit, DemandMeter, SeparatedUsage, UsagePermit
+from ._usage_limits import (
+    CREDIT_TTL_S,
+    MAX_SEND_LAG_S,
+    DomainAllowance,
+    domain_allowance,
+    separated_allowance,
+)
 
-__all__ = ["AccountTable", "ClientAccount", "UsageCap", "UsageUnit", "key_digest"]
+__all__ = [
+    "CREDIT_TTL_S",
+    "MAX_SEND_LAG_S",
+    "AccountCredit",
+    "AccountTable",
+    "ClientAccount",
+    "DemandMeter",
+    "DomainAllowance",
+    "SeparatedUsage",
+    "UsageBucket",
+    "UsageCap",
+    "UsagePermit",
+    "UsageUnit",
+    "domain_allowance",
+    "key_digest",
+    "separated_allowance",
+]
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_bucket.py
@@ -0,0 +1,137 @@
+"""Token bucket of an account in one failure domain, kept by the domain's allocator.
+
+Made for accounts whose callers come to any entry VM and whose requests may cost more
+than the domain's part of the burst: the bucket holds as much as the largest request, as
+far as the bound on the usage allows it. Refused callers are told different times, so
+that they don't come back together.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from ._usage_limits import CREDIT_TTL_S, DomainAllowance
+
+QUIET_S = CREDIT_TTL_S
+"""Time without grants of a new allocator: credit of its predecessor is in use."""
+MAX_SPREAD_S = 3.0
+"""Longest time over which the returns of refused requests are spread.
+
+A caller honours a retry delay up to a third of its remaining time, and callers that
+retry at once would else move the times of all others away without bound.
+"""
+HIGH_LEVEL_SHARE = 0.5
+"""Filled share of a bucket above which a VM gets credit for its coming requests."""
+EPSILON = 1e-6
+"""Units by which sums of amounts may differ by rounding."""
+
+
+class UsageBucket:
+    """Grants of one allocator; all times are seconds on its ``boottime`` clock.
+
+    Nobody else has granted from ``since`` on. The bucket is empty then, so a window
+    with several allocators has no more grants than with one. Never is more granted
+    within the window of the allowance than its ``window_limit``: a request of at most
+    ``max_burst`` takes what the bucket holds; a larger one needs a full bucket, and a
+    window whose grants are all known and leave room for it.
+    """
+
+    def __init__(self, allowance: DomainAllowance, since: float) -> None:
+        self._allowance = allowance
+        self._since = since
+        self._at = since
+        self._level = 0.0
+        self._largest_cost = 0.0
+        self._granted: deque[tuple[float, float]] = deque()
+        self._granted_sum = 0.0
+        self._last_retry_at = -math.inf
+
+    @property
+    def since(self) -> float:
+        """Return the time since which nobody else has granted."""
+        return self._since
+
+    @property
+    def _capacity(self) -> float:
+        needed = min(self._largest_cost, self._allowance.max_burst)
+        return max(self._allowance.burst, needed)
+
+    def change(self, allowance: DomainAllowance, now: float) -> None:
+        """Put another allowance in force; what was gathered so far stays."""
+        self._refill(now)
+        self._allowance = allowance
+        self._level = min(self._level, self._capacity)
+
+    def take(self, cost: float, demand_per_s: float, now: float) -> float:
+        """Return the amount granted: ``cost`` or more, 0 if the request is refused.
+
+        While much is left, a VM gets credit for the whole requests that it will admit
+        within the lifetime of credit.
+        """
+        self._refill(now)
+        self._largest_cost = max(self._largest_cost, cost)
+        if self._wait_s(cost, now) > 0.0:
+            return 0.0
+        granted = cost + self._credit_ahead(cost, demand_per_s)
+        self._level -= granted
+        self._granted.append((now, granted))
+        self._granted_sum += granted
+        return granted
+
+    def _credit_ahead(self, cost: float, demand_per_s: float) -> float:
+        if cost <= 0.0:
+            return 0.0
+        requests = math.floor(demand_per_s * CREDIT_TTL_S / cost)
+        spare = self._level - cost - HIGH_LEVEL_SHARE * self._capacity
+        return min(requests, max(0, math.floor(spare / cost))) * cost
+
+    def retry_in_s(self, cost: float, now: float) -> float:
+        """Return when a refused request can be served, after those refused before."""
+        self._refill(now)
+        wait_s = self._wait_s(cost, now)
+        if math.isinf(wait_s):
+            return self._allowance.window_s
+        interval_s = cost / max(self._allowance.total_rate_per_s, EPSILON)
+        retry_at = max(now + wait_s, self._last_retry_at + interval_s)
+        retry_at = min(retry_at, now + wait_s + MAX_SPREAD_S)
+        self._last_retry_at = retry_at
+        return retry_at - now
+
+    def _refill(self, now: float) -> None:
+        gained = self._allowance.rate_per_s * max(0.0, now - self._at)
+        self._level = min(self._capacity, self._level + gained)
+        self._at = max(self._at, now)
+        while self._granted and self._granted[0][0] < now - self._allowance.window_s:
+            self._granted_sum -= self._granted.popleft()[1]
+        if not self._granted:
+            self._granted_sum = 0.0
+
+    def _wait_s(self, cost: float, now: float) -> float:
+        """Return the time until a request of this cost may be granted, 0 if now.
+
+        It is infinite if the request costs more than may ever be granted.
+        """
+        wait_s = max(0.0, self._since + QUIET_S - now)
+        missing = min(cost, self._capacity) - self._level
+        if missing > EPSILON:
+            if self._allowance.rate_per_s <= 0.0:
+                return math.inf
+            wait_s = max(wait_s, missing / self._allowance.rate_per_s)
+        if cost > self._capacity:
+            wait_s = max(wait_s, self._window_wait_s(cost, now))
+        return wait_s
+
+    def _window_wait_s(self, cost: float, now: float) -> float:
+        """Return the time until a window has room for a large request."""
+        allowance = self._allowance
+        if cost > allowance.window_limit:
+            return math.inf
+        known_in_s = self._since + allowance.window_s - now
+        excess = self._granted_sum + cost - allowance.window_limit
+        for granted_at, amount in self._granted:
+            if excess <= EPSILON:
+                break
+            excess -= amount
+            known_in_s = max(known_in_s, granted_at + allowance.window_s - now)
+        return max(0.0, known_in_s)
--- a/tests/unit/serving/test_interruptions.py
+++ b/tests/unit/serving/test_interruptions.py
@@ -46,7 +46,9 @@
     none: Any = None
     origins: Any = WaitingOrigins()
     responses: Any = Responses()
-    requests = ModelRequests(ctx, none, none, none, none, none, responses, origins)
+    requests = ModelRequests(
+        ctx, none, none, none, none, none, responses, origins, none
+    )
     metadata = RequestMetadata("r2", 15.0, "m", last_event_id="4", resumes="r1")
     inbound = InboundRequest("POST", "/", "h", [], b"", 10.0)
     active = ActiveRequest(inbound, metadata, none, ROUTE, "s", 25.0)
--- a/tests/unit/serving/test_platform.py
+++ b/tests/unit/serving/test_platform.py
@@ -200,5 +200,15 @@
         (ROOT / "deploy" / "system.toml").read_text(encoding="utf-8")
     )
     assert deploy["roles"]["entry"]["template"] == "deploy/settings.toml.in"
-    for section in ("vm", "peer", "entry", "store", "membership", "repeats", "stop"):
+    sections = (
+        "vm",
+        "peer",
+        "entry",
+        "store",
+        "membership",
+        "repeats",
+        "usage",
+        "stop",
+    )
+    for section in sections:
         assert f"[{section}]" in text
