--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
+from gooseberryrun._internal.state import top_node
 from gooseberryrun._internal.state.serving import UsageAllocation, usage_allocation
 from gooseberryrun._internal.state.serving.accounts import (
+    DomainAllowance,
     UsageBucket,
     UsageCap,
     domain_allowance,
@@ -22,11 +25,15 @@
 
 @dataclass(slots=True)
 class _Allocator:
-    """Bucket of an account in a domain, with what its allowance follows from."""
+    """Bucket of an account in a domain, with what its allowance follows from.
+
+    ``owned_since`` is that of the ownership, which tells acquisitions apart.
+    """
 
     bucket: UsageBucket
+    owned_since: float
     cap: UsageCap
-    domains: int
+    domains: list[str]
 
 
 class UsageAllocators:
@@ -34,13 +41,15 @@
 
     The ownership is checked at each request, and acquired with the first one: an
     account without requests costs nothing. A bucket begins when the ownership of other
-    VMs had ended, so it has filled by then.
+    VMs had ended, so it has filled by then. It stays as long as the ownership does,
+    also while the lease has run out, so that no amount is granted twice.
     """
 
     def __init__(self, ctx: Context, accounts: CappedAccounts) -> None:
         self._ctx = ctx
         self._accounts = accounts
         self._allocators: dict[UsageAllocation, _Allocator] = {}
+        self._forgotten_at = -math.inf
 
     def handle_usage_request(
         self, inbound: InboundMessage, request: UsageRequest
@@ -53,9 +62,12 @@
         allocation = usage_allocation(request.account, request.domain)
         ownership = self._ctx.ownership_for(allocation)
         now = self._ctx.clock.boottime()
-        account = self._accounts.find(request.account)
-        if account is None or ownership.fencing_token(allocation, now) is None:
+        token = ownership.fencing_token(allocation, now)
+        owned_since = ownership.owned_since(allocation)
+        if owned_since is None:
             self._drop(allocation)
+        account = self._accounts.find(request.account)
+        if account is None or token is None or owned_since is None:
             return NOT_ALLOCATOR
         if account.cap is None:
             # Only a newer configuration than that of the sender proves that the account
@@ -64,43 +76,49 @@
             return UsageAnswer(request.cost, 0.0, True) if is_known else NOT_ALLOCATOR
         if account.cap.unit != request.unit:
             return NOT_ALLOCATOR
-        since = ownership.owned_since(allocation)
-        bucket = self._bucket(allocation, account.cap, now if since is None else since)
+        bucket = self._bucket(allocation, account.cap, owned_since)
         granted = bucket.take(request.cost, request.demand_per_s, now)
-        if granted >= request.cost and granted > 0.0:
+        if granted > 0.0 or request.cost <= 0.0:
             return UsageAnswer(granted, 0.0, True)
         return UsageAnswer(0.0, bucket.retry_in_s(request.cost, now), True)
 
     def _bucket(
-        self, allocation: UsageAllocation, cap: UsageCap, since: float
+        self, allocation: UsageAllocation, cap: UsageCap, owned_since: float
     ) -> UsageBucket:
         """Return the bucket, a new one if another VM may have granted since."""
         now = self._ctx.clock.boottime()
-        domains = len(usage_domains(self._ctx))
+        domains = usage_domains(self._ctx)
         known = self._allocators.get(allocation)
-        if known and known.bucket.since == since and known.cap.unit == cap.unit:
+        is_current = known is not None and known.owned_since == owned_since
+        if known and is_current and known.cap.unit == cap.unit:
             if (known.cap, known.domains) != (cap, domains):
-                known.bucket.change(
-                    domain_allowance(cap, self._ctx.cfg.usage, domains), now
-                )
+                known.bucket.change(self._allowance(allocation, cap, domains), now)
                 known.cap, known.domains = cap, domains
             return known.bucket
         self._drop_gone()
-        if known and known.bucket.since == since:
-            # What was granted in another unit cannot be counted in this one.
-            since = now
-        allowance = domain_allowance(cap, self._ctx.cfg.usage, domains)
-        self._allocators[allocation] = _Allocator(
-            UsageBucket(allowance, since), cap, domains
-        )
+        # What was granted in another unit cannot be counted in this one.
+        since = now if is_current else max(owned_since, self._forgotten_at)
+        bucket = UsageBucket(self._allowance(allocation, cap, domains), since)
+        self._allocators[allocation] = _Allocator(bucket, owned_since, cap, domains)
         self._log(allocation, True, now - since)
-        return self._allocators[allocation].bucket
+        return bucket
+
+    def _allowance(
+        self, allocation: UsageAllocation, cap: UsageCap, domains: list[str]
+    ) -> DomainAllowance:
+        is_home = top_node(allocation.id, domains) == allocation.domain
+        cfg = self._ctx.cfg.usage
+        return domain_allowance(cap, cfg, len(domains), is_home)
 
     def _drop_gone(self) -> None:
-        """Forget the accounts that the configuration no longer has."""
+        """Forget the accounts that the configuration no longer has.
+
+        One that returns begins empty, since its grants are forgotten as well.
+        """
         for allocation in list(self._allocators):
             if self._accounts.find(allocation.account) is None:
                 self._drop(allocation)
+                self._forgotten_at = self._ctx.clock.boottime()
 
     def _drop(self, allocation: UsageAllocation) -> None:
         if self._allocators.pop(allocation, None) is not None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
@@ -170,7 +170,7 @@
             answer = self._ask(vm, request, active.metadata.request_id)
             if answer is None or not answer.is_allocator:
                 continue
-            if answer.granted >= cost and not answer.retry_in_s:
+            if answer.granted >= cost:
                 usage.credit.add(answer.granted, asked_at)
                 permit = usage.credit.take(cost, self._ctx.clock.boottime())
                 if permit is not None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_bucket.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_bucket.py
@@ -47,11 +47,6 @@
         self._granted_sum = 0.0
         self._last_retry_at = -math.inf
 
-    @property
-    def since(self) -> float:
-        """Return the time since which nobody else has granted."""
-        return self._since
-
     @property
     def _capacity(self) -> float:
         needed = min(self._largest_cost, self._allowance.max_burst)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_limits.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_limits.py
@@ -23,6 +23,11 @@
 """Longest time between a grant and the send of a request that uses it."""
 LARGE_REQUEST_SHARE = 0.6
 """Share of the margin for requests that cost more than a domain's part of the burst."""
+HOME_SHARE = 0.5
+"""Share of that for the account's home domain; the rest is divided evenly.
+
+The smallest cap in six domains would else never have room for its largest requests.
+"""
 SEPARATED_SHARE = 0.3
 """Share of the margin for VMs that reach no allocator.
 
@@ -52,15 +57,16 @@
 
 
 def domain_allowance(
-    cap: UsageCap, cfg: UsageSettings, domains: int
+    cap: UsageCap, cfg: UsageSettings, domains: int, is_home: bool
 ) -> DomainAllowance:
-    """Return the part of each of ``domains`` failure domains."""
+    """Return the part of one of ``domains`` failure domains, of which one is home."""
     window_s = cfg.window_s + MAX_SEND_LAG_S
     rate_per_s = min(cap.rate_per_s, (_bound(cap, cfg) - cap.burst) / window_s)
     rate_per_s = max(0.0, rate_per_s)
     parts = max(1, domains)
     burst = cap.burst / parts
-    large = LARGE_REQUEST_SHARE * _margin(cap, cfg) / parts
+    share = (1 - HOME_SHARE) / parts + (HOME_SHARE if is_home else 0.0)
+    large = share * LARGE_REQUEST_SHARE * _margin(cap, cfg)
     return DomainAllowance(
         rate_per_s / parts, burst, burst + large, window_s, rate_per_s
     )
