--- a/tests/unit/serving/test_usage_caps.py
+++ b/tests/unit/serving/test_usage_caps.py
@@ -297,11 +297,11 @@
 def test_account_that_goes_and_comes_back_has_not_its_burst_again() -> None:
     fleet = make_fleet(4_200.0, vms=3)
     account = make_account(4_200.0)
-    load = Load(5 * 4_200.0, even(fleet))
+    load = Load(20 * 4_200.0, even(fleet))
     fleet.run(5.0, load)
     for _ in range(10):
         fleet.configure([make_account(4_200.0, "b")])
-        fleet.run(0.5, Load(4_200.0, even(fleet), "b"))
+        fleet.run(0.5, Load(20 * 4_200.0, even(fleet), "b"))
         fleet.configure([account])
         fleet.run(0.5, load)
     fleet.run(8.0, load)
