--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/__init__.py
@@ -1,6 +1,15 @@
 """Client accounts: who sent a request, and how much an account may use."""
 
-from ._accounts import AccountTable, ClientAccount, UsageCap, UsageUnit, key_digest
+from ._accounts import (
+    AccountTable,
+    ClientAccount,
+    UsageCap,
+    UsageUnit,
+    find_shared_keys,
+    key_digest,
+)
+from ._authentication import KeyOutcome, check_key
+from ._freshness import ConfigurationFreshness
 from ._usage_bucket import UsageBucket
 from ._usage_credit import AccountCredit, DemandMeter, SeparatedUsage, UsagePermit
 from ._usage_limits import (
@@ -17,14 +26,18 @@
     "AccountCredit",
     "AccountTable",
     "ClientAccount",
+    "ConfigurationFreshness",
     "DemandMeter",
     "DomainAllowance",
+    "KeyOutcome",
     "SeparatedUsage",
     "UsageBucket",
     "UsageCap",
     "UsagePermit",
     "UsageUnit",
     "allowances",
+    "check_key",
+    "find_shared_keys",
     "key_digest",
     "separated_allowance",
 ]
