Check the usage permit again when a new connection is open

A connection takes up to 0.4 s to open, longer at a VM that stands still, and the request would then be sent later after its grant than the bound allows. A withdrawn attempt is no fault of the runner. The ownership looks a VM's older views up only until it has acquired: an allocator checks it at each request.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from result import Err, Ok, Result
 
 from gooseberryrun._internal.state.serving import Runner
+from gooseberryrun._internal.state.serving.accounts import UsagePermit
 
 from .._events import log_event
 from ._active_request import ActiveRequest
@@ -107,8 +110,14 @@
             request.body,
             active.metadata.request_id,
             active.route.is_idempotent,
+            self._send_check(active.usage_permit),
         )
 
+    def _send_check(self, permit: UsagePermit | None) -> Callable[[], bool] | None:
+        if permit is None:
+            return None
+        return lambda: permit.is_valid(self._ctx.clock.boottime())
+
     def _record_response(
         self,
         active: ActiveRequest,
@@ -131,6 +140,9 @@
         self, active: ActiveRequest, runner: Runner, fault: AttemptFault
     ) -> None:
         """Record an attempt that got no valid response."""
+        if fault.failure is AttemptFailure.WITHDRAWN:
+            active.tried.discard(runner.id)
+            return
         now = self._ctx.clock.monotonic()
         self._ctx.loads.record_result(runner.id, ok=False, now=now)
         if fault.failure is AttemptFailure.NOT_SENT:
@@ -200,7 +212,7 @@
 def _is_not_run(sent: Result[RunnerResponse, AttemptFault]) -> bool:
     """Return whether a runner certainly does not run the request that was sent."""
     if isinstance(sent, Err):
-        return sent.err_value.failure is AttemptFailure.NOT_SENT
+        return sent.err_value.failure.is_not_run
     return sent.ok_value.metadata.is_not_run
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -133,7 +133,7 @@
     def _after_fault(
         self, active: ActiveRequest, failure: AttemptFailure
     ) -> LocalResponse | Round:
-        if failure is AttemptFailure.NOT_SENT or active.may_retry:
+        if failure.is_not_run or active.may_retry:
             return Round.AGAIN
         is_late = failure is AttemptFailure.LATE
         return failure_response(active, "deadline" if is_late else "server_failed")
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -200,6 +200,8 @@
 
     NOT_SENT = "not_sent"
     """Nothing reached the runner."""
+    WITHDRAWN = "withdrawn"
+    """Nothing was sent, since the request may no longer be sent now."""
     SENT = "sent"
     """The runner may have run the request."""
     INVALID_RESPONSE = "spoiled"
@@ -207,6 +209,11 @@
     LATE = "late"
     """The attempt's deadline passed; the runner may have run the request."""
 
+    @property
+    def is_not_run(self) -> bool:
+        """Return whether the runner has certainly not run the request."""
+        return self in (AttemptFailure.NOT_SENT, AttemptFailure.WITHDRAWN)
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptFault:
@@ -243,7 +250,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OutboundRequest:
-    """Request to a runner; unless ``is_idempotent`` it may run only once."""
+    """Request to a runner; unless ``is_idempotent`` it may run only once.
+
+    ``may_send`` is asked once more after a connection was opened, which takes time.
+    """
 
     method: str
     target: str
@@ -251,6 +261,7 @@
     body: bytes
     request_id: str
     is_idempotent: bool
+    may_send: Callable[[], bool] | None = None
 
 
 class RunnerRequests(ABC):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
@@ -145,7 +145,7 @@
 
 def after_fault(active: ActiveRequest, fault: AttemptFault) -> LocalResponse | Round:
     """Return what to do after a failed attempt: try another runner, or give up."""
-    if fault.failure is AttemptFailure.NOT_SENT or active.may_retry:
+    if fault.failure.is_not_run or active.may_retry:
         return Round.AGAIN
     is_late = fault.failure is AttemptFailure.LATE
     return failure_response(active, "deadline" if is_late else "runner_failed")
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_ownership.py
@@ -232,11 +232,11 @@
         """
         if now >= self._deadline_for(runner) or now >= self._stale_view_deadline:
             return None
-        assignment = self._assignment(runner)
-        if assignment is None:
+        owner = self.owner_of(runner)
+        if owner is None or owner.vm != self._vm:
             return None
-        if runner.id not in self._tokens:
-            self._acquire(runner, assignment, now)
+        if runner.id not in self._tokens and (found := self._assignment(runner)):
+            self._acquire(runner, found, now)
         return self._tokens.token(runner.id)
 
     def owned_since(self, runner: Assignable) -> float | None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -72,6 +72,9 @@
             if isinstance(opened, Err):
                 return opened
             conn = opened.ok_value
+            if request.may_send is not None and not request.may_send():
+                self.put_back(runner, conn)
+                return Err(AttemptFault(AttemptFailure.WITHDRAWN, "waited too long"))
         return self._exchange(runner, conn, request, deadline)
 
     def _exchange(
--- a/tests/unit/serving/test_kept_connections.py
+++ b/tests/unit/serving/test_kept_connections.py
@@ -8,12 +8,16 @@
 import threading
 
 import pytest
-from gooseberryrun._internal.coordination.serving import OutboundRequest, RunnerResponse
+from gooseberryrun._internal.coordination.serving import (
+    AttemptFailure,
+    OutboundRequest,
+    RunnerResponse,
+)
 from gooseberryrun._internal.state import SystemClock
 from gooseberryrun._internal.state.serving import Runner
 from gooseberryrun._internal.transport.serving import InputBounds, RunnerConnectionPool
 from gooseberryrun_platform._headers import PlatformHeaders
-from result import Ok
+from result import Err, Ok
 
 from tests.lib.scripted_server import ScriptedServer
 
@@ -98,6 +102,22 @@
     server.close()
 
 
+def test_request_that_may_no_longer_be_sent_leaves_its_new_connection() -> None:
+    """Its usage permit ran out while it connected; sent late it exceeds the cap."""
+    server = ScriptedServer(lambda _number, name: answer(200, name))
+    runners = make_pool()
+    runner = Runner("i-1", "s", "127.0.0.1", server.port, "d", 6, False, 1, 0, ())
+    headers = [("host", "h"), ("x-gooseberryrun-request-id", "first")]
+    request = OutboundRequest("GET", "/", headers, b"", "first", True, lambda: False)
+    sent = runners.send(runner, request, SystemClock().monotonic() + 30)
+    assert isinstance(sent, Err)
+    assert sent.err_value.failure is AttemptFailure.WITHDRAWN
+    assert sent.err_value.failure.is_not_run
+    assert is_answered(runners, server.port, "second", is_idempotent=True)
+    assert server.connections == 1
+    server.close()
+
+
 def answer(status: int, request_id: str, body: str = "ok", head: str = "") -> bytes:
     """Return a whole response of a runner."""
     return (
--- a/tests/unit/serving/test_usage_admission.py
+++ b/tests/unit/serving/test_usage_admission.py
@@ -12,6 +12,7 @@
     ForwardingMetadata,
     InboundRequest,
     LocalResponse,
+    OutboundRequest,
     RequestMetadata,
     ResponseMetadata,
     StoppingError,
@@ -42,13 +43,17 @@
 
     def __init__(self, outcome: Result[Any, AttemptFault]) -> None:
         self._outcome = outcome
+        self.sent: list[OutboundRequest] = []
         self.requests = self
         self.codec = self
 
     def encode_request(self, headers: Any, _forwarding: ForwardingMetadata) -> Any:
         return headers
 
-    def send(self, *_args: Any) -> Result[Any, AttemptFault]:
+    def send(
+        self, _runner: Any, request: OutboundRequest, _deadline: float
+    ) -> Result[Any, AttemptFault]:
+        self.sent.append(request)
         return self._outcome
 
     def refuses_connections(self, _runner: Any) -> bool:
@@ -99,6 +104,7 @@
     [
         (Ok(_Response(is_not_run=True)), True),
         (Err(AttemptFault(AttemptFailure.NOT_SENT, "refused")), True),
+        (Err(AttemptFault(AttemptFailure.WITHDRAWN, "waited")), True),
         (Ok(_Response(is_not_run=False)), False),
         (Err(AttemptFault(AttemptFailure.SENT, "reset")), False),
         (Err(AttemptFault(AttemptFailure.LATE, "late")), False),
