--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -83,6 +83,14 @@
     "Requests for slots of plain servers, by outcome",
     ["outcome"],
 )
+USAGE_DECISIONS = Counter(
+    PREFIX + "usage_decisions",
+    "Requests of capped accounts that asked for a usage permit",
+    ["outcome"],
+)
+USAGE_QUESTIONS = Counter(
+    PREFIX + "usage_questions", "Requests for usage to other VMs", ["outcome"]
+)
 STORE_CALLS = Counter(
     PREFIX + "store_calls", "Calls to the operators' store", ["call", "outcome"]
 )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -23,9 +23,10 @@
     InboundRequest,
     RequestHandler,
     RequestMetadata,
+    StoppingError,
 )
-from ._responses import ResponseWriter
-from .accounts import Authenticator
+from ._responses import ResponseWriter, stopping_response
+from .accounts import Authenticator, UsageCaps
 
 NOT_READY_RETRY_S = 0.5
 """Retry delay sent by a VM that has no configuration yet."""
@@ -42,6 +43,7 @@
         responses: ResponseWriter,
         plain: PlainRequests,
         models: ModelRequests,
+        usage: UsageCaps,
     ) -> None:
         self._ctx = ctx
         self._authenticator = Authenticator(ctx)
@@ -50,6 +52,7 @@
         self._responses = responses
         self._plain = plain
         self._models = models
+        self._usage = usage
 
     def refuse_early(self, request: InboundRequest) -> EarlyRefusal | None:
         """Refuse a request without a valid key before its body is read."""
@@ -124,21 +127,37 @@
         )
 
     def _serve(self, active: ActiveRequest) -> None:
-        self._attempts.count_request(active.service)
-        now = self._ctx.clock.monotonic()
-        verdict = self._guard.judge(active, now)
-        if verdict.handling is Handling.REFUSED:
-            self._responses.send_local(active, suspect_response(active, verdict, now))
-            return
+        """Serve a request unless it is beyond its account's cap."""
         try:
-            if active.metadata.model:
-                self._models.serve(active)
-            else:
-                self._plain.serve(active)
+            refusal = self._admit(active)
+            if refusal is not None:
+                self._responses.send_local(active, refusal)
+                return
+            self._attempts.count_request(active.service)
+            self._serve_admitted(active)
         except CallerDisconnectedError:
             if not active.is_logged:
                 self._responses.log(active, 0, "caller_left")
             raise
+        finally:
+            self._usage.release(active)
+
+    def _serve_admitted(self, active: ActiveRequest) -> None:
+        now = self._ctx.clock.monotonic()
+        verdict = self._guard.judge(active, now)
+        if verdict.handling is Handling.REFUSED:
+            self._responses.send_local(active, suspect_response(active, verdict, now))
+        elif active.metadata.model:
+            self._models.serve(active)
+        else:
+            self._plain.serve(active)
+
+    def _admit(self, active: ActiveRequest) -> LocalResponse | None:
+        """Check a request against its account's cap; return the refusal, if any."""
+        try:
+            return self._usage.admit(active)
+        except StoppingError:
+            return stopping_response(active)
 
     def _reject(
         self,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -26,7 +26,7 @@
 from ._runner_choice import RunnerChooser
 from ._stream_relay import StreamProgress, StreamRelay, after_fault
 from ._turns import Turns
-from .accounts import forwarded_account
+from .accounts import UsageCaps, forwarded_account
 from .crossing import Crossing
 
 MAX_ROUNDS = 6
@@ -52,8 +52,10 @@
         responses: ResponseWriter,
         origins: OriginKeeper,
         crossing: Crossing,
+        usage: UsageCaps,
     ) -> None:
         self._ctx = ctx
+        self._usage = usage
         self._guard = guard
         self._origins = origins
         self._adapters = adapters
@@ -197,6 +199,8 @@
         try:
             if not self._wait_for_turn(active, runner):
                 return Round.AGAIN
+            if (refusal := self._usage.renew(active)) is not None:
+                return refusal
             if not self._may_send(active, runner, chosen_by):
                 return Round.AGAIN
             if not self._attempts.withdraw_attempt(active):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -25,7 +25,7 @@
     run_rounds,
 )
 from ._turns import Turns
-from .accounts import forwarded_account
+from .accounts import UsageCaps, forwarded_account
 from .admission import MAX_ASKS, PlainSlots
 from .crossing import Crossing, Departure
 
@@ -57,9 +57,11 @@
         attempts: Attempts,
         responses: ResponseWriter,
         crossing: Crossing,
+        usage: UsageCaps,
     ) -> None:
         self._ctx = ctx
         self._crossing = crossing
+        self._usage = usage
         self._turns = turns
         self._slots = slots
         self._availability = availability
@@ -101,6 +103,8 @@
 
     def _attempt(self, active: ActiveRequest, runner: Runner) -> LocalResponse | Round:
         """Make one attempt at a server unless it became unavailable meanwhile."""
+        if (refusal := self._usage.renew(active)) is not None:
+            return refusal
         now = self._ctx.clock.monotonic()
         if not self._availability.may_send(runner, now):
             return Round.AGAIN
@@ -172,7 +176,7 @@
     def _after_fault(
         self, active: ActiveRequest, failure: AttemptFailure
     ) -> LocalResponse | Round:
-        if failure is AttemptFailure.NOT_SENT or active.may_retry:
+        if failure.is_not_run or active.may_retry:
             return Round.AGAIN
         is_late = failure is AttemptFailure.LATE
         return failure_response(active, "deadline" if is_late else "server_failed")
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -135,9 +135,9 @@
 
     def fits(self, active: ActiveRequest, runner: Runner, now: float) -> bool:
         """Return whether a runner's memory has room for a request."""
-        kv_total = self._adapters.kv_total(runner)
-        if not kv_total:
+        if not self._ctx.cfg.admission.bounds_runner_memory:
             return True
+        kv_total = self._adapters.kv_total(runner)
         held_tokens = self._ctx.loads.total(runner.id, now).held_tokens
         return fits_memory(kv_total, held_tokens, active.held_tokens)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -27,6 +27,7 @@
     StoreStatusAnswer,
     StoreStatusRequest,
     TurnRequest,
+    UsageRequest,
     UseNotice,
     ViewNotice,
 )
@@ -49,6 +50,7 @@
 from ._statements import record_gossip
 from ._sweep import Sweep
 from ._turns import Turns
+from .accounts import CappedAccounts, UsageAllocators, UsageCaps
 from .admission import PlainSlots
 from .crossing import Crossing
 
@@ -69,6 +71,9 @@
         availability = Availability(ctx, self._turns)
         attempts = Attempts(ctx, self.guard)
         responses = ResponseWriter(ctx)
+        accounts = CappedAccounts(ctx)
+        self._allocators = UsageAllocators(ctx, accounts)
+        usage = UsageCaps(ctx, self._allocators, accounts)
         registry = RegistryCheck(ctx, self.follower.read_registry)
         self._origins = OriginKeeper(ctx, registry)
         adapters = Adapters(ctx, self.owned_runners, self.membership)
@@ -94,6 +99,7 @@
                 attempts,
                 responses,
                 crossing,
+                usage,
             ),
             ModelRequests(
                 ctx,
@@ -105,7 +111,9 @@
                 responses,
                 self._origins,
                 crossing,
+                usage,
             ),
+            usage,
         )
         self.membership.on_change = self.owned_runners.refresh
         self.membership.renewals.on_regained = self.follower.catch_up
@@ -179,6 +187,7 @@
             StoreStatusAnswer: self.membership.extension.handle_answer,
             StoreStatusRequest: self.membership.extension.handle_request,
             TurnRequest: self._turns.handle_turn_request,
+            UsageRequest: self._allocators.handle_usage_request,
             UseNotice: _by_sender(self.owned_runners.handle_use_notice),
             ViewNotice: self._handle_view_notice,
         }
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_turns.py
@@ -144,17 +144,17 @@
         now = self._ctx.clock.monotonic()
         if granter == self._ctx.vm:
             return self._granted.take(runner.id, limit_per_s, max_wait_s, now)
-        request_id = active.metadata.request_id
         limit, age_s = self._ctx.statements.newest(runner.id, now)
-        request = TurnRequest(runner.id, request_id, max_wait_s, limit, age_s)
-        reply = self._peers.ask(granter, request, request_id)
-        if reply is None:
-            return None
-        if not isinstance(reply, TurnAnswer):
-            self._peers.record_silence(granter, request_id, "another reply")
+        request = TurnRequest(
+            runner.id, active.metadata.request_id, max_wait_s, limit, age_s
+        )
+        answer = self._peers.ask(
+            granter, request, TurnAnswer, active.metadata.request_id
+        )
+        if answer is None:
             return None
-        self._record(granter, runner.id, reply.limit, reply.age_s)
-        return reply.turn
+        self._record(granter, runner.id, answer.limit, answer.age_s)
+        return answer.turn
 
     def handle_turn_request(
         self, inbound: InboundMessage, request: TurnRequest
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/__init__.py
@@ -1,5 +1,16 @@
-"""Checks of client accounts while requests are served."""
+"""Tasks of client accounts, and checks of them while requests are served."""
 
 from ._authentication import Authentication, Authenticator, forwarded_account
+from ._capped_accounts import CappedAccounts, has_usage_caps
+from ._usage_allocators import UsageAllocators
+from ._usage_caps import UsageCaps
 
-__all__ = ["Authentication", "Authenticator", "forwarded_account"]
+__all__ = [
+    "Authentication",
+    "Authenticator",
+    "CappedAccounts",
+    "UsageAllocators",
+    "UsageCaps",
+    "forwarded_account",
+    "has_usage_caps",
+]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_plain_slots.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_plain_slots.py
@@ -165,11 +165,7 @@
     def _ask_once(self, vm: str, request: SlotRequest) -> SlotAnswer | None:
         if vm == self._ctx.vm:
             return self.granter.ask(vm, request)
-        reply = self._granters.ask(vm, request, request.request_id)
-        if reply is None or isinstance(reply, SlotAnswer):
-            return reply
-        self._granters.record_silence(vm, request.request_id, "another reply")
-        return None
+        return self._granters.ask(vm, request, SlotAnswer, request.request_id)
 
     def _wait(self, vm: str, request: SlotRequest, result: Event) -> SlotAnswer | None:
         """Wait for the result that is sent at the latest when the claim expires."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -71,6 +71,21 @@
     plain_slots: bool = False
     """Whether one VM grants the slots of each plain server to the requests of all; also
     on where the configuration has accounts."""
+    bounds_runner_memory: bool = False
+    """Whether a model runner gets no more requests than its memory holds at once, for
+    runners that crash beyond it instead of preempting requests."""
+
+
+class UsageSettings(Section):
+    """Bound on the usage of a client account over all entry VMs.
+
+    In each window of ``window_s`` it is ``(1 + overage)`` times what the account's cap
+    allows, plus ``slack`` tokens for a cap that counts tokens.
+    """
+
+    window_s: float = Field(default=8.0, gt=0)
+    overage: float = Field(default=0.1, ge=0)
+    slack: float = Field(default=17_000.0, ge=0)
 
 
 class GracefulStopSettings(Section):
@@ -88,4 +103,5 @@
     repeats: RetrySettings = RetrySettings()
     crossing: CrossingSettings = CrossingSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    usage: UsageSettings = UsageSettings()
     stop: GracefulStopSettings = GracefulStopSettings()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/__init__.py
@@ -10,15 +10,34 @@
 )
 from ._authentication import KeyOutcome, check_key
 from ._freshness import ConfigurationFreshness
+from ._usage_bucket import UsageBucket
+from ._usage_credit import AccountCredit, DemandMeter, SeparatedUsage, UsagePermit
+from ._usage_limits import (
+    CREDIT_TTL_S,
+    MAX_SEND_LAG_S,
+    DomainAllowance,
+    allowances,
+    separated_allowance,
+)
 
 __all__ = [
+    "CREDIT_TTL_S",
+    "MAX_SEND_LAG_S",
+    "AccountCredit",
     "AccountTable",
     "ClientAccount",
     "ConfigurationFreshness",
+    "DemandMeter",
+    "DomainAllowance",
     "KeyOutcome",
+    "SeparatedUsage",
+    "UsageBucket",
     "UsageCap",
+    "UsagePermit",
     "UsageUnit",
+    "allowances",
     "check_key",
     "find_shared_keys",
     "key_digest",
+    "separated_allowance",
 ]
--- a/tests/unit/serving/test_interruptions.py
+++ b/tests/unit/serving/test_interruptions.py
@@ -47,7 +47,7 @@
     origins: Any = WaitingOrigins()
     responses: Any = Responses()
     requests = ModelRequests(
-        ctx, none, none, none, none, none, responses, origins, none
+        ctx, none, none, none, none, none, responses, origins, none, none
     )
     metadata = RequestMetadata("r2", 15.0, "m", last_event_id="4", resumes="r1")
     inbound = InboundRequest("POST", "/", "h", [], b"", 10.0)
