Keep the domains that caps are divided among, once they were known

Without a list in the settings, a VM that forgot a domain would have granted a larger part, and all registered runners were looked through at each request for usage.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_capped_accounts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_capped_accounts.py
@@ -1,22 +1,25 @@
-"""Usage caps of the configuration in force, and the domains that they are divided to.
-
-Nothing here is a copy that outlasts its configuration: all is looked up anew once
-another one is in force.
-"""
+"""Capped accounts of the configuration in force, and the domains of their caps."""
 
 from __future__ import annotations
 
+import math
+
 from gooseberryrun._internal.state.serving import RouteTable
 from gooseberryrun._internal.state.serving.accounts import ClientAccount
 
 from .._context import Context
 
+DOMAINS_TTL_S = 1.0
+"""Time for which the known domains are kept, if the settings do not name them."""
+
 
 class CappedAccounts:
-    """Accounts of the configuration in force by name."""
+    """Accounts of the configuration in force by name, and the domains of their caps."""
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
+        self._known_domains: list[str] = []
+        self._known_at = -math.inf
         self._table: RouteTable | None = None
         self._by_name: dict[str, ClientAccount] = {}
 
@@ -25,6 +28,22 @@
         """Return the version of the configuration in force, 0 without one."""
         return self._ctx.directory.configuration_version
 
+    def domains(self) -> list[str]:
+        """Return the failure domains that caps are divided among.
+
+        Without a list in the settings these are all that were known since the start: a
+        VM that forgets a domain would divide the cap among fewer.
+        """
+        configured = self._ctx.cfg.membership.domains
+        if configured:
+            return configured
+        now = self._ctx.clock.monotonic()
+        if now - self._known_at >= DOMAINS_TTL_S:
+            self._known_at = now
+            known = {*self._known_domains, *self._ctx.domains()}
+            self._known_domains = sorted(known)
+        return self._known_domains
+
     def find(self, name: str) -> ClientAccount | None:
         """Return the first account with a name, None if there is none."""
         table = self._ctx.directory.table
@@ -35,11 +54,6 @@
         return self._by_name.get(name)
 
 
-def usage_domains(ctx: Context) -> list[str]:
-    """Return the failure domains that caps are divided among."""
-    return ctx.cfg.membership.domains or ctx.domains()
-
-
 def has_usage_caps(ctx: Context) -> bool:
     """Return whether the configuration in force has an account with a cap."""
     table = ctx.directory.table
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
@@ -16,7 +16,7 @@
 from ..._ports import InboundMessage
 from ..._serving_messages import UsageAnswer, UsageRequest
 from .._context import Context
-from ._capped_accounts import CappedAccounts, usage_domains
+from ._capped_accounts import CappedAccounts
 
 NOT_ALLOCATOR = UsageAnswer(0.0, 0.0, False)
 
@@ -90,7 +90,7 @@
         None in a domain that has no part of the cap.
         """
         now = self._ctx.clock.boottime()
-        domains = usage_domains(self._ctx)
+        domains = self._accounts.domains()
         known = self._allocators.get(allocation)
         is_current = known is not None and known.owned_since == owned_since
         is_same_unit = known is not None and known.cap.unit == cap.unit
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
@@ -30,7 +30,7 @@
 from .._fleet_knowledge import known_vm_count
 from .._peer_requests import SILENCE_S, PeerRequests
 from .._responses import refusal_over_cap
-from ._capped_accounts import CappedAccounts, usage_domains
+from ._capped_accounts import CappedAccounts
 from ._usage_allocators import UsageAllocators
 
 MAX_QUESTIONS = 3
@@ -42,7 +42,11 @@
 
 @dataclass(slots=True)
 class _Usage:
-    """What this VM knows of the usage of one account."""
+    """What this VM knows of the usage of one account.
+
+    ``ranking`` are the domains that have a part of the cap, in the account's order, and
+    ``divided`` the cap and the domains that it follows from.
+    """
 
     unit: UsageUnit
     credit: AccountCredit
@@ -50,6 +54,7 @@
     separated: SeparatedUsage = field(default_factory=SeparatedUsage)
     refused_until: dict[str, float] = field(default_factory=dict)
     divided: tuple[UsageCap, list[str]] | None = None
+    ranking: list[str] = field(default_factory=list)
     used_at: float = 0.0
 
 
@@ -216,15 +221,14 @@
         refused a request until a later time after the rest.
         """
         own = self._ctx.cfg.vm.domain
-        if usage.divided is None or usage.divided[0] != cap:
-            domains = usage_domains(self._ctx)
+        domains = self._accounts.domains()
+        if usage.divided != (cap, domains):
             parts = allowances(name, cap, self._ctx.cfg.usage, domains)
-            usage.divided = (cap, list(parts))
-        ranking = usage.divided[1]
+            usage.divided, usage.ranking = (cap, domains), list(parts)
         now = self._ctx.clock.boottime()
-        others = [domain for domain in ranking if domain != own]
+        others = [domain for domain in usage.ranking if domain != own]
         others.sort(key=lambda domain: max(now, usage.refused_until.get(domain, now)))
-        return [own, *others] if own in ranking else others
+        return [own, *others] if own in usage.ranking else others
 
     def _allocator(self, name: str, domain: str) -> str | None:
         """Return the VM to which the allocation of a domain is assigned."""
--- a/tests/unit/serving/test_usage_caps.py
+++ b/tests/unit/serving/test_usage_caps.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import pytest
+from gooseberryrun._internal.coordination.serving.accounts import CappedAccounts
 from gooseberryrun._internal.state.serving import usage_allocation
 from gooseberryrun._internal.state.serving.accounts import UsageUnit
 
@@ -122,6 +123,25 @@
     assert fleet.request(fleet.rng.choice(vms))
 
 
+@pytest.mark.parametrize("weights", [even, one_domain])
+def test_burst_that_is_refused_is_served_when_it_returns(weights: Weights) -> None:
+    """Told one time for all, most of the burst would be refused again and again."""
+    fleet = make_fleet()
+    vms = list(weights(fleet))
+    for _ in range(80):
+        fleet.request(fleet.rng.choice(vms))
+    begun_at = fleet.clock.now
+    returns = sorted(begun_at + (r.retry_in_s or 0.0) for _, r in fleet.refused)
+    assert len(returns) >= 50
+    served = 0
+    for at in returns:
+        while fleet.clock.now < at:
+            fleet.run(0.05)
+        served += fleet.request(fleet.rng.choice(vms))
+    assert served >= 0.9 * len(returns)
+    assert fleet.clock.now <= begun_at + 3.5
+
+
 @pytest.mark.parametrize("rate_per_s", [4_200.0, RATE])
 def test_bound_holds_while_allocators_are_killed_and_replaced(
     rate_per_s: float,
@@ -368,3 +388,15 @@
     others = dict.fromkeys((vm for vm in fleet.vms if vm not in allocators), 1.0)
     fleet.run(20.0, Load(OVERLOAD, others))
     assert fleet.used("a", since, fleet.clock.now) <= 0.1 * 20.0 * RATE
+
+
+def test_domain_that_is_no_longer_known_keeps_its_part() -> None:
+    """Without a list in the settings, the others would divide the cap among them."""
+    fleet = make_fleet(vms=6)
+    ctx = fleet.vms["vm-000"].ctx
+    accounts = CappedAccounts(ctx)
+    ctx.cfg.membership.domains.clear()
+    assert accounts.domains() == fleet.domains
+    ctx.remote_views.clear()
+    fleet.clock.now += 60.0
+    assert accounts.domains() == fleet.domains
