Test the bound on slots in a burst in which all VMs answered

On a machine with a load average over 8 the test failed three times of three: an answer took over 0.1 s, so deputies and own counts sent more than the 8 requests that one VM grants. The bound is now that of the first of at most five bursts without such a fallback; it fails without one.

--- a/tests/functional/serving/test_plain_slots.py
+++ b/tests/functional/serving/test_plain_slots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
@@ -53,15 +54,31 @@
     return found
 
 
+def fallbacks(site: Site) -> int:
+    """Return how often a VM that grants slots did not answer within 0.1 s."""
+    return sum(vm.log.read_text().count("event=granter_unreachable") for vm in site.vms)
+
+
 def test_vms_share_the_slots_of_a_server(site: Site) -> None:
-    """Guards against servers whose own queues fill with the requests of all VMs."""
-    found = send_at_once(site, 60, "a")
+    """Guards against servers whose own queues fill with the requests of all VMs.
+
+    On a busy machine an answer may take over 0.1 s, after which others grant as well;
+    the bound is that of a burst in which all answered.
+    """
+    for burst in range(5):
+        before = fallbacks(site)
+        for server in site.plain:
+            server.most_working = 0
+        found = send_at_once(site, 60, f"a{burst}-")
+        if fallbacks(site) == before:
+            break
+        time.sleep(1.5)
+    assert fallbacks(site) == before, "no burst in which all VMs answered"
     assert set(found) <= {"200", "503 later"}
     assert found["200"] >= 50
     assert all(SLOTS <= server.most_working <= LIMIT for server in site.plain)
     log = "".join(vm.log.read_text() for vm in site.vms)
-    assert "event=slot" in log and "outcome=own_count" not in log
-    assert "internal_error" not in log
+    assert "event=slot" in log and "internal_error" not in log
 
 
 def test_service_goes_on_while_a_vm_that_grants_slots_is_gone(site: Site) -> None:
