--- a/tests/functional/serving/test_slow_readers.py
+++ b/tests/functional/serving/test_slow_readers.py
@@ -167,7 +167,8 @@
 
 def test_memory_of_a_runner_is_not_exceeded(tmp_path: Path) -> None:
     """A runner crashes with more tokens than fit, and takes its streams with it."""
-    site = Site(tmp_path, vms=2, models=2)
+    bounded = "[admission]\nbounds_runner_memory = true"
+    site = Site(tmp_path, vms=2, models=2, more_settings=bounded)
     try:
         for runner in site.models:
             runner.kv_total = 20000
