Add gooseberryctl where: explain where a request would be sent now

The metrics port of a VM answers GET /where with the candidates of a request, their costs and loads, the pressure and share of each domain, and the choice. It uses the functions that choose, and sends, reserves, counts and logs nothing. Exit codes: 0 would be sent, 2 would be refused, 1 error.

--- a/packages/gooseberryctl/src/gooseberryctl/_internal/base_command.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/base_command.py
@@ -29,6 +29,10 @@
     def run(self, session: Session, **arguments: Any) -> dict[str, Any]:
         """Run the subcommand and return the result to print."""
 
+    def exit_code(self, result: dict[str, Any]) -> int:
+        """Return the exit code of a result."""
+        return 0
+
     def to_click(self) -> click.Command:
         """Return the subcommand as a click command."""
 
@@ -37,7 +41,9 @@
             session: Session = context.obj
             if self.needs_server:
                 _require_server(context, session)
-            print_result(self.run(session, **arguments), session.as_json)
+            result = self.run(session, **arguments)
+            print_result(result, session.as_json)
+            context.exit(self.exit_code(result))
 
         return click.Command(
             self.name,
--- a/packages/gooseberryctl/src/gooseberryctl/_internal/commands/__init__.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/commands/__init__.py
@@ -7,6 +7,7 @@
 from .causes import CausesCommand
 from .diff import DiffCommand
 from .explain import ExplainCommand
+from .where import WhereCommand
 
 COMMANDS: tuple[type[BaseCommand], ...] = (
     AskCommand,
@@ -14,4 +15,5 @@
     ApplyCommand,
     ExplainCommand,
     CausesCommand,
+    WhereCommand,
 )
--- a/packages/gooseberryctl/src/gooseberryctl/_internal/session.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/session.py
@@ -6,6 +6,7 @@
 import json
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import urlencode
 
 import urllib3
 
@@ -38,6 +39,29 @@
                 failures.append(f"{server}: connect timeout")
         raise UnreachableError("no entry VM is reachable: " + "; ".join(failures))
 
+    def get(self, path: str, fields: list[tuple[str, str]]) -> dict[str, Any]:
+        """Read from the first entry VM that answers, without a token.
+
+        Raises `UnreachableError` or `RefusedError`.
+        """
+        failures = []
+        for server in self.servers:
+            host, _, port = server.rpartition(":")
+            timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+            try:
+                with urllib3.HTTPConnectionPool(host, int(port), retries=False) as pool:
+                    response = pool.request(
+                        "GET", f"{path}?{urlencode(fields)}", timeout=timeout
+                    )
+                result: dict[str, Any] = json.loads(response.data)
+            except (urllib3.exceptions.HTTPError, ValueError) as exc:
+                failures.append(f"{server}: {exc}")
+                continue
+            if response.status != 200:
+                raise RefusedError(str(result.get("error", response.status)))
+            return result
+        raise UnreachableError("no entry VM answered: " + "; ".join(failures))
+
     def _post_to(self, server: str, path: str, body: dict[str, Any]) -> dict[str, Any]:
         host, _, port = server.rpartition(":")
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
@@ -33,6 +33,7 @@
 from ._responses import end_to_end
 from ._serving import Serving
 from ._store_port import ControlStore, Origins, Records, StoreFault, StoreFaultKind
+from ._where import parse_query
 
 __all__ = [
     "ActiveRequest",
@@ -71,4 +72,5 @@
     "StoreFaultKind",
     "end_to_end",
     "make_context",
+    "parse_query",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -60,8 +60,8 @@
         self._attempts = attempts
         self._responses = responses
         self._availability = availability
-        self._chooser = RunnerChooser(ctx, adapters, turns, availability, crossing)
-        self._relay = StreamRelay(ctx, attempts, responses, self._chooser.stream_pace)
+        self.chooser = RunnerChooser(ctx, adapters, turns, availability, crossing)
+        self._relay = StreamRelay(ctx, attempts, responses, self.chooser.stream_pace)
 
     def serve(self, active: ActiveRequest) -> None:
         """Serve a request and respond to its caller."""
@@ -96,7 +96,7 @@
         verdict = self._guard.judge(active, now)
         if verdict.handling.value >= Handling.PAUSED.value:
             return suspect_response(active, verdict, now)
-        choice = self._chooser.choose(active, now, verdict)
+        choice = self.chooser.choose(active, now, verdict)
         longest_wait_s = active.longest_wait_s(self._ctx.policy, now)
         if choice is None:
             return self._availability.refusal(active, "no_runner", BUSY_RETRY_S, now)
@@ -149,7 +149,7 @@
         deadline = requested_at + active.longest_wait_s(self._ctx.policy, requested_at)
         requirement = AdapterRequirement(
             active.adapter_key,
-            self._chooser.wanted_version(active),
+            self.chooser.wanted_version(active),
             active.request.read_at + active.route.target_latency_s,
             active.route.priority,
             active.metadata.request_id,
@@ -241,7 +241,7 @@
         self, active: ActiveRequest, runner: Runner, progress: StreamProgress
     ) -> ForwardingMetadata:
         version = 0
-        if active.metadata.adapter and self._chooser.wanted_version(active):
+        if active.metadata.adapter and self.chooser.wanted_version(active):
             version = self._adapters.held(runner).get(active.adapter_key, 0)
         return ForwardingMetadata(
             runner.id,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -46,6 +46,7 @@
 from ._statements import record_gossip
 from ._sweep import Sweep
 from ._turns import Turns
+from ._where import WhereExplainer
 from .crossing import Crossing
 
 
@@ -76,25 +77,28 @@
             crossing,
         )
         self.owned_runners.residency_listener = adapters.handle_residency_notice
+        plain = PlainRequests(
+            ctx, self._turns, availability, attempts, responses, crossing
+        )
+        models = ModelRequests(
+            ctx,
+            self.guard,
+            adapters,
+            self._turns,
+            availability,
+            attempts,
+            responses,
+            self._origins,
+            crossing,
+        )
+        self.explainer = WhereExplainer(ctx, models.chooser, plain, crossing)
         self.gateway = Gateway(
             ctx,
             self.guard,
             attempts,
             responses,
-            PlainRequests(
-                ctx, self._turns, availability, attempts, responses, crossing
-            ),
-            ModelRequests(
-                ctx,
-                self.guard,
-                adapters,
-                self._turns,
-                availability,
-                attempts,
-                responses,
-                self._origins,
-                crossing,
-            ),
+            plain,
+            models,
         )
         self.membership.on_change = self.owned_runners.refresh
         self.membership.renewals.on_regained = self.follower.catch_up
--- /dev/null
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_where.py
@@ -0,0 +1,298 @@
+"""Explanation of where a request would be sent now, without sending it.
+
+It uses the functions that choose. It reserves nothing, and counts and logs nothing.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from gooseberryrun._internal.state import rank_nodes
+from gooseberryrun._internal.state.serving import (
+    Candidate,
+    Handling,
+    Route,
+    Verdict,
+    choose_model_runner,
+    choose_plain_server,
+    model_runner_cost_s,
+    plain_server_cost,
+)
+
+from ._active_request import ActiveRequest, request_traits
+from ._context import Context
+from ._plain_requests import PlainRequests
+from ._request_ports import (
+    Caller,
+    Headers,
+    InboundRequest,
+    PromptPart,
+    RequestMetadata,
+)
+from ._runner_choice import RunnerChooser
+from .crossing import Crossing, Departure
+
+MAX_CANDIDATES = 20
+"""Candidates that are shown, the cheapest first."""
+
+
+@dataclass(frozen=True, slots=True)
+class WhereQuery:
+    """Request to explain; ``parts`` are the ids of its prompt's parts."""
+
+    host: str
+    path: str
+    request_id: str = "where"
+    account: str = ""
+    model: str = ""
+    adapter: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    parts: Sequence[str] = ()
+    wait_s: float = 60.0
+
+
+class _NoCaller(Caller):
+    """Caller of a request that is not served."""
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        pass
+
+    def start(self, status: int, headers: Headers) -> None:
+        pass
+
+    def send(self, data: bytes) -> None:
+        pass
+
+    def finish(self) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+    def continue_after_disconnect(self) -> None:
+        pass
+
+
+def parse_query(fields: Mapping[str, Sequence[str]]) -> Result[WhereQuery, str]:
+    """Return the request that the fields of a query string describe."""
+    unknown = fields.keys() - _FIELDS
+    if unknown:
+        return Err(f"unknown fields: {', '.join(sorted(unknown))}")
+    texts = {name: fields[name][-1] for name in fields}
+    if not texts.get("host") or not texts.get("path", "").startswith("/"):
+        return Err("host and path are needed")
+    try:
+        return Ok(
+            WhereQuery(
+                texts["host"],
+                texts["path"],
+                texts.get("id", "where"),
+                texts.get("account", ""),
+                texts.get("model", ""),
+                texts.get("adapter", ""),
+                _count(texts.get("prompt_tokens", "0")),
+                _count(texts.get("output_tokens", "0")),
+                tuple(fields.get("part", ())),
+                _count(texts.get("wait_s", "60")),
+            )
+        )
+    except ValueError as exc:
+        return Err(str(exc))
+
+
+def _count(text: str) -> int:
+    """Return a whole number that is not negative; raises `ValueError`."""
+    number = int(text)
+    if number < 0:
+        raise ValueError(f"{text} is negative")
+    return number
+
+
+_FIELDS = {
+    "host",
+    "path",
+    "id",
+    "account",
+    "model",
+    "adapter",
+    "prompt_tokens",
+    "output_tokens",
+    "part",
+    "wait_s",
+}
+
+
+class WhereExplainer:
+    """Explains the choice that a request would meet."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        chooser: RunnerChooser,
+        plain: PlainRequests,
+        crossing: Crossing,
+    ) -> None:
+        self._ctx = ctx
+        self._chooser = chooser
+        self._plain = plain
+        self._crossing = crossing
+
+    def explain(self, query: WhereQuery) -> dict[str, Any]:
+        """Return the decision, its candidates with their costs, and its inputs."""
+        table = self._ctx.directory.table
+        found: dict[str, Any] = {
+            "vm": self._ctx.vm,
+            "domain": self._ctx.cfg.vm.domain,
+            "request": query.request_id,
+            "account": query.account or None,
+            "configuration": self._ctx.directory.configuration_version,
+            "rows": [],
+            "crossing": [],
+        }
+        if table is None:
+            return found | _refused("no_configuration")
+        route = table.find(query.host, query.path)
+        if route is None:
+            return found | _refused("no_route")
+        active = self._make_active(query, route)
+        found |= {
+            "route": route.name,
+            "service": active.service,
+            "priority": route.priority,
+            "crossing": self._crossing.describe(active.service),
+        }
+        now = self._ctx.clock.monotonic()
+        verdict = self._ctx.evidence.verdict(active.traits, now)
+        if verdict.handling.value >= Handling.PAUSED.value:
+            return found | _refused(f"suspect_{verdict.handling.name.lower()}")
+        if query.model:
+            return found | self._explain_model(active, verdict, now)
+        return found | self._explain_plain(active, now)
+
+    def _make_active(self, query: WhereQuery, route: Route) -> ActiveRequest:
+        now = self._ctx.clock.monotonic()
+        metadata = RequestMetadata(
+            query.request_id,
+            query.wait_s,
+            query.model,
+            query.adapter,
+            query.prompt_tokens,
+            query.output_tokens,
+            tuple(PromptPart(part, 0) for part in query.parts),
+        )
+        inbound = InboundRequest("GET", query.path, query.host, [], b"", now)
+        version = self._ctx.directory.version_of(query.model, query.adapter)
+        wait_s = min(query.wait_s, route.timeout_s)
+        return ActiveRequest(
+            inbound,
+            metadata,
+            _NoCaller(),
+            route,
+            route.pick_service(metadata.stream_id),
+            min(now + wait_s, self._ctx.stop_deadline),
+            traits=request_traits(inbound, metadata, version),
+        )
+
+    def _explain_model(
+        self, active: ActiveRequest, verdict: Verdict, now: float
+    ) -> dict[str, Any]:
+        departure = self._chooser.find_departure(active, now, verdict)
+        candidates = self._chooser.candidates(active, now, verdict, departure)
+        tokens = active.metadata.prompt_tokens
+        policy = self._ctx.policy
+        key = active.adapter_key
+        choice = choose_model_runner(candidates, key, tokens, policy)
+        ranking = rank_nodes(key, [c.runner.id for c in candidates])
+        is_held = any(candidate.has_adapter for candidate in candidates)
+        rows = []
+        for candidate in candidates:
+            rank = ranking.index(candidate.runner.id)
+            cost, expected_s = model_runner_cost_s(
+                candidate, rank, is_held, tokens, policy
+            )
+            is_chosen = choice is not None and choice.candidate is candidate
+            row = self._row(candidate, cost, is_chosen)
+            rows.append(row | self._model_row(candidate, expected_s))
+        result = {"rows": _cheapest(rows)} | _leaving(departure)
+        if choice is None:
+            return result | _refused("no_runner")
+        longest_wait_s = active.longest_wait_s(policy, now)
+        result["longest_wait_s"] = round(longest_wait_s, 4)
+        if choice.expected_s > longest_wait_s:
+            return result | _refused("overload")
+        return result | _sent(choice.candidate, choice.expected_s)
+
+    def _explain_plain(self, active: ActiveRequest, now: float) -> dict[str, Any]:
+        departure = self._crossing.find_departure(active)
+        candidates = self._plain.candidates(active, departure, now)
+        choice = choose_plain_server(candidates, active.metadata.request_id)
+        rows = [
+            self._row(
+                candidate,
+                plain_server_cost(candidate),
+                choice is not None and choice.candidate is candidate,
+            )
+            for candidate in candidates
+        ]
+        result = {"rows": _cheapest(rows)} | _leaving(departure)
+        if choice is None:
+            return result | _refused("no_server")
+        return result | _sent(choice.candidate, choice.candidate.turn_wait_s)
+
+    def _row(
+        self, candidate: Candidate, cost: float, is_chosen: bool
+    ) -> dict[str, Any]:
+        runner = candidate.runner
+        return {
+            "chosen": "*" if is_chosen else "",
+            "runner": runner.id,
+            "domain": runner.domain,
+            "cost": round(cost, 4),
+            "in_flight": candidate.view.in_flight,
+            "slots": runner.slots,
+            "turn_wait_s": round(candidate.turn_wait_s, 4),
+        }
+
+    def _model_row(self, candidate: Candidate, expected_s: float) -> dict[str, Any]:
+        age_s = self._ctx.residency.age_s(candidate.runner.id)
+        owner = self._ctx.owner_of(candidate.runner)
+        needs_owner = not candidate.has_adapter or candidate.needs_grant
+        return {
+            "expected_s": round(expected_s, 4),
+            "has_adapter": candidate.has_adapter,
+            "can_load": candidate.can_load,
+            "idle_places": candidate.available_slots,
+            "waiting": candidate.waiting,
+            "prompts_s": round(
+                candidate.prefill.running_s + candidate.prefill.waiting_s, 4
+            ),
+            "age_s": round(age_s, 3) if math.isfinite(age_s) else None,
+            "asks_owner": owner.vm if needs_owner and owner is not None else "",
+        }
+
+
+def _cheapest(rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    ordered = sorted(rows, key=lambda row: (not row["chosen"], row["cost"]))
+    return ordered[:MAX_CANDIDATES]
+
+
+def _leaving(departure: Departure | None) -> dict[str, Any]:
+    return {"selected_for": departure.domain if departure else None}
+
+
+def _refused(reason: str) -> dict[str, Any]:
+    return {"outcome": "refused", "reason": reason}
+
+
+def _sent(candidate: Candidate, expected_s: float) -> dict[str, Any]:
+    return {
+        "outcome": "sent",
+        "runner": candidate.runner.id,
+        "expected_wait_s": round(expected_s, 4),
+    }
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -8,9 +8,11 @@
 import uuid
 from pathlib import Path
 from types import FrameType
+from typing import Any
 
 import eventlet
 from eventlet.timeout import Timeout
+from result import Err, Ok, Result
 
 from gooseberryrun._internal.coordination import Shutdown, log_event
 from gooseberryrun._internal.coordination.serving import (
@@ -20,6 +22,7 @@
     RunnerControl,
     Serving,
     make_context,
+    parse_query,
 )
 from gooseberryrun._internal.gc_setup import enable_garbage_collection
 from gooseberryrun._internal.logs import start_stdout_logging
@@ -109,7 +112,7 @@
             bounds,
         )
         self._probes = ProbeServer(integration.readiness_path, self._serving.is_ready)
-        self._metrics = ProbeServer("", lambda: False)
+        self._metrics = ProbeServer("", lambda: False, self._explain)
         self._signals: list[str] = []
 
     def run(self) -> None:
@@ -134,6 +137,13 @@
         self._wait_for_stop()
         self._stop()
 
+    def _explain(self, fields: dict[str, list[str]]) -> Result[dict[str, Any], str]:
+        """Explain where the request that a query string describes would be sent."""
+        query = parse_query(fields)
+        if isinstance(query, Err):
+            return query
+        return Ok(self._serving.explainer.explain(query.ok_value))
+
     def _limits(self) -> ClientLimits:
         table = self._ctx.directory.table
         return table.configuration.limits if table else ClientLimits()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_probes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_probes.py
@@ -1,22 +1,38 @@
-"""HTTP server for readiness probes and metrics."""
+"""HTTP server for readiness probes, metrics and explanations of choices."""
 
 from __future__ import annotations
 
 import logging as stdlib_logging
 from collections.abc import Callable, Iterable
 from typing import Any
+from urllib.parse import parse_qs
 
 import eventlet
 import eventlet.wsgi
+import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from result import Err, Result
 
 METRICS_PATH = "/metrics"
+WHERE_PATH = "/where"
+Explain = Callable[[dict[str, list[str]]], Result[dict[str, Any], str]]
+"""Function of the fields of a query string; an error says which one is wrong."""
 
 
 class ProbeServer:
-    """WSGI server of the readiness path and of the metrics."""
+    """WSGI server of the readiness path and of the metrics.
 
-    def __init__(self, readiness_path: str, is_ready: Callable[[], bool]) -> None:
+    With ``explain``, it also explains where the request that a query string describes
+    would be sent.
+    """
+
+    def __init__(
+        self,
+        readiness_path: str,
+        is_ready: Callable[[], bool],
+        explain: Explain | None = None,
+    ) -> None:
+        self._explain = explain
         self._readiness_path = readiness_path
         self._is_ready = is_ready
 
@@ -46,5 +62,14 @@
             body = generate_latest()
             start_response("200 OK", [("Content-Type", CONTENT_TYPE_LATEST)])
             return [body]
+        if path == WHERE_PATH and self._explain is not None:
+            fields = parse_qs(environ.get("QUERY_STRING", ""))
+            explained = self._explain(fields)
+            headers = [("Content-Type", "application/json")]
+            if isinstance(explained, Err):
+                start_response("400 Bad Request", headers)
+                return [msgspec.json.encode({"error": explained.err_value})]
+            start_response("200 OK", headers)
+            return [msgspec.json.encode(explained.ok_value)]
         start_response("404 Not Found", [("Content-Length", "0")])
         return [b""]
--- a/tests/unit/serving/test_crossing.py
+++ b/tests/unit/serving/test_crossing.py
@@ -27,7 +27,7 @@
 
 
 def choose_model(fleet: CrossingFleet, vm: str, active: Any) -> Runner | None:
-    chooser = fleet.vms[vm].gateway._models._chooser
+    chooser = fleet.vms[vm].gateway._models.chooser
     choice = chooser.choose(active, fleet.clock.monotonic(), FREE)
     return choice.candidate.runner if choice else None
 
@@ -158,7 +158,7 @@
     fill_models(fleet, "d0", 30000)
     fleet.gossip(20)
     vm = fleet.in_domain("d0")[0]
-    chooser = fleet.vms[vm].gateway._models._chooser
+    chooser = fleet.vms[vm].gateway._models.chooser
     active = next(fleet.requests(MODELS, 1, "a1"))
     now = fleet.clock.monotonic()
     eligible = chooser._eligible(active, active.adapter_key, now)
--- /dev/null
+++ b/tests/unit/test_where_command.py
@@ -0,0 +1,92 @@
+"""``gooseberryctl where``: its output and exit codes."""
+
+from __future__ import annotations
+
+import http.server
+import json
+import threading
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+from gooseberryctl._internal.cli import make_cli
+
+SENT = {
+    "outcome": "sent",
+    "runner": "i-1",
+    "expected_wait_s": 0.02,
+    "selected_for": "d1",
+    "rows": [{"chosen": "*", "runner": "i-1", "cost": 0.1}],
+    "crossing": [
+        {
+            "domain": "d1",
+            "wait_s": 0.01,
+            "running": 2.0,
+            "slots": 6,
+            "waiting": 0.0,
+            "share": 0.2,
+            "age_s": 0.4,
+        }
+    ],
+}
+ANSWERS: dict[str, tuple[int, Any]] = {
+    "/sent": (200, SENT),
+    "/refused": (200, {"outcome": "refused", "reason": "no_runner", "rows": []}),
+    "/wrong": (400, {"error": "wait_s is wrong"}),
+}
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Entry VM that answers by the path in the query."""
+
+    def do_GET(self) -> None:
+        path = self.path.partition("path=%2F")[2].partition("&")[0]
+        status, answer = ANSWERS[f"/{path}"]
+        body = json.dumps(answer).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *args: Any) -> None:
+        pass
+
+
+@pytest.fixture(name="address")
+def _address() -> Iterator[str]:
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield f"127.0.0.1:{server.server_address[1]}"
+    server.shutdown()
+    server.server_close()
+
+
+def where(address: str, path: str, *options: str) -> Result:
+    arguments = [*options, "where", "--host", "h", "--path", path, "--part", "p1"]
+    return CliRunner().invoke(make_cli(), ["--server", address, *arguments])
+
+
+def test_request_that_would_be_sent_ends_with_0(address: str) -> None:
+    found = where(address, "/sent")
+    assert found.exit_code == 0
+    assert "i-1" in found.stdout
+    assert "would be sent to i-1, expected wait 0.02 s" in found.stderr
+    assert "selected to leave for domain d1" in found.stderr
+    assert "figures 0.40 s old" in found.stderr
+
+
+def test_request_that_would_be_refused_ends_with_2(address: str) -> None:
+    found = where(address, "/refused", "--json")
+    assert found.exit_code == 2
+    assert json.loads(found.stdout)["reason"] == "no_runner"
+
+
+@pytest.mark.parametrize("path", ["/wrong", ""])
+def test_error_ends_with_1(address: str, path: str) -> None:
+    """2 stands for a refused request, so a wrong call must not end with it."""
+    assert where(address, path).exit_code == 1
+
+
+def test_unreachable_vm_ends_with_1(address: str) -> None:
+    assert where("127.0.0.1:1", "/sent").exit_code == 1
