Answer the where command's tests without a server thread

Cause: in one process with tests that patch the threads, the fixture's HTTP server did not answer, and all five tests timed out in a run of tests/unit.

Change: the tests replace the client's request; the functional test covers the connection.

--- a/tests/unit/test_where_command.py
+++ b/tests/unit/test_where_command.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import http.server
 import json
-import threading
-from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import Any
+from urllib.parse import parse_qs
 
 import pytest
+import urllib3
 from click.testing import CliRunner, Result
 from gooseberryctl._internal.cli import make_cli
 
@@ -37,29 +37,28 @@
 }
 
 
-class Handler(http.server.BaseHTTPRequestHandler):
-    """Entry VM that answers by the path in the query."""
+@dataclass(frozen=True)
+class Response:
+    """Answer of an entry VM."""
 
-    def do_GET(self) -> None:
-        path = self.path.partition("path=%2F")[2].partition("&")[0]
-        status, answer = ANSWERS[f"/{path}"]
-        body = json.dumps(answer).encode()
-        self.send_response(status)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-    def log_message(self, *args: Any) -> None:
-        pass
+    status: int
+    data: bytes
 
 
 @pytest.fixture(name="address")
-def _address() -> Iterator[str]:
-    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
-    yield f"127.0.0.1:{server.server_address[1]}"
-    server.shutdown()
-    server.server_close()
+def _address(monkeypatch: pytest.MonkeyPatch) -> str:
+    """Let an entry VM answer by the path in the query."""
+
+    def request(self: Any, method: str, url: str, **kwargs: Any) -> Response:
+        if self.port != 9101:
+            raise urllib3.exceptions.NewConnectionError(self, "refused")
+        fields = parse_qs(url.partition("?")[2])
+        assert fields["part"] == ["p1"]
+        status, answer = ANSWERS[fields["path"][0]]
+        return Response(status, json.dumps(answer).encode())
+
+    monkeypatch.setattr("urllib3.HTTPConnectionPool.request", request)
+    return "127.0.0.1:9101"
 
 
 def where(address: str, path: str, *options: str) -> Result:
