--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -50,6 +50,7 @@
 from ._statements import record_gossip
 from ._sweep import Sweep
 from ._turns import Turns
+from ._where import WhereExplainer
 from .accounts import CappedAccounts, UsageAllocators, UsageCaps
 from .admission import PlainSlots
 from .crossing import Crossing
@@ -86,33 +87,36 @@
             crossing,
         )
         self.owned_runners.residency_listener = adapters.handle_residency_notice
+        plain = PlainRequests(
+            ctx,
+            self._turns,
+            self._slots,
+            availability,
+            attempts,
+            responses,
+            crossing,
+            usage,
+        )
+        models = ModelRequests(
+            ctx,
+            self.guard,
+            adapters,
+            self._turns,
+            availability,
+            attempts,
+            responses,
+            self._origins,
+            crossing,
+            usage,
+        )
+        self.explainer = WhereExplainer(ctx, models.chooser, plain, crossing)
         self.gateway = Gateway(
             ctx,
             self.guard,
             attempts,
             responses,
-            PlainRequests(
-                ctx,
-                self._turns,
-                self._slots,
-                availability,
-                attempts,
-                responses,
-                crossing,
-                usage,
-            ),
-            ModelRequests(
-                ctx,
-                self.guard,
-                adapters,
-                self._turns,
-                availability,
-                attempts,
-                responses,
-                self._origins,
-                crossing,
-                usage,
-            ),
+            plain,
+            models,
             usage,
         )
         self.membership.on_change = self.owned_runners.refresh
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -7,11 +7,13 @@
 import time
 import uuid
 from pathlib import Path
+from typing import Any
 
 import eventlet
 from eventlet.hubs import get_hub
 from eventlet.queue import Empty, LightQueue
 from eventlet.timeout import Timeout
+from result import Err, Ok, Result
 
 from gooseberryrun._internal.coordination import Shutdown, log_event
 from gooseberryrun._internal.coordination.serving import (
@@ -21,6 +23,7 @@
     RunnerControl,
     Serving,
     make_context,
+    parse_query,
 )
 from gooseberryrun._internal.gc_setup import enable_garbage_collection
 from gooseberryrun._internal.logs import start_stdout_logging
@@ -112,7 +115,7 @@
         self._probes = ProbeServer(
             clock, integration.readiness_path, self._serving.is_ready
         )
-        self._metrics = ProbeServer(clock, "", lambda: False)
+        self._metrics = ProbeServer(clock, "", lambda: False, self._explain)
         self._signals = LightQueue()
 
     def run(self) -> None:
@@ -136,6 +139,13 @@
         self._wait_for_stop()
         self._stop()
 
+    def _explain(self, fields: dict[str, list[str]]) -> Result[dict[str, Any], str]:
+        """Explain where the request that a query string describes would be sent."""
+        query = parse_query(fields)
+        if isinstance(query, Err):
+            return query
+        return Ok(self._serving.explainer.explain(query.ok_value))
+
     def _limits(self) -> ClientLimits:
         table = self._ctx.directory.table
         return table.configuration.limits if table else ClientLimits()
