Estimate the speed of runners and rank homes by weight

Cause: a runner's speed was known only by its pace, which follows the latest ten prompts and learns only from prompts that are read alone. The homes of adapters were spread evenly over runners that differ by a factor of 2.4, and the limit of requests in flight was the same for all.

Change: the package state/serving/placement estimates the speed of an incarnation by the median reading time of a window of 19 s (step times where few prompts need a grant), relative to the median runner. Weights have steps of a quarter with hysteresis, and homes are ranked by weighted rendezvous hashing in a window of 64 runners. Prompts that meet others at a runner are samples of its pace as well.

Before, prompts that met left a busy runner at its prior pace.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -62,6 +62,7 @@
     failure_rate,
     model_runner_cost_s,
     plain_server_cost,
+    rank_candidates,
 )
 from ._policy import ServingPolicy
 from ._prefill import PrefillAdmission, PrefillLoad, PrefillPace
@@ -207,6 +208,7 @@
     "model_runner_cost_s",
     "plain_server_cost",
     "is_undeclared",
+    "rank_candidates",
     "reader_rank",
     "readers",
     "reads_store",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_directory.py
@@ -10,6 +10,7 @@
 from ._runner_index import RunnerIndex
 from ._runners import Runner
 from ._software import SoftwareVersions
+from .placement import HomeRing
 
 RECOVERY_WINDOW_S = 2.5
 """Time after an outage of the store in which removed entries may return."""
@@ -95,7 +96,12 @@
 
     def local_runner_count(self, service: str, domain: str) -> int:
         """Return the number of a service's non-draining runners in a domain."""
-        return len(self._runners.by_domain(service).get(domain, []))
+        ring = self.rings(service).get(domain)
+        return len(ring) if ring is not None else 0
+
+    def rings(self, service: str) -> dict[str, HomeRing]:
+        """Return the non-draining runners of a service in a ring for each domain."""
+        return self._runners.rings(service)
 
     def is_after_outage(self, now: float) -> bool:
         """Return whether the store has just become reachable again."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -17,6 +17,7 @@
 from ._prefill import PrefillLoad
 from ._runners import Runner
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S
+from .placement import STEPS_PER_UNIT, in_flight_limit, rank_weighted, speed_factor
 
 TURN_COST_PER_S = 10.0
 """Cost of a wait for a turn at a plain server, in fillings of its slots: about the
@@ -38,7 +39,8 @@
     the expected time from the request's first to its last event. ``turn_wait_s`` is the
     expected wait for a turn at a runner that limits its requests. ``crossing_cost`` is
     the cost of a runner in another domain, in seconds or, for a plain server, fillings;
-    None: a constant.
+    None: a constant. ``weight`` is the runner's published speed, in steps of a quarter
+    of the median runner's.
     """
 
     runner: Runner
@@ -57,6 +59,7 @@
     stream_s: float = 0.0
     turn_wait_s: float = 0.0
     crossing_cost: float | None = None
+    weight: int = STEPS_PER_UNIT
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,13 +81,26 @@
     """Return the expected seconds until the first event, adapter load excluded."""
     view = candidate.view
     unread = view.unread_tokens + max(0, prompt_tokens - candidate.cached_tokens)
-    overflow = max(0, view.in_flight + 1 - candidate.runner.slots)
     load = candidate.prefill
     wait_s = load.running_s + (load.waiting_s if candidate.needs_grant else 0.0)
     own_s = load.pace.prefill_s(max(0, prompt_tokens - candidate.cached_tokens))
     prefill_s = max(load.pace.prefill_s(unread), wait_s + own_s)
     slowness = view.slowness if policy.follows_slowness else 1.0
-    return slowness * prefill_s + overflow * policy.overflow_cost_s
+    return slowness * prefill_s + overflow_s(candidate, policy)
+
+
+def overflow_s(candidate: Candidate, policy: ServingPolicy) -> float:
+    """Return the cost of the requests beyond those that a runner takes at once."""
+    limit = in_flight_limit(candidate.runner.slots, candidate.weight)
+    overflow = max(0, candidate.view.in_flight + 1 - limit)
+    return overflow * policy.overflow_cost_s / speed_factor(candidate.weight)
+
+
+def rank_candidates(candidates: list[Candidate], adapter: str) -> dict[str, int]:
+    """Return the rank of each runner for an adapter, its homes first."""
+    weights = {c.runner.id: c.weight for c in candidates}
+    ranking = rank_weighted(adapter, weights)
+    return {runner: rank for rank, runner in enumerate(ranking)}
 
 
 def expected_load_s(candidate: Candidate) -> float:
@@ -106,12 +122,7 @@
 
     Returns None if no candidate has the adapter or can load it.
     """
-    ranking = {
-        runner: rank
-        for rank, runner in enumerate(
-            rank_nodes(adapter, [c.runner.id for c in candidates])
-        )
-    }
+    ranking = rank_candidates(candidates, adapter)
     is_held = any(candidate.has_adapter for candidate in candidates)
     best: tuple[float, Choice] | None = None
     for candidate in candidates:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_prefill.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_prefill.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from .placement import SpeedEstimate, SpeedEstimator
+
 USABLE_PAUSE_SHARE = 0.85
 """Share of the longest allowed pause that prompts may fill; the rest is left to the
 tokens of the streams themselves and to short prompts."""
@@ -21,6 +23,8 @@
 """Share of the usable pause up to which a prompt needs no grant."""
 BREAKS_WINDOW_S = 6.0
 """Time constant of the rate of prompts that make streams pause for too long."""
+MIN_SPEED_TOKENS = 500
+"""Shortest prompt whose reading time is a sample of a runner's speed."""
 GRANT_MARGIN_S = 0.5
 """Time beyond the expected one after which an unreturned grant lapses."""
 GRANT_FACTOR = 3.0
@@ -56,7 +60,8 @@
     ``running_s`` is left of the prompts being read; ``waiting_s`` more is due to long
     prompts that wait for a grant. ``breaks_per_s`` is the recent rate of prompts that
     each make the streams of the runner pause for too long; ``streams`` are the requests
-    that run there.
+    that run there. ``speed`` is what the owner has observed over a longer time than the
+    pace, None before the first sample.
     """
 
     pace: PrefillPace = PrefillPace()
@@ -64,13 +69,19 @@
     waiting_s: float = 0.0
     breaks_per_s: float = 0.0
     streams: int = 0
+    speed: SpeedEstimate | None = None
 
     def after(self, elapsed_s: float) -> PrefillLoad:
         """Return the load left after some time if no more prompts arrive."""
         running_s = max(0.0, self.running_s - elapsed_s)
         waiting_s = max(0.0, self.running_s + self.waiting_s - elapsed_s) - running_s
         return PrefillLoad(
-            self.pace, running_s, waiting_s, self.breaks_per_s, self.streams
+            self.pace,
+            running_s,
+            waiting_s,
+            self.breaks_per_s,
+            self.streams,
+            self.speed,
         )
 
 
@@ -78,7 +89,8 @@
     """Pace of one runner: the time of the latest long prompts over their tokens.
 
     Both sums decay with each prompt, so that the pace follows a runner that turns slow.
-    They start with a prompt of the prior pace.
+    They start with a prompt of the prior pace. The median of more samples is kept as
+    ``speed``: it does not follow a runner that is slow for some seconds only.
     """
 
     DECAY = 0.9
@@ -86,7 +98,8 @@
     PRIOR_TOKENS = 10000
     """Weight of the prior pace, as the length of a prompt."""
 
-    def __init__(self, prior: PrefillPace) -> None:
+    def __init__(self, prior: PrefillPace, known: SpeedEstimate | None = None) -> None:
+        self.speed = SpeedEstimator(known)
         self._tokens = float(self.PRIOR_TOKENS)
         self._took_s = prior.prefill_s(self.PRIOR_TOKENS)
 
@@ -95,10 +108,16 @@
         """Return the present pace."""
         return PrefillPace(self._took_s / self._tokens)
 
-    def record(self, tokens: int, took_s: float) -> None:
-        """Record the time to the first event of a prompt that was prefilled alone."""
+    def record(self, tokens: int, took_s: float, now: float | None = None) -> None:
+        """Record the time for which a prompt was read; ``now`` is in seconds, if known.
+
+        Short prompts tell the pace by their weight, but are no samples of the speed:
+        their time consists of other things.
+        """
         self._tokens = self.DECAY * self._tokens + tokens
         self._took_s = self.DECAY * self._took_s + took_s
+        if now is not None and tokens >= MIN_SPEED_TOKENS:
+            self.speed.record_prompt(took_s / tokens, now)
 
 
 @dataclass(slots=True)
@@ -116,10 +135,17 @@
 
     A grant is returned with the first event of its prompt. One whose return is lost
     lapses, so that a lost message or VM delays the others only for a bounded time.
+    ``known`` is the speed that a previous owner has observed.
     """
 
-    def __init__(self, prior: PrefillPace | None = None) -> None:
-        self._estimator = PaceEstimator(prior or PrefillPace())
+    def __init__(
+        self, prior: PrefillPace | None = None, known: SpeedEstimate | None = None
+    ) -> None:
+        self._estimator = PaceEstimator(prior or PrefillPace(), known)
+        self._ended_at = -math.inf
+        self._is_start_unknown = False
+        """Whether a prompt ended without a first event: it is not known how much of it
+        was read, nor when the next one began."""
         self._grants: dict[str, _Grant] = {}
         self._breaks = 0.0
         self._breaks_at = 0.0
@@ -129,6 +155,11 @@
         """Return the observed pace of the runner."""
         return self._estimator.pace
 
+    @property
+    def speed(self) -> SpeedEstimator:
+        """Return the speed of the runner as observed over a longer time."""
+        return self._estimator.speed
+
     @property
     def granted_tokens(self) -> int:
         """Return the prompt tokens of all grants in force."""
@@ -163,16 +194,29 @@
             is_alone=is_alone,
         )
 
-    def end(self, request_id: str, took_s: float | None) -> bool:
+    def end(
+        self, request_id: str, took_s: float | None, now: float | None = None
+    ) -> bool:
         """Return a grant; ``took_s`` is the time to the first event, if there was one.
 
-        Return whether the grant was in force.
+        Return whether the grant was in force. A prompt that met others was read from
+        the time on at which the one before was finished, since a runner reads them one
+        after another; that is known with the time ``now`` only.
         """
         grant = self._grants.pop(request_id, None)
         if grant is None:
             return False
-        if took_s is not None and grant.is_alone:
-            self._estimator.record(grant.tokens, took_s)
+        if took_s is None:
+            self._is_start_unknown = True
+            return True
+        if grant.is_alone:
+            self._estimator.record(grant.tokens, took_s, now)
+        elif now is not None and not self._is_start_unknown:
+            read_s = max(0.0, min(took_s, now - self._ended_at))
+            self._estimator.record(grant.tokens, read_s, now)
+        if now is not None:
+            self._ended_at = now
+            self._is_start_unknown = False
         return True
 
     def load(self, waiting_tokens: list[int], streams: int, now: float) -> PrefillLoad:
@@ -185,6 +229,7 @@
             round(waiting_s, 3),
             round(self._decayed_breaks(now) / BREAKS_WINDOW_S, 3),
             streams,
+            self.speed.estimate,
         )
 
     def _decayed_breaks(self, now: float) -> float:
@@ -199,3 +244,4 @@
         lapsed = [key for key, grant in self._grants.items() if now >= grant.lapses_at]
         for key in lapsed:
             del self._grants[key]
+            self._is_start_unknown = True
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
@@ -67,13 +67,21 @@
     """Waiting requests of one runner, its adapter slots and its prompts.
 
     ``suspected`` are adapters that the runner may have lost. ``max_pause_s`` is the
-    longest pause that the streams of the runner may make.
+    longest pause that the streams of the runner may make. ``known`` is what a previous
+    owner has told of the same incarnation of the runner.
     """
 
-    def __init__(self, max_adapters: int, policy: ServingPolicy) -> None:
+    def __init__(
+        self,
+        max_adapters: int,
+        policy: ServingPolicy,
+        known: PrefillLoad | None = None,
+    ) -> None:
         self._policy = policy
         self.slots = AdapterSlots(max_adapters)
-        self.prefills = PrefillAdmission()
+        self.prefills = PrefillAdmission(
+            known.pace if known else None, known.speed if known else None
+        )
         self.slot_waits = SlotWaitEstimator()
         self.suspected: set[str] = set()
         self.waiters: list[WaiterT] = []
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_stream_timing.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_stream_timing.py
@@ -21,6 +21,12 @@
             self.longest_pause_s = max(self.longest_pause_s, now - self.last_at)
         self.last_at = now
 
+    def step_s(self, tokens: int) -> float:
+        """Return the mean time between two of a stream's tokens, 0 if not known."""
+        if tokens <= 0 or self.first_at is None or self.last_at is None:
+            return 0.0
+        return (self.last_at - self.first_at) / tokens
+
 
 class StreamPace:
     """Mean time of a stream for each token that its request asked for."""
@@ -35,5 +41,4 @@
         """Record a complete stream."""
         if tokens <= 0 or timing.first_at is None or timing.last_at is None:
             return
-        sample_s = (timing.last_at - timing.first_at) / tokens
-        self.token_s += self.WEIGHT * (sample_s - self.token_s)
+        self.token_s += self.WEIGHT * (timing.step_s(tokens) - self.token_s)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/crossing/_pressure.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/crossing/_pressure.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from .._loads import RESULT_WINDOW_S
-from .._placement import Candidate
+from .._placement import Candidate, overflow_s
 from .._policy import ServingPolicy
 
 MAX_AGE_S = 1.5
@@ -157,8 +157,7 @@
     unread_s = load.pace.prefill_s(candidate.view.unread_tokens)
     read_s = max(unread_s, load.running_s + load.waiting_s)
     slowness = candidate.view.slowness if policy.follows_slowness else 1.0
-    overflow = max(0, candidate.view.in_flight + 1 - candidate.runner.slots)
-    wait_s = slowness * read_s + overflow * policy.overflow_cost_s
+    wait_s = slowness * read_s + overflow_s(candidate, policy)
     queue_s = max(0, candidate.waiting - candidate.available_slots)
     if not candidate.available_slots:
         wait_s += queue_s * candidate.slot_wait_s
