Publish the weights of runners and bound the candidates of a selection

Cause: nothing told the VMs of a runner's speed over a longer time, and a selection examined all runners of the domain: 2,000 in a domain of a fleet of 12,000.

Change: the owner of a runner decides on its weight and sends it with the residency notice; gossip carries up to 8 changed and 4 other weights to the other domains. VMs use published weights only, so they agree on the home runners. A domain of more than 64 runners is represented by 8 homes, 16 holders of the adapter and 16 other runners, found by a ring that is updated with each registration. Notices of the end of a use carry the step time of the stream. `gooseberryctl where` shows the weight.

Two tests followed moved internals (the owner's new argument, the chooser's list of eligible runners); their checks are the same.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -68,6 +68,10 @@
     "Requests selected for another failure domain, and those of them that stayed",
     ["service", "outcome"],
 )
+RUNNER_WEIGHT_CHANGES = Counter(
+    PREFIX + "runner_weight_changes",
+    "Changes of the weights by which owned runners are homes of adapters",
+)
 PRESSURE_SECONDS = Gauge(
     PREFIX + "pressure_seconds",
     "Expected wait at the own failure domain's servers of a service",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -16,6 +16,7 @@
     View,
 )
 from gooseberryrun._internal.state.serving.crossing import PressureSummary
+from gooseberryrun._internal.state.serving.placement import RunnerWeight
 
 from ._message_base import Message
 
@@ -54,11 +55,16 @@
 
 
 class UseNotice(Message, frozen=True, array_like=True):
-    """Number of the sender's requests that currently use an adapter of a runner."""
+    """Number of the sender's requests that currently use an adapter of a runner.
+
+    ``step_s`` is the mean time between two tokens of a stream that has just ended,
+    0 if none has.
+    """
 
     runner: str
     adapter: str
     count: int
+    step_s: float = 0.0
 
 
 class ViewNotice(Message, frozen=True, array_like=True):
@@ -133,7 +139,8 @@
     one; each of them has to wait ``mean_slot_wait_s`` longer than the one before.
     ``prefill`` is the load of prompts as of the sending of the notice. The owner has no
     entry of an incarnation that ``is_undeclared``. ``kv_total`` are the tokens that fit
-    the runner's memory, 0 if it does not tell.
+    the runner's memory, 0 if it does not tell. ``weight`` is the runner's speed, None
+    as long as that of the median runner is assumed.
     """
 
     runner: str
@@ -146,6 +153,7 @@
     prefill: PrefillLoad = PrefillLoad()
     is_undeclared: bool = False
     kv_total: int = 0
+    weight: RunnerWeight | None = None
 
 
 class AcquireAnswer(Message, frozen=True, array_like=True):
@@ -332,6 +340,7 @@
     force, which a restored store may have lost. ``counted_vms`` is the largest number
     of VMs that the sender has known lately. ``pressure`` are recent summaries: of all
     failure domains to a VM of the own one, to others those of the own domain.
+    ``weights`` are a bounded number of weights of runners, the changed ones first.
     """
 
     vm: str
@@ -345,6 +354,7 @@
     configuration_version: int = 0
     counted_vms: int = 0
     pressure: list[PressureSummary] = []
+    weights: dict[str, RunnerWeight] = {}
 
 
 class DirectoryRequest(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -80,6 +80,7 @@
         self._membership = membership
         self._blocked_until: dict[str, float] = {}
         self._uses: Counter[tuple[str, str]] = Counter()
+        self._step_s: dict[tuple[str, str], float] = {}
 
     def held(self, runner: Runner) -> dict[str, int]:
         """Return the adapters that a runner is assumed to hold, with versions."""
@@ -139,6 +140,8 @@
             record_restart(self._ctx, notice.runner, notice.born_ms, sender)
         known = self._ctx.residency.newest(notice.runner)
         self._ctx.residency.update(notice)
+        if notice.weight is not None:
+            self._ctx.weights.merge(notice.runner, notice.weight)
         if known is not None and known.fencing_token == notice.fencing_token:
             return
         for (runner, adapter), count in self._uses.items():
@@ -193,9 +196,15 @@
         if not self._uses[(runner.id, adapter)]:
             del self._uses[(runner.id, adapter)]
 
+    def record_steps(self, runner: Runner, adapter: str, step_s: float) -> None:
+        """Record the step time of a stream for the notice of its end."""
+        self._step_s[(runner.id, adapter)] = step_s
+
     def _send_use_notice(self, runner: Runner, adapter: str) -> None:
         owner = self._ctx.owner_of(runner)
-        notice = UseNotice(runner.id, adapter, self._uses[(runner.id, adapter)])
+        step_s = self._step_s.pop((runner.id, adapter), 0.0)
+        uses = self._uses[(runner.id, adapter)]
+        notice = UseNotice(runner.id, adapter, uses, step_s)
         if owner is not None:
             self._send_to_owner(owner.vm, notice)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -30,6 +30,7 @@
     reader_rank,
 )
 from gooseberryrun._internal.state.serving.accounts import ConfigurationFreshness
+from gooseberryrun._internal.state.serving.placement import WeightTable
 
 from .._ports import Peers
 from ._ports import Ports
@@ -79,6 +80,7 @@
     stop_deadline: float = float("inf")
     is_new: bool = True
     store_statuses: dict[str, StoreStatus] = field(default_factory=dict)
+    weights: WeightTable = field(default_factory=WeightTable)
     residency: Residency = field(init=False)
     freshness: ConfigurationFreshness = field(init=False)
     remote_views: dict[str, View] = field(default_factory=dict)
@@ -212,6 +214,7 @@
         now = self.clock.monotonic()
         registered = [runner.id for runner in self.directory.all_runners()]
         self.residency.drop_unregistered(registered)
+        self.weights.drop_unregistered(registered)
         self.loads.expire_owner_totals(now)
         self.store_statuses = {
             vm: status
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -93,7 +93,7 @@
 
     def _record_activity(self, gossip: ServingGossip) -> None:
         now = self._ctx.clock.monotonic()
-        if gossip.views or not gossip.can_reach_store:
+        if gossip.views or not gossip.can_reach_store or self._ctx.weights.has_news():
             self._activity.record_news(now)
         if not gossip.configuration_version:
             # All VMs that start read their first configuration, which is no news.
@@ -191,6 +191,7 @@
             leaving=ctx.directory.stated_leaving(),
             configuration_version=ctx.directory.configuration_version,
             counted_vms=count_vms(ctx),
+            weights=ctx.weights.next_round(),
         )
 
     def _residency(self) -> list[ResidencyNotice]:
@@ -211,6 +212,8 @@
             # It may need a peer that renews its lease or has newer records.
             self._activity.record_news(now)
         ctx.fleet_size.hear(gossip.counted_vms, now)
+        for runner_id, weight in gossip.weights.items():
+            ctx.weights.merge(runner_id, weight)
         if self._crossing is not None:
             self._crossing.receive(gossip.pressure)
         for notice in gossip.residency:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_load_tracker.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_load_tracker.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from gooseberryrun._internal.state.serving import Choice, expected_first_event_s
+from gooseberryrun._internal.state.serving import (
+    Choice,
+    StreamTiming,
+    expected_first_event_s,
+)
 
 from ._active_request import ActiveRequest
 from ._adapters import WITHDRAWN_S, Adapters
@@ -45,6 +49,12 @@
             ratio = (now - self._sent_at) / nominal_s
             self._ctx.loads.record_slowness(self._runner.id, ratio, now)
 
+    def record_stream(self, timing: StreamTiming, tokens: int) -> None:
+        """Record the step time of a whole stream that its caller read in time."""
+        step_s = timing.step_s(tokens)
+        if step_s:
+            self._adapters.record_steps(self._runner, self._active.adapter_key, step_s)
+
     def end(self) -> None:
         """Remove the request from the runner's load."""
         if self._is_prompt_unread:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -22,6 +22,7 @@
 from .._tasks import spawn, spawn_until_done
 from ._context import Context
 from ._runner_owner import RunnerOwner
+from ._runner_speeds import RunnerSpeeds
 from ._ticks import sleep_until_tick
 from ._waiting_requests import Refusal
 
@@ -41,6 +42,7 @@
         self._tasks: dict[str, RunnerOwner] = {}
         self._is_closed = False
         self._changed_runners: set[str] = set()
+        self._speeds = RunnerSpeeds(ctx)
         self.residency_listener: ResidencyListener = self._update_residency
 
     def _update_residency(self, _vm: str, notice: ResidencyNotice) -> None:
@@ -112,7 +114,7 @@
         """Record how many requests of a VM use an adapter."""
         task = self._tasks.get(notice.runner)
         if task is not None:
-            task.record_use(vm, notice.adapter, notice.count)
+            task.record_use(vm, notice.adapter, notice.count, notice.step_s)
 
     def handle_prefill_notice(self, notice: PrefillNotice) -> None:
         """Take back the grant of a long prompt."""
@@ -164,7 +166,11 @@
     def _start_task(self, runner: Runner) -> None:
         max_adapters = self._max_adapters(runner) or 0
         task = RunnerOwner(
-            self._ctx, runner, max_adapters, lambda: self._schedule_notice(runner.id)
+            self._ctx,
+            runner,
+            max_adapters,
+            lambda: self._schedule_notice(runner.id),
+            self._speeds,
         )
         self._tasks[runner.id] = task
         log_event(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_residency.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_residency.py
@@ -6,6 +6,7 @@
 
 from gooseberryrun._internal.state import Clock
 from gooseberryrun._internal.state.serving import RecentAdapters, Runner
+from gooseberryrun._internal.state.serving.placement import HolderIndex
 
 from .._serving_messages import ResidencyNotice
 
@@ -21,6 +22,7 @@
         self._notices: dict[str, ResidencyNotice] = {}
         self._received_at: dict[str, float] = {}
         self._recent: dict[str, RecentAdapters] = {}
+        self._holders = HolderIndex()
 
     def newest(self, runner: str) -> ResidencyNotice | None:
         """Return the newest notice of a runner, of any of its incarnations."""
@@ -47,12 +49,17 @@
         self._notices[notice.runner] = notice
         recent = self._recent.setdefault(notice.runner, RecentAdapters())
         recent.record(notice.born_ms, notice.held)
+        self._holders.replace(notice.runner, frozenset(notice.held))
 
     def held_recently(self, runner: Runner, adapter: str) -> bool:
         """Return whether a runner held an adapter recently and reloads it fast."""
         recent = self._recent.get(runner.id)
         return recent is not None and recent.contains(runner.born_ms, adapter)
 
+    def some_holders(self, adapter: str, key: str, count: int) -> list[str]:
+        """Return at most ``count`` runners that hold an adapter by their notices."""
+        return self._holders.some(adapter, key, count)
+
     def runners(self) -> set[str]:
         """Return the runners of which there is a notice."""
         return set(self._notices)
@@ -63,3 +70,4 @@
             if self.age_s(runner) > FORGET_S:
                 del self._notices[runner], self._received_at[runner]
                 del self._recent[runner]
+                self._holders.replace(runner, frozenset())
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -17,16 +17,16 @@
     fits_memory,
     follows_all_domains,
 )
+from gooseberryrun._internal.state.serving.placement import speed_factor
 
 from ._active_request import ActiveRequest
 from ._adapters import Adapters
 from ._availability import Availability
 from ._context import Context
+from ._eligible_runners import EligibleRunners
 from ._turns import Turns
 from .crossing import Crossing, Departure
 
-HOME_RUNNERS = 2
-"""Runners of an adapter's home domain that are candidates in all other domains."""
 SPARE_MARGIN = 3
 """Requests by which a runner has to be the busiest to be spared suspect requests."""
 
@@ -47,6 +47,7 @@
         self._turns = turns
         self._availability = availability
         self._crossing = crossing
+        self._eligible = EligibleRunners(ctx)
         self.stream_pace = StreamPace()
 
     def wanted_version(self, active: ActiveRequest) -> int:
@@ -90,9 +91,14 @@
     ) -> list[Candidate]:
         """Return the runners that may get a request now."""
         adapter = active.adapter_key
-        runners = self._eligible(active, adapter, now)
+        service, request_id = active.service, active.metadata.request_id
+        runners = self._eligible.find(service, adapter, request_id, now)
         if departure is not None:
-            runners = runners + self._homes_in(departure.domain, active, runners)
+            # A request without an adapter has no homes: its id spreads such requests.
+            key = adapter if active.metadata.adapter else request_id
+            known = {runner.id for runner in runners}
+            homes = self._eligible.homes(service, departure.domain, key)
+            runners = runners + [home for home in homes if home.id not in known]
         if verdict.handling is Handling.CONFINED:
             confined_to = self.confined_runner(active, verdict, now)
             runners = [confined_to] if confined_to else []
@@ -150,40 +156,6 @@
             return False
         return any(model.name == active.metadata.model for model in runner.models)
 
-    def _eligible(
-        self, active: ActiveRequest, adapter: str, now: float
-    ) -> list[Runner]:
-        """Return the runners that this VM follows, and an adapter's home runners.
-
-        All domains agree on the home runners, so that loads of a rare adapter are
-        shared between domains.
-        """
-        runners = self._ctx.directory.runners(active.service, now)
-        found = [runner for runner in runners if self._ctx.follows(runner)]
-        if len(found) == len(runners):
-            return found
-        by_domain = self._ctx.directory.runners_by_domain(active.service)
-        home = by_domain[rank_nodes(adapter, by_domain)[0]]
-        ranking = rank_nodes(adapter, [runner.id for runner in home])
-        homes = set(ranking[:HOME_RUNNERS])
-        known = {runner.id for runner in found}
-        return found + [r for r in home if r.id in homes and r.id not in known]
-
-    def _homes_in(
-        self, domain: str, active: ActiveRequest, known: list[Runner]
-    ) -> list[Runner]:
-        """Return the runners of a domain that are the likeliest to hold an adapter.
-
-        A request without an adapter has none: its id spreads such requests.
-        """
-        by_domain = self._ctx.directory.runners_by_domain(active.service)
-        runners = {runner.id: runner for runner in by_domain.get(domain, [])}
-        metadata = active.metadata
-        key = active.adapter_key if metadata.adapter else metadata.request_id
-        listed = {runner.id for runner in known}
-        homes = rank_nodes(key, runners)[:HOME_RUNNERS]
-        return [runners[home] for home in homes if home not in listed]
-
     def _candidate(
         self, active: ActiveRequest, runner: Runner, adapter: str, now: float
     ) -> Candidate:
@@ -195,6 +167,8 @@
         prefill = self._adapters.prefill_load(runner)
         max_pause_s = self._max_pause_s(active)
         tokens = active.metadata.prompt_tokens
+        weight = self._ctx.weights.steps(runner.id, runner.born_ms)
+        stream_s = active.metadata.output_tokens * self.stream_pace.token_s
         return Candidate(
             runner=runner,
             view=self._ctx.loads.total(runner.id, now),
@@ -209,8 +183,9 @@
             needs_grant=self._ctx.policy.admits_prompts
             and prefill.pace.needs_grant(tokens, max_pause_s),
             breaks_streams=prefill.pace.breaks_streams(tokens, max_pause_s),
-            stream_s=active.metadata.output_tokens * self.stream_pace.token_s,
+            stream_s=stream_s / speed_factor(weight),
             turn_wait_s=self._turns.expected_wait_s(runner, now),
+            weight=weight,
         )
 
     def _can_load(self, active: ActiveRequest, runner: Runner) -> bool:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -15,6 +15,7 @@
     is_base_model,
     is_undeclared,
 )
+from gooseberryrun._internal.state.serving.placement import WeightDecision
 
 from .._events import log_event
 from .._serving_messages import AcquireRequest, ResidencyNotice
@@ -23,6 +24,7 @@
 from ._context import Context
 from ._control_port import OrderOp, RunnerReport
 from ._orders import RunnerOrders
+from ._runner_speeds import RunnerSpeeds
 from ._waiting_requests import Refusal, WaitingRequest, WaitingRequests
 
 IDLE_CHECK_S = 2.0
@@ -48,8 +50,11 @@
         runner: Runner,
         max_adapters: int,
         on_change: Callable[[], None],
+        speeds: RunnerSpeeds,
     ) -> None:
         self._ctx = ctx
+        self._speeds = speeds
+        self._weighing = WeightDecision(runner.born_ms)
         self._runner = runner
         self._on_change = on_change
         self._waiting = WaitingRequests(ctx, runner, max_adapters, on_change, self.wake)
@@ -86,15 +91,33 @@
         if not self._wake.ready():
             self._wake.send(None)
 
-    def record_use(self, vm: str, adapter: str, count: int) -> None:
-        """Record how many requests of a VM use an adapter."""
-        self._slots.record_use(vm, adapter, count, self._ctx.clock.monotonic())
+    def record_use(
+        self, vm: str, adapter: str, count: int, step_s: float = 0.0
+    ) -> None:
+        """Record how many requests of a VM use an adapter.
+
+        ``step_s`` is the step time of a stream that has just ended, if not 0.
+        """
+        now = self._ctx.clock.monotonic()
+        self._slots.record_use(vm, adapter, count, now)
+        if step_s:
+            self._queue.prefills.speed.record_stream(step_s, now)
+            self._weigh()
         if not count and self._queue.waiters:
             self.wake()
 
     def end_prefill(self, request_id: str, took_s: float) -> None:
         """Take back the grant of a prompt, or withdraw its request for one."""
         self._waiting.end_prefill(request_id, took_s)
+        self._weigh()
+
+    def _weigh(self) -> None:
+        """Publish another weight of the runner if its speed has changed."""
+        if self._orders.fencing_token() is None:
+            return
+        estimate = self._queue.prefills.speed.estimate
+        if self._speeds.weigh(self._runner, estimate, self._weighing):
+            self._on_change()
 
     def residency(self) -> ResidencyNotice | None:
         """Return the adapters that the runner holds; None while they are not known."""
@@ -119,6 +142,7 @@
             self._queue.prefill_load(now),
             is_undeclared(runner.software_version),
             self._kv_total,
+            self._speeds.published(runner),
         )
 
     def acquire(self, request: AcquireRequest, deadline: float) -> Result[int, Refusal]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
@@ -109,7 +109,7 @@
         if response.ends_with_connection and not _ends_after_event(active, progress):
             fault = AttemptFault(AttemptFailure.SENT, "closed within an event")
             return self._fail(active, runner, progress, fault)
-        self._finish(active, runner, response, progress)
+        self._finish(active, runner, response, progress, tracker)
         return Round.DONE
 
     def _fail(
@@ -169,10 +169,14 @@
         runner: Runner,
         response: RunnerResponse,
         progress: StreamProgress,
+        tracker: LoadTracker,
     ) -> None:
         self._attempts.record_success(active, runner)
         if progress.unread_s < MIN_UNREAD_S:
-            self._stream_pace.record(active.timing, active.metadata.output_tokens)
+            tokens = active.metadata.output_tokens
+            self._stream_pace.record(active.timing, tokens)
+            if active.attempts == 1:
+                tracker.record_stream(active.timing, tokens)
         remainder = progress.events.remainder()
         if remainder or not progress.is_started:
             self._send_events(active, response, progress, remainder)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_waiting_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_waiting_requests.py
@@ -70,11 +70,17 @@
         self._on_change = on_change
         self._wake = wake
         self._withdrawn_at: dict[str, float] = {}
-        self.queue: RunnerQueue[WaitingRequest] = RunnerQueue(max_adapters, ctx.policy)
+        notice = ctx.residency.newest(runner.id)
+        is_same = notice is not None and notice.born_ms == runner.born_ms
+        known = notice.prefill if notice is not None and is_same else None
+        self.queue: RunnerQueue[WaitingRequest] = RunnerQueue(
+            max_adapters, ctx.policy, known
+        )
 
     def end_prefill(self, request_id: str, took_s: float) -> None:
         """Take back the grant of a prompt, or withdraw its request for one."""
-        if self.queue.prefills.end(request_id, took_s if took_s >= 0 else None):
+        now = self._ctx.clock.monotonic()
+        if self.queue.prefills.end(request_id, took_s if took_s >= 0 else None, now):
             self.complete_ready()
             self._on_change()
             return
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_where.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_where.py
@@ -12,7 +12,6 @@
 
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state import rank_nodes
 from gooseberryrun._internal.state.serving import (
     Candidate,
     Handling,
@@ -22,7 +21,9 @@
     choose_plain_server,
     model_runner_cost_s,
     plain_server_cost,
+    rank_candidates,
 )
+from gooseberryrun._internal.state.serving.placement import speed_factor
 
 from ._active_request import ActiveRequest, request_traits
 from ._context import Context
@@ -208,11 +209,11 @@
         policy = self._ctx.policy
         key = active.adapter_key
         choice = choose_model_runner(candidates, key, tokens, policy)
-        ranking = rank_nodes(key, [c.runner.id for c in candidates])
+        ranking = rank_candidates(candidates, key)
         is_held = any(candidate.has_adapter for candidate in candidates)
         rows = []
         for candidate in candidates:
-            rank = ranking.index(candidate.runner.id)
+            rank = ranking[candidate.runner.id]
             cost, expected_s = model_runner_cost_s(
                 candidate, rank, is_held, tokens, policy
             )
@@ -263,15 +264,15 @@
         age_s = self._ctx.residency.age_s(candidate.runner.id)
         owner = self._ctx.owner_of(candidate.runner)
         needs_owner = not candidate.has_adapter or candidate.needs_grant
+        prefill = candidate.prefill
         return {
             "expected_s": round(expected_s, 4),
             "has_adapter": candidate.has_adapter,
             "can_load": candidate.can_load,
+            "weight": speed_factor(candidate.weight),
             "idle_places": candidate.available_slots,
             "waiting": candidate.waiting,
-            "prompts_s": round(
-                candidate.prefill.running_s + candidate.prefill.waiting_s, 4
-            ),
+            "prompts_s": round(prefill.running_s + prefill.waiting_s, 4),
             "age_s": round(age_s, 3) if math.isfinite(age_s) else None,
             "asks_owner": owner.vm if needs_owner and owner is not None else "",
         }
--- a/tests/lib/crossing_model_replay.py
+++ b/tests/lib/crossing_model_replay.py
@@ -13,10 +13,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from gooseberryrun._internal.coordination.serving._runner_choice import (
-    HOME_RUNNERS,
-    with_departure,
-)
+from gooseberryrun._internal.coordination.serving._eligible_runners import HOME_RUNNERS
+from gooseberryrun._internal.coordination.serving._runner_choice import with_departure
 from gooseberryrun._internal.coordination.serving.crossing import Departure
 from gooseberryrun._internal.state import rank_nodes
 from gooseberryrun._internal.state.serving import (
--- a/tests/unit/serving/test_crossing.py
+++ b/tests/unit/serving/test_crossing.py
@@ -164,7 +164,9 @@
     chooser = fleet.vms[vm].gateway._models.chooser
     active = next(fleet.requests(MODELS, 1, "a1"))
     now = fleet.clock.monotonic()
-    eligible = chooser._eligible(active, active.adapter_key, now)
+    request_id = active.metadata.request_id
+    key = active.adapter_key
+    eligible = chooser._eligible.find(active.service, key, request_id, now)
     assert chooser.find_departure(active, now, FREE) is None
     assert len(eligible) == 6
     for candidate in (chooser._candidate(active, r, "m/a1", now) for r in eligible):
--- a/tests/unit/serving/test_withdrawals.py
+++ b/tests/unit/serving/test_withdrawals.py
@@ -4,6 +4,7 @@
 
 from gooseberryrun._internal.coordination._serving_messages import AcquireRequest
 from gooseberryrun._internal.coordination.serving._runner_owner import RunnerOwner
+from gooseberryrun._internal.coordination.serving._runner_speeds import RunnerSpeeds
 from gooseberryrun._internal.coordination.serving._waiting_requests import (
     WITHDRAWN_TTL_S,
 )
@@ -20,7 +21,7 @@
     runners = make_runners(1, 1)
     clock = ManualClock(10.0)
     ctx, _ = make_vm(members["d0"][0], GroupStore(members), runners, clock)
-    owner = RunnerOwner(ctx, runners[0], 6, lambda: None)
+    owner = RunnerOwner(ctx, runners[0], 6, lambda: None, RunnerSpeeds(ctx))
     owner._orders.fencing_token = lambda: 1  # type: ignore[method-assign]
     return owner, clock
 
