Drop lapsed grants of prompts whenever a queue is served

Cause: a grant that had lapsed was dropped only when another prompt asked to start. As long as all waiting requests lacked their adapters, its deadline stayed the next one, and the owner looked for work each millisecond.

Change: the queue drops lapsed grants before it looks for requests that are ready.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_prefill.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_prefill.py
@@ -170,7 +170,7 @@
 
         A prompt that is too long by itself may start once no other one is being read.
         """
-        self._expire(now)
+        self.expire(now)
         if not self._grants:
             return True
         pause_s = self.pace.prefill_s(self.granted_tokens + tokens)
@@ -240,7 +240,8 @@
         """Return when the next grant lapses, None without grants."""
         return min((g.lapses_at for g in self._grants.values()), default=None)
 
-    def _expire(self, now: float) -> None:
+    def expire(self, now: float) -> None:
+        """Drop the grants that have lapsed."""
         lapsed = [key for key, grant in self._grants.items() if now >= grant.lapses_at]
         for key in lapsed:
             del self._grants[key]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
@@ -191,6 +191,9 @@
         A long prompt that may not start yet holds back those behind it, so that it is
         not overtaken for ever by shorter ones.
         """
+        # Without this, a lapsed grant would keep its deadline, at which the owner looks
+        # for work, for as long as all waiting requests lack their adapters.
+        self.prefills.expire(now)
         ready = []
         is_held_back = False
         has_accounts = self._has_accounts()
--- a/tests/unit/serving/test_waits.py
+++ b/tests/unit/serving/test_waits.py
@@ -119,3 +119,17 @@
 def test_urgent_requests_come_first_even_if_late() -> None:
     late, in_time = SlotWait(0, 0.1, 9.0), SlotWait(1, 9.0, 9.5)
     assert late.rank(1.0) < in_time.rank(1.0)
+
+
+def test_lapsed_grant_does_not_keep_an_owner_awake() -> None:
+    """Guards against a poll each millisecond while no waiting request has its adapter.
+
+    A grant that has lapsed was dropped only when another prompt asked to start.
+    """
+    queue: RunnerQueue[Waiter] = RunnerQueue(2, ServingPolicy())
+    queue.prefills.begin("gone", 2400, 0.4, 0.0)
+    assert queue.add(make_waiter("r1", "m/a1", 0.0), 0.0)
+    lapse_at = queue.prefills.next_lapse_at()
+    assert lapse_at is not None
+    assert queue.take_ready(lapse_at) == []
+    assert queue.prefills.next_lapse_at() is None
