--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/placement/_speed.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/placement/_speed.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-import statistics
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -146,16 +145,17 @@
 def reference_speed(estimates: Iterable[SpeedEstimate], runners: int) -> SpeedEstimate:
     """Return the median runner of a domain with so many runners.
 
-    A time is known once half of the runners have enough samples of it: the fast ones
-    have them first, and would make all others count as slow.
+    A runner without enough samples counts as slower than all others: the fast ones
+    have samples first, and would make all others count as slow.
     """
     found = list(estimates)
-    token_s = [e.token_s for e in found if e.prompts >= MIN_SAMPLES]
-    step_s = [e.step_s for e in found if e.streams >= MIN_SAMPLES]
+    token_s = sorted(e.token_s for e in found if e.prompts >= MIN_SAMPLES)
+    step_s = sorted(e.step_s for e in found if e.streams >= MIN_SAMPLES)
+    middle = runners // 2
     return SpeedEstimate(
-        statistics.median(token_s) if 2 * len(token_s) >= max(1, runners) else 0.0,
+        token_s[middle] if middle < len(token_s) else 0.0,
         len(token_s),
-        statistics.median(step_s) if 2 * len(step_s) >= max(1, runners) else 0.0,
+        step_s[middle] if middle < len(step_s) else 0.0,
         len(step_s),
     )
 
--- a/tests/lib/speed_replay.py
+++ b/tests/lib/speed_replay.py
@@ -9,10 +9,8 @@
 import dataclasses
 import math
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from functools import partial
 
 import msgspec
 from gooseberry_fakes.measure.engine_model import EngineSpeed, ModelStream
@@ -133,11 +131,11 @@
         self.knowledge = knowledge
         self.weights = WeightTable()
         self.changes: list[tuple[float, str, int]] = []
-        self.examined: list[int] = []
         self.sent: Counter[str] = Counter()
         self.loaded: Counter[str] = Counter()
         self._decisions: dict[str, WeightDecision] = {}
         self._born_ms: dict[str, int] = {}
+        self.result: FleetResult
         super().__init__(scenario(load, knowledge), ServingPolicy(), seed)
 
     def _make_runner(self, number: int) -> _ModelRunner:
@@ -215,10 +213,6 @@
             self.weights.merge(runner.id, weight)
             self.changes.append((self._now, runner.id, weight.steps))
 
-    def at(self, time: float, act: Callable[[], None]) -> None:
-        """Call a function at a time of the replay."""
-        self._at(time, partial(act))
-
 
 def in_time_share(results: list[FleetResult], since: float = 0.0) -> float:
     """Return the share of the requests that arrived since then served in time."""
