--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
@@ -175,7 +175,7 @@
         if progress.unread_s < MIN_UNREAD_S:
             tokens = active.metadata.output_tokens
             self._stream_pace.record(active.timing, tokens)
-            if active.attempts == 1:
+            if active.attempts == 1 and not active.takes_up_stream:
                 tracker.record_stream(active.timing, tokens)
         remainder = progress.events.remainder()
         if remainder or not progress.is_started:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_summaries.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_summaries.py
@@ -108,6 +108,7 @@
             slot_wait_s=queue.mean_slot_wait_s,
             prefill=self._adapters.prefill_load(runner),
             turn_wait_s=self._turns.expected_wait_s(runner, now),
+            weight=self._ctx.weights.steps(runner.id, runner.born_ms),
         )
         wait_s = model_wait_s(candidate, self._ctx.policy)
         return ServerLoad(runner.slots, scaled.in_flight, queue.waiting, wait_s)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/placement/_weights.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/placement/_weights.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Iterable
 
-from ._speed import STEPS_PER_UNIT, RunnerWeight
+from ._speed import MAX_STEPS, STEPS_PER_UNIT, RunnerWeight
 
 NEWS_PER_ROUND = 8
 """Largest number of recently changed weights in a message of gossip."""
@@ -46,7 +46,12 @@
         return known.steps
 
     def merge(self, runner: str, weight: RunnerWeight) -> bool:
-        """Store a weight unless a newer one is known; return whether it was stored."""
+        """Store a weight unless a newer one is known; return whether it was stored.
+
+        One out of range, as a VM of another release might send, is ignored.
+        """
+        if not 1 <= weight.steps <= MAX_STEPS:
+            return False
         known = self._weights.get(runner)
         if known is not None and not weight.supersedes(known):
             return False
--- a/tests/unit/serving/test_runner_weights.py
+++ b/tests/unit/serving/test_runner_weights.py
@@ -277,6 +277,8 @@
     assert weight is not None
     assert table.merge("r1", weight)
     assert not table.merge("r1", RunnerWeight(1, 9, 10))
+    assert not table.merge("r1", RunnerWeight(3, 1, 0))
+    assert table.steps("r1", 2) == 2
 
 
 def test_new_owner_continues_with_the_speed_that_the_former_one_told() -> None:
