Compare cleared crashes between VMs as crashes are

Callers of sound requests got 503 (crashes_runners) for a minute and longer from VMs that had missed that an answer cleared the trait: VMs that were partitioned, restarted, or had read old suspicions. Such a VM refuses the requests whose answers would clear the trait.

Cause: crashes were compared by digest, while an answer was told once, to random peers. A VM that fetched the suspicions of a peer said nothing of those that it knew to be cleared, answers older than 60 s were not told, and a peer whose digest was 0 was not compared with.

The clearing of a crash now is state of its own: per trait and crash (runner and incarnation), cleared wins over blamed. An exchange goes both ways: the request has the sender's suspicions, the reply those of the peer and what clears the sender's, and the sender tells the peer what clears the peer's. As clearing names crashes, it no longer depends on when a notice is read; the age of an answer of another VM only counts for the rule that a first crash after one is not blamed.

The request and the notice have a new last field with a default, and notices keep the answers with their ages, so VMs of both versions understand each other.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -183,14 +183,24 @@
 
 
 class EvidenceNotice(Message, frozen=True, array_like=True):
-    """Crashes of runners, and answers that speak against what these are blamed on."""
+    """Crashes of runners, and answers that speak against what these are blamed on.
+
+    ``cleared`` are crashes after which the traits were answered.
+    """
 
     crashes: list[CrashReport]
     answers: list[AnswerReport]
+    cleared: list[CrashReport] = []
 
 
 class EvidenceRequest(Message, frozen=True, array_like=True):
-    """Request to a peer for an EvidenceNotice with all that it knows."""
+    """Request to a peer for an EvidenceNotice with all that it knows.
+
+    ``known`` are the suspicions of the sender; the reply also says which of them are
+    cleared.
+    """
+
+    known: EvidenceNotice = EvidenceNotice([], [])
 
 
 class TurnRequest(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
@@ -9,7 +9,6 @@
 from result import Err
 
 from gooseberryrun._internal.state.serving import (
-    RECENT_ANSWER_S,
     Crash,
     Handling,
     Runner,
@@ -21,14 +20,21 @@
 from .._metrics import CRASH_REPORTS
 from .._ports import InboundMessage
 from .._serving_messages import (
-    AnswerReport,
-    CrashReport,
     EvidenceNotice,
     EvidenceRequest,
 )
 from .._tasks import spawn, spawn_until_done
 from ._active_request import ActiveRequest, LocalResponse
 from ._context import Context
+from ._evidence_notices import (
+    MAX_TRAITS_SENT,
+    contradict,
+    describe_cleared,
+    describe_suspicions,
+    make_answers,
+    make_reports,
+    to_crash,
+)
 from ._kept_suspicions import KeptSuspicions
 from ._responses import refusal_until
 from ._rewrites import schedule_rewrite
@@ -39,8 +45,6 @@
 START_LIMIT_S = 3.0
 """Longest time for which a new VM waits for what others know before it is ready."""
 PEER_TIMEOUT_S = 0.5
-MAX_TRAITS_SENT = 256
-"""Traits in one message; those with the most crashes go first."""
 
 
 def suspect_response(
@@ -104,17 +108,20 @@
         fresh = self._add_crash(active.traits, crash, self._ctx.vm)
         if not fresh:
             return
-        self._spread(EvidenceNotice([self._report(fresh, crash)], []))
+        reports = make_reports([(trait, crash) for trait in fresh], now)
+        self._spread(EvidenceNotice(reports, []))
         self._kept.keep(fresh)
 
     def record_answer(self, active: ActiveRequest, answered_at: float) -> None:
         """Clear the traits of a request that a living runner began to answer."""
         active.is_answer_recorded = True
         kept = self._kept.worth_keeping(active.traits)
-        cleared = self._clear(active.traits, answered_at, self._ctx.vm)
+        cleared = self._evidence.record_answer(active.traits, answered_at)
         if not cleared:
             return
-        self._spread(EvidenceNotice([], [self._answer(cleared, answered_at)]))
+        self._log_cleared(cleared, self._ctx.vm)
+        now = self._ctx.clock.monotonic()
+        self._spread(describe_cleared(self._evidence, cleared, now))
         self._kept.withdraw([trait for trait in cleared if trait in kept])
 
     def _add_crash(
@@ -141,30 +148,19 @@
     def _add_kept_crash(self, trait: Trait, crash: Crash) -> None:
         self._add_crash([trait], crash, "store")
 
-    def _clear(
-        self, traits: Iterable[Trait], answered_at: float, source: str
-    ) -> list[Trait]:
-        """Record an answer; log and return the traits that it clears."""
-        cleared = self._evidence.record_answer(traits, answered_at)
-        for trait in cleared:
-            age_s = self._ctx.clock.monotonic() - answered_at
+    def _log_cleared(self, traits: Iterable[Trait], source: str) -> None:
+        """Log which of the traits are no longer blamed for any crash."""
+        now = self._ctx.clock.monotonic()
+        for trait in traits:
+            if self._evidence.crash_count(trait):
+                continue
             log_event(
                 "trait_cleared",
                 kind=trait.kind,
                 trait=trait.key,
-                age_s=age_s,
+                age_s=now - self._evidence.last_answer_at(trait),
                 source=source,
             )
-        return cleared
-
-    def _report(self, traits: list[Trait], crash: Crash) -> CrashReport:
-        age_s = self._ctx.clock.monotonic() - crash.at
-        return CrashReport(
-            crash.runner, crash.incarnation, traits, age_s, crash.is_begun
-        )
-
-    def _answer(self, traits: list[Trait], answered_at: float) -> AnswerReport:
-        return AnswerReport(traits, self._ctx.clock.monotonic() - answered_at)
 
     def _spread(self, notice: EvidenceNotice) -> None:
         """Tell random peers, who pass on what is new to them."""
@@ -174,76 +170,80 @@
 
     def handle_evidence_notice(self, sender: str, notice: EvidenceNotice) -> None:
         """Record what a peer reports; pass on what is new here."""
-        fresh = self._apply(sender, notice)
-        if fresh.crashes or fresh.answers:
-            self._spread(fresh)
+        self._spread_news(self._apply(sender, notice))
+
+    def _spread_news(self, news: EvidenceNotice) -> None:
+        if news.crashes or news.answers or news.cleared:
+            self._spread(news)
 
     def _apply(self, source: str, notice: EvidenceNotice) -> EvidenceNotice:
         """Record a notice; return what is new, and answers that contradict it."""
         now = self._ctx.clock.monotonic()
-        crashes: list[CrashReport] = []
-        answers: list[AnswerReport] = []
+        news = EvidenceNotice([], [], [])
+        spoken_for = {trait for answer in notice.answers for trait in answer.traits}
+        spoken_for.update(t for report in notice.cleared for t in report.traits)
+        suspected = [t for t in spoken_for if self._evidence.crash_count(t)]
+        for answer in notice.answers:
+            changed = self._evidence.hear_answer(answer.traits, now - answer.age_s)
+            news.answers.extend(make_answers(self._evidence, changed, now))
+        for report in notice.cleared:
+            crash = to_crash(report, now)
+            changed = self._evidence.record_cleared(report.traits, crash)
+            news.cleared.extend(make_reports([(t, crash) for t in changed], now))
+        self._log_cleared(suspected, source)
         for report in notice.crashes:
-            crash = Crash(
-                report.runner, report.born_ms, now - report.age_s, report.is_begun
-            )
+            crash = to_crash(report, now)
             fresh = self._add_crash(report.traits, crash, source)
-            if fresh:
-                crashes.append(self._report(fresh, crash))
-                answers += self._recent_answers(fresh, now)
-        for answer in notice.answers:
-            answered_at = now - answer.age_s
-            cleared = self._clear(answer.traits, answered_at, source)
-            if cleared:
-                answers.append(self._answer(cleared, answered_at))
-        return EvidenceNotice(crashes, answers)
-
-    def _recent_answers(self, traits: list[Trait], now: float) -> list[AnswerReport]:
-        """Return the answers that this VM knows and that speak for these traits."""
-        known = [(trait, self._evidence.answered_at(trait)) for trait in traits]
-        return [
-            AnswerReport([trait], now - at)
-            for trait, at in known
-            if now - at < RECENT_ANSWER_S
-        ]
+            crashes = make_reports([(trait, crash) for trait in fresh], now)
+            against = contradict(self._evidence, EvidenceNotice(crashes, []), now)
+            news.crashes.extend(crashes)
+            news.answers.extend(against.answers)
+            news.cleared.extend(against.cleared)
+        return news
 
     def handle_evidence_request(
-        self, inbound: InboundMessage, _request: EvidenceRequest
+        self, inbound: InboundMessage, request: EvidenceRequest
     ) -> None:
-        """Reply with all suspicions of this VM."""
-        inbound.reply(self._all())
+        """Reply with all suspicions of this VM, and what clears those of the sender."""
+        news = self._apply(inbound.sender, request.known)
+        now = self._ctx.clock.monotonic()
+        against = contradict(self._evidence, request.known, now)
+        own = self._all()
+        inbound.reply(EvidenceNotice(own.crashes, against.answers, against.cleared))
+        self._spread_news(news)
 
     def _all(self) -> EvidenceNotice:
-        suspected = self._evidence.suspected()
-        ranked = sorted(suspected, key=lambda trait: -len(suspected[trait]))
-        crashes = [
-            self._report([trait], crash)
-            for trait in ranked[:MAX_TRAITS_SENT]
-            for crash in suspected[trait]
-        ]
-        return EvidenceNotice(crashes, [])
+        return describe_suspicions(self._evidence, self._ctx.clock.monotonic())
 
     def compare(self, peer: str, digest: int) -> None:
-        """Fetch the suspicions of a peer that has others than this VM."""
+        """Exchange suspicions with a peer that has others than this VM.
+
+        A peer that suspects nothing may know what cleared the suspicions of this VM.
+        """
         own = self._evidence.digest()
-        if not digest or digest == own or self._compared.get(peer) == (digest, own):
+        if digest == own or self._compared.get(peer) == (digest, own):
             return
         self._compared[peer] = (digest, own)
 
-        def fetch() -> None:
-            self._fetch(peer)
+        def exchange() -> None:
+            self._exchange(peer)
 
-        spawn("crash_evidence_fetch", fetch)
+        spawn("crash_evidence_exchange", exchange)
 
-    def _fetch(self, peer: str) -> bool:
-        """Fetch a peer's suspicions; return whether it replied."""
+    def _exchange(self, peer: str) -> bool:
+        """Exchange suspicions with a peer; return whether it replied."""
         deadline = self._ctx.clock.monotonic() + PEER_TIMEOUT_S
-        reply = self._ctx.peers.request_from(peer, EvidenceRequest(), deadline)
+        request = EvidenceRequest(self._all())
+        reply = self._ctx.peers.request_from(peer, request, deadline)
         if isinstance(reply, Err):
             log_event("peer_evidence_failed", peer=peer, why=reply.err_value.detail)
             return False
-        if isinstance(reply.ok_value, EvidenceNotice):
-            self.handle_evidence_notice(peer, reply.ok_value)
+        notice = reply.ok_value
+        if isinstance(notice, EvidenceNotice):
+            self.handle_evidence_notice(peer, notice)
+            against = contradict(self._evidence, notice, self._ctx.clock.monotonic())
+            if against.cleared or against.answers:
+                self._ctx.peers.send_to(peer, against)
         return True
 
     def _learn(self) -> None:
@@ -251,7 +251,7 @@
         started_at = self._ctx.clock.monotonic()
         while not self._kept.read():
             peers = self._ctx.peer_ids()
-            if peers and self._fetch(random.choice(peers)):
+            if peers and self._exchange(random.choice(peers)):
                 self.is_informed = True
             waited_s = self._ctx.clock.monotonic() - started_at
             if waited_s >= START_LIMIT_S and not self.is_informed:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -11,7 +11,6 @@
 from ._budget import RetryAllowance, ServiceRetryBudget
 from ._crash_evidence import (
     MAX_PARTS,
-    RECENT_ANSWER_S,
     CrashEvidence,
 )
 from ._crash_traits import (
@@ -118,7 +117,6 @@
     "MAX_PARTS",
     "MAX_TURN_WAIT_S",
     "READERS_PER_DOMAIN",
-    "RECENT_ANSWER_S",
     "ACTIVE_HOLD_S",
     "IDLE_CONTACTS",
     "IDLE_FANOUT",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
@@ -10,7 +10,6 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 
 import xxhash
 
@@ -23,16 +22,10 @@
     TraitKind,
     Verdict,
 )
+from ._trait_record import BURST_S, RECENT_ANSWER_S, TraitRecord
 
-BURST_S = 1.0
-"""Time within which several crashes blamed on a shared trait count as one, since
-runners may also crash together for a reason of their own."""
-RECENT_ANSWER_S = 60.0
-"""Age up to which an answer before the first crash speaks against blaming it."""
 RESTART_WAIT_S = 4.0
 """Longest time for which a trait waits for the runner that it crashed to be back."""
-MAX_CRASHES = 10
-"""Crashes remembered of one trait: enough to reach the longest refusal."""
 MAX_TRAITS = 8192
 """Traits remembered, blamed or not; the longest unused are forgotten first."""
 MAX_PARTS = 32
@@ -41,47 +34,6 @@
 """Time between two searches for expired suspicions."""
 
 
-@dataclass(slots=True)
-class _Record:
-    """Crashes of one trait by incarnation, and when an answer with it last began.
-
-    Crashes up to ``forgotten_until`` have expired; like those before the last answer,
-    they stay known, so that a late report of one is not taken for a new crash.
-    """
-
-    answered_at: float = float("-inf")
-    forgotten_until: float = float("-inf")
-    crashes: dict[tuple[str, int], Crash] = field(default_factory=dict)
-
-    def add(self, crash: Crash) -> Crash | None:
-        """Add a crash; return the oldest of too many, which is dropped."""
-        self.crashes[crash.key] = crash
-        if len(self.crashes) <= MAX_CRASHES:
-            return None
-        oldest = min(self.crashes.values(), key=lambda c: c.at)
-        return self.crashes.pop(oldest.key)
-
-    def blamed(self) -> list[Crash]:
-        """Return the crashes that count, those since the last answer, oldest first."""
-        since = max(self.answered_at, self.forgotten_until)
-        later = [c for c in self.crashes.values() if c.at > since]
-        return sorted(later, key=lambda crash: crash.at)
-
-    def count(self, burst_s: float) -> int:
-        """Return the crashes to blame; those close together count as one.
-
-        A first crash shortly after an answer is not blamed: most likely something else
-        caused it.
-        """
-        starts: list[float] = []
-        for crash in self.blamed():
-            if not starts or crash.at - starts[-1] >= burst_s:
-                starts.append(crash.at)
-        if starts and starts[0] - self.answered_at < RECENT_ANSWER_S:
-            return len(starts) - 1
-        return len(starts)
-
-
 class CrashEvidence:
     """Crashes and answers by trait; both may be recorded in any order and repeatedly.
 
@@ -98,7 +50,7 @@
         self._has_returned = has_returned
         self._shared_limits = CrashLimits()
         self._content_limits = content_limits or self._shared_limits
-        self._records: OrderedDict[Trait, _Record] = OrderedDict()
+        self._records: OrderedDict[Trait, TraitRecord] = OrderedDict()
         self._blamed: set[Trait] = set()
         self._by_incarnation: dict[tuple[str, int], set[Trait]] = {}
         self._expire_at = float("-inf")
@@ -106,23 +58,59 @@
 
     def record_crash(self, traits: Iterable[Trait], crash: Crash) -> list[Trait]:
         """Record a crash; return the traits for which it is new."""
-        fresh = []
-        for trait in traits:
-            record = self._record(trait)
-            if crash.key in record.crashes:
-                continue
-            dropped = record.add(crash)
-            if dropped is not None:
-                self._remove_from_index(trait, dropped.key)
-            if dropped is not crash:
-                fresh.append(trait)
-                self._by_incarnation.setdefault(crash.key, set()).add(trait)
-            if record.blamed():
-                self._blamed.add(trait)
+        fresh = [trait for trait in traits if self._add(trait, crash)]
         if fresh:
             self._digest = None
         return fresh
 
+    def _add(self, trait: Trait, crash: Crash) -> bool:
+        """Add a crash to those of a trait; return whether it is new."""
+        record = self._record(trait)
+        if crash.key in record.crashes:
+            return False
+        dropped = record.add(crash)
+        if dropped is not None:
+            self._remove_from_index(trait, dropped.key)
+        if dropped is not crash:
+            self._by_incarnation.setdefault(crash.key, set()).add(trait)
+        if record.blamed():
+            self._blamed.add(trait)
+        return dropped is not crash
+
+    def record_cleared(self, traits: Iterable[Trait], crash: Crash) -> list[Trait]:
+        """Record that answers came after a crash; return the traits that this changes.
+
+        The crash may be unknown here: its own report may arrive later.
+        """
+        changed = []
+        for trait in traits:
+            is_new = self._add(trait, crash)
+            record = self._records[trait]
+            if crash.key not in record.crashes or record.is_cleared(crash.key):
+                continue
+            record.cleared.add(crash.key)
+            self._digest = None
+            if not record.blamed():
+                self._blamed.discard(trait)
+            if not is_new:
+                changed.append(trait)
+        return changed
+
+    def hear_answer(self, traits: Iterable[Trait], at: float) -> list[Trait]:
+        """Record answers at other VMs; return the traits blamed for fewer crashes."""
+        changed = []
+        for trait in traits:
+            record = self._records.get(trait)
+            if record is None and trait.kind is TraitKind.CONTENT:
+                continue
+            record = record or self._record(trait)
+            count = self.crash_count(trait)
+            record.heard_at = max(record.heard_at, at)
+            if self.crash_count(trait) < count:
+                changed.append(trait)
+                self._digest = None
+        return changed
+
     def record_answer(self, traits: Iterable[Trait], at: float) -> list[Trait]:
         """Record that answers began at ``at``; return the traits that this clears."""
         cleared = []
@@ -142,10 +130,29 @@
                 cleared.append(trait)
         return cleared
 
-    def answered_at(self, trait: Trait) -> float:
-        """Return when an answer with a trait last began, minus infinity if never."""
+    def last_answer_at(self, trait: Trait) -> float:
+        """Return when the last known answer with a trait began, else minus infinity."""
+        record = self._records.get(trait)
+        return record.last_answer_at() if record else float("-inf")
+
+    def has_excusing_answer(self, trait: Trait) -> bool:
+        """Return whether an answer speaks against blaming a trait for a crash."""
+        record = self._records.get(trait)
+        blamed = record.blamed() if record else []
+        if record is None or not blamed:
+            return False
+        return blamed[0].at - record.last_answer_at() < RECENT_ANSWER_S
+
+    def is_cleared(self, trait: Trait, incarnation: tuple[str, int]) -> bool:
+        """Return whether a trait was answered after the crash of an incarnation."""
+        record = self._records.get(trait)
+        return record is not None and record.is_cleared(incarnation)
+
+    def cleared_crashes(self, trait: Trait) -> list[Crash]:
+        """Return the known crashes of a trait after which it was answered."""
         record = self._records.get(trait)
-        return record.answered_at if record else float("-inf")
+        crashes = record.crashes.values() if record else ()
+        return [crash for crash in crashes if self.is_cleared(trait, crash.key)]
 
     def crash_count(self, trait: Trait) -> int:
         """Return the number of crashes for which a trait is to blame."""
@@ -249,8 +256,8 @@
                 digest ^= xxhash.xxh3_64_intdigest(text.encode())
         return digest
 
-    def _record(self, trait: Trait) -> _Record:
-        record = self._records.setdefault(trait, _Record())
+    def _record(self, trait: Trait) -> TraitRecord:
+        record = self._records.setdefault(trait, TraitRecord())
         self._records.move_to_end(trait)
         while len(self._records) > MAX_TRAITS:
             self._drop_oldest()
--- /dev/null
+++ b/tests/unit/serving/test_crash_convergence.py
@@ -0,0 +1,138 @@
+"""VMs agree on which crashes an answer has cleared, whichever notices they missed."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.lib.evidence_fleet import Fleet
+
+ROUNDS = 4
+"""Rounds of gossip within which VMs agree; a round takes half a second."""
+CRASHES = 3
+
+
+def make_suspecting(vms: int = 72) -> tuple[Fleet, list[str]]:
+    """Return a fleet in which all VMs refuse the part, and the names of its VMs."""
+    fleet = Fleet(3, vms)
+    names = list(fleet.guards)
+    for number in range(CRASHES):
+        fleet.clock.now += 5.0
+        fleet.crash(names[number], number, fleet.clock.now)
+        fleet.deliver()
+    fleet.gossip()
+    assert fleet.counts() == {CRASHES}
+    return fleet, names
+
+
+def answer(fleet: Fleet, vm: str) -> None:
+    fleet.clock.now += 1.0
+    fleet.answer(vm, fleet.clock.now)
+    fleet.deliver()
+
+
+@pytest.mark.parametrize("vms", [9, 72, 440])
+def test_vms_that_were_cut_off_learn_that_a_part_is_cleared(vms: int) -> None:
+    """They refused the part for a minute, and so never saw an answer of their own."""
+    fleet, names = make_suspecting(vms)
+    fleet.cut_off = set(names[::3])
+    answer(fleet, names[1])
+    fleet.gossip(ROUNDS)
+    assert fleet.knowing() == len(fleet.cut_off)
+    fleet.cut_off = set()
+    fleet.gossip(ROUNDS)
+    assert fleet.counts() == {0}
+
+
+def test_answer_that_only_a_vm_that_was_cut_off_has_seen_clears_the_part() -> None:
+    fleet, names = make_suspecting()
+    fleet.cut_off = {names[0]}
+    answer(fleet, names[0])
+    fleet.cut_off = set()
+    fleet.gossip(ROUNDS)
+    assert fleet.counts() == {0}
+
+
+def test_answer_is_known_long_after_it() -> None:
+    """Only answers of the last minute were told to a VM that reports a crash."""
+    fleet, names = make_suspecting()
+    fleet.cut_off = {names[0]}
+    answer(fleet, names[1])
+    fleet.clock.now += 70.0
+    fleet.cut_off = set()
+    fleet.gossip(ROUNDS)
+    assert fleet.counts() == {0}
+
+
+def test_new_vm_with_old_suspicions_learns_that_they_are_cleared() -> None:
+    """Peers that suspect nothing were not compared with."""
+    fleet, names = make_suspecting()
+    kept = fleet.guards[names[0]]._all()
+    answer(fleet, names[1])
+    fleet.gossip(ROUNDS)
+    for name in names[40:44]:
+        fleet.start(name)
+        fleet.guards[name].handle_evidence_notice(names[0], kept)
+    fleet.deliver()
+    fleet.gossip(ROUNDS)
+    assert fleet.counts() == {0}
+
+
+def test_vm_of_which_peers_hear_but_that_hears_of_none_is_cleared() -> None:
+    """An idle VM may be told of by few peers, and be a contact of none."""
+    fleet, names = make_suspecting()
+    fleet.cut_off = {names[0]}
+    answer(fleet, names[1])
+    fleet.cut_off = set()
+    fleet.gossip_from(names[0])
+    assert not fleet.knowing()
+
+
+def test_vm_that_hears_of_peers_of_which_none_hears_it_is_cleared() -> None:
+    fleet, names = make_suspecting()
+    fleet.cut_off = {names[0]}
+    answer(fleet, names[1])
+    fleet.cut_off = set()
+    for name in names[1:]:
+        fleet.gossip_from(name)
+    assert not fleet.knowing()
+
+
+def test_crash_report_that_arrives_after_its_clearing_is_not_blamed() -> None:
+    """Notices pass through different peers, and may overtake each other."""
+    fleet, names = make_suspecting()
+    late = fleet.guards[names[0]]._all()
+    fleet.start(names[5])
+    fleet.held[names[5]] = []
+    answer(fleet, names[1])
+    fleet.release(names[5])
+    fleet.guards[names[5]].handle_evidence_notice(names[0], late)
+    fleet.gossip(ROUNDS)
+    assert fleet.counts() == {0}
+
+
+def test_agreeing_vms_exchange_nothing() -> None:
+    fleet, names = make_suspecting()
+    fleet.gossip(ROUNDS)
+    exchanges = fleet.exchanges
+    fleet.gossip(ROUNDS)
+    assert fleet.exchanges == exchanges
+    answer(fleet, names[1])
+    fleet.gossip(ROUNDS)
+    exchanges = fleet.exchanges
+    fleet.gossip(ROUNDS)
+    assert fleet.exchanges == exchanges
+
+
+@pytest.mark.parametrize("vms", [72, 440])
+def test_end_of_a_partition_takes_few_exchanges(vms: int) -> None:
+    """Each VM would otherwise compare with each one of the other side."""
+    fleet, names = make_suspecting(vms)
+    fleet.cut_off = set(names[::3])
+    answer(fleet, names[1])
+    fleet.gossip(ROUNDS)
+    fleet.cut_off = set()
+    exchanges = fleet.exchanges
+    delivered = fleet.delivered
+    fleet.gossip(ROUNDS)
+    assert fleet.exchanges - exchanges <= 8 * vms
+    assert fleet.delivered - delivered <= 8 * vms
--- a/tests/unit/serving/test_crash_evidence.py
+++ b/tests/unit/serving/test_crash_evidence.py
@@ -10,10 +10,9 @@
     Handling,
     Trait,
     TraitKind,
-    _crash_evidence,
+    _trait_record,
 )
 from gooseberryrun._internal.state.serving._crash_evidence import (
-    MAX_CRASHES,
     MAX_TRAITS,
     RESTART_WAIT_S,
 )
@@ -21,6 +20,7 @@
     MIN_REFUSAL_S,
     SUSPICION_TTL_S,
 )
+from gooseberryrun._internal.state.serving._trait_record import MAX_CRASHES
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -169,9 +169,9 @@
 ) -> None:
     """Crashes of full runners leave hundreds of suspects each."""
     records_read = 0
-    blamed = _crash_evidence._Record.blamed
+    blamed = _trait_record.TraitRecord.blamed
 
-    def count_read(record: _crash_evidence._Record) -> list[Crash]:
+    def count_read(record: _trait_record.TraitRecord) -> list[Crash]:
         nonlocal records_read
         records_read += 1
         return blamed(record)
@@ -182,7 +182,7 @@
     evidence.record_crash(deadly_request(0), crash(1000, 10.0))
     evidence.verdict(deadly_request(1), 10.1)
     digest = evidence.digest()
-    monkeypatch.setattr(_crash_evidence._Record, "blamed", count_read)
+    monkeypatch.setattr(_trait_record.TraitRecord, "blamed", count_read)
     for _ in range(10):
         evidence.verdict(deadly_request(1), 10.2)
         assert evidence.digest() == digest
