Repeat an exchange of crash evidence that failed

A VM went on refusing sound requests, or did not learn of a crash, when the exchange with the peer that knew better had failed.

Cause: CrashGuard.compare remembered the two digests before the exchange, so one without a reply was not repeated until one of the VMs learned something else. The same holds for the notice with which the sender of an exchange tells the peer what is cleared.

The digests are forgotten if there is no reply, and if the peer was told of cleared crashes: when the notice arrived, the peer's digest is another one, and if not, the next gossip exchanges again.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
@@ -219,6 +219,7 @@
         """Exchange suspicions with a peer that has others than this VM.
 
         A peer that suspects nothing may know what cleared the suspicions of this VM.
+        Two digests are exchanged once, unless a message may have been lost.
         """
         own = self._evidence.digest()
         if digest == own or self._compared.get(peer) == (digest, own):
@@ -226,32 +227,38 @@
         self._compared[peer] = (digest, own)
 
         def exchange() -> None:
-            self._exchange(peer)
+            exchanged = self._exchange(peer)
+            if exchanged is None or exchanged.cleared:
+                self._compared.pop(peer, None)
 
         spawn("crash_evidence_exchange", exchange)
 
-    def _exchange(self, peer: str) -> bool:
-        """Exchange suspicions with a peer; return whether it replied."""
+    def _exchange(self, peer: str) -> EvidenceNotice | None:
+        """Exchange suspicions with a peer; return what it was told to be cleared.
+
+        Return None without a reply.
+        """
         deadline = self._ctx.clock.monotonic() + PEER_TIMEOUT_S
         request = EvidenceRequest(self._all())
         reply = self._ctx.peers.request_from(peer, request, deadline)
         if isinstance(reply, Err):
             log_event("peer_evidence_failed", peer=peer, why=reply.err_value.detail)
-            return False
+            return None
         notice = reply.ok_value
-        if isinstance(notice, EvidenceNotice):
-            self.handle_evidence_notice(peer, notice)
-            against = contradict(self._evidence, notice, self._ctx.clock.monotonic())
-            if against.cleared or against.answers:
-                self._ctx.peers.send_to(peer, against)
-        return True
+        if not isinstance(notice, EvidenceNotice):
+            return None
+        self.handle_evidence_notice(peer, notice)
+        against = contradict(self._evidence, notice, self._ctx.clock.monotonic())
+        if against.cleared or against.answers:
+            self._ctx.peers.send_to(peer, against)
+        return against
 
     def _learn(self) -> None:
         """Read what is known from the store, or from peers while it is away."""
         started_at = self._ctx.clock.monotonic()
         while not self._kept.read():
             peers = self._ctx.peer_ids()
-            if peers and self._exchange(random.choice(peers)):
+            if peers and self._exchange(random.choice(peers)) is not None:
                 self.is_informed = True
             waited_s = self._ctx.clock.monotonic() - started_at
             if waited_s >= START_LIMIT_S and not self.is_informed:
--- a/tests/lib/evidence_fleet.py
+++ b/tests/lib/evidence_fleet.py
@@ -84,7 +84,8 @@
     """Guards of many VMs whose notices are delivered one after another.
 
     VMs in ``cut_off`` reach only each other; ``held`` keep what they get until
-    ``release``. ``lost_replies`` is the number of the next replies that get lost.
+    ``release``. ``lost_requests``, ``lost_replies`` and ``lost_notices`` are the
+    numbers of the next ones that get lost.
     """
 
     def __init__(self, domains: int, vms: int) -> None:
@@ -96,7 +97,9 @@
         self.queue: deque[tuple[str, str, EvidenceNotice]] = deque()
         self.held: dict[str, list[tuple[str, EvidenceNotice]]] = {}
         self.cut_off: set[str] = set()
+        self.lost_requests = 0
         self.lost_replies = 0
+        self.lost_notices = 0
         self.delivered = 0
         self.exchanges = 0
         for member in [m for group in self._members.values() for m in group]:
@@ -111,7 +114,9 @@
 
     def _connect(self, sender: str, peers: CountingPeers) -> None:
         def send_to(vm: str, message: PeerMessage) -> None:
-            if isinstance(message, EvidenceNotice) and self._is_linked(sender, vm):
+            if self.lost_notices:
+                self.lost_notices -= 1
+            elif isinstance(message, EvidenceNotice) and self._is_linked(sender, vm):
                 self.queue.append((sender, vm, message))
 
         def request_from(
@@ -121,6 +126,9 @@
                 message, EvidenceRequest
             ):
                 return Err(PeerError(vm, "silent"))
+            if self.lost_requests:
+                self.lost_requests -= 1
+                return Err(PeerError(vm, "silent"))
             self.exchanges += 1
             inbound: Any = _Inbound(sender)
             self.guards[vm].handle_evidence_request(inbound, message)
--- a/tests/unit/serving/test_crash_convergence.py
+++ b/tests/unit/serving/test_crash_convergence.py
@@ -136,3 +136,17 @@
     fleet.gossip(ROUNDS)
     assert fleet.exchanges - exchanges <= 8 * vms
     assert fleet.delivered - delivered <= 8 * vms
+
+
+@pytest.mark.parametrize("lost", ["lost_requests", "lost_replies", "lost_notices"])
+def test_exchange_that_failed_is_repeated(lost: str) -> None:
+    """It counted as made, so it was not repeated until one of the VMs learned more."""
+    fleet, names = make_suspecting(3)
+    fleet.cut_off = {names[0]}
+    answer(fleet, names[1])
+    fleet.cut_off = set()
+    setattr(fleet, lost, 2)
+    fleet.gossip_from(names[0])
+    assert fleet.knowing() == 1
+    fleet.gossip_from(names[0])
+    assert fleet.counts() == {0}
