Agree on the time of a crash and on the count of crashes

A VM that stood still counted crashes that it read together as one, and so let requests with a deadly part go to more runners than the rule allows; or it suspected a part that others did not.

Cause: a notice is dated by its age when it is read. The time in the socket is not part of the age, so crashes 5 s apart seemed to be of one second, in which several count once. Later exchanges brought better times, which were ignored since the crash was known, and the digest named the crashes only, so VMs with different counts had the same digest.

A report can let a crash seem later, never earlier, so the earliest time wins now, which is the same in whatever order reports arrive. The digest depends on the count as well.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
@@ -22,7 +22,7 @@
     TraitKind,
     Verdict,
 )
-from ._trait_record import BURST_S, RECENT_ANSWER_S, TraitRecord
+from ._trait_record import BURST_S, TraitRecord
 
 RESTART_WAIT_S = 4.0
 """Longest time for which a trait waits for the runner that it crashed to be back."""
@@ -67,6 +67,8 @@
         """Add a crash to those of a trait; return whether it is new."""
         record = self._record(trait)
         if crash.key in record.crashes:
+            if record.move_earlier(crash):
+                self._update_blamed(trait, record)
             return False
         dropped = record.add(crash)
         if dropped is not None:
@@ -89,13 +91,17 @@
             if crash.key not in record.crashes or record.is_cleared(crash.key):
                 continue
             record.cleared.add(crash.key)
-            self._digest = None
-            if not record.blamed():
-                self._blamed.discard(trait)
+            self._update_blamed(trait, record)
             if not is_new:
                 changed.append(trait)
         return changed
 
+    def _update_blamed(self, trait: Trait, record: TraitRecord) -> None:
+        """Account for crashes of a trait that may no longer be blamed on it."""
+        self._digest = None
+        if not record.blamed():
+            self._blamed.discard(trait)
+
     def hear_answer(self, traits: Iterable[Trait], at: float) -> list[Trait]:
         """Record answers at other VMs; return the traits blamed for fewer crashes."""
         changed = []
@@ -123,9 +129,7 @@
             record.answered_at = max(record.answered_at, at)
             self._records.move_to_end(trait)
             if trait in self._blamed:
-                self._digest = None
-            if not record.blamed():
-                self._blamed.discard(trait)
+                self._update_blamed(trait, record)
             if was_blamed and not self.crash_count(trait):
                 cleared.append(trait)
         return cleared
@@ -138,10 +142,7 @@
     def has_excusing_answer(self, trait: Trait) -> bool:
         """Return whether an answer speaks against blaming a trait for a crash."""
         record = self._records.get(trait)
-        blamed = record.blamed() if record else []
-        if record is None or not blamed:
-            return False
-        return blamed[0].at - record.last_answer_at() < RECENT_ANSWER_S
+        return record is not None and record.has_excusing_answer()
 
     def is_cleared(self, trait: Trait, incarnation: tuple[str, int]) -> bool:
         """Return whether a trait was answered after the crash of an incarnation."""
@@ -243,7 +244,11 @@
         return record.blamed() if record else []
 
     def digest(self) -> int:
-        """Return a number that depends on all blamed crashes, 0 without any."""
+        """Return a number that depends on all blamed crashes, 0 without any.
+
+        It depends on how many they count as, so that VMs that know their times less
+        well, or miss an answer before them, learn these.
+        """
         if self._digest is None:
             self._digest = self._compute_digest()
         return self._digest
@@ -251,8 +256,9 @@
     def _compute_digest(self) -> int:
         digest = 0
         for trait, crashes in self.suspected().items():
-            for crash in crashes:
-                text = f"{trait.kind} {trait.key} {crash.runner} {crash.incarnation}"
+            facts = [f"{crash.runner} {crash.incarnation}" for crash in crashes]
+            for fact in [*facts, f"count {self.crash_count(trait)}"]:
+                text = f"{trait.kind} {trait.key} {fact}"
                 digest ^= xxhash.xxh3_64_intdigest(text.encode())
         return digest
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_trait_record.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_trait_record.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ._crash_traits import Crash
 
@@ -44,6 +44,18 @@
         self.cleared.discard(oldest.key)
         return self.crashes.pop(oldest.key)
 
+    def move_earlier(self, crash: Crash) -> bool:
+        """Take the time of a known crash if it is earlier; return whether it is.
+
+        A report states how old the crash is, so the time that the report takes lets it
+        seem later, by seconds for a VM that stood still, but never earlier.
+        """
+        known = self.crashes[crash.key]
+        if crash.at >= known.at:
+            return False
+        self.crashes[crash.key] = replace(known, at=crash.at)
+        return True
+
     def is_cleared(self, key: tuple[str, int]) -> bool:
         """Return whether an answer came after a crash."""
         crash = self.crashes.get(key)
@@ -65,6 +77,11 @@
         """Return when the last known answer began, minus infinity if there is none."""
         return max(self.answered_at, self.heard_at)
 
+    def has_excusing_answer(self) -> bool:
+        """Return whether an answer speaks against blaming the first crash."""
+        first = next(iter(self.blamed()), None)
+        return first is not None and first.at - self.last_answer_at() < RECENT_ANSWER_S
+
     def count(self, burst_s: float) -> int:
         """Return the crashes to blame; those close together count as one.
 
--- a/tests/lib/evidence_fleet.py
+++ b/tests/lib/evidence_fleet.py
@@ -92,7 +92,7 @@
         self.clock = ManualClock()
         self._members = make_members(domains, vms)
         self.store = KeepingStore(self._members)
-        self.runners = make_runners(domains, 4)
+        self.runners = make_runners(domains, 8)
         self.guards: dict[str, CrashGuard] = {}
         self.queue: deque[tuple[str, str, EvidenceNotice]] = deque()
         self.held: dict[str, list[tuple[str, EvidenceNotice]]] = {}
--- a/tests/unit/serving/test_crash_convergence.py
+++ b/tests/unit/serving/test_crash_convergence.py
@@ -150,3 +150,37 @@
     assert fleet.knowing() == 1
     fleet.gossip_from(names[0])
     assert fleet.counts() == {0}
+
+
+def test_clearing_that_is_read_late_clears_no_later_crash() -> None:
+    """A VM that stood still took the answer for as late as it read it.
+
+    The first crash after the answer is excused.
+    """
+    fleet, names = make_suspecting()
+    still = names[5]
+    fleet.held[still] = []
+    answer(fleet, names[1])
+    for number in range(2):
+        fleet.clock.now += 5.0
+        fleet.crash(names[number], CRASHES + number, fleet.clock.now)
+        fleet.deliver()
+    fleet.clock.now += 2.0
+    fleet.release(still, is_last_first=True)
+    fleet.gossip(ROUNDS)
+    assert fleet.counts() == {1}
+
+
+def test_crashes_that_are_read_together_count_as_those_read_in_time() -> None:
+    """Crashes within a second count once, so the time of reading would lose some."""
+    fleet = Fleet(3, 72)
+    names = list(fleet.guards)
+    still = names[5]
+    fleet.held[still] = []
+    for number in range(CRASHES):
+        fleet.clock.now += 5.0
+        fleet.crash(names[number], number, fleet.clock.now)
+        fleet.deliver()
+    fleet.release(still)
+    fleet.gossip(ROUNDS)
+    assert fleet.counts() == {CRASHES}
