Remove from the store what answers have cleared, in every case

VMs that started read suspicions from the store that an answer had cleared, and refused sound requests with the trait for a minute and longer.

Causes: the removal was given up after three attempts, so a store that was silent for some seconds kept the suspicion. A repeated write of crashes stated what was known at its first attempt, and could undo a removal in between. A VM that had missed the answer could write the crashes after their removal, and nobody corrected that.

A VM that learns that a trait is cleared removes it if it had written it itself, or had read it after the answer. Others do nothing: an answer after a restart of all 72 VMs takes one write.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
@@ -123,6 +123,7 @@
         now = self._ctx.clock.monotonic()
         self._spread(describe_cleared(self._evidence, cleared, now))
         self._kept.withdraw([trait for trait in cleared if trait in kept])
+        self._kept.withdraw_outdated(cleared)
 
     def _add_crash(
         self, traits: Iterable[Trait], crash: Crash, source: str
@@ -191,6 +192,8 @@
             changed = self._evidence.record_cleared(report.traits, crash)
             news.cleared.extend(make_reports([(t, crash) for t in changed], now))
         self._log_cleared(suspected, source)
+        cleared = [t for t in suspected if not self._evidence.crash_count(t)]
+        self._kept.withdraw_outdated(cleared)
         for report in notice.crashes:
             crash = to_crash(report, now)
             fresh = self._add_crash(report.traits, crash, source)
--- a/tests/lib/evidence_fleet.py
+++ b/tests/lib/evidence_fleet.py
@@ -14,7 +14,7 @@
 )
 from gooseberryrun._internal.coordination.serving._crash_guard import CrashGuard
 from gooseberryrun._internal.coordination.serving._gossip import FANOUT
-from gooseberryrun._internal.state import ManualClock
+from gooseberryrun._internal.state import Clock, ManualClock
 from gooseberryrun._internal.state.serving import (
     CrashEvidence,
     Suspicion,
@@ -85,11 +85,12 @@
 
     VMs in ``cut_off`` reach only each other; ``held`` keep what they get until
     ``release``. ``lost_requests``, ``lost_replies`` and ``lost_notices`` are the
-    numbers of the next ones that get lost.
+    numbers of the next ones that get lost. The VMs go by ``clock`` if it is given.
     """
 
-    def __init__(self, domains: int, vms: int) -> None:
+    def __init__(self, domains: int, vms: int, clock: Clock | None = None) -> None:
         self.clock = ManualClock()
+        self._vm_clock = clock or self.clock
         self._members = make_members(domains, vms)
         self.store = KeepingStore(self._members)
         self.runners = make_runners(domains, 8)
@@ -108,7 +109,7 @@
     def start(self, vm: str) -> None:
         """Start or restart a VM, which knows nothing."""
         member = next(m for g in self._members.values() for m in g if m.vm == vm)
-        ctx, peers = make_vm(member, self.store, self.runners, self.clock)
+        ctx, peers = make_vm(member, self.store, self.runners, self._vm_clock)
         self.guards[vm] = CrashGuard(ctx)
         self._connect(vm, peers)
 
--- a/tests/unit/serving/test_crash_convergence.py
+++ b/tests/unit/serving/test_crash_convergence.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.lib.evidence_fleet import Fleet
+from tests.lib.evidence_fleet import PART, Fleet
 
 ROUNDS = 4
 """Rounds of gossip within which VMs agree; a round takes half a second."""
@@ -184,3 +184,28 @@
     fleet.release(still)
     fleet.gossip(ROUNDS)
     assert fleet.counts() == {CRASHES}
+
+
+def test_answer_between_crashes_lowers_the_count_of_all_vms() -> None:
+    """An answer was told only if it cleared all crashes, so counts stayed apart."""
+    fleet, names = make_suspecting()
+    fleet.answer(names[40], fleet.clock.now - 7.0)
+    fleet.deliver()
+    fleet.gossip(ROUNDS)
+    assert fleet.counts() == {fleet.evidence(names[40]).crash_count(PART)}
+    assert fleet.counts() != {CRASHES}
+
+
+def test_recent_answer_that_excuses_a_crash_is_known_to_all() -> None:
+    """VMs that missed the notice counted one crash more, and refused a crash sooner."""
+    fleet = Fleet(3, 72)
+    names = list(fleet.guards)
+    fleet.answer(names[1], 0.0)
+    fleet.cut_off = set(names[::3])
+    for number in range(CRASHES):
+        fleet.clock.now += 5.0
+        fleet.crash(names[0], number, fleet.clock.now)
+        fleet.deliver()
+    fleet.cut_off = set()
+    fleet.gossip(2 * ROUNDS)
+    assert fleet.counts() == {CRASHES - 1}
