Tell all cleared crashes of a trait together, and pass on only what lowers a count

A first crash after an answer is excused, and an answer after it changes no count, so that it was not told: other VMs still held the excused crash and counted the next one as the first to blame.

A VM that tells of an answer now names all crashes of the trait that it knows to be cleared, and passes on a notice of cleared crashes only if that lowers a count here.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_crash_guard.py
@@ -31,6 +31,7 @@
     contradict,
     describe_cleared,
     describe_suspicions,
+    has_cleared,
     make_answers,
     make_reports,
     to_crash,
@@ -230,17 +231,14 @@
         self._compared[peer] = (digest, own)
 
         def exchange() -> None:
-            exchanged = self._exchange(peer)
-            if exchanged is None or exchanged.cleared:
+            told = self._exchange(peer)
+            if told is None or has_cleared(self._evidence, told):
                 self._compared.pop(peer, None)
 
         spawn("crash_evidence_exchange", exchange)
 
     def _exchange(self, peer: str) -> EvidenceNotice | None:
-        """Exchange suspicions with a peer; return what it was told to be cleared.
-
-        Return None without a reply.
-        """
+        """Exchange suspicions with a peer; return its own, None without a reply."""
         deadline = self._ctx.clock.monotonic() + PEER_TIMEOUT_S
         request = EvidenceRequest(self._all())
         reply = self._ctx.peers.request_from(peer, request, deadline)
@@ -254,7 +252,7 @@
         against = contradict(self._evidence, notice, self._ctx.clock.monotonic())
         if against.cleared or against.answers:
             self._ctx.peers.send_to(peer, against)
-        return against
+        return notice
 
     def _learn(self) -> None:
         """Read what is known from the store, or from peers while it is away."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_evidence_notices.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_evidence_notices.py
@@ -17,6 +17,11 @@
     return Crash(report.runner, report.born_ms, now - report.age_s, report.is_begun)
 
 
+def to_key(report: CrashReport) -> tuple[str, int]:
+    """Return the key of the crashed incarnation in a report."""
+    return (report.runner, report.born_ms)
+
+
 def make_reports(
     blamed: Iterable[tuple[Trait, Crash]], now: float
 ) -> list[CrashReport]:
@@ -63,13 +68,20 @@
     evidence: CrashEvidence, notice: EvidenceNotice, now: float
 ) -> EvidenceNotice:
     """Return what speaks against a peer's suspicions: later answers, or recent ones."""
-    reported = [
-        (trait, to_crash(report, now))
+    reported = {(t, to_key(report)) for report in notice.crashes for t in report.traits}
+    spoken_for = {
+        trait
+        for trait, incarnation in reported
+        if evidence.is_cleared(trait, incarnation)
+        or evidence.has_excusing_answer(trait)
+    }
+    return describe_cleared(evidence, sorted(spoken_for, key=str), now)
+
+
+def has_cleared(evidence: CrashEvidence, notice: EvidenceNotice) -> bool:
+    """Return whether a peer suspects a trait for a crash that is cleared."""
+    return any(
+        evidence.is_cleared(trait, to_key(report))
         for report in notice.crashes
         for trait in report.traits
-    ]
-    cleared = [(t, crash) for t, crash in reported if evidence.is_cleared(t, crash.key)]
-    spoken_for = {trait for trait, _ in cleared}
-    spoken_for |= {t for t, _ in reported if evidence.has_excusing_answer(t)}
-    answers = make_answers(evidence, sorted(spoken_for, key=str), now)
-    return EvidenceNotice([], answers, make_reports(cleared, now))
+    )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
@@ -80,19 +80,19 @@
         return dropped is not crash
 
     def record_cleared(self, traits: Iterable[Trait], crash: Crash) -> list[Trait]:
-        """Record that answers came after a crash; return the traits that this changes.
+        """Record answers after a crash; return the traits blamed for fewer crashes.
 
         The crash may be unknown here: its own report may arrive later.
         """
         changed = []
         for trait in traits:
-            is_new = self._add(trait, crash)
+            count = self.crash_count(trait)
+            self._add(trait, crash)
             record = self._records[trait]
-            if crash.key not in record.crashes or record.is_cleared(crash.key):
-                continue
-            record.cleared.add(crash.key)
-            self._update_blamed(trait, record)
-            if not is_new:
+            if crash.key in record.crashes and not record.is_cleared(crash.key):
+                record.cleared.add(crash.key)
+                self._update_blamed(trait, record)
+            if self.crash_count(trait) < count:
                 changed.append(trait)
         return changed
 
