Explain accounts, usage caps and slot waits in `where`

Cause: `gooseberryctl where` did not know client accounts. It called a request sent that the next one's 401 or 429 refused, showed the route's priority for an account with its own, and showed neither the cap nor the waits for slots.

Change: the explanation follows the same steps as a request: the check of the key (by the account's name), the cap (CapForecaster, with UsageCaps' order of allocators and the checks without effects that taking now uses as well), then the choice as before. A VM keeps the last question per capped account and domain and the last answer about slots, to show them. The explainer moves to coordination/serving/where. UsageCaps' order of allocators and what it knows of an account are modules of their own, with the same behaviour.

Not shown yet: the weight of an account, since no setting gives one.

--- a/packages/gooseberryctl/src/gooseberryctl/_internal/commands/where.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/commands/where.py
@@ -15,7 +15,7 @@
     "host": "Host of the route.",
     "path": "Path of the request.",
     "id": "Id of the request; the choice among equals depends on it.",
-    "account": "Name of the client account.",
+    "account": "Name of the client account; a key is never given here.",
     "model": "Model; without one the request is for a plain service.",
     "adapter": "Adapter of the model.",
     "prompt_tokens": "Tokens of the prompt.",
@@ -65,13 +65,47 @@
         return 0 if result["outcome"] == "sent" else EXIT_WOULD_BE_REFUSED
 
 
+def _retry(result: dict[str, Any]) -> str:
+    """Return when a refused request could be served, empty if it is not known."""
+    retry_in_s = result.get("retry_in_s")
+    return "" if retry_in_s is None else f", again in {retry_in_s} s"
+
+
+def _account_notes(result: dict[str, Any]) -> list[str]:
+    """Return the state of the client account and of its cap as sentences."""
+    account = result.get("account_state")
+    if not account:
+        return []
+    notes = [f"account {account['name'] or '(none)'}: {account['authentication']}"]
+    if account["is_known"]:
+        notes[0] += f", priority {result.get('priority')}"
+    cap = result.get("cap")
+    if cap is None:
+        return [*notes, "no usage cap"] if account["is_known"] else notes
+    text = (
+        f"cap of {cap['rate_per_s']} {cap['unit']} a second, burst {cap['burst']}: "
+        f"{cap['outcome']}{_retry(cap)}; costs {cap['cost']}, credit {cap['credit']}"
+    )
+    if cap["would_ask"]:
+        text += f", would ask {' then '.join(cap['would_ask'])}"
+    notes.append(text)
+    last = cap["last_asked"]
+    if last is not None:
+        notes.append(
+            f"allocator asked last: {last['vm']} of {last['domain']} "
+            f"{last['age_s']:.2f} s ago, {last['outcome']}{_retry(last)}"
+        )
+    return notes
+
+
 def _notes(result: dict[str, Any]) -> list[str]:
     """Return the decision and its inputs as sentences."""
     if result["outcome"] == "sent":
         wait_s = result["expected_wait_s"]
         notes = [f"would be sent to {result['runner']}, expected wait {wait_s} s"]
     else:
-        notes = [f"would be refused: {result['reason']}"]
+        notes = [f"would be refused: {result['reason']}{_retry(result)}"]
+    notes += _account_notes(result)
     if result.get("selected_for"):
         notes.append(f"selected to leave for domain {result['selected_for']}")
     for pressure in result.get("crossing", []):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/__init__.py
@@ -34,7 +34,7 @@
 from ._responses import end_to_end
 from ._serving import Serving
 from ._store_port import ControlStore, Origins, Records, StoreFault, StoreFaultKind
-from ._where import parse_query
+from .where import parse_query
 
 __all__ = [
     "ActiveRequest",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -50,10 +50,10 @@
 from ._statements import record_gossip
 from ._sweep import Sweep
 from ._turns import Turns
-from ._where import WhereExplainer
-from .accounts import CappedAccounts, UsageAllocators, UsageCaps
+from .accounts import CapForecaster, CappedAccounts, UsageAllocators, UsageCaps
 from .admission import PlainSlots
 from .crossing import Crossing
+from .where import WhereExplainer
 
 
 class Serving:
@@ -109,7 +109,14 @@
             crossing,
             usage,
         )
-        self.explainer = WhereExplainer(ctx, models.chooser, plain, crossing)
+        self.explainer = WhereExplainer(
+            ctx,
+            models.chooser,
+            plain,
+            crossing,
+            self._slots,
+            CapForecaster(ctx, usage, self._allocators),
+        )
         self.gateway = Gateway(
             ctx,
             self.guard,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_authentication.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_authentication.py
@@ -9,6 +9,7 @@
     ClientAccount,
     KeyOutcome,
     check_key,
+    key_outcome,
 )
 
 from ..._metrics import AUTHENTICATIONS
@@ -51,12 +52,31 @@
         if table.accounts is None:
             return Authentication()
         is_confirmed = self._ctx.freshness.is_confirmed(self._ctx.clock.boottime())
-        is_public = route is not None and route.is_public
         outcome, account = check_key(
-            table.accounts, credential, is_public, is_confirmed
+            table.accounts, credential, _is_public(route), is_confirmed
         )
         return Authentication(outcome, account, _REFUSALS.get(outcome))
 
+    def explain(
+        self, table: RouteTable, route: Route | None, name: str
+    ) -> Authentication:
+        """Return the check of a request with a key of an account, without the key.
+
+        An empty name stands for a request without a key.
+        """
+        if table.accounts is None:
+            return Authentication()
+        known = (a for a in table.accounts.accounts if name and a.name == name)
+        account = next(known, None)
+        is_confirmed = self._ctx.freshness.is_confirmed(self._ctx.clock.boottime())
+        is_known = account is not None
+        outcome = key_outcome(bool(name), is_known, _is_public(route), is_confirmed)
+        return Authentication(outcome, account, _REFUSALS.get(outcome))
+
+
+def _is_public(route: Route | None) -> bool:
+    return route is not None and route.is_public
+
 
 def forwarded_account(ctx: Context, active: ActiveRequest) -> str | None:
     """Return the account's name for a runner, empty without one.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_capped_accounts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_capped_accounts.py
@@ -34,15 +34,21 @@
         Without a list in the settings these are all that were known since the start: a
         VM that forgets a domain would divide the cap among fewer.
         """
+        found = self.current_domains()
+        now = self._ctx.clock.monotonic()
+        if found is not self._known_domains:
+            self._known_at, self._known_domains = now, found
+        return found
+
+    def current_domains(self) -> list[str]:
+        """Return what ``domains`` would, without keeping it."""
         configured = self._ctx.cfg.membership.domains
         if configured:
             return configured
         now = self._ctx.clock.monotonic()
-        if now - self._known_at >= DOMAINS_TTL_S:
-            self._known_at = now
-            known = {*self._known_domains, *self._ctx.domains()}
-            self._known_domains = sorted(known)
-        return self._known_domains
+        if now - self._known_at < DOMAINS_TTL_S:
+            return self._known_domains
+        return sorted({*self._known_domains, *self._ctx.domains()})
 
     def find(self, name: str) -> ClientAccount | None:
         """Return the first account with a name, None if there is none."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
@@ -82,6 +82,28 @@
             return UsageAnswer(granted, 0.0, True)
         return UsageAnswer(0.0, bucket.retry_in_s(request.cost, now), True)
 
+    def expected_wait_s(
+        self, name: str, domain: str, cap: UsageCap, cost: float
+    ) -> float | None:
+        """Return the wait with which ``answer`` would refuse usage now, 0 if granted.
+
+        None if this VM has not granted any usage of the account yet, so that it is not
+        known without acquiring the ownership.
+        """
+        allocation = usage_allocation(name, domain)
+        known = self._allocators.get(allocation)
+        ownership = self._ctx.ownership_for(allocation)
+        owned_since = ownership.owned_since(allocation)
+        if known is None or owned_since is None or known.owned_since != owned_since:
+            return None
+        now = self._ctx.clock.boottime()
+        # The token of an owned allocation is returned without a change of state.
+        if ownership.fencing_token(allocation, now) is None:
+            return None
+        if (known.cap, known.domains) != (cap, self._accounts.current_domains()):
+            return None
+        return known.bucket.wait_s(cost, now)
+
     def _bucket(
         self, allocation: UsageAllocation, cap: UsageCap, owned_since: float
     ) -> UsageBucket | None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
@@ -7,18 +7,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
 
-from gooseberryrun._internal.state.serving import View, usage_allocation
 from gooseberryrun._internal.state.serving.accounts import (
     MAX_SEND_LAG_S,
     AccountCredit,
-    DemandMeter,
-    SeparatedUsage,
     UsageCap,
     UsagePermit,
-    UsageUnit,
-    allowances,
     separated_allowance,
 )
 
@@ -30,6 +26,15 @@
 from .._fleet_knowledge import known_vm_count
 from .._peer_requests import SILENCE_S, PeerRequests
 from .._responses import refusal_over_cap
+from ._account_usage import (
+    GRANTED,
+    NOT_ALLOCATOR,
+    REFUSED,
+    UNANSWERED,
+    AccountUsage,
+    UsageQuestion,
+)
+from ._allocator_order import AllocatorOrder
 from ._capped_accounts import CappedAccounts
 from ._usage_allocators import UsageAllocators
 
@@ -40,24 +45,6 @@
 """Time after which what is known of an account without requests is dropped."""
 
 
-@dataclass(slots=True)
-class _Usage:
-    """What this VM knows of the usage of one account.
-
-    ``ranking`` are the domains that have a part of the cap, in the account's order, and
-    ``divided`` the cap and the domains that it follows from.
-    """
-
-    unit: UsageUnit
-    credit: AccountCredit
-    demand: DemandMeter = field(default_factory=DemandMeter)
-    separated: SeparatedUsage = field(default_factory=SeparatedUsage)
-    refused_until: dict[str, float] = field(default_factory=dict)
-    divided: tuple[UsageCap, list[str]] | None = None
-    ranking: list[str] = field(default_factory=list)
-    used_at: float = 0.0
-
-
 @dataclass(slots=True)
 class _Obtained:
     """Permit, or the reason and the retry delay of a refusal."""
@@ -77,8 +64,8 @@
         self._allocators = allocators
         self._accounts = accounts
         self._peers = PeerRequests(ctx, ANSWER_TIMEOUT_S)
-        self._usage: dict[str, _Usage] = {}
-        self._assigned: dict[tuple[str, str], tuple[View, str | None]] = {}
+        self._usage: dict[str, AccountUsage] = {}
+        self.order = AllocatorOrder(ctx, accounts)
 
     def admit(self, active: ActiveRequest) -> LocalResponse | None:
         """Get a permit for a request on arrival; return the response if refused."""
@@ -86,7 +73,7 @@
         if cap is None:
             return None
         usage = self._usage_of(active, cap)
-        usage.demand.record(_cost(active, cap), self._ctx.clock.boottime())
+        usage.demand.record(usage_cost(active, cap), self._ctx.clock.boottime())
         return self._get_permit(active, cap, usage)
 
     def renew(self, active: ActiveRequest) -> LocalResponse | None:
@@ -106,7 +93,11 @@
             now = self._ctx.clock.boottime()
             self._usage[permit.account].credit.give_back(permit, now)
 
-    def _usage_of(self, active: ActiveRequest, cap: UsageCap) -> _Usage:
+    def known_usage(self, name: str) -> AccountUsage | None:
+        """Return what is known of an account's usage, None if nothing is."""
+        return self._usage.get(name)
+
+    def _usage_of(self, active: ActiveRequest, cap: UsageCap) -> AccountUsage:
         name = active.account.name if active.account else ""
         now = self._ctx.clock.boottime()
         usage = self._usage.get(name)
@@ -116,16 +107,16 @@
                 for known, u in self._usage.items()
                 if now - u.used_at <= IDLE_TTL_S
             }
-            self._assigned.clear()
+            self.order.forget()
             credit = AccountCredit(name, cap.unit)
-            usage = self._usage[name] = _Usage(cap.unit, credit)
+            usage = self._usage[name] = AccountUsage(cap.unit, credit)
         usage.used_at = now
         return usage
 
     def _get_permit(
-        self, active: ActiveRequest, cap: UsageCap, usage: _Usage
+        self, active: ActiveRequest, cap: UsageCap, usage: AccountUsage
     ) -> LocalResponse | None:
-        cost = _cost(active, cap)
+        cost = usage_cost(active, cap)
         active.usage_permit = None
         obtained = self._obtain(active, cap, cost, usage)
         active.usage_permit = obtained.permit
@@ -145,22 +136,16 @@
         return refusal_over_cap(active, obtained.retry_in_s)
 
     def _obtain(
-        self, active: ActiveRequest, cap: UsageCap, cost: float, usage: _Usage
+        self, active: ActiveRequest, cap: UsageCap, cost: float, usage: AccountUsage
     ) -> _Obtained:
         """Get a permit from credit, from an allocator, or from the margin."""
         name = active.account.name if active.account else ""
         permit = usage.credit.take(cost, self._ctx.clock.boottime())
         if permit is not None:
             return _Obtained(permit, "credit")
+        self.order.divide(name, cap, usage)
         retries = []
-        asked = 0
-        for domain in self._domains(name, cap, usage):
-            vm = self._allocator(name, domain)
-            if vm is None or self._peers.is_silent(vm):
-                continue
-            if asked >= MAX_QUESTIONS:
-                break
-            asked += 1
+        for domain, vm in self.to_ask(name, usage.ranking, usage):
             asked_at = self._ctx.clock.boottime()
             request = UsageRequest(
                 name,
@@ -171,6 +156,11 @@
                 self._accounts.version,
             )
             answer = self._ask(vm, request, active.metadata.request_id)
+            question = UsageQuestion(domain, vm, cap, cost, asked_at, _outcome(answer))
+            if answer and question.outcome == REFUSED:
+                retry_at = asked_at + answer.retry_in_s
+                question = replace(question, retry_at=retry_at)
+            usage.record(question)
             if answer is None or not answer.is_allocator:
                 continue
             if answer.granted >= cost:
@@ -185,21 +175,44 @@
             return _Obtained(None, "over_cap", min(retries))
         return self._take_separated(name, cap, cost, usage)
 
+    def to_ask(
+        self, name: str, ranking: list[str], usage: AccountUsage
+    ) -> Iterator[tuple[str, str]]:
+        """Yield the domains and VMs that are asked for one request, in order."""
+        asked = 0
+        for domain in self.order.ordered(ranking, usage):
+            vm = self.order.allocator(name, domain)
+            if vm is None or self._peers.is_silent(vm):
+                continue
+            if asked >= MAX_QUESTIONS:
+                return
+            asked += 1
+            yield domain, vm
+
     def _take_separated(
-        self, name: str, cap: UsageCap, cost: float, usage: _Usage
+        self, name: str, cap: UsageCap, cost: float, usage: AccountUsage
     ) -> _Obtained:
-        """Use this VM's part of the margin, since no allocator answers.
+        """Use this VM's part of the margin, since no allocator answers."""
+        now = self._ctx.clock.boottime()
+        window_s = self._ctx.cfg.usage.window_s
+        allowance = self.separated_allowance(cap)
+        if allowance is not None and usage.separated.try_take(
+            cost, allowance, window_s, now
+        ):
+            return _Obtained(UsagePermit(name, cap.unit, cost, now), "separated")
+        return _Obtained(None, "no_allocator", SILENCE_S)
+
+    def separated_allowance(self, cap: UsageCap) -> float | None:
+        """Return this VM's part of the margin, None while it may not use it.
 
         A process that is younger than the window does not know what its predecessor on
         the VM has used of it.
         """
-        now = self._ctx.clock.boottime()
         cfg = self._ctx.cfg.usage
-        allowance = separated_allowance(cap, cfg, known_vm_count(self._ctx))
-        is_settled = now - self._ctx.started_at > cfg.window_s + MAX_SEND_LAG_S
-        if is_settled and usage.separated.try_take(cost, allowance, cfg.window_s, now):
-            return _Obtained(UsagePermit(name, cap.unit, cost, now), "separated")
-        return _Obtained(None, "no_allocator", SILENCE_S)
+        age_s = self._ctx.clock.boottime() - self._ctx.started_at
+        if age_s <= cfg.window_s + MAX_SEND_LAG_S:
+            return None
+        return separated_allowance(cap, cfg, known_vm_count(self._ctx))
 
     def _ask(
         self, vm: str, request: UsageRequest, request_id: str
@@ -207,47 +220,20 @@
         if vm == self._ctx.vm:
             return self._allocators.answer(request)
         answer = self._peers.ask(vm, request, UsageAnswer, request_id)
-        outcome = "unanswered"
-        if answer is not None:
-            refused = "refused" if answer.is_allocator else "not_allocator"
-            outcome = "granted" if answer.granted else refused
-        USAGE_QUESTIONS.labels(outcome=outcome).inc()
+        USAGE_QUESTIONS.labels(outcome=_outcome(answer)).inc()
         return answer
 
-    def _domains(self, name: str, cap: UsageCap, usage: _Usage) -> list[str]:
-        """Return the domains in the order in which their allocators are asked.
 
-        The own domain is first. Others follow by the account's ranking, but those that
-        refused a request until a later time after the rest.
-        """
-        own = self._ctx.cfg.vm.domain
-        domains = self._accounts.domains()
-        if usage.divided != (cap, domains):
-            parts = allowances(name, cap, self._ctx.cfg.usage, domains)
-            usage.divided, usage.ranking = (cap, domains), list(parts)
-        now = self._ctx.clock.boottime()
-        others = [domain for domain in usage.ranking if domain != own]
-        others.sort(key=lambda domain: max(now, usage.refused_until.get(domain, now)))
-        return [own, *others] if own in usage.ranking else others
-
-    def _allocator(self, name: str, domain: str) -> str | None:
-        """Return the VM to which the allocation of a domain is assigned."""
-        allocation = usage_allocation(name, domain)
-        if domain == self._ctx.cfg.vm.domain or domain in self._ctx.covered_domains:
-            owner = self._ctx.owner_of(allocation)
-            return owner.vm if owner else None
-        view = self._ctx.remote_views.get(domain)
-        if view is None:
-            return None
-        key = (name, domain)
-        known = self._assigned.get(key)
-        if known is None or known[0] is not view:
-            owner = view.owner_of(allocation)
-            known = self._assigned[key] = (view, owner.vm if owner else None)
-        return known[1]
+def _outcome(answer: UsageAnswer | None) -> str:
+    """Return the outcome of a question."""
+    if answer is None:
+        return UNANSWERED
+    if answer.granted:
+        return GRANTED
+    return REFUSED if answer.is_allocator else NOT_ALLOCATOR
 
 
-def _cost(active: ActiveRequest, cap: UsageCap) -> float:
+def usage_cost(active: ActiveRequest, cap: UsageCap) -> float:
     metadata = active.metadata
     return cap.cost(
         metadata.prompt_tokens, metadata.output_tokens, metadata.has_token_count
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_plain_slots.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_plain_slots.py
@@ -8,7 +8,9 @@
 
 import itertools
 import random
+from collections.abc import Iterator
 from itertools import islice
+from typing import Any
 
 from eventlet.event import Event
 from eventlet.timeout import Timeout
@@ -31,6 +33,7 @@
 from .._granters import Granters
 from .._responses import refusal_until
 from ._slot_granter import NO_GRANTER, SlotGranter
+from ._told_waits import ToldWait, ToldWaits
 
 GRANTERS = 2
 """VMs that are asked for a slot: that of the server, and a deputy."""
@@ -46,6 +49,7 @@
         self._ctx = ctx
         self._granters = Granters(ctx, ANSWER_TIMEOUT_S)
         self._waits = ExpectedSlotWaits()
+        self._told = ToldWaits()
         self._results: dict[int, Event] = {}
         self._tickets = itertools.count(random.getrandbits(48))
         self.granter = SlotGranter(ctx, self._notify)
@@ -61,6 +65,25 @@
         now = self._ctx.clock.monotonic()
         return self._waits.wait_s(runner.id, _account(active), now)
 
+    def describe(self, active: ActiveRequest, runner: Runner) -> dict[str, Any]:
+        """Return what is known of the wait for a slot, without asking for one.
+
+        The numbers of grants and waiting requests are known where this VM grants the
+        slots.
+        """
+        told = self._told.find(runner.id, _account(active))
+        age_s = self._ctx.clock.monotonic() - told.told_at if told else None
+        queue = self.granter.queue(runner.id)
+        return {
+            "slot_wait_s": round(self.expected_wait_s(active, runner), 4),
+            "slot_told_s": round(told.wait_s, 4) if told else None,
+            "slot_outcome": told.outcome if told else "",
+            "slot_age_s": round(age_s, 3) if age_s is not None else None,
+            "slot_granter": next(self._to_ask(runner), OWN_COUNT),
+            "slots_granted": f"{queue.in_use}/{queue.limit}" if queue else "",
+            "slots_waiting": queue.waiting if queue else None,
+        }
+
     def is_spent(self, active: ActiveRequest) -> bool:
         """Return whether a request may not ask for any more slots."""
         return active.slots is not None and active.slots.is_spent
@@ -88,6 +111,8 @@
         outcome = str(answer.outcome) if answer else OWN_COUNT
         if answer is not None:
             self._waits.record(runner.id, _account(active), answer.wait_s, now)
+            told = ToldWait(outcome, answer.wait_s, now)
+            self._told.record(runner.id, _account(active), told)
             if outcome not in (SlotOutcome.GRANTED, SlotOutcome.BUSY):
                 search.record_refusal(now + answer.retry_in_s)
                 active.ungranted.add(runner.id)
@@ -115,9 +140,7 @@
         max_wait_s: float,
     ) -> SlotAnswer | None:
         """Ask the VMs that may grant a slot, one after another."""
-        for vm in islice(self._granters.ranked(runner), GRANTERS):
-            if self._granters.is_silent(vm):
-                continue
+        for vm in self._to_ask(runner):
             request = self._make_request(active, runner, max_wait_s)
             answer = self._ask(vm, request)
             if answer is None or answer.outcome == NO_GRANTER:
@@ -127,6 +150,12 @@
             return answer
         return None
 
+    def _to_ask(self, runner: Runner) -> Iterator[str]:
+        """Yield the VMs that are asked for a slot of a server, in order."""
+        for vm in islice(self._granters.ranked(runner), GRANTERS):
+            if not self._granters.is_silent(vm):
+                yield vm
+
     def _make_request(
         self, active: ActiveRequest, runner: Runner, max_wait_s: float
     ) -> SlotRequest:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_slot_granter.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_slot_granter.py
@@ -80,6 +80,10 @@
             self._plan(request.server, queue)
         return SlotAnswer(decision.outcome, decision.wait_s, decision.retry_in_s)
 
+    def queue(self, server: str) -> SlotQueue | None:
+        """Return the queue of a server, None if this VM has not granted its slots."""
+        return self._queues.get(server)
+
     def _queue(self, server: str) -> SlotQueue | None:
         """Return the queue of a server, None if this VM must not grant its slots."""
         runner = self._ctx.directory.runner(server)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_where.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_explainer.py
@@ -6,12 +6,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from typing import Any
 
-from result import Err, Ok, Result
-
 from gooseberryrun._internal.state import rank_nodes
 from gooseberryrun._internal.state.serving import (
     Candidate,
@@ -23,111 +19,23 @@
     model_runner_cost_s,
     plain_server_cost,
 )
-
-from ._active_request import ActiveRequest, request_traits
-from ._context import Context
-from ._plain_requests import PlainRequests
-from ._request_ports import (
-    Caller,
-    Headers,
-    InboundRequest,
-    PromptPart,
-    RequestMetadata,
-)
-from ._runner_choice import RunnerChooser
-from .crossing import Crossing, Departure
+from gooseberryrun._internal.state.serving.accounts import ClientAccount
+
+from .._active_request import ActiveRequest, request_traits
+from .._context import Context
+from .._plain_requests import PlainRequests
+from .._request_ports import InboundRequest, PromptPart, RequestMetadata
+from .._runner_choice import RunnerChooser
+from ..accounts import Authenticator, CapForecaster
+from ..admission import PlainSlots
+from ..crossing import Crossing, Departure
+from ._account_state import describe_account, describe_cap
+from ._query import NoCaller, WhereQuery
 
 MAX_CANDIDATES = 20
 """Candidates that are shown, the cheapest first."""
 
 
-@dataclass(frozen=True, slots=True)
-class WhereQuery:
-    """Request to explain; ``parts`` are the ids of its prompt's parts."""
-
-    host: str
-    path: str
-    request_id: str = "where"
-    account: str = ""
-    model: str = ""
-    adapter: str = ""
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    parts: Sequence[str] = ()
-    wait_s: float = 60.0
-
-
-class _NoCaller(Caller):
-    """Caller of a request that is not served."""
-
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        pass
-
-    def start(self, status: int, headers: Headers) -> None:
-        pass
-
-    def send(self, data: bytes) -> None:
-        pass
-
-    def finish(self) -> None:
-        pass
-
-    def abort(self) -> None:
-        pass
-
-    def continue_after_disconnect(self) -> None:
-        pass
-
-
-def parse_query(fields: Mapping[str, Sequence[str]]) -> Result[WhereQuery, str]:
-    """Return the request that the fields of a query string describe."""
-    unknown = fields.keys() - _FIELDS
-    if unknown:
-        return Err(f"unknown fields: {', '.join(sorted(unknown))}")
-    texts = {name: fields[name][-1] for name in fields}
-    if not texts.get("host") or not texts.get("path", "").startswith("/"):
-        return Err("host and path are needed")
-    try:
-        return Ok(
-            WhereQuery(
-                texts["host"],
-                texts["path"],
-                texts.get("id", "where"),
-                texts.get("account", ""),
-                texts.get("model", ""),
-                texts.get("adapter", ""),
-                _count(texts.get("prompt_tokens", "0")),
-                _count(texts.get("output_tokens", "0")),
-                tuple(fields.get("part", ())),
-                _count(texts.get("wait_s", "60")),
-            )
-        )
-    except ValueError as exc:
-        return Err(str(exc))
-
-
-def _count(text: str) -> int:
-    """Return a whole number that is not negative; raises `ValueError`."""
-    number = int(text)
-    if number < 0:
-        raise ValueError(f"{text} is negative")
-    return number
-
-
-_FIELDS = {
-    "host",
-    "path",
-    "id",
-    "account",
-    "model",
-    "adapter",
-    "prompt_tokens",
-    "output_tokens",
-    "part",
-    "wait_s",
-}
-
-
 class WhereExplainer:
     """Explains the choice that a request would meet."""
 
@@ -137,11 +45,16 @@
         chooser: RunnerChooser,
         plain: PlainRequests,
         crossing: Crossing,
+        slots: PlainSlots,
+        caps: CapForecaster,
     ) -> None:
         self._ctx = ctx
         self._chooser = chooser
         self._plain = plain
         self._crossing = crossing
+        self._slots = slots
+        self._caps = caps
+        self._authenticator = Authenticator(ctx)
 
     def explain(self, query: WhereQuery) -> dict[str, Any]:
         """Return the decision, its candidates with their costs, and its inputs."""
@@ -150,7 +63,9 @@
             "vm": self._ctx.vm,
             "domain": self._ctx.cfg.vm.domain,
             "request": query.request_id,
-            "account": query.account or None,
+            "account": None,
+            "account_state": None,
+            "cap": None,
             "configuration": self._ctx.directory.configuration_version,
             "rows": [],
             "crossing": [],
@@ -158,15 +73,27 @@
         if table is None:
             return found | _refused("no_configuration")
         route = table.find(query.host, query.path)
+        checked = self._authenticator.explain(table, route, query.account)
+        if checked.account is not None:
+            found["account"] = checked.account.name
+        found["account_state"] = describe_account(checked)
+        if checked.refusal is not None:
+            refusal = checked.refusal
+            return found | _refused(refusal.reason, refusal.retry_in_s)
         if route is None:
             return found | _refused("no_route")
-        active = self._make_active(query, route)
+        active = self._make_active(query, route, checked.account)
         found |= {
             "route": route.name,
             "service": active.service,
-            "priority": route.priority,
+            "priority": active.priority,
             "crossing": self._crossing.describe(active.service),
         }
+        forecast = self._caps.forecast(active)
+        if forecast is not None:
+            found["cap"] = describe_cap(forecast, self._ctx.clock.boottime())
+            if forecast.is_refused:
+                return found | _refused("usage_cap", found["cap"]["retry_in_s"])
         now = self._ctx.clock.monotonic()
         verdict = self._ctx.evidence.verdict(active.traits, now)
         if verdict.handling.value >= Handling.PAUSED.value:
@@ -175,7 +102,9 @@
             return found | self._explain_model(active, verdict, now)
         return found | self._explain_plain(active, now)
 
-    def _make_active(self, query: WhereQuery, route: Route) -> ActiveRequest:
+    def _make_active(
+        self, query: WhereQuery, route: Route, account: ClientAccount | None
+    ) -> ActiveRequest:
         now = self._ctx.clock.monotonic()
         metadata = RequestMetadata(
             query.request_id,
@@ -185,6 +114,7 @@
             query.prompt_tokens,
             query.output_tokens,
             tuple(PromptPart(part, 0) for part in query.parts),
+            has_token_count=query.has_token_count,
         )
         inbound = InboundRequest("GET", query.path, query.host, [], b"", now)
         version = self._ctx.directory.version_of(query.model, query.adapter)
@@ -192,11 +122,12 @@
         return ActiveRequest(
             inbound,
             metadata,
-            _NoCaller(),
+            NoCaller(),
             route,
             route.pick_service(metadata.stream_id),
             min(now + wait_s, self._ctx.stop_deadline),
             traits=request_traits(inbound, metadata, version),
+            account=account,
         )
 
     def _explain_model(
@@ -240,6 +171,9 @@
             )
             for candidate in candidates
         ]
+        if self._slots.is_enabled():
+            for row, candidate in zip(rows, candidates, strict=True):
+                row |= self._slots.describe(active, candidate.runner)
         result = {"rows": _cheapest(rows)} | _leaving(departure)
         if choice is None:
             return result | _refused("no_server")
@@ -286,8 +220,8 @@
     return {"selected_for": departure.domain if departure else None}
 
 
-def _refused(reason: str) -> dict[str, Any]:
-    return {"outcome": "refused", "reason": reason}
+def _refused(reason: str, retry_in_s: float | None = None) -> dict[str, Any]:
+    return {"outcome": "refused", "reason": reason, "retry_in_s": retry_in_s}
 
 
 def _sent(candidate: Candidate, expected_s: float) -> dict[str, Any]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/__init__.py
@@ -8,10 +8,15 @@
     find_shared_keys,
     key_digest,
 )
-from ._authentication import KeyOutcome, check_key
+from ._authentication import KeyOutcome, check_key, key_outcome
 from ._freshness import ConfigurationFreshness
 from ._usage_bucket import UsageBucket
-from ._usage_credit import AccountCredit, DemandMeter, SeparatedUsage, UsagePermit
+from ._usage_credit import (
+    AccountCredit,
+    DemandMeter,
+    SeparatedUsage,
+    UsagePermit,
+)
 from ._usage_limits import (
     CREDIT_TTL_S,
     MAX_SEND_LAG_S,
@@ -39,5 +44,6 @@
     "check_key",
     "find_shared_keys",
     "key_digest",
+    "key_outcome",
     "separated_allowance",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_authentication.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_authentication.py
@@ -34,10 +34,18 @@
     ``is_confirmed`` states that the configuration was the newest one lately.
     """
     account = table.find(credential)
-    if account is not None:
-        return KeyOutcome.ACCEPTED, account
+    is_known = account is not None
+    return key_outcome(bool(credential), is_known, is_public, is_confirmed), account
+
+
+def key_outcome(
+    has_key: bool, is_known: bool, is_public: bool, is_confirmed: bool
+) -> KeyOutcome:
+    """Return the outcome for a key, by whether an account has it."""
+    if is_known:
+        return KeyOutcome.ACCEPTED
     if is_public:
-        return KeyOutcome.PUBLIC, None
-    if not credential:
-        return KeyOutcome.MISSING, None
-    return KeyOutcome.UNKNOWN if is_confirmed else KeyOutcome.UNCONFIRMED, None
+        return KeyOutcome.PUBLIC
+    if not has_key:
+        return KeyOutcome.MISSING
+    return KeyOutcome.UNKNOWN if is_confirmed else KeyOutcome.UNCONFIRMED
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_bucket.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_bucket.py
@@ -59,7 +59,7 @@
         within the lifetime of credit.
         """
         self._refill(now)
-        if self._wait_s(cost, now) > 0.0:
+        if self.wait_s(cost, now) > 0.0:
             return 0.0
         granted = cost + self._credit_ahead(cost, demand_per_s)
         self._level -= granted
@@ -77,7 +77,7 @@
     def retry_in_s(self, cost: float, now: float) -> float:
         """Return when a refused request can be served, after those refused before."""
         self._refill(now)
-        wait_s = self._wait_s(cost, now)
+        wait_s = self.wait_s(cost, now)
         if math.isinf(wait_s):
             return self._allowance.window_s
         interval_s = cost / max(self._allowance.total_rate_per_s, EPSILON)
@@ -87,24 +87,28 @@
         return retry_at - now
 
     def _refill(self, now: float) -> None:
-        gained = self._allowance.rate_per_s * max(0.0, now - self._at)
-        self._level = min(self._allowance.capacity, self._level + gained)
+        self._level = self._level_at(now)
         self._at = max(self._at, now)
         while self._granted and self._granted[0][0] < now - self._allowance.window_s:
             self._granted_sum -= self._granted.popleft()[1]
         if not self._granted:
             self._granted_sum = 0.0
 
-    def _wait_s(self, cost: float, now: float) -> float:
+    def _level_at(self, now: float) -> float:
+        gained = self._allowance.rate_per_s * max(0.0, now - self._at)
+        return min(self._allowance.capacity, self._level + gained)
+
+    def wait_s(self, cost: float, now: float) -> float:
         """Return the time until a request of this cost may be granted, 0 if now.
 
-        It is infinite if the request costs more than may ever be granted.
+        It is infinite if the request costs more than may ever be granted. Nothing
+        changes by the call.
         """
         allowance = self._allowance
         if cost > allowance.max_burst + allowance.max_debt:
             return math.inf
         wait_s = max(0.0, self._since + QUIET_S - now)
-        missing = min(cost, allowance.capacity) - self._level
+        missing = min(cost, allowance.capacity) - self._level_at(now)
         if missing > EPSILON:
             if allowance.rate_per_s <= 0.0:
                 return math.inf
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_credit.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_credit.py
@@ -49,12 +49,25 @@
         """Add an amount that was granted after ``asked_at``."""
         self._entries.append((asked_at, amount))
 
+    @property
+    def account(self) -> str:
+        """Return the account's name."""
+        return self._account
+
+    def available(self, now: float) -> float:
+        """Return how much credit may be used now."""
+        return sum(a for asked_at, a in self._entries if now <= asked_at + CREDIT_TTL_S)
+
+    def covers(self, cost: float, now: float) -> bool:
+        """Return whether ``take`` would return a permit."""
+        return self.available(now) >= cost - EPSILON
+
     def take(self, cost: float, now: float) -> UsagePermit | None:
         """Return a permit, made of the oldest credit; None if there is too little."""
         self._entries = deque(
             sorted(e for e in self._entries if now <= e[0] + CREDIT_TTL_S)
         )
-        if sum(amount for _, amount in self._entries) < cost - EPSILON:
+        if not self.covers(cost, now):
             return None
         first_asked_at = self._entries[0][0] if self._entries else now
         missing = cost
@@ -104,7 +117,15 @@
         """Take an amount if the window that ends now keeps within the allowance."""
         while self._taken and self._taken[0][0] < now - window_s - MAX_SEND_LAG_S:
             self._taken.popleft()
-        if sum(amount for _, amount in self._taken) + cost > allowance:
+        if not self.can_take(cost, allowance, window_s, now):
             return False
         self._taken.append((now, cost))
         return True
+
+    def can_take(
+        self, cost: float, allowance: float, window_s: float, now: float
+    ) -> bool:
+        """Return whether ``try_take`` would take an amount."""
+        since = now - window_s - MAX_SEND_LAG_S
+        taken = sum(amount for at, amount in self._taken if at >= since)
+        return taken + cost <= allowance
--- a/tests/lib/usage_fleet.py
+++ b/tests/lib/usage_fleet.py
@@ -423,7 +423,7 @@
         """Return the allocator by the first VM that goes on and knows one."""
         for vm in self.vms.values():
             if vm.is_alive and not vm.is_frozen:
-                found = vm.caps._allocator(name, domain)
+                found = vm.caps.order.allocator(name, domain)
                 if found is not None:
                     return found
         return None
--- a/tests/unit/serving/test_where.py
+++ b/tests/unit/serving/test_where.py
@@ -6,7 +6,7 @@
 
 import pytest
 from gooseberryrun._internal.coordination.serving import parse_query
-from gooseberryrun._internal.coordination.serving._where import WhereQuery
+from gooseberryrun._internal.coordination.serving.where import WhereQuery
 from gooseberryrun._internal.state.serving import Handling, Verdict
 from result import Err, Ok
 
--- a/tests/unit/test_where_command.py
+++ b/tests/unit/test_where_command.py
@@ -30,7 +30,38 @@
         }
     ],
 }
+CAPPED = {
+    "outcome": "refused",
+    "reason": "usage_cap",
+    "retry_in_s": 0.25,
+    "priority": 3,
+    "rows": [],
+    "account_state": {
+        "name": "acme",
+        "is_known": True,
+        "authentication": "accepted",
+        "priority": 3,
+    },
+    "cap": {
+        "unit": "requests",
+        "rate_per_s": 6.0,
+        "burst": 6.0,
+        "cost": 1.0,
+        "credit": 0.0,
+        "outcome": "over_cap",
+        "would_ask": ["vm-1", "vm-2"],
+        "retry_in_s": 0.25,
+        "last_asked": {
+            "vm": "vm-2",
+            "domain": "d1",
+            "outcome": "refused",
+            "age_s": 0.1,
+            "retry_in_s": 0.4,
+        },
+    },
+}
 ANSWERS: dict[str, tuple[int, Any]] = {
+    "/capped": (200, CAPPED),
     "/sent": (200, SENT),
     "/refused": (200, {"outcome": "refused", "reason": "no_runner", "rows": []}),
     "/wrong": (400, {"error": "wait_s is wrong"}),
@@ -81,6 +112,23 @@
     assert json.loads(found.stdout)["reason"] == "no_runner"
 
 
+def test_account_and_its_cap_are_shown(address: str) -> None:
+    """Without them a refusal by the cap looks like one without a reason."""
+    found = where(address, "/capped")
+    assert found.exit_code == 2
+    notes = [line.removeprefix("note: ") for line in found.stderr.splitlines()]
+    assert notes[:4] == [
+        "would be refused: usage_cap, again in 0.25 s",
+        "account acme: accepted, priority 3",
+        "cap of 6.0 requests a second, burst 6.0: over_cap, again in 0.25 s; "
+        "costs 1.0, credit 0.0, would ask vm-1 then vm-2",
+        "allocator asked last: vm-2 of d1 0.10 s ago, refused, again in 0.4 s",
+    ]
+    assert (
+        json.loads(where(address, "/capped", "--json").stdout)["cap"] == (CAPPED["cap"])
+    )
+
+
 @pytest.mark.parametrize("path", ["/wrong", ""])
 def test_error_ends_with_1(address: str, path: str) -> None:
     """2 stands for a refused request, so a wrong call must not end with it."""
