Check the head of a request with a body once

Change: the handler's check_head returns the refusal or what it found, and the server passes that on with the complete request. It stands as long as the table of the configuration in force is the same one; otherwise the key is looked up again by the new one, as before. Requests without a body are checked in handle only, as before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from result import Err, Ok, Result
 
 from gooseberryrun._internal.state.serving import Handling, Route, RouteTable
@@ -18,6 +20,7 @@
 from ._request_ports import (
     Caller,
     CallerDisconnectedError,
+    CheckedHead,
     EarlyRefusal,
     Headers,
     InboundRequest,
@@ -26,12 +29,25 @@
     StoppingError,
 )
 from ._responses import ResponseWriter, stopping_response
-from .accounts import Authenticator, UsageCaps
+from .accounts import Authentication, Authenticator, UsageCaps
 
 NOT_READY_RETRY_S = 0.5
 """Retry delay sent by a VM that has no configuration yet."""
 
 
+@dataclass(frozen=True, slots=True)
+class _GatewayHead(CheckedHead):
+    """Decoded head of a request, with what ``table`` says of it.
+
+    ``authentication`` is None if the head is malformed.
+    """
+
+    decoded: Result[RequestMetadata, str]
+    table: RouteTable
+    route: Route | None = None
+    authentication: Authentication | None = None
+
+
 class Gateway(RequestHandler):
     """Finds the route of a request and dispatches it to model or plain services."""
 
@@ -54,26 +70,30 @@
         self._models = models
         self._usage = usage
 
-    def refuse_early(self, request: InboundRequest) -> EarlyRefusal | None:
+    def check_head(self, request: InboundRequest) -> EarlyRefusal | CheckedHead | None:
         """Refuse a request without a valid key before its body is read."""
         table = self._ctx.directory.table
         if table is None or table.accounts is None:
             return None
         decoded = self._ctx.ports.codec.decode_request(request.headers)
         if isinstance(decoded, Err):
-            return None
+            return _GatewayHead(decoded, table)
         metadata = decoded.ok_value
         route = table.find(request.host, request.path)
         checked = self._authenticator.check(table, route, metadata.credential)
         if checked.refusal is None:
-            return None
+            return _GatewayHead(decoded, table, route, checked)
         checked.count()
         headers = self._record_rejection(request, checked.refusal, metadata.request_id)
         return EarlyRefusal(checked.refusal.status, headers)
 
     def handle(self, request: InboundRequest, caller: Caller) -> None:
         """Serve a request, or reject it if it is malformed or has no route."""
-        decoded = self._ctx.ports.codec.decode_request(request.headers)
+        head = request.checked
+        if isinstance(head, _GatewayHead):
+            decoded = head.decoded
+        else:
+            decoded = self._ctx.ports.codec.decode_request(request.headers)
         if isinstance(decoded, Err):
             self._reject(request, caller, LocalResponse(400, decoded.err_value), "")
             return
@@ -95,8 +115,7 @@
         table: RouteTable | None = self._ctx.directory.table
         if table is None:
             return Err(LocalResponse(503, "no_configuration", NOT_READY_RETRY_S))
-        route = table.find(request.host, request.path)
-        checked = self._authenticator.check(table, route, metadata.credential)
+        route, checked = self._authenticate(request, metadata, table)
         checked.count()
         if checked.refusal is not None:
             return Err(checked.refusal)
@@ -104,6 +123,22 @@
             return Err(LocalResponse(404, f"no_route_in_{table.configuration.version}"))
         return Ok((route, checked.account))
 
+    def _authenticate(
+        self, request: InboundRequest, metadata: RequestMetadata, table: RouteTable
+    ) -> tuple[Route | None, Authentication]:
+        """Return the route and the check of the key by the configuration in force.
+
+        The check of the head stands unless the configuration has changed since: only
+        a request with a known key or a public route is handled after it, and for these
+        it does not matter whether the configuration is confirmed.
+        """
+        head = request.checked
+        known = head if isinstance(head, _GatewayHead) else None
+        if known and known.table is table and known.authentication is not None:
+            return known.route, known.authentication
+        route = table.find(request.host, request.path)
+        return route, self._authenticator.check(table, route, metadata.credential)
+
     def _make_active_request(
         self,
         request: InboundRequest,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -54,9 +54,15 @@
         return (self.resumes if is_taken_up else self.request_id)[:MAX_ID_CHARS]
 
 
+class CheckedHead:
+    """What the handler of a request has found by its head, for use with the body."""
+
+    __slots__ = ()
+
+
 @dataclass(frozen=True, slots=True)
 class InboundRequest:
-    """Complete request of a caller."""
+    """Complete request of a caller; ``checked`` is what its head was found to be."""
 
     method: str
     target: str
@@ -64,6 +70,7 @@
     headers: Headers = field(repr=False)
     body: bytes
     read_at: float
+    checked: CheckedHead | None = field(default=None, repr=False)
 
     @property
     def path(self) -> str:
@@ -171,10 +178,11 @@
 class RequestHandler(ABC):
     """Serves complete requests."""
 
-    def refuse_early(self, request: InboundRequest) -> EarlyRefusal | None:
-        """Return the refusal of a request whose body has not been read, if any.
+    def check_head(self, request: InboundRequest) -> EarlyRefusal | CheckedHead | None:
+        """Check a request whose body has not been read; return its refusal, if any.
 
-        ``request`` has an empty body. What is not refused here is handled later.
+        ``request`` has an empty body. What is not refused here is handled later, with
+        the result as ``checked`` of the complete request.
         """
         return None
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
@@ -21,6 +21,7 @@
 from gooseberryrun._internal.coordination.serving import (
     Caller,
     CallerDisconnectedError,
+    CheckedHead,
     EarlyRefusal,
     Headers,
     InboundRequest,
@@ -60,12 +61,14 @@
 class CallerServerState:
     """State that all connections of one server share.
 
-    ``refuse_early`` is called for requests whose body has not been read.
+    ``check_head`` is called for requests whose body has not been read.
     """
 
     limits: Callable[[], ClientLimits]
     bounds: InputBounds
-    refuse_early: Callable[[InboundRequest], EarlyRefusal | None] = lambda _: None
+    check_head: Callable[[InboundRequest], EarlyRefusal | CheckedHead | None] = (
+        lambda _: None
+    )
     is_stopping: bool = False
     refuses_new: bool = False
     open_requests: int = 0
@@ -133,10 +136,10 @@
             self._reject(head.err_value)
             return False
         request = head.ok_value
-        refusal = self._refuse_early(request)
-        if refusal is not None:
-            return self._answer_early(refusal)
-        read = self._read(lambda: self._read_rest(request))
+        checked = self._check_head(request)
+        if isinstance(checked, EarlyRefusal):
+            return self._answer_early(checked)
+        read = self._read(lambda: self._read_rest(request, checked))
         if isinstance(read, Err):
             self._reject(read.err_value)
             return False
@@ -171,11 +174,11 @@
             watcher.kill()
             self._state.open_requests -= 1
 
-    def _refuse_early(self, request: InboundRequest) -> EarlyRefusal | None:
-        """Return the refusal of a request that has a body, if it needs no reading."""
+    def _check_head(self, request: InboundRequest) -> EarlyRefusal | CheckedHead | None:
+        """Check the head of a request that has a body; a refusal needs no reading."""
         if self._state.refuses_new or not _has_body(request.headers):
             return None
-        return self._state.refuse_early(request)
+        return self._state.check_head(request)
 
     def _answer_early(self, refusal: EarlyRefusal) -> bool:
         """Answer before the body has been read; return whether a request may follow.
@@ -253,10 +256,13 @@
             read_at=self._clock.monotonic(),
         )
 
-    def _read_rest(self, request: InboundRequest) -> InboundRequest:
-        """Return a request with its body."""
+    def _read_rest(
+        self, request: InboundRequest, checked: CheckedHead | None
+    ) -> InboundRequest:
+        """Return a request with its body, and with what its head was found to be."""
         body = self._read_body(request.headers)
-        return replace(request, body=body, read_at=self._clock.monotonic())
+        now = self._clock.monotonic()
+        return replace(request, body=body, read_at=now, checked=checked)
 
     def _read_h11_head(self) -> h11.Request:
         if not self.http.trailing_data[0]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -40,7 +40,7 @@
         bounds: InputBounds,
     ) -> None:
         self._clock = clock
-        self.state = CallerServerState(limits, bounds, handler.refuse_early)
+        self.state = CallerServerState(limits, bounds, handler.check_head)
         self._handler = handler
         self._max_connections = max_connections
         self._connections: set[CallerConnection] = set()
--- a/tests/lib/account_fleet.py
+++ b/tests/lib/account_fleet.py
@@ -190,8 +190,12 @@
 
     def request(self, vm: str, request_id: str, key: str, path: str = PLAIN) -> int:
         """Let a VM serve a request; return the status of the response."""
+        return self.handle(vm, self.inbound(request_id, key, path))
+
+    def handle(self, vm: str, request: InboundRequest) -> int:
+        """Let a VM handle a request that was read; return the response's status."""
         caller = _Caller()
-        self.vms[vm].gateway.handle(self.inbound(request_id, key, path), caller)
+        self.vms[vm].gateway.handle(request, caller)
         return caller.status
 
     def inbound(
--- a/tests/unit/serving/test_early_refusals.py
+++ b/tests/unit/serving/test_early_refusals.py
@@ -10,6 +10,7 @@
 from eventlet.greenio import GreenSocket
 from gooseberryrun._internal.coordination.serving import (
     Caller,
+    CheckedHead,
     EarlyRefusal,
     InboundRequest,
 )
@@ -31,15 +32,17 @@
 
     def __init__(self) -> None:
         self.handled: list[str] = []
+        self.head = CheckedHead()
 
-    def refuse_early(self, request: InboundRequest) -> EarlyRefusal | None:
+    def check_head(self, request: InboundRequest) -> EarlyRefusal | CheckedHead | None:
         """Refuse requests to ``/no``."""
         assert not request.body
         refusal = EarlyRefusal(401, [("www-authenticate", "Token")])
-        return refusal if request.target == "/no" else None
+        return refusal if request.target == "/no" else self.head
 
     def handle(self, request: InboundRequest, caller: Caller) -> None:
         """Respond with 200."""
+        assert request.checked is (self.head if request.body else None)
         self.handled.append(f"{request.target} {len(request.body)}")
         caller.respond(200, [], b"")
 
@@ -52,7 +55,7 @@
     listener.close()
     handler = Handler()
     clock = SystemClock()
-    state = CallerServerState(lambda: LIMITS, InputBounds(clock), handler.refuse_early)
+    state = CallerServerState(lambda: LIMITS, InputBounds(clock), handler.check_head)
     conn = CallerConnection(state, GreenSocket(accepted), clock)
     any_handler: Any = handler
     eventlet.spawn(_run, conn, any_handler)
