Decide by the number of VMs whether shares and slot grants are used, unless set

Callers of a deployment of 86 VMs without accounts and without the contract 'pressure' had neither: crossing by shares and grants of plain slots were off there, so zones with half the room of their neighbours were served by the constants. Cause: both were switched on by accounts or by that contract alone. Change: a switch that is not set is on where more than 30 VMs are known (FleetSize, held for 60 s, so it does not flap). Smaller deployments are served as before.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -11,6 +11,7 @@
     VmKind,
 )
 from gooseberryrun._internal.state.serving import (
+    LARGE_FLEET_VMS,
     Assignable,
     Crash,
     CrashEvidence,
@@ -102,6 +103,12 @@
         address = str(vm.address)
         return Member(vm.id, vm.domain, address, self.cfg.peer.port, self.is_new)
 
+    def is_switched_on(self, switch: bool | None) -> bool:
+        """Return whether a switch is on; unset, it is in large fleets only."""
+        if switch is not None:
+            return switch
+        return self.fleet_size.value(self.clock.monotonic()) > LARGE_FLEET_VMS
+
     def members(self) -> dict[str, Member]:
         """Return the known members of all domains, including this VM, by id."""
         views = [*self.remote_views.values(), self.ownership.view]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_plain_slots.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_plain_slots.py
@@ -58,7 +58,8 @@
         """Return whether slots are granted, by the settings or the configuration."""
         table = self._ctx.directory.table
         has_accounts = table is not None and table.accounts is not None
-        return has_accounts or self._ctx.cfg.admission.plain_slots
+        switch = self._ctx.cfg.admission.plain_slots
+        return has_accounts or self._ctx.is_switched_on(switch)
 
     def expected_wait_s(self, active: ActiveRequest, runner: Runner) -> float:
         """Return the expected wait for a slot, 0 if it is not known."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_crossing.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_crossing.py
@@ -67,7 +67,7 @@
     @property
     def is_enabled(self) -> bool:
         """Return whether requests are selected by shares."""
-        return self._ctx.cfg.crossing.is_enabled
+        return self._ctx.is_switched_on(self._ctx.cfg.crossing.is_enabled)
 
     @property
     def is_reader(self) -> bool:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -57,7 +57,8 @@
     Where it is off, a constant price decides between the own domain and others.
     """
 
-    is_enabled: bool = False
+    is_enabled: bool | None = None
+    """Unless set, it is on in deployments of more than ``LARGE_FLEET_VMS``."""
     byte_cost_s: float = Field(default=7e-6, ge=0, le=1e-3)
     """Wait in seconds that is accepted to save a byte between failure domains; with
     the usual 4,000 bytes of a request and its response, 0.03 s for a crossing."""
@@ -68,9 +69,10 @@
 class AdmissionSettings(Section):
     """Fair admission where requests queue."""
 
-    plain_slots: bool = False
+    plain_slots: bool | None = None
     """Whether one VM grants the slots of each plain server to the requests of all; also
-    on where the configuration has accounts."""
+    on where the configuration has accounts, and unless set, in deployments of more than
+    ``LARGE_FLEET_VMS``."""
     bounds_runner_memory: bool = False
     """Whether a model runner gets no more requests than its memory holds at once, for
     runners that crash beyond it instead of preempting requests."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -35,7 +35,7 @@
     reads_store,
 )
 from ._epochs import Position, combine_generation, generation_number
-from ._fleet_size import FleetSize, estimate_vms
+from ._fleet_size import LARGE_FLEET_VMS, FleetSize, estimate_vms
 from ._gossip_fanout import (
     ACTIVE_HOLD_S,
     IDLE_CONTACTS,
@@ -107,6 +107,7 @@
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S, SlotWait
 
 __all__ = [
+    "LARGE_FLEET_VMS",
     "CRASHES_TO_REFUSE",
     "DEFAULT_SLOT_WAIT_S",
     "EXPECTED_LOAD_S",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_fleet_size.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_fleet_size.py
@@ -13,6 +13,9 @@
 
 HOLD_S = 60.0
 """Time for which a VM that is no longer known still has its part of an allowance."""
+LARGE_FLEET_VMS = 30
+"""Entry VMs above which each of them sees too few requests to know by its own how busy
+the servers are."""
 
 
 class RecentMaximum:
