Split the connections of callers into reading, sending and serving

Change: _request_reader.py reads requests within their limits, _event_sender.py sends events and waits for slow readers, _http_caller.py is the caller of one request, and _caller_connection.py serves the requests of a connection. The code is moved, not changed; the objects of a connection form no reference cycle, as before.

Tests: the unit tests of connections, bodies, early refusals and slow readers pass unchanged.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_callers.py
@@ -18,12 +18,9 @@
 from gooseberryrun._internal.state.serving import ClientLimits
 
 from .._listening import bind
-from ._caller_connection import (
-    CallerConnection,
-    CallerServerState,
-    ConnectionClosedError,
-)
+from ._caller_connection import CallerConnection, CallerServerState
 from ._input_bounds import InputBounds
+from ._request_reader import ConnectionClosedError
 
 BACKLOG = 1024
 
