Split following the store into reads, notices and what decides on reads

Change: TopicReads (_topic_reads.py) holds the state of the reads and decides which topics this VM reads and for how long a read waits, DirectoryNotices (_directory_notices.py) sends and applies the notices between VMs, DirectoryFollower reads and applies records. The code is moved, not changed; no message or timer differs. Tests use the new names.

Tests: the unit tests of the follower, fleets, positions, idle and start cost pass.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -178,7 +178,7 @@
     def _make_handlers(self) -> dict[type, Callable[[InboundMessage, Any], None]]:
         return {
             AcquireRequest: self.owned_runners.handle_acquire_request,
-            DirectoryNotice: _by_sender(self.follower.handle_directory_notice),
+            DirectoryNotice: _by_sender(self.follower.notices.handle_directory_notice),
             DirectoryRequest: self.follower.peers.handle_directory_request,
             EvidenceNotice: _by_sender(self.guard.handle_evidence_notice),
             EvidenceRequest: self.guard.handle_evidence_request,
--- a/tests/unit/serving/test_fleets.py
+++ b/tests/unit/serving/test_fleets.py
@@ -131,12 +131,12 @@
 def test_records_of_a_reader_are_taken_in_order() -> None:
     follower, _ = make_follower(8)
     ctx = follower._ctx
-    follower.handle_directory_notice(
+    follower.notices.handle_directory_notice(
         "vm-000", DirectoryNotice(Topic.RUNNERS, at(0), at(2), [record(1, "a")], False)
     )
     assert ctx.directory.ends[Topic.RUNNERS] == at(2)
     # An older notice of another reader changes nothing.
-    follower.handle_directory_notice(
+    follower.notices.handle_directory_notice(
         "vm-001", DirectoryNotice(Topic.RUNNERS, at(0), at(1), [record(0, "a")], False)
     )
     assert ctx.directory.ends[Topic.RUNNERS] == at(2)
@@ -145,11 +145,11 @@
 
 def test_a_gap_in_the_records_of_a_reader_is_not_passed_over() -> None:
     follower, _ = make_follower(8)
-    follower.handle_directory_notice(
+    follower.notices.handle_directory_notice(
         "vm-000", DirectoryNotice(Topic.RUNNERS, at(7), at(9), [record(8, "a")], False)
     )
     assert follower._ctx.directory.ends[Topic.RUNNERS] == at(0)
-    assert follower._must_read(Topic.RUNNERS)
+    assert follower.reads.must_read(Topic.RUNNERS)
 
 
 def test_a_whole_configuration_is_announced_and_read_by_each_vm() -> None:
@@ -161,25 +161,25 @@
     table = Configuration(7, (), (), ClientLimits())
     entry = DirectoryRecord(Topic.CONFIGURATION, at(3), "config", configuration=table)
     reader._ctx.directory.receive(Topic.CONFIGURATION, [entry], at(4), 0.0)
-    reader._send_notice(Topic.CONFIGURATION, at(3), [entry])
+    reader.notices.send(Topic.CONFIGURATION, at(3), [entry])
     peers = reader._ctx.peers
     assert isinstance(peers, CountingPeers)
     announced = DirectoryNotice(Topic.CONFIGURATION, at(4), at(4), [], False)
     assert [message for _, message in peers.sent] == [announced] * 8
     other, _ = make_follower(8)
-    other.handle_directory_notice(
+    other.notices.handle_directory_notice(
         "vm-000", DirectoryNotice(Topic.CONFIGURATION, at(0), at(0), [], False)
     )
-    assert not other._must_read(Topic.CONFIGURATION)
-    other.handle_directory_notice("vm-000", announced)
-    assert other._must_read(Topic.CONFIGURATION)
+    assert not other.reads.must_read(Topic.CONFIGURATION)
+    other.notices.handle_directory_notice("vm-000", announced)
+    assert other.reads.must_read(Topic.CONFIGURATION)
     assert other._ctx.directory.ends[Topic.CONFIGURATION] == at(0)
 
 
 def test_those_who_do_not_read_learn_that_the_store_was_away() -> None:
     """Otherwise entries that expired in the outage would be removed at once."""
     follower, _ = make_follower(8)
-    follower.handle_directory_notice(
+    follower.notices.handle_directory_notice(
         "vm-000", DirectoryNotice(Topic.RUNNERS, at(0), at(0), [], True)
     )
     assert follower._ctx.directory.is_after_outage(10.0)
@@ -276,14 +276,14 @@
 def test_a_vm_that_was_suspended_reads_the_store_at_once() -> None:
     """Notices from before a suspension do not show that the reader is still alive."""
     follower, _ = make_follower(8)
-    follower.handle_directory_notice(
+    follower.notices.handle_directory_notice(
         "vm-000", DirectoryNotice(Topic.RUNNERS, at(0), at(0), [], False)
     )
-    assert not follower._must_read(Topic.RUNNERS)
+    assert not follower.reads.must_read(Topic.RUNNERS)
     clock = follower._ctx.clock
     assert isinstance(clock, ManualClock)
     clock.suspend(5.0)
-    assert follower._must_read(Topic.RUNNERS)
+    assert follower.reads.must_read(Topic.RUNNERS)
 
 
 class SnapshotStore(GroupStore):
--- a/tests/unit/serving/test_follower.py
+++ b/tests/unit/serving/test_follower.py
@@ -10,6 +10,7 @@
     StoreFault,
     StoreFaultKind,
     _follower,
+    _topic_reads,
 )
 from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
 from gooseberryrun._internal.coordination.serving._lease_renewals import LeaseRenewals
@@ -103,7 +104,7 @@
     store = LogStore()
     follower = make_follower(store)
     settle()
-    assert store.waits == [pytest.approx(_follower.MAX_POLL_S)]
+    assert store.waits == [pytest.approx(_topic_reads.MAX_POLL_S)]
     store.failures = failures
     runner = make_runners(1, 1)[0]
     store.records.append(
@@ -179,15 +180,15 @@
     assert is_read is (kind is StoreFaultKind.TIMED_OUT)
     assert len(store.hanging) == 1
     assert store.reads == (3 if is_read else 1)
-    assert not follower._unreachable_since
+    assert not follower.reads.unreachable_since
 
 
 def test_longest_poll_leaves_time_to_apply_a_configuration() -> None:
     """Without any other sign a silent connection is noticed by the poll on it."""
     timeout_s = make_follower(LogStore())._ctx.cfg.store.timeout_s
-    blind_s = _follower.MAX_POLL_S + timeout_s + READ_AND_APPLY_S
+    blind_s = _topic_reads.MAX_POLL_S + timeout_s + READ_AND_APPLY_S
     assert blind_s < IN_TOUCH_S + CONFIGURATION_S
-    reader_s = _follower.MAX_READER_POLL_S + timeout_s + READ_AND_APPLY_S
+    reader_s = _topic_reads.MAX_READER_POLL_S + timeout_s + READ_AND_APPLY_S
     assert reader_s + NOTICE_S < IN_TOUCH_S + CONFIGURATION_S
 
 
--- a/tests/unit/serving/test_idle_cost.py
+++ b/tests/unit/serving/test_idle_cost.py
@@ -14,7 +14,9 @@
 from gooseberryrun._internal.coordination import InboundMessage
 from gooseberryrun._internal.coordination._serving_messages import DirectoryNotice
 from gooseberryrun._internal.coordination.serving import Records, Serving, StoreFault
-from gooseberryrun._internal.coordination.serving._follower import KEEPALIVE_INTERVAL_S
+from gooseberryrun._internal.coordination.serving._directory_notices import (
+    KEEPALIVE_INTERVAL_S,
+)
 from gooseberryrun._internal.coordination.serving._membership import Membership
 from gooseberryrun._internal.coordination.serving._ticks import (
     MIN_SLEEP_S,
@@ -174,7 +176,7 @@
         until = hub.now + 10.0
         eventlet.spawn(_send_keepalives, serving, ranked[0].vm, until)
         eventlet.sleep(10.0)
-        last_at = serving.follower._notice_received_at[Topic.RUNNERS]
+        last_at = serving.follower.reads.notice_received_at[Topic.RUNNERS]
         peers.sent.clear()
         while "DirectoryNotice" not in _sent_kinds(peers) and hub.now < until + 9.0:
             eventlet.sleep(0.01)
--- a/tests/unit/serving/test_positions.py
+++ b/tests/unit/serving/test_positions.py
@@ -164,7 +164,9 @@
         sent = self.vms[0].take_notices()
         if sent:
             notice = self.data.draw(st.sampled_from(sent))
-            self.vms[1].follower.handle_directory_notice(self.vms[0].name, notice)
+            self.vms[1].follower.notices.handle_directory_notice(
+                self.vms[0].name, notice
+            )
 
     def check(self) -> None:
         """Check that each VM has what lies before its positions.
