--- a/tests/lib/account_fleet.py
+++ b/tests/lib/account_fleet.py
@@ -9,15 +9,14 @@
 from dataclasses import replace
 from typing import Any
 
-from gooseberryrun._internal.coordination import PeerError, PeerMessage
 from gooseberryrun._internal.coordination.serving import (
-    Caller,
     Context,
     Headers,
     InboundRequest,
     RequestMetadata,
     ResponseMetadata,
 )
+from gooseberryrun._internal.coordination.serving.where._query import NoCaller
 from gooseberryrun._internal.state.serving import (
     ClientLimits,
     Configuration,
@@ -33,10 +32,11 @@
     key_digest,
 )
 from prometheus_client import REGISTRY
-from result import Err, Ok, Result
+from result import Ok, Result
 
 from tests.lib.crossing_fleet import ENGINE, MODELS, PLAIN, ROUTES, CrossingFleet
 from tests.lib.fleet import CountingPeers
+from tests.lib.peer_messages import answer_requests
 
 CAP = UsageCap(UsageUnit.REQUESTS, 6.0, 6.0, 0)
 PUBLIC = "public"
@@ -98,7 +98,9 @@
         return Ok(_Response(request.request_id))
 
 
-class _Caller(Caller):
+class _Caller(NoCaller):
+    """Caller that keeps the status of the response."""
+
     def __init__(self) -> None:
         self.status = 0
 
@@ -108,28 +110,6 @@
     def start(self, status: int, headers: Headers) -> None:
         self.status = status
 
-    def send(self, data: bytes) -> None:
-        pass
-
-    def finish(self) -> None:
-        pass
-
-    def abort(self) -> None:
-        pass
-
-    def continue_after_disconnect(self) -> None:
-        pass
-
-
-class _Inbound:
-    def __init__(self, sender: str, message: PeerMessage) -> None:
-        self.sender = sender
-        self.message = message
-        self.replies: list[PeerMessage] = []
-
-    def reply(self, message: PeerMessage) -> None:
-        self.replies.append(message)
-
 
 class AccountFleet(CrossingFleet):
     """VMs of three failure domains whose configuration has accounts."""
@@ -166,17 +146,14 @@
     def _connect(self, sender: str, peers: CountingPeers) -> None:
         super()._connect(sender, peers)
 
-        def request_from(
-            vm: str, message: PeerMessage, deadline: float
-        ) -> Result[PeerMessage, PeerError]:
-            self.sent.append((sender, vm, message))
-            if self.cut & {sender, vm}:
-                return Err(PeerError(vm, "silent"))
-            inbound: Any = _Inbound(sender, message)
+        def is_linked(vm: str) -> bool:
+            return not self.cut & {sender, vm}
+
+        def handle(vm: str, inbound: Any) -> None:
+            self.sent.append((sender, vm, inbound.message))
             self.vms[vm].dispatch(inbound)
-            return Ok(inbound.replies[0])
 
-        peers.request_from = request_from  # type: ignore[method-assign]
+        answer_requests(peers, sender, is_linked, handle)
 
     def advance(self, seconds: float) -> None:
         """Let time pass; leases are renewed, and the configuration is confirmed."""
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -20,10 +20,13 @@
     DirectoryRecord,
     Member,
     Position,
+    Route,
+    RouteKind,
     Runner,
     StreamOrigin,
     Topic,
     View,
+    WeightedService,
 )
 from result import Err, Ok, Result
 
@@ -151,3 +154,19 @@
         Runner(f"i-{n}", "s", "h", 1, f"d{n % domains}", 64, False, 1, 0, ())
         for n in range(runners)
     ]
+
+
+def make_stream_route(priority: int, max_attempts: int, is_resumable: bool) -> Route:
+    """Return a route of streams to the service of the runners."""
+    return Route(
+        "r",
+        "h",
+        "/",
+        RouteKind.STREAM,
+        15.0,
+        1.0,
+        priority,
+        (WeightedService("s", 1.0),),
+        max_attempts,
+        is_resumable,
+    )
--- a/tests/lib/origins.py
+++ b/tests/lib/origins.py
@@ -18,29 +18,15 @@
 from gooseberryrun._internal.state.serving import (
     DirectoryRecord,
     Position,
-    Route,
-    RouteKind,
     Runner,
     Topic,
-    WeightedService,
 )
 
-from tests.lib.fleet import GroupStore, make_vm
+from tests.lib.fleet import GroupStore, make_stream_route, make_vm
 
 OLD = Runner("i-1", "s", "h", 1, "d0", 64, False, 1, 0, (), "v1")
 NEW = replace(OLD, id="i-2", software_version="v2")
-ROUTE = Route(
-    "r",
-    "h",
-    "/",
-    RouteKind.STREAM,
-    15.0,
-    1.0,
-    0,
-    (WeightedService("s", 1.0),),
-    2,
-    True,
-)
+ROUTE = make_stream_route(priority=0, max_attempts=2, is_resumable=True)
 WAIT_S = 15.0
 
 
--- a/tests/lib/usage_fleet.py
+++ b/tests/lib/usage_fleet.py
@@ -43,11 +43,8 @@
     DirectoryRecord,
     Member,
     Position,
-    Route,
-    RouteKind,
     Topic,
     View,
-    WeightedService,
 )
 from gooseberryrun._internal.state.serving.accounts import (
     ClientAccount,
@@ -56,7 +53,8 @@
 )
 from result import Err, Ok, Result
 
-from tests.lib.fleet import REFUSED, make_members
+from tests.lib.fleet import REFUSED, make_members, make_stream_route
+from tests.lib.peer_messages import Inbound
 
 TICK_S = 0.05
 RENEW_S = 0.7
@@ -67,18 +65,7 @@
 TOKENS = 2_400
 MAX_WAIT_S = 0.5
 """Longest wait of a request between its admission and its send."""
-ROUTE = Route(
-    "r",
-    "h",
-    "/",
-    RouteKind.STREAM,
-    15.0,
-    1.0,
-    1,
-    (WeightedService("s", 1.0),),
-    4,
-    False,
-)
+ROUTE = make_stream_route(priority=1, max_attempts=4, is_resumable=False)
 
 
 def make_account(
@@ -156,16 +143,6 @@
         return 0
 
 
-class _Inbound:
-    def __init__(self, sender: str, message: PeerMessage) -> None:
-        self.sender = sender
-        self.message = message
-        self.replies: list[PeerMessage] = []
-
-    def reply(self, message: PeerMessage) -> None:
-        self.replies.append(message)
-
-
 class FleetPeers(Peers):
     """Links of one VM to all others."""
 
@@ -190,7 +167,7 @@
         if receiver.is_frozen:
             receiver.receive(self._vm, message)
             return Err(PeerError(vm, "silent"))
-        inbound: Any = _Inbound(self._vm, message)
+        inbound: Any = Inbound(self._vm, message)
         receiver.allocators.handle_usage_request(inbound, message)
         if fleet.rng.random() < fleet.lost_answers:
             return Err(PeerError(vm, "lost"))
@@ -261,7 +238,7 @@
         elif isinstance(message, HandoverNotice):
             component.handle_handover_notice(sender, message)
         elif isinstance(message, UsageRequest):
-            late: Any = _Inbound(sender, message)
+            late: Any = Inbound(sender, message)
             self.allocators.handle_usage_request(late, message)
 
     def tick(self) -> None:
--- a/tests/unit/serving/test_plain_slots.py
+++ b/tests/unit/serving/test_plain_slots.py
@@ -7,7 +7,7 @@
 
 import eventlet
 import pytest
-from gooseberryrun._internal.coordination import PeerError, PeerMessage
+from gooseberryrun._internal.coordination import PeerMessage
 from gooseberryrun._internal.coordination._serving_messages import (
     SlotAnswer,
     SlotNotice,
@@ -31,7 +31,6 @@
 from gooseberryrun._internal.state.serving.accounts import ClientAccount
 from gooseberryrun._internal.state.serving.admission import SlotClaim, SlotSearch
 from gooseberryrun._internal.state.serving.admission._slot_queue import SlotQueue
-from result import Err, Ok, Result
 
 from tests.lib.fleet import (
     CountingPeers,
@@ -40,22 +39,12 @@
     make_runners,
     make_vm,
 )
+from tests.lib.peer_messages import answer_requests
 
 SLOTS = 6
 LIMIT = 8
 
 
-class _Inbound:
-    """Message of a peer, whose reply is kept."""
-
-    def __init__(self, sender: str) -> None:
-        self.sender = sender
-        self.replies: list[PeerMessage] = []
-
-    def reply(self, message: PeerMessage) -> None:
-        self.replies.append(message)
-
-
 class _Active:
     """What a slot needs of a request."""
 
@@ -98,28 +87,24 @@
             self._connect(member.vm, peers)
 
     def _connect(self, sender: str, peers: CountingPeers) -> None:
-        def request_from(
-            vm: str, message: PeerMessage, deadline: float
-        ) -> Result[PeerMessage, PeerError]:
+        def is_linked(vm: str) -> bool:
             self.messages += 1
-            if vm in self.unreachable or sender in self.unreachable:
-                return Err(PeerError(vm, "silent"))
+            return not self.unreachable & {vm, sender}
+
+        def handle(vm: str, inbound: Any) -> None:
             self.on_request(vm)
-            inbound: Any = _Inbound(sender)
-            assert isinstance(message, SlotRequest)
-            self.slots[vm].granter.handle_slot_request(inbound, message)
-            return Ok(inbound.replies[0])
+            assert isinstance(inbound.message, SlotRequest)
+            self.slots[vm].granter.handle_slot_request(inbound, inbound.message)
 
         def send_to(vm: str, message: PeerMessage) -> None:
-            self.messages += 1
-            if vm in self.unreachable or sender in self.unreachable:
+            if not is_linked(vm):
                 return
             if isinstance(message, SlotNotice):
                 self.slots[vm].handle_slot_notice(message)
             elif isinstance(message, SlotRelease):
                 self.slots[vm].granter.handle_slot_release(sender, message)
 
-        peers.request_from = request_from  # type: ignore[method-assign]
+        answer_requests(peers, sender, is_linked, handle)
         peers.send_to = send_to  # type: ignore[method-assign]
 
     def owner(self) -> str:
--- a/tests/unit/serving/test_turn_requests.py
+++ b/tests/unit/serving/test_turn_requests.py
@@ -5,13 +5,11 @@
 from typing import Any
 
 import pytest
-from gooseberryrun._internal.coordination import PeerError, PeerMessage
 from gooseberryrun._internal.coordination.serving import Context, StoreStatus
 from gooseberryrun._internal.coordination.serving._turns import Turns
 from gooseberryrun._internal.state import ManualClock
 from gooseberryrun._internal.state.serving import RateLimit, Runner, ServingPolicy
 from gooseberryrun._internal.state.serving._statements import STATEMENT_TTL_S
-from result import Err, Ok, Result
 
 from tests.lib.fleet import (
     CountingPeers,
@@ -20,22 +18,12 @@
     make_runners,
     make_vm,
 )
+from tests.lib.peer_messages import answer_requests
 
 RATE_PER_S = 1.5
 SPAN_S = 4.0
 
 
-class _Inbound:
-    """Message of a peer, whose reply is kept."""
-
-    def __init__(self, sender: str) -> None:
-        self.sender = sender
-        self.replies: list[PeerMessage] = []
-
-    def reply(self, message: PeerMessage) -> None:
-        self.replies.append(message)
-
-
 class _Active:
     """What a turn needs of a request."""
 
@@ -66,17 +54,13 @@
             self._connect(member.vm, peers)
 
     def _connect(self, sender: str, peers: CountingPeers) -> None:
-        def request_from(
-            vm: str, message: PeerMessage, deadline: float
-        ) -> Result[PeerMessage, PeerError]:
-            if vm in self.unreachable or sender in self.unreachable:
-                return Err(PeerError(vm, "silent"))
-            inbound: Any = _Inbound(sender)
-            request: Any = message
-            self.turns[vm].handle_turn_request(inbound, request)
-            return Ok(inbound.replies[0])
-
-        peers.request_from = request_from  # type: ignore[method-assign]
+        def handle(vm: str, inbound: Any) -> None:
+            self.turns[vm].handle_turn_request(inbound, inbound.message)
+
+        def is_linked(vm: str) -> bool:
+            return not self.unreachable & {vm, sender}
+
+        answer_requests(peers, sender, is_linked, handle)
 
     def tell(self, vm: str, per_s: float | None) -> None:
         """Let a VM receive a response of the runner."""
