Handle requests of a test fleet in a context of their own

Cause: the gateway binds the request's id to the log lines of its context. AccountFleet called it in the context of the test, so two tests of test_events.py that ran later in the same worker found that id in their lines (measured in a run of all unit tests).

Change: each request is handled in a copy of the context.

--- a/tests/lib/account_fleet.py
+++ b/tests/lib/account_fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from contextvars import copy_context
 from dataclasses import replace
 from typing import Any
 
@@ -172,7 +173,8 @@
     def handle(self, vm: str, request: InboundRequest) -> int:
         """Let a VM handle a request that was read; return the response's status."""
         caller = _Caller()
-        self.vms[vm].gateway.handle(request, caller)
+        # The request's id stays bound to the log lines of the context that handles it.
+        copy_context().run(self.vms[vm].gateway.handle, request, caller)
         return caller.status
 
     def inbound(
