Test that VMs agree on crash evidence after any history

Guards against further ways in which suspicions stay apart: 300 generated histories of crashes, answers, partitions, restarts, VMs that stand still, and lost messages, two traits that crash alone and together.

--- a/tests/unit/serving/test_crash_convergence.py
+++ b/tests/unit/serving/test_crash_convergence.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
+from gooseberryrun._internal.state.serving import Trait, TraitKind
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests.lib.evidence_fleet import PART, Fleet
 
@@ -209,3 +214,65 @@
     fleet.cut_off = set()
     fleet.gossip(2 * ROUNDS)
     assert fleet.counts() == {CRASHES - 1}
+
+
+OTHER = Trait(TraitKind.PART, "q")
+VMS = 6
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("crash"), st.integers(0, VMS - 1), st.integers(0, 7)),
+        st.tuples(st.just("answer"), st.integers(0, VMS - 1), st.integers(0, 2)),
+        st.tuples(st.just("cut"), st.integers(0, VMS - 1), st.integers(0, VMS - 1)),
+        st.tuples(st.just("hold"), st.integers(0, VMS - 1), st.just(0)),
+        st.tuples(st.just("release"), st.integers(0, VMS - 1), st.integers(0, 1)),
+        st.tuples(st.just("restart"), st.integers(0, VMS - 1), st.just(0)),
+        st.tuples(st.just("lose"), st.integers(0, 4), st.integers(0, 2)),
+        st.tuples(st.just("gossip"), st.just(0), st.just(0)),
+    ),
+    max_size=40,
+)
+TRAITS = [(PART,), (OTHER,), (PART, OTHER)]
+
+
+def take_step(fleet: Fleet, names: list[str], step: tuple[str, int, int]) -> None:
+    """Let one thing happen; a runner that crashed before crashes again as a new one."""
+    kind, number, other = step
+    fleet.clock.now += 0.7
+    if kind == "crash":
+        runner = fleet.runners[other]
+        fleet.runners[other] = replace(runner, born_ms=runner.born_ms + 1)
+        fleet.crash(names[number], other, fleet.clock.now, TRAITS[other % 3])
+    elif kind == "answer":
+        fleet.answer(names[number], fleet.clock.now, TRAITS[other])
+    elif kind == "cut":
+        fleet.cut_off = {names[number], names[other]}
+    elif kind == "hold":
+        fleet.held.setdefault(names[number], [])
+    elif kind == "release" and names[number] in fleet.held:
+        fleet.release(names[number], is_last_first=bool(other))
+    elif kind == "restart":
+        fleet.start(names[number])
+    elif kind == "lose":
+        fleet.lost_notices = number
+        fleet.lost_requests = fleet.lost_replies = other
+    elif kind == "gossip":
+        fleet.gossip()
+    fleet.deliver()
+
+
+@settings(max_examples=300)
+@given(steps)
+def test_vms_agree_after_any_history(history: list[tuple[str, int, int]]) -> None:
+    """Partitions, restarts, late and lost messages, in any order."""
+    fleet = Fleet(3, VMS)
+    names = list(fleet.guards)
+    for step in history:
+        take_step(fleet, names, step)
+    fleet.cut_off = set()
+    fleet.lost_notices = fleet.lost_requests = fleet.lost_replies = 0
+    for name in list(fleet.held):
+        fleet.release(name)
+    fleet.gossip(2 * ROUNDS)
+    assert len(fleet.counts(PART)) == 1
+    assert len(fleet.counts(OTHER)) == 1
+    assert len({fleet.evidence(name).digest() for name in names}) == 1
