Let a suspicion expire by the crashes that are blamed

A VM may have learned that a later crash is cleared, but not an earlier one. The suspicion for the earlier one then lasted until its time had passed since the later one, and so longer than at VMs that do not know the later crash.

The last blamed crash decides now. Membership among the blamed traits is updated in one place.

Evidence: test_cleared_crash_does_not_prolong_a_suspicion failed on the commit before. The second new test guards the expiry of a trait whose only blamed crash was dropped; it passed before as well.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_crash_evidence.py
@@ -58,10 +58,7 @@
 
     def record_crash(self, traits: Iterable[Trait], crash: Crash) -> list[Trait]:
         """Record a crash; return the traits for which it is new."""
-        fresh = [trait for trait in traits if self._add(trait, crash)]
-        if fresh:
-            self._digest = None
-        return fresh
+        return [trait for trait in traits if self._add(trait, crash)]
 
     def _add(self, trait: Trait, crash: Crash) -> bool:
         """Add a crash to those of a trait; return whether it is new."""
@@ -75,8 +72,7 @@
             self._remove_from_index(trait, dropped.key)
         if dropped is not crash:
             self._by_incarnation.setdefault(crash.key, set()).add(trait)
-        if record.blamed():
-            self._blamed.add(trait)
+        self._update_blamed(trait, record)
         return dropped is not crash
 
     def record_cleared(self, traits: Iterable[Trait], crash: Crash) -> list[Trait]:
@@ -97,9 +93,11 @@
         return changed
 
     def _update_blamed(self, trait: Trait, record: TraitRecord) -> None:
-        """Account for crashes of a trait that may no longer be blamed on it."""
+        """Account for changed crashes of a trait."""
         self._digest = None
-        if not record.blamed():
+        if record.blamed():
+            self._blamed.add(trait)
+        else:
             self._blamed.discard(trait)
 
     def hear_answer(self, traits: Iterable[Trait], at: float) -> list[Trait]:
@@ -289,7 +287,7 @@
         self._expire_at = now + EXPIRY_INTERVAL_S
         for trait in list(self._blamed):
             record = self._records[trait]
-            last = max(crash.at for crash in record.crashes.values())
+            last = record.blamed()[-1].at
             limits = self._limits(trait)
             refusal_s = limits.refusal_s(self.crash_count(trait))
             ttl_s = max(limits.suspicion_ttl_s, 2 * refusal_s)
--- a/tests/unit/serving/test_crash_evidence.py
+++ b/tests/unit/serving/test_crash_evidence.py
@@ -154,6 +154,26 @@
     assert not evidence.suspected()
 
 
+def test_cleared_crash_does_not_prolong_a_suspicion() -> None:
+    """A VM may learn that a later crash is cleared, but not an earlier one."""
+    evidence = make_evidence()
+    evidence.record_crash([DEADLY], crash(0, 10.0))
+    evidence.record_cleared([DEADLY], crash(1, 100.0))
+    late = 11.0 + SUSPICION_TTL_S
+    assert handling(evidence, [DEADLY], late) is Handling.FREE
+    assert not evidence.suspected()
+
+
+def test_expiry_finds_a_trait_whose_only_blamed_crash_was_dropped() -> None:
+    """Too many cleared crashes push the oldest one out, blamed or not."""
+    evidence = make_evidence()
+    evidence.record_crash([DEADLY], crash(0, 10.0))
+    for number in range(1, MAX_CRASHES + 1):
+        evidence.record_cleared([DEADLY], crash(number, 10.0 + number))
+    evidence.expire(30.0)
+    assert not evidence.suspected()
+
+
 def test_late_report_of_an_expired_crash_is_not_blamed_again() -> None:
     """A VM that has forgotten a crash would learn it anew from one that has not."""
     evidence = make_evidence()
