--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages/_directory_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages/_directory_messages.py
@@ -11,6 +11,7 @@
     Topic,
 )
 from gooseberryrun._internal.state.serving.crossing import PressureSummary
+from gooseberryrun._internal.state.serving.placement import RunnerWeight
 
 from .._message_base import Message
 from ._runner_messages import ResidencyNotice
@@ -58,6 +59,7 @@
     force, which a restored store may have lost. ``counted_vms`` is the largest number
     of VMs that the sender has known lately. ``pressure`` are recent summaries: of all
     failure domains to a VM of the own one, to others those of the own domain.
+    ``weights`` are a bounded number of weights of runners, the changed ones first.
     """
 
     vm: str
@@ -71,6 +73,7 @@
     configuration_version: int = 0
     counted_vms: int = 0
     pressure: list[PressureSummary] = []
+    weights: dict[str, RunnerWeight] = {}
 
 
 class DirectoryRequest(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
@@ -67,13 +67,21 @@
     """Waiting requests of one runner, its adapter slots and its prompts.
 
     ``suspected`` are adapters that the runner may have lost. ``max_pause_s`` is the
-    longest pause that the streams of the runner may make.
+    longest pause that the streams of the runner may make. ``known`` is what a previous
+    owner has told of the same incarnation of the runner.
     """
 
-    def __init__(self, max_adapters: int, policy: ServingPolicy) -> None:
+    def __init__(
+        self,
+        max_adapters: int,
+        policy: ServingPolicy,
+        known: PrefillLoad | None = None,
+    ) -> None:
         self._policy = policy
         self.slots = AdapterSlots(max_adapters)
-        self.prefills = PrefillAdmission()
+        self.prefills = PrefillAdmission(
+            known.pace if known else None, known.speed if known else None
+        )
         self.slot_waits = SlotWaitEstimator()
         self.suspected: set[str] = set()
         self.waiters: list[WaiterT] = []
@@ -183,6 +191,9 @@
         A long prompt that may not start yet holds back those behind it, so that it is
         not overtaken for ever by shorter ones.
         """
+        # Without this, a lapsed grant would keep its deadline, at which the owner looks
+        # for work, for as long as all waiting requests lack their adapters.
+        self.prefills.expire(now)
         ready = []
         is_held_back = False
         has_accounts = self._has_accounts()
