--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_errors.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_errors.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 from gooseberryrun._internal.state import RunOutcome
 
@@ -22,8 +23,7 @@
     LEASE_EXPIRED = "lease_lapsed"
 
 
-@dataclass(frozen=True, slots=True)
-class EngineError:
+class EngineError(msgspec.Struct, frozen=True):
     """Failed call to an engine; ``status`` is the HTTP status if there was one."""
 
     fault: EngineFault
@@ -31,39 +31,34 @@
     status: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceError:
+class ServiceError(msgspec.Struct, frozen=True):
     """Failed call to a service; ``sent`` if the server may have received any byte."""
 
     sent: bool
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class LogError:
+class LogError(msgspec.Struct, frozen=True):
     """Failed append or read; ``sent`` if an append may have taken effect."""
 
     sent: bool
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class PeerError:
+class PeerError(msgspec.Struct, frozen=True):
     """No reply from a peer before the deadline."""
 
     vm: str
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformError:
+class PlatformError(msgspec.Struct, frozen=True):
     """Failed call to the platform's VM list or store."""
 
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True):
     """Error response to a caller.
 
     ``outcome`` states whether the request may have run. ``code`` is stable, for
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_ports.py
@@ -4,9 +4,9 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
 from result import Result
 
 from gooseberryrun._internal.state import CacheEvent, FencingNumber, LogRecord, Vm
@@ -18,8 +18,7 @@
 """Check made just before a request is written to a socket; False stops it."""
 
 
-@dataclass(frozen=True, slots=True)
-class LogRead:
+class LogRead(msgspec.Struct, frozen=True):
     """Records from an offset on; ``first`` is the oldest retained offset.
 
     ``end`` is the offset that the next append will be given.
@@ -52,8 +51,7 @@
         """Return the VMs that the platform lists now."""
 
 
-@dataclass(frozen=True, slots=True)
-class EngineReport:
+class EngineReport(msgspec.Struct, frozen=True):
     """State that an engine reports.
 
     ``resident`` lists the loaded adapter versions and is current; ``running`` and
@@ -64,11 +62,10 @@
     resident: list[str]
     running: int
     leaving: bool
-    active: dict[str, int] = field(default_factory=dict)
+    active: dict[str, int] = msgspec.field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class EngineCall:
+class EngineCall(msgspec.Struct, frozen=True):
     """One completion for an engine.
 
     ``resume_at`` is the number of stream events that the caller has received already.
@@ -83,11 +80,10 @@
     deadline: float
     resume_at: int = 0
     prefix: str = ""
-    headers: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, str] = msgspec.field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class StreamBlock:
+class StreamBlock(msgspec.Struct, frozen=True):
     """Bytes of complete server-sent events; ``done`` if the end mark was among them."""
 
     data: bytes
@@ -150,8 +146,7 @@
         """Close the connections that carry orders to the engine."""
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceCall:
+class ServiceCall(msgspec.Struct, frozen=True):
     """One request to a service."""
 
     service: str
@@ -162,11 +157,10 @@
     deadline: float
     key: str = ""
     fencing: int | None = None
-    headers: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, str] = msgspec.field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceResponse:
+class ServiceResponse(msgspec.Struct, frozen=True):
     """Complete response of a service."""
 
     status: int
@@ -194,8 +188,7 @@
         """
 
 
-@dataclass(frozen=True, slots=True)
-class InboundMessage:
+class InboundMessage(msgspec.Struct, frozen=True):
     """Message from a peer; ``reply`` sends a reply and may be called once."""
 
     sender: str
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
 import xxhash
 
 from gooseberryrun._internal.state.serving import (
@@ -24,8 +25,7 @@
 from ._request_ports import Caller, InboundRequest, RequestMetadata
 
 
-@dataclass(slots=True)
-class ActiveRequest:
+class ActiveRequest(msgspec.Struct):
     """Request with its route and the attempts made so far.
 
     The final response is due at ``deadline``. ``may_have_run`` is set once a runner
@@ -53,13 +53,13 @@
     sends: int = 0
     may_have_run: bool = False
     is_logged: bool = False
-    tried: set[str] = field(default_factory=set)
+    tried: set[str] = msgspec.field(default_factory=set)
     missing_on: str = ""
-    unloadable: set[str] = field(default_factory=set)
-    ungranted: set[str] = field(default_factory=set)
+    unloadable: set[str] = msgspec.field(default_factory=set)
+    ungranted: set[str] = msgspec.field(default_factory=set)
     has_grant: bool = False
     permit: Permit | None = None
-    timing: StreamTiming = field(default_factory=StreamTiming)
+    timing: StreamTiming = msgspec.field(default_factory=StreamTiming)
     traits: tuple[Trait, ...] = ()
     verdict: Verdict | None = None
     is_begun: bool = False
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapter_orders.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapter_orders.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from gooseberryrun._internal.state.serving import (
     EXPECTED_LOAD_S,
@@ -23,8 +24,7 @@
 """Time before an unload order for the same adapter is repeated."""
 
 
-@dataclass(slots=True)
-class _PendingLoad:
+class _PendingLoad(msgspec.Struct):
     """Load in progress: when it was ordered and when to check it next."""
 
     ordered_at: float
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 
+import msgspec
 from result import Err, Ok, Result
 
 from gooseberryrun._internal.state.serving import (
@@ -42,8 +42,7 @@
 does not follow."""
 
 
-@dataclass(frozen=True, slots=True)
-class AdapterRequirement:
+class AdapterRequirement(msgspec.Struct, frozen=True):
     """Adapter, by its key, and the lowest version of it that a request needs.
 
     The first event is late after ``target_deadline``. ``prefill_tokens`` is the length
@@ -60,8 +59,7 @@
     account: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class SlotQueue:
+class SlotQueue(msgspec.Struct, frozen=True):
     """Idle slots of a runner, requests waiting for one, and the mean wait per slot."""
 
     idle: int
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from gooseberryrun._internal.state import (
     Clock,
     ServingSettings,
@@ -41,8 +43,7 @@
 """Age up to which a member's store status is used: two rounds of gossip."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoreStatus:
+class StoreStatus(msgspec.Struct, frozen=True):
     """Last reported status of a member: whether it reaches the store.
 
     The member has read the registry of runners up to ``registry_end``.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_control_port.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_control_port.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
 from result import Result
 
 from gooseberryrun._internal.state.serving import HeldModel, Runner
 
 
-@dataclass(frozen=True, slots=True)
-class RunnerReport:
+class RunnerReport(msgspec.Struct, frozen=True):
     """Self-reported state of a model runner, some hundred milliseconds old.
 
     ``loading`` maps each adapter being loaded, as ``model/adapter``, to its version.
@@ -37,8 +36,7 @@
     UNLOAD = "unload"
 
 
-@dataclass(frozen=True, slots=True)
-class RunnerOrder:
+class RunnerOrder(msgspec.Struct, frozen=True):
     """Order to a runner, guarded by a fencing token and the expected order count."""
 
     op: OrderOp
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
+import msgspec
 from result import Err
 
 from gooseberryrun._internal.state.serving import (
@@ -37,8 +36,7 @@
 """Retry delay sent after every server was full."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Answer:
+class _Answer(msgspec.Struct, frozen=True):
     """Complete response of a server that is still to be relayed."""
 
     response: RunnerResponse
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
 from result import Result
 
 from gooseberryrun._internal.state.serving import Runner, RunnerStatement
@@ -16,8 +17,7 @@
 """Characters of a request's id by which its stream is remembered."""
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True):
     """Part of a prompt that may be shared with other requests."""
 
     id: str
@@ -71,8 +71,7 @@
         return self.target.partition("?")[0]
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardingMetadata:
+class ForwardingMetadata(msgspec.Struct, frozen=True):
     """Metadata added to the caller's headers of a request to a runner.
 
     ``account`` is None where the configuration has no accounts: the caller's headers
@@ -88,8 +87,7 @@
     account: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseMetadata:
+class ResponseMetadata(msgspec.Struct, frozen=True):
     """Decoded headers of a runner's response.
 
     ``is_not_run`` means that the runner has not run the request and never will;
@@ -160,8 +158,7 @@
         """Let the request continue even if the caller disconnects."""
 
 
-@dataclass(frozen=True, slots=True)
-class EarlyRefusal:
+class EarlyRefusal(msgspec.Struct, frozen=True):
     """Response without a body to a request whose own body need not be read."""
 
     status: int
@@ -215,8 +212,7 @@
         return self in (AttemptFailure.NOT_SENT, AttemptFailure.WITHDRAWN)
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptFault:
+class AttemptFault(msgspec.Struct, frozen=True):
     """Failed attempt at a runner."""
 
     failure: AttemptFailure
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_store_port.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_store_port.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
 from result import Result
 
 from gooseberryrun._internal.state.serving import (
@@ -34,8 +34,7 @@
     MALFORMED = "malformed"
 
 
-@dataclass(frozen=True, slots=True)
-class StoreFault:
+class StoreFault(msgspec.Struct, frozen=True):
     """Failed call to the store.
 
     ``first`` is the first offset that the store has, if it has not those asked for.
@@ -46,16 +45,14 @@
     first: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Records:
+class Records(msgspec.Struct, frozen=True):
     """Records of a topic; ``end`` is the next position to read from."""
 
     records: list[DirectoryRecord]
     end: Position
 
 
-@dataclass(frozen=True, slots=True)
-class Origins:
+class Origins(msgspec.Struct, frozen=True):
     """Origins of streams; ``end`` is the next position to read from."""
 
     origins: list[StreamOrigin]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
+import msgspec
 from result import Err
 
 from gooseberryrun._internal.state.serving import Runner, StreamPace
@@ -22,15 +21,14 @@
 cuts a response off that stays unread for some seconds."""
 
 
-@dataclass(slots=True)
-class StreamProgress:
+class StreamProgress(msgspec.Struct):
     """Part of the stream that the caller has received.
 
     ``unread_s`` is the time for which nothing was read from the runner of the present
     attempt, since the caller did not read what had come before.
     """
 
-    events: EventBuffer = field(default_factory=EventBuffer)
+    events: EventBuffer = msgspec.field(default_factory=EventBuffer)
     is_started: bool = False
     unread_s: float = 0.0
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_waiting_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_waiting_requests.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
 from eventlet.event import Event
 from eventlet.timeout import Timeout
 from result import Err, Ok, Result
@@ -30,8 +31,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True):
     """Reason why an adapter is not made ready, and when to retry."""
 
     reason: str
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_authentication.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_authentication.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from gooseberryrun._internal.state.serving import Route, RouteTable
 from gooseberryrun._internal.state.serving.accounts import (
@@ -24,8 +24,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Authentication:
+class Authentication(msgspec.Struct, frozen=True):
     """Account of a request, or the refusal; ``outcome`` is None without accounts."""
 
     outcome: KeyOutcome | None = None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from gooseberryrun._internal.state.serving import UsageAllocation, usage_allocation
 from gooseberryrun._internal.state.serving.accounts import (
@@ -21,8 +22,7 @@
 NOT_ALLOCATOR = UsageAnswer(0.0, 0.0, False)
 
 
-@dataclass(slots=True)
-class _Allocator:
+class _Allocator(msgspec.Struct):
     """Bucket of an account in a domain, with what its allowance follows from.
 
     ``owned_since`` is that of the ownership, which tells acquisitions apart.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import msgspec
 
 from gooseberryrun._internal.state.serving import View, usage_allocation
 from gooseberryrun._internal.state.serving.accounts import (
@@ -40,8 +40,7 @@
 """Time after which what is known of an account without requests is dropped."""
 
 
-@dataclass(slots=True)
-class _Usage:
+class _Usage(msgspec.Struct):
     """What this VM knows of the usage of one account.
 
     ``ranking`` are the domains that have a part of the cap, in the account's order, and
@@ -50,16 +49,15 @@
 
     unit: UsageUnit
     credit: AccountCredit
-    demand: DemandMeter = field(default_factory=DemandMeter)
-    separated: SeparatedUsage = field(default_factory=SeparatedUsage)
-    refused_until: dict[str, float] = field(default_factory=dict)
+    demand: DemandMeter = msgspec.field(default_factory=DemandMeter)
+    separated: SeparatedUsage = msgspec.field(default_factory=SeparatedUsage)
+    refused_until: dict[str, float] = msgspec.field(default_factory=dict)
     divided: tuple[UsageCap, list[str]] | None = None
-    ranking: list[str] = field(default_factory=list)
+    ranking: list[str] = msgspec.field(default_factory=list)
     used_at: float = 0.0
 
 
-@dataclass(slots=True)
-class _Obtained:
+class _Obtained(msgspec.Struct):
     """Permit, or the reason and the retry delay of a refusal."""
 
     permit: UsagePermit | None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_crossing.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_crossing.py
@@ -4,7 +4,8 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from gooseberryrun._internal.state.serving import (
     READERS_PER_DOMAIN,
@@ -32,8 +33,7 @@
 from ._summaries import SummaryBuilder
 
 
-@dataclass(frozen=True, slots=True)
-class Departure:
+class Departure(msgspec.Struct, frozen=True):
     """Domain that a request was selected for, with the expected wait there.
 
     ``age_s`` is the age of the figures, ``share`` that of the requests which leave.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/settings_cli.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/settings_cli.py
@@ -29,5 +29,5 @@
         sys.exit(EXIT_BAD_SETTINGS)
     cfg = loaded.ok_value
     if print_settings:
-        click.echo(json.dumps(cfg.model_dump(mode="json"), indent=2))
+        click.echo(json.dumps(cfg.model_dump(), indent=2))
     return None if check or print_settings else cfg
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_names.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_names.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
 
+import msgspec
 from result import Err, Ok, Result
 
 MAX_NAME_LENGTH = 128
 """Longest adapter or version name accepted, in characters."""
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class FencingNumber:
+class FencingNumber(msgspec.Struct, frozen=True, order=True):
     """Fencing token: a totally ordered number that engines compare between orders.
 
     ``offset`` is the log offset of the ownership record. ``takeovers`` and ``rank``
@@ -27,8 +26,7 @@
         return f"{self.offset}.{self.takeovers}.{self.rank}"
 
 
-@dataclass(frozen=True, slots=True)
-class ModelName:
+class ModelName(msgspec.Struct, frozen=True):
     """Immutable name of one version of one adapter, ``adapter@version``."""
 
     adapter: str
@@ -63,8 +61,7 @@
     LEAVING = "leaving"
 
 
-@dataclass(frozen=True, slots=True)
-class Vm:
+class Vm(msgspec.Struct, frozen=True):
     """One VM of the platform's VM list.
 
     ``port`` is the HTTP port, ``peer_port`` the gRPC port of an entry VM.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_prefixes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_prefixes.py
@@ -4,14 +4,14 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 MAX_PREFIXES = 4096
 """Prefixes that one table holds; the oldest are removed first."""
 
 
-@dataclass(frozen=True, slots=True)
-class CacheEvent:
+class CacheEvent(msgspec.Struct, frozen=True):
     """Change of an engine's prefix cache; sequence numbers may have gaps.
 
     ``cached`` is whether the prefix was added or evicted.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_records.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_records.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -21,8 +20,7 @@
 STREAMS = (CONFIG_STREAM, OWNERS_STREAM, WORK_STREAM)
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigOp:
+class ConfigOp(msgspec.Struct, frozen=True):
     """One operation of a configuration change.
 
     ``op`` is ``put`` or ``remove``; ``table`` is ``adapters``, ``rules``,
@@ -32,11 +30,10 @@
     op: str
     table: str
     key: str
-    value: dict[str, Any] = field(default_factory=dict)
+    value: dict[str, Any] = msgspec.field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigChange:
+class ConfigChange(msgspec.Struct, frozen=True):
     """Configuration change, rejected if ``expected`` is set and not the revision."""
 
     change_id: str
@@ -45,8 +42,7 @@
     expected: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigSnapshot:
+class ConfigSnapshot(msgspec.Struct, frozen=True):
     """Complete configuration as of offset ``base``.
 
     It is written before the records that it replaces expire.
@@ -57,8 +53,7 @@
     tables: dict[str, dict[str, dict[str, Any]]]
 
 
-@dataclass(frozen=True, slots=True)
-class OwnerClaim:
+class OwnerClaim(msgspec.Struct, frozen=True):
     """Claim of runners by an entry VM; its log offset becomes the fencing number."""
 
     vm: str
@@ -67,8 +62,7 @@
     runners: list[str]
 
 
-@dataclass(frozen=True, slots=True)
-class Intent:
+class Intent(msgspec.Struct, frozen=True):
     """Declares that ``holder`` will dispatch a request, at most once.
 
     ``takes_over`` is the offset of the intent of a failed holder that this one
@@ -85,8 +79,7 @@
     takes_over: int = NO_OFFSET
 
 
-@dataclass(frozen=True, slots=True)
-class Outcome:
+class Outcome(msgspec.Struct, frozen=True):
     """Result of the intent at offset ``intent``.
 
     ``outcome`` is ``ran``, ``not_run`` or ``unknown``.
@@ -101,8 +94,7 @@
     by: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class KeyRefresh:
+class KeyRefresh(msgspec.Struct, frozen=True):
     """Ledger entry that is appended again before its own records expire."""
 
     key: str
@@ -119,8 +111,7 @@
     content_type: str
 
 
-@dataclass(frozen=True, slots=True)
-class JobAccepted:
+class JobAccepted(msgspec.Struct, frozen=True):
     """Accepted background job; the first record of an id wins."""
 
     job_id: str
@@ -133,8 +124,7 @@
     deadline_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class JobDone:
+class JobDone(msgspec.Struct, frozen=True):
     """Result of a background job; the first record of an id wins."""
 
     job_id: str
@@ -144,8 +134,7 @@
     at: float
 
 
-@dataclass(frozen=True, slots=True)
-class CrashReport:
+class CrashReport(msgspec.Struct, frozen=True):
     """Fingerprints of the requests in flight on a runner when it crashed."""
 
     runner: str
@@ -154,8 +143,7 @@
     at: float
 
 
-@dataclass(frozen=True, slots=True)
-class CrashCleared:
+class CrashCleared(msgspec.Struct, frozen=True):
     """Fingerprints that a response has cleared of the crashes before it."""
 
     fingerprints: list[str]
@@ -190,8 +178,7 @@
 _KIND_BY_TYPE = {cls: kind for kind, cls in _TYPE_BY_KIND.items()}
 
 
-@dataclass(frozen=True, slots=True)
-class LogRecord:
+class LogRecord(msgspec.Struct, frozen=True):
     """Record read from a stream; ``writer`` and ``seq`` identify its append."""
 
     offset: int
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -2,70 +2,73 @@
 
 from __future__ import annotations
 
-from pydantic import Field
+from typing import Annotated
 
-from ._settings import NodeSettings, Section
+from msgspec import Meta
 
+from ._sections import Section
+from ._settings import NodeSettings
 
-class EntrySettings(Section):
+
+class EntrySettings(Section, frozen=True, kw_only=True):
     """Listening addresses for callers, readiness probes and metrics."""
 
     callers: str
     readiness: str
-    metrics_port: int = Field(ge=1, le=65535)
-    max_connections: int = Field(default=3000, ge=1)
+    metrics_port: Annotated[int, Meta(ge=1, le=65535)]
+    max_connections: Annotated[int, Meta(ge=1)] = 3000
 
 
-class StoreSettings(Section):
+class StoreSettings(Section, frozen=True, kw_only=True):
     """The platform's store."""
 
     address: str
-    timeout_s: float = Field(default=1.0, gt=0)
-    poll_wait_s: float = Field(default=5.0, gt=0)
-    parts: int = Field(default=16, ge=1)
+    timeout_s: Annotated[float, Meta(gt=0)] = 1.0
+    poll_wait_s: Annotated[float, Meta(gt=0)] = 5.0
+    parts: Annotated[int, Meta(ge=1)] = 16
     """Partitions of each of the store's topics."""
 
 
-class MembershipSettings(Section):
+class MembershipSettings(Section, frozen=True, kw_only=True):
     """Membership of the group of entry VMs and the lease on owned runners."""
 
-    lease_s: float = Field(default=4.0, gt=0)
-    renew_interval_s: float = Field(default=0.7, gt=0)
-    margin_s: float = Field(default=0.5, ge=0)
-    outside_s: float = Field(default=10.0, gt=0)
+    lease_s: Annotated[float, Meta(gt=0)] = 4.0
+    renew_interval_s: Annotated[float, Meta(gt=0)] = 0.7
+    margin_s: Annotated[float, Meta(ge=0)] = 0.5
+    outside_s: Annotated[float, Meta(gt=0)] = 10.0
     """Time before members of other failure domains take over a runner without an owner;
     an owner in the runner's domain may continue for that long without the store."""
-    turn_ms: int = Field(default=3000, ge=0)
+    turn_ms: Annotated[int, Meta(ge=0)] = 3000
     """Delay before a VM may reacquire a runner that it released."""
-    max_members: int = Field(default=96, ge=1)
+    max_members: Annotated[int, Meta(ge=1)] = 96
     """Largest number of entry VMs in the group of a failure domain."""
     domains: list[str] = []
     """Failure domains to know of; those with runners are found without this list."""
 
 
-class RetrySettings(Section):
+class RetrySettings(Section, frozen=True, kw_only=True):
     """Retry budget over all entry VMs."""
 
-    ratio: float = Field(default=0.2, ge=0)
-    slack: float = Field(default=50.0, ge=0)
-    window_s: float = Field(default=10.0, gt=0)
+    ratio: Annotated[float, Meta(ge=0)] = 0.2
+    slack: Annotated[float, Meta(ge=0)] = 50.0
+    window_s: Annotated[float, Meta(gt=0)] = 10.0
 
 
-class CrossingSettings(Section):
+class CrossingSettings(Section, frozen=True, kw_only=True):
     """Requests that go to another failure domain because the own one is too full.
 
     Where it is off, a constant price decides between the own domain and others.
     """
 
     is_enabled: bool = False
-    byte_cost_s: float = Field(default=7e-6, ge=0, le=1e-3)
+    byte_cost_s: Annotated[float, Meta(ge=0, le=1e-3)] = 7e-6
     """Wait in seconds that is accepted to save a byte between failure domains; with
     the usual 4,000 bytes of a request and its response, 0.03 s for a crossing."""
-    max_share: float = Field(default=0.6, ge=0, le=1)
+    max_share: Annotated[float, Meta(ge=0, le=1)] = 0.6
     """Largest share of a service's requests that go to all other domains together."""
 
 
-class AdmissionSettings(Section):
+class AdmissionSettings(Section, frozen=True, kw_only=True):
     """Fair admission where requests queue."""
 
     plain_slots: bool = False
@@ -76,25 +79,25 @@
     runners that crash beyond it instead of preempting requests."""
 
 
-class UsageSettings(Section):
+class UsageSettings(Section, frozen=True, kw_only=True):
     """Bound on the usage of a client account over all entry VMs.
 
     In each window of ``window_s`` it is ``(1 + overage)`` times what the account's cap
     allows, plus ``slack`` tokens for a cap that counts tokens.
     """
 
-    window_s: float = Field(default=8.0, gt=0)
-    overage: float = Field(default=0.1, ge=0)
-    slack: float = Field(default=17_000.0, ge=0)
+    window_s: Annotated[float, Meta(gt=0)] = 8.0
+    overage: Annotated[float, Meta(ge=0)] = 0.1
+    slack: Annotated[float, Meta(ge=0)] = 17_000.0
 
 
-class GracefulStopSettings(Section):
+class GracefulStopSettings(Section, frozen=True, kw_only=True):
     """Graceful shutdown."""
 
-    grace_s: float = Field(default=8.0, gt=0)
+    grace_s: Annotated[float, Meta(gt=0)] = 8.0
 
 
-class ServingSettings(NodeSettings):
+class ServingSettings(NodeSettings, frozen=True, kw_only=True):
     """Every setting of an entry VM in platform mode."""
 
     entry: EntrySettings
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_settings.py
@@ -4,105 +4,94 @@
 
 import tomllib
 from pathlib import Path
-from typing import Literal, TypeVar
-
-from pydantic import (
-    BaseModel,
-    ConfigDict,
-    Field,
-    IPvAnyAddress,
-    SecretStr,
-    ValidationError,
-)
-from result import Err, Ok, Result
-
-SettingsT = TypeVar("SettingsT", bound="NodeSettings")
+from typing import Annotated, Literal, TypeVar
 
+from msgspec import Meta
+from result import Err, Ok, Result
 
-class Section(BaseModel):
-    """Base class of the settings sections; unknown keys are errors."""
+from ._sections import IpAddress, Secret, Section, SettingsError
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+SettingsT = TypeVar("SettingsT", bound="NodeSettings")
 
 
-class VmSettings(Section):
+class VmSettings(Section, frozen=True, kw_only=True):
     """Identity of this entry VM."""
 
-    id: str = Field(min_length=1, max_length=64)
-    domain: str = Field(min_length=1, max_length=64)
-    address: IPvAnyAddress
+    id: Annotated[str, Meta(min_length=1, max_length=64)]
+    domain: Annotated[str, Meta(min_length=1, max_length=64)]
+    address: IpAddress
 
 
-class HttpSettings(Section):
+class HttpSettings(Section, frozen=True, kw_only=True):
     """HTTP interface for callers and operators."""
 
-    port: int = Field(default=8080, ge=1, le=65535)
-    max_body_bytes: int = Field(default=1 << 20, ge=1024)
-    read_timeout_s: float = Field(default=10.0, gt=0)
-    max_connections: int = Field(default=2000, ge=1)
+    port: Annotated[int, Meta(ge=1, le=65535)] = 8080
+    max_body_bytes: Annotated[int, Meta(ge=1024)] = 1 << 20
+    read_timeout_s: Annotated[float, Meta(gt=0)] = 10.0
+    max_connections: Annotated[int, Meta(ge=1)] = 2000
     log_requests: bool = True
 
 
-class PeerSettings(Section):
+class PeerSettings(Section, frozen=True, kw_only=True):
     """gRPC streams between entry VMs and failure detection of peers."""
 
-    port: int = Field(default=7000, ge=1, le=65535)
-    secret: SecretStr
-    heartbeat_interval_s: float = Field(default=1.0, gt=0)
-    dead_after_s: float = Field(default=2.5, gt=0)
-    connect_timeout_s: float = Field(default=1.0, gt=0)
-    gossip_fanout: int = Field(default=2, ge=0)
+    port: Annotated[int, Meta(ge=1, le=65535)] = 7000
+    secret: Secret
+    heartbeat_interval_s: Annotated[float, Meta(gt=0)] = 1.0
+    dead_after_s: Annotated[float, Meta(gt=0)] = 2.5
+    connect_timeout_s: Annotated[float, Meta(gt=0)] = 1.0
+    gossip_fanout: Annotated[int, Meta(ge=0)] = 2
 
 
-class PlatformSettings(Section):
+class PlatformSettings(Section, frozen=True, kw_only=True):
     """Addresses of the platform's services."""
 
     log_url: str
     store_url: str
     vm_list_url: str
-    vm_list_interval_s: float = Field(default=1.0, gt=0)
-    timeout_s: float = Field(default=2.0, gt=0)
+    vm_list_interval_s: Annotated[float, Meta(gt=0)] = 1.0
+    timeout_s: Annotated[float, Meta(gt=0)] = 2.0
 
 
-class LogSettings(Section):
+class LogSettings(Section, frozen=True, kw_only=True):
     """Reading and writing of the append-only log."""
 
-    append_interval_s: float = Field(default=0.02, ge=0)
-    max_batch: int = Field(default=256, ge=1)
-    poll_wait_s: float = Field(default=2.0, gt=0)
-    retry_interval_s: float = Field(default=0.2, gt=0)
-    retention_s: float = Field(default=3600.0, gt=0)
-    catch_up_interval_s: float = Field(default=1.0, gt=0)
+    append_interval_s: Annotated[float, Meta(ge=0)] = 0.02
+    max_batch: Annotated[int, Meta(ge=1)] = 256
+    poll_wait_s: Annotated[float, Meta(gt=0)] = 2.0
+    retry_interval_s: Annotated[float, Meta(gt=0)] = 0.2
+    retention_s: Annotated[float, Meta(gt=0)] = 3600.0
+    catch_up_interval_s: Annotated[float, Meta(gt=0)] = 1.0
 
 
-class LeaseSettings(Section):
+class LeaseSettings(Section, frozen=True, kw_only=True):
     """Leases on the ownership of runners, and grants to use them."""
 
-    duration_s: float = Field(default=3.0, gt=0)
-    margin_s: float = Field(default=0.3, ge=0)
-    grant_s: float = Field(default=15.0, gt=0)
+    duration_s: Annotated[float, Meta(gt=0)] = 3.0
+    margin_s: Annotated[float, Meta(ge=0)] = 0.3
+    grant_s: Annotated[float, Meta(gt=0)] = 15.0
 
 
-class LimitSettings(Section):
+class LimitSettings(Section, frozen=True, kw_only=True):
     """Deadlines, queues and retry budgets of requests."""
 
-    request_timeout_s: float = Field(default=60.0, gt=0)
-    grant_wait_s: float = Field(default=30.0, gt=0)
-    queue_per_runner: int = Field(default=512, ge=1)
-    max_attempts: int = Field(default=4, ge=1)
-    retry_budget_ratio: float = Field(default=0.2, ge=0)
-    retry_budget_floor: int = Field(default=10, ge=0)
-    service_timeout_s: float = Field(default=5.0, gt=0)
-    dispatch_window_s: float = Field(default=3.0, gt=0)
-    outcome_wait_s: float = Field(default=10.0, gt=0)
-    engine_stall_s: float = Field(default=10.0, gt=0)
-    suspect_ttl_s: float = Field(default=600.0, gt=0)
-    crashes_to_refuse: int = Field(default=2, ge=1)
-    key_ttl_s: float = Field(default=86400.0, gt=0)
-    concurrent_jobs: int = Field(default=128, ge=1)
-
-
-class PolicySettings(Section):
+    request_timeout_s: Annotated[float, Meta(gt=0)] = 60.0
+    grant_wait_s: Annotated[float, Meta(gt=0)] = 30.0
+    queue_per_runner: Annotated[int, Meta(ge=1)] = 512
+    max_attempts: Annotated[int, Meta(ge=1)] = 4
+    retry_budget_ratio: Annotated[float, Meta(ge=0)] = 0.2
+    retry_budget_floor: Annotated[int, Meta(ge=0)] = 10
+    service_timeout_s: Annotated[float, Meta(gt=0)] = 5.0
+    dispatch_window_s: Annotated[float, Meta(gt=0)] = 3.0
+    outcome_wait_s: Annotated[float, Meta(gt=0)] = 10.0
+    engine_stall_s: Annotated[float, Meta(gt=0)] = 10.0
+    suspect_ttl_s: Annotated[float, Meta(gt=0)] = 600.0
+    crashes_to_refuse: Annotated[int, Meta(ge=1)] = 2
+    key_ttl_s: Annotated[float, Meta(gt=0)] = 86400.0
+    concurrent_jobs: Annotated[int, Meta(ge=1)] = 128
+
+
+class PolicySettings(Section, frozen=True, kw_only=True):
     """Scheduling policy of adapter loads and batches.
 
     ``load_stall_weight`` and ``batch_efficiency_weight`` are the only settings in which
@@ -110,45 +99,45 @@
     """
 
     name: Literal["weighted", "fifo-lru"] = "weighted"
-    load_stall_weight: float = Field(default=1.0, ge=0)
-    batch_efficiency_weight: float = Field(default=1.0, ge=0)
-    demand_half_life_s: float = Field(default=120.0, gt=0)
-    quick_overcommit: float = Field(default=0.25, ge=0, le=1)
-    starvation_s: float = Field(default=60.0, gt=0)
-    prefix_bonus: float = Field(default=2.0, ge=0)
-    store_loads_per_s: float = Field(default=2.0, gt=0)
-    store_in_flight: int = Field(default=8, ge=1)
-    load_timeout_s: float = Field(default=10.0, gt=0)
-
-
-class OperatorSettings(Section):
+    load_stall_weight: Annotated[float, Meta(ge=0)] = 1.0
+    batch_efficiency_weight: Annotated[float, Meta(ge=0)] = 1.0
+    demand_half_life_s: Annotated[float, Meta(gt=0)] = 120.0
+    quick_overcommit: Annotated[float, Meta(ge=0, le=1)] = 0.25
+    starvation_s: Annotated[float, Meta(gt=0)] = 60.0
+    prefix_bonus: Annotated[float, Meta(ge=0)] = 2.0
+    store_loads_per_s: Annotated[float, Meta(gt=0)] = 2.0
+    store_in_flight: Annotated[int, Meta(ge=1)] = 8
+    load_timeout_s: Annotated[float, Meta(gt=0)] = 10.0
+
+
+class OperatorSettings(Section, frozen=True, kw_only=True):
     """Authentication of operators."""
 
-    token: SecretStr
+    token: Secret
 
 
-class TraceSettings(Section):
+class TraceSettings(Section, frozen=True, kw_only=True):
     """File for finished spans; an empty path disables tracing."""
 
     path: str = ""
 
 
-class StopSettings(Section):
+class StopSettings(Section, frozen=True, kw_only=True):
     """Graceful shutdown."""
 
-    deadline_s: float = Field(default=60.0, gt=0)
-    balancer_removal_s: float = Field(default=2.6, ge=0)
+    deadline_s: Annotated[float, Meta(gt=0)] = 60.0
+    balancer_removal_s: Annotated[float, Meta(ge=0)] = 2.6
     """Time by which the load balancer sends no requests to a VM that is not ready."""
 
 
-class NodeSettings(Section):
+class NodeSettings(Section, frozen=True, kw_only=True):
     """Settings common to both modes: the VM itself and its peers."""
 
     vm: VmSettings
     peer: PeerSettings
 
 
-class Settings(NodeSettings):
+class Settings(NodeSettings, frozen=True, kw_only=True):
     """All settings of an entry VM in standalone mode."""
 
     platform: PlatformSettings
@@ -182,14 +171,5 @@
         return Err([f"{path}: not valid TOML: {exc}"])
     try:
         return Ok(model.model_validate(raw))
-    except ValidationError as exc:
-        return Err([_describe_error(error) for error in exc.errors()])
-
-
-def _describe_error(error: object) -> str:
-    if not isinstance(error, dict):
-        return str(error)
-    key = ".".join(str(part) for part in error["loc"])
-    if error["type"] == "extra_forbidden":
-        return f"{key}: unknown setting"
-    return f"{key}: {error['msg']}"
+    except SettingsError as exc:
+        return Err(exc.errors)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_adapter_slots.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_adapter_slots.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 DEMAND_HALF_LIFE_S = 20.0
 """Half-life of an adapter's demand score."""
 DEFAULT_SLOT_WAIT_S = 0.17
@@ -38,24 +39,21 @@
     EVICT = "evict"
 
 
-@dataclass(frozen=True, slots=True)
-class Plan:
+class Plan(msgspec.Struct, frozen=True):
     """Next step; ``victim`` is the key of the adapter to evict."""
 
     step: Step
     victim: str = ""
 
 
-@dataclass(slots=True)
-class _Demand:
+class _Demand(msgspec.Struct):
     """Decayed number of requests as of the time ``at``."""
 
     score: float
     at: float
 
 
-@dataclass(slots=True)
-class AdapterSlots:
+class AdapterSlots(msgspec.Struct):
     """Slots of one runner: its adapters by ``model/adapter`` key, with versions.
 
     ``held`` are the loaded adapters and ``loading`` those being loaded. ``unloading``
@@ -64,12 +62,14 @@
     """
 
     limit: int
-    held: dict[str, int] = field(default_factory=dict)
-    loading: dict[str, int] = field(default_factory=dict)
-    unloading: dict[str, float] = field(default_factory=dict)
-    _reserved: dict[str, float] = field(default_factory=dict)
-    _uses: dict[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
-    _demand: dict[str, _Demand] = field(default_factory=dict)
+    held: dict[str, int] = msgspec.field(default_factory=dict)
+    loading: dict[str, int] = msgspec.field(default_factory=dict)
+    unloading: dict[str, float] = msgspec.field(default_factory=dict)
+    _reserved: dict[str, float] = msgspec.field(default_factory=dict)
+    _uses: dict[tuple[str, str], tuple[int, float]] = msgspec.field(
+        default_factory=dict
+    )
+    _demand: dict[str, _Demand] = msgspec.field(default_factory=dict)
 
     def record_use(self, vm: str, adapter: str, count: int, now: float) -> None:
         """Record how many requests of a VM use an adapter."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_adopted_views.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_adopted_views.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from ._views import Assignable, Member, View
 
@@ -11,8 +12,7 @@
 """Adopted views that are kept; successive views with the same members count as one."""
 
 
-@dataclass(frozen=True, slots=True)
-class _AdoptedView:
+class _AdoptedView(msgspec.Struct, frozen=True):
     """View with the time of its adoption.
 
     ``first_generation`` is the generation of the first in a run of views with the same
@@ -26,8 +26,7 @@
     is_predecessor: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Assignment:
+class Assignment(msgspec.Struct, frozen=True):
     """Time and generation from which on a runner is assigned to this VM."""
 
     since: float
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_budget.py
@@ -12,7 +12,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+
+import msgspec
 
 from .._serving_settings import RetrySettings
 
@@ -26,8 +27,7 @@
 """
 
 
-@dataclass(frozen=True, slots=True)
-class RetryAllowance:
+class RetryAllowance(msgspec.Struct, frozen=True):
     """What a VM may spend on retries of a service, and what the figure is based on.
 
     ``spent`` retries and ``requests`` are those of the window that ends now, ``vms``
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_handovers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_handovers.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 HANDOVER_TTL_S = 3.0
 """Age up to which a handover is valid: less than the wait of an owner without one."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Handover:
+class _Handover(msgspec.Struct, frozen=True):
     """Ownership of a runner as released by its owner at a view's generation."""
 
     generation: int
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_leaving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_leaving.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from ._epochs import Position
 from ._runners import Runner
 
@@ -19,16 +20,14 @@
 much longer than a runner that ended takes to be removed again."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Removal:
+class _Removal(msgspec.Struct, frozen=True):
     """Removal of an incarnation, at a position of the registry."""
 
     born_ms: int
     position: Position
 
 
-@dataclass(frozen=True, slots=True)
-class _Doubt:
+class _Doubt(msgspec.Struct, frozen=True):
     """Incarnation whose entry may be a copy of one that was removed."""
 
     born_ms: int
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_loads.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -38,8 +37,7 @@
     held_tokens: int = 0
 
 
-@dataclass(slots=True)
-class _OwnLoad:
+class _OwnLoad(msgspec.Struct):
     """Requests of this VM at one runner; ``results`` are times and successes.
 
     ``ok`` counts the successes: every request reads it for many runners.
@@ -47,15 +45,14 @@
 
     in_flight: int = 0
     unread_tokens: int = 0
-    results: deque[tuple[float, bool]] = field(default_factory=deque)
+    results: deque[tuple[float, bool]] = msgspec.field(default_factory=deque)
     ok: int = 0
     slowness: float = 1.0
     slowness_at: float = 0.0
     held_tokens: int = 0
 
 
-@dataclass(slots=True)
-class _PeerSum:
+class _PeerSum(msgspec.Struct):
     """Sum of the peers' load figures of one runner."""
 
     in_flight: int = 0
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_outage_reports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_outage_reports.py
@@ -18,7 +18,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 REPORT_TTL_S = 1.9
 """Time after a question for which its answer extends a lease."""
@@ -28,8 +29,7 @@
 """Time after a lease within which the store removes the member from the group."""
 
 
-@dataclass(frozen=True, slots=True)
-class OutageReport:
+class OutageReport(msgspec.Struct, frozen=True):
     """Answer to the question of ``asked_at``; ``deadline`` is its end of validity.
 
     A peer that reaches the store vouches for nothing: its deadline is minus infinity.
@@ -39,8 +39,7 @@
     deadline: float
 
 
-@dataclass(frozen=True, slots=True)
-class Departure:
+class Departure(msgspec.Struct, frozen=True):
     """Last report of a process that cannot reach the store and is about to exit.
 
     Its membership was last renewed at ``renewed_at`` or earlier; ``left_at`` is when
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_owned_tokens.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_owned_tokens.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class _Owned:
+class _Owned(msgspec.Struct, frozen=True):
     """Fencing token, and the ``boottime`` since which no other VM was the owner."""
 
     token: int
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_pauses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_pauses.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from ._runners import Runner
 
@@ -20,8 +20,7 @@
 """Time for which no other request follows the one that tries a runner."""
 
 
-@dataclass(slots=True)
-class _Pause:
+class _Pause(msgspec.Struct):
     """Pause of one incarnation of a runner, and of the others during a trial."""
 
     born_ms: int
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_routes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_routes.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 from .._hashing import hash_score
 from .accounts import AccountTable, ClientAccount
 
@@ -20,16 +21,14 @@
     """Responses are server-sent events; requests run at most once unless resumable."""
 
 
-@dataclass(frozen=True, slots=True)
-class WeightedService:
+class WeightedService(msgspec.Struct, frozen=True):
     """Service that gets a weighted share of a route's requests."""
 
     service: str
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Rule that maps a host and a path prefix to services.
 
     Times are in seconds; ``priority`` 0 is the highest. A stream with a pause of more
@@ -68,8 +67,7 @@
         return self.services[-1].service
 
 
-@dataclass(frozen=True, slots=True)
-class ModelSpec:
+class ModelSpec(msgspec.Struct, frozen=True):
     """Model that runners of a service can hold; sizes in MB."""
 
     name: str
@@ -77,8 +75,7 @@
     adapters: int
 
 
-@dataclass(frozen=True, slots=True)
-class EngineSpec:
+class EngineSpec(msgspec.Struct, frozen=True):
     """Models and limits of a service's model runners; memory in MB."""
 
     models: tuple[ModelSpec, ...]
@@ -91,8 +88,7 @@
         return next((model for model in self.models if model.name == name), None)
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(msgspec.Struct, frozen=True):
     """Group of backend servers that run the same software."""
 
     name: str
@@ -100,8 +96,7 @@
     engine: EngineSpec | None
 
 
-@dataclass(frozen=True, slots=True)
-class ClientLimits:
+class ClientLimits(msgspec.Struct, frozen=True):
     """Limits on the size of client requests and on the time to send them."""
 
     max_header_bytes: int = 16384
@@ -110,8 +105,7 @@
     idle_timeout_s: float = 15.0
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True):
     """One version of the operators' configuration, applied atomically.
 
     Where ``accounts`` is None, requests need no API key.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runners.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass
 
+import msgspec
 
-@dataclass(frozen=True, slots=True)
-class HeldModel:
+
+class HeldModel(msgspec.Struct, frozen=True):
     """Model loaded by a runner, with the versions of its loaded adapters by name."""
 
     name: str
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_software.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_software.py
@@ -9,7 +9,6 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -98,8 +97,7 @@
         return len(self.lately(service, now)) > 1
 
 
-@dataclass(frozen=True, slots=True)
-class _KeptOrigin:
+class _KeptOrigin(msgspec.Struct, frozen=True):
     """Origin of a stream, and the time up to which its caller may take it up."""
 
     origin: StreamOrigin
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_statements.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_statements.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import msgspec
 
 from ._runners import Runner
@@ -20,8 +18,7 @@
 """Statements in one message, the newest ones."""
 
 
-@dataclass(frozen=True, slots=True)
-class RunnerStatement:
+class RunnerStatement(msgspec.Struct, frozen=True):
     """What a runner says of itself in one response.
 
     ``limit_per_s`` is the rate of requests that it takes from all VMs together, None if
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_stream_timing.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_stream_timing.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(slots=True)
-class StreamTiming:
+class StreamTiming(msgspec.Struct):
     """First event and longest pause of one stream; times are monotonic seconds."""
 
     first_at: float | None = None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_turns.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_turns.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import msgspec
 
 MIN_RATE_PER_S = 0.1
@@ -30,8 +28,7 @@
     wait_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Permit:
+class Permit(msgspec.Struct, frozen=True):
     """Turn that a request has at a runner, on a clock that counts suspensions."""
 
     runner: str
@@ -47,8 +44,7 @@
     return 1.0 / max(rate_per_s, MIN_RATE_PER_S)
 
 
-@dataclass(slots=True)
-class _Schedule:
+class _Schedule(msgspec.Struct):
     """Time of the last turn at a runner, and of the last request for one."""
 
     last_turn_at: float
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_views.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_views.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
@@ -29,8 +28,7 @@
         """Return the failure domain whose members may own it."""
 
 
-@dataclass(frozen=True, slots=True)
-class UsageAllocation:
+class UsageAllocation(msgspec.Struct, frozen=True):
     """Allocation of a failure domain's part of an account's usage cap."""
 
     id: str
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_waiting.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_waiting.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 EXPECTED_LOAD_S = 0.255
 """Time to load an adapter from the weight store into a free slot."""
@@ -11,8 +11,7 @@
 """Time to load an adapter that the runner held recently and still caches."""
 
 
-@dataclass(frozen=True, slots=True)
-class SlotWait:
+class SlotWait(msgspec.Struct, frozen=True):
     """Wait of one request; a first event after ``target_deadline`` is late."""
 
     priority: int
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_accounts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_accounts.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+import msgspec
+
 
 class UsageUnit(StrEnum):
     """What an account's cap counts."""
@@ -19,8 +21,7 @@
     TOKENS = "tokens"
 
 
-@dataclass(frozen=True, slots=True)
-class UsageCap:
+class UsageCap(msgspec.Struct, frozen=True):
     """Limit on an account's usage of all entry VMs together.
 
     ``rate_per_s`` and ``burst`` are in units; ``plain_tokens`` are the tokens of a
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_credit.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_credit.py
@@ -9,7 +9,8 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass
+
+import msgspec
 
 from ._accounts import UsageUnit
 from ._usage_limits import CREDIT_TTL_S, MAX_SEND_LAG_S
@@ -20,8 +21,7 @@
 """Units by which sums of amounts may differ by rounding."""
 
 
-@dataclass(frozen=True, slots=True)
-class UsagePermit:
+class UsagePermit(msgspec.Struct, frozen=True):
     """Permission to send one request of an account, which costs ``cost`` units.
 
     The VM asked for it at ``asked_at`` and was granted it after that.
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_limits.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_limits.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from ..._hashing import rank_nodes
 from ..._serving_settings import UsageSettings
@@ -44,8 +44,7 @@
 """
 
 
-@dataclass(frozen=True, slots=True)
-class DomainAllowance:
+class DomainAllowance(msgspec.Struct, frozen=True):
     """What one failure domain may grant of an account's cap, in units of the cap.
 
     Within any time ``t`` it grants at most ``rate_per_s * t + max_burst``. A request
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/crossing/_pressure.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/crossing/_pressure.py
@@ -9,7 +9,6 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
 import msgspec
 
@@ -72,8 +71,7 @@
         return self.running + self.waiting
 
 
-@dataclass(frozen=True, slots=True)
-class ServerLoad:
+class ServerLoad(msgspec.Struct, frozen=True):
     """Load of one usable server; ``wait_s`` is the expected wait there."""
 
     slots: int
@@ -82,8 +80,7 @@
     wait_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class PlainLoad:
+class PlainLoad(msgspec.Struct, frozen=True):
     """Load of one usable plain server; ``answered`` in the last RESULT_WINDOW_S."""
 
     slots: int
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/crossing/_share.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/crossing/_share.py
@@ -9,7 +9,8 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from ._pressure import PressureSummary
 
@@ -44,8 +45,7 @@
 """Change of a share that is reported."""
 
 
-@dataclass(frozen=True, slots=True)
-class CrossingPrice:
+class CrossingPrice(msgspec.Struct, frozen=True):
     """Price of sending a request to another failure domain.
 
     A byte costs ``byte_cost_s`` seconds of waiting that are accepted to save it.
@@ -59,16 +59,14 @@
         return self.round_trip_s + self.byte_cost_s * size
 
 
-@dataclass(frozen=True, slots=True)
-class ShareLimits:
+class ShareLimits(msgspec.Struct, frozen=True):
     """Limits of a service's shares: their sum, and the target latency of callers."""
 
     max_share: float
     target_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ShareChange:
+class ShareChange(msgspec.Struct, frozen=True):
     """Change of a share since it was last reported, with its inputs."""
 
     domain: str
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/_peer_links.py
@@ -11,11 +11,11 @@
 import hmac
 import itertools
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import Any
 
 import grpclib.client
 import grpclib.server
+import msgspec
 from eventlet.asyncio import spawn_for_awaitable
 from eventlet.event import Event
 from eventlet.hubs import get_hub
@@ -68,18 +68,16 @@
 _MESSAGES_OUT = PEER_MESSAGES.labels(direction="out")
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingRequest:
+class _PendingRequest(msgspec.Struct, frozen=True):
     response_event: Event
     sent_at: float
 
 
-@dataclass(slots=True)
-class _Link:
+class _Link(msgspec.Struct):
     vm: str
     liveness: Liveness
-    queue: asyncio.Queue[Any] = field(default_factory=asyncio.Queue)
-    pending: dict[int, _PendingRequest] = field(default_factory=dict)
+    queue: asyncio.Queue[Any] = msgspec.field(default_factory=asyncio.Queue)
+    pending: dict[int, _PendingRequest] = msgspec.field(default_factory=dict)
     used_at: float = 0.0
 
     @property
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -9,9 +9,9 @@
 import math
 import socket
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 import h11
+import msgspec
 from eventlet.green import socket as green_socket
 from eventlet.hubs import get_hub
 from eventlet.timeout import Timeout
@@ -48,8 +48,7 @@
 PROBE_TIMEOUT_S = 0.25
 
 
-@dataclass(slots=True)
-class _IdleConnection:
+class _IdleConnection(msgspec.Struct):
     """Idle connection with the time up to which it may be used again."""
 
     conn: RunnerConnection
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_slow_readers.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_slow_readers.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from gooseberryrun._internal.coordination import SLOW_CALLERS_ENDED, log_event
 
@@ -17,8 +18,7 @@
 """Bytes that wait for slow callers; the other half is left to all other bodies."""
 
 
-@dataclass(slots=True, eq=False)
-class SlowReader:
+class SlowReader(msgspec.Struct, eq=False):
     """Caller that has not read ``size`` bytes; ``end`` ends its connection.
 
     ``is_counted`` is set if the bytes belong to a body that is buffered until then.
