--- a/fakes/src/gooseberry_fakes/measure/decision_baselines.py
+++ b/fakes/src/gooseberry_fakes/measure/decision_baselines.py
@@ -4,8 +4,8 @@
 
 import itertools
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
 
+import msgspec
 from gooseberryrun._internal.state.serving import (
     AdapterSlots,
     Candidate,
@@ -63,11 +63,10 @@
         return choose_model_runner([chosen], adapter, prompt_tokens, policy)
 
 
-@dataclass(slots=True)
 class LeastRecentlyUsedSlots(AdapterSlots):
     """Slots that evict the adapter that was asked for the longest time ago."""
 
-    _asked_at: dict[str, float] = field(default_factory=dict)
+    _asked_at: dict[str, float] = msgspec.field(default_factory=dict)
 
     def record_demand(self, adapter: str, now: float) -> None:
         """Record when an adapter was asked for."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_sections.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_sections.py
@@ -134,6 +134,6 @@
     """Return a value as JSON has it."""
     if isinstance(value, Section):
         return value.model_dump()
-    if isinstance(value, str | int | float | list | dict):
+    if value is None or isinstance(value, str | int | float | list | dict):
         return value
     return str(value)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_routes.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import StrEnum
 
 import msgspec
@@ -28,7 +29,8 @@
     weight: float
 
 
-class Route(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class Route:
     """Rule that maps a host and a path prefix to services.
 
     Times are in seconds; ``priority`` 0 is the highest. A stream with a pause of more
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -93,9 +93,9 @@
             conn.set_deadline(max(0.001, deadline - self._clock.monotonic()))
             conn.send(request)
             status, headers, metadata = conn.read_response_head(request, self._codec)
-            conn.set_deadline(None)
             has_response = True
-            return Ok(_HttpResponse(self, runner, conn, status, headers, metadata))
+            head = _Head(status, headers, metadata)
+            return Ok(_HttpResponse(self, runner, conn, head, deadline))
         except DeadlinePassedError:
             return Err(AttemptFault(AttemptFailure.LATE, "no response in time"))
         except (ConnectionLostError, OSError) as exc:
@@ -185,29 +185,39 @@
         return Ok(RunnerConnection(sock, InputWork(self.bounds.pieces, self._clock)))
 
 
+class _Head(msgspec.Struct, frozen=True):
+    """Head of a response."""
+
+    status: int
+    headers: Headers
+    metadata: ResponseMetadata
+
+
 class _HttpResponse(RunnerResponse):
-    """Response read from a connection, which goes back to the pool if reusable."""
+    """Response read from a connection, which goes back to the pool if reusable.
+
+    ``deadline`` is the one that the connection's timer was set for already.
+    """
 
     def __init__(
         self,
         pool: RunnerConnectionPool,
         runner: Runner,
         conn: RunnerConnection,
-        status: int,
-        headers: Headers,
-        metadata: ResponseMetadata,
+        head: _Head,
+        deadline: float,
     ) -> None:
         self._pool = pool
         self._runner = runner
         self._conn = conn
-        self.status = status
-        self.headers = headers
-        self.metadata = metadata
+        self.status = head.status
+        self.headers = head.headers
+        self.metadata = head.metadata
         self.ends_with_connection = conn.ends_with_connection
         self._body = pool.bounds.buffers.open()
         self._is_read = False
         self._is_released = False
-        self._deadline: float | None = None
+        self._deadline = deadline
 
     def read_all(self, deadline: float) -> Result[bytes, AttemptFault]:
         try:
--- a/tests/unit/serving/test_request_cost.py
+++ b/tests/unit/serving/test_request_cost.py
@@ -13,10 +13,17 @@
 from absl import logging as absl_logging
 from eventlet.greenio import GreenSocket
 from gooseberryrun._internal.coordination import _events, log_event, write_lines_to
-from gooseberryrun._internal.coordination.serving import Caller, InboundRequest
+from gooseberryrun._internal.coordination.serving import (
+    Caller,
+    InboundRequest,
+    OutboundRequest,
+)
 from gooseberryrun._internal.state import ManualClock, SystemClock
-from gooseberryrun._internal.state.serving import ClientLimits, RunnerLoads
-from gooseberryrun._internal.transport.serving import InputBounds
+from gooseberryrun._internal.state.serving import ClientLimits, Runner, RunnerLoads
+from gooseberryrun._internal.transport.serving import (
+    InputBounds,
+    RunnerConnectionPool,
+)
 from gooseberryrun._internal.transport.serving._caller_connection import (
     CallerConnection,
     CallerServerState,
@@ -29,6 +36,7 @@
     RunnerConnection,
 )
 from gooseberryrun._internal.transport.serving._sockets import SocketReader
+from gooseberryrun_platform._headers import PlatformHeaders
 
 LIMITS = ClientLimits(8192, 20_000, 0.7, 4.0)
 REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -224,3 +232,41 @@
     log_event("one", level="warning", number=1, text="two words")
     log_event("two", level="debug")
     assert written == [("warning", 'event=one number=1 text="two words"')]
+
+
+def test_one_timer_covers_a_response_with_one_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against one timer for the head of a stream and another for its events."""
+    armed: list[float] = []
+    set_deadline = SocketReader.set_deadline
+
+    def count_timer(reader: SocketReader, seconds: float | None) -> None:
+        if seconds is not None:
+            armed.append(seconds)
+        set_deadline(reader, seconds)
+
+    monkeypatch.setattr(SocketReader, "set_deadline", count_timer)
+    listener = eventlet.listen(("127.0.0.1", 0))
+    head = HEAD.replace(b"\r\n\r\n", b"\r\nX-Gooseberryrun-Request-Id: q\r\n\r\n")
+
+    def serve() -> None:
+        sock, _ = listener.accept()
+        sock.recv(65536)
+        for part in (head, CHUNK, CHUNK, b"0\r\n\r\n"):
+            sock.sendall(part)
+            eventlet.sleep(0.005)
+
+    eventlet.spawn(serve)
+    clock = SystemClock()
+    pool = RunnerConnectionPool(clock, PlatformHeaders(), InputBounds(clock))
+    port = listener.getsockname()[1]
+    runner = Runner("i", "s", "127.0.0.1", port, "d", 6, False, 1, 0, ())
+    headers = [("host", "h"), ("x-gooseberryrun-request-id", "q")]
+    request = OutboundRequest("GET", "/", headers, b"", "q", False)
+    deadline = clock.monotonic() + 5.0
+    response = pool.send(runner, request, deadline).unwrap()
+    events = [chunk.unwrap() for chunk in response.body_chunks(deadline)]
+    response.close()
+    assert b"".join(events) == EVENT * 2
+    assert len(armed) == 1
