--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_sockets.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_sockets.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import greenlet
-from eventlet.hubs import get_hub, trampoline
+from eventlet.hubs import get_hub
 
 READ_BYTES = 65536
 
@@ -49,8 +49,9 @@
     def receive(self) -> bytes:
         """Return the next bytes, none at the end of the connection.
 
-        Raises ConnectionResetError on a reset, and DeadlinePassedError if the deadline
-        has passed.
+        Raises ConnectionResetError on a reset, which ``GreenSocket.recv`` reports as an
+        end, so that a truncated response without a length would look complete; and
+        DeadlinePassedError if the deadline has passed.
         """
         self.check_deadline()
         while True:
@@ -117,20 +118,6 @@
             self._hub.loop.remove_reader(self._fd)
 
 
-def receive(sock: Any) -> bytes:
-    """Return the next bytes, none at the end of the connection.
-
-    Raises ConnectionResetError on a reset, which ``GreenSocket.recv`` reports as an
-    end, so that a truncated response without a length would look complete.
-    """
-    while True:
-        try:
-            data: bytes = sock.fd.recv(READ_BYTES, socket.MSG_DONTWAIT)
-            return data
-        except BlockingIOError:
-            trampoline(sock.fd, read=True)
-
-
 def end_connection(sock: Any) -> None:
     """Shut down a connection on which another green thread may be waiting."""
     try:
