--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_completions.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import replace
 
 import eventlet
 from eventlet.timeout import Timeout
+from msgspec.structs import replace
 from opentelemetry import trace
 from result import Err, Ok, Result
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_request_reader.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_request_reader.py
@@ -22,7 +22,7 @@
 from ._event_sender import EventSender
 from ._input_bounds import InputBounds
 from ._input_work import InputWork
-from ._sockets import receive
+from ._sockets import SocketReader
 
 T = TypeVar("T")
 
@@ -44,7 +44,7 @@
 
     def __init__(
         self,
-        sock: Any,
+        sock: SocketReader,
         sender: EventSender,
         limits: Callable[[], ClientLimits],
         bounds: InputBounds,
@@ -163,7 +163,7 @@
 
     def _receive(self) -> None:
         self._work.count_read()
-        data = receive(self._sock)
+        data = self._sock.receive()
         is_idle = self.http.their_state is h11.IDLE
         if not data and is_idle and not self.http.trailing_data[0]:
             raise ConnectionClosedError("closed")
@@ -190,7 +190,7 @@
     def discard_input(self) -> None:
         """Discard input for a moment, since a reset could drop the response."""
         with Timeout(0.5, False):
-            while receive(self._sock):
+            while self._sock.receive():
                 pass
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -9,9 +9,9 @@
 import math
 import socket
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 import h11
+import msgspec
 from eventlet.green import socket as green_socket
 from eventlet.hubs import get_hub
 from eventlet.timeout import Timeout
@@ -48,8 +48,7 @@
 PROBE_TIMEOUT_S = 0.25
 
 
-@dataclass(slots=True)
-class _IdleConnection:
+class _IdleConnection(msgspec.Struct):
     """Idle connection with the time up to which it may be used again."""
 
     conn: RunnerConnection
@@ -94,9 +93,9 @@
             conn.set_deadline(max(0.001, deadline - self._clock.monotonic()))
             conn.send(request)
             status, headers, metadata = conn.read_response_head(request, self._codec)
-            conn.set_deadline(None)
             has_response = True
-            return Ok(_HttpResponse(self, runner, conn, status, headers, metadata))
+            head = _Head(status, headers, metadata)
+            return Ok(_HttpResponse(self, runner, conn, head, deadline))
         except DeadlinePassedError:
             return Err(AttemptFault(AttemptFailure.LATE, "no response in time"))
         except (ConnectionLostError, OSError) as exc:
@@ -186,29 +185,39 @@
         return Ok(RunnerConnection(sock, InputWork(self.bounds.pieces, self._clock)))
 
 
+class _Head(msgspec.Struct, frozen=True):
+    """Head of a response."""
+
+    status: int
+    headers: Headers
+    metadata: ResponseMetadata
+
+
 class _HttpResponse(RunnerResponse):
-    """Response read from a connection, which goes back to the pool if reusable."""
+    """Response read from a connection, which goes back to the pool if reusable.
+
+    ``deadline`` is the one that the connection's timer was set for already.
+    """
 
     def __init__(
         self,
         pool: RunnerConnectionPool,
         runner: Runner,
         conn: RunnerConnection,
-        status: int,
-        headers: Headers,
-        metadata: ResponseMetadata,
+        head: _Head,
+        deadline: float,
     ) -> None:
         self._pool = pool
         self._runner = runner
         self._conn = conn
-        self.status = status
-        self.headers = headers
-        self.metadata = metadata
+        self.status = head.status
+        self.headers = head.headers
+        self.metadata = head.metadata
         self.ends_with_connection = conn.ends_with_connection
         self._body = pool.bounds.buffers.open()
         self._is_read = False
         self._is_released = False
-        self._deadline: float | None = None
+        self._deadline = deadline
 
     def read_all(self, deadline: float) -> Result[bytes, AttemptFault]:
         try:
