Admit less of accounts that use a model runner beyond their share

VMs chose by the length of the queue, whatever the account.

Change: UseNotice carries the account, priority and prompt of a request that begins, the owner keeps a decayed sum by account, and ResidencyNotice states the 8 largest shares and the mean of the others. A VM limits the part of the expected wait that is due to other requests by the account's mean share, and leaves one idle place to others. No new message; nothing is recorded without accounts.

--- a/fakes/src/gooseberry_fakes/measure/fleet_model.py
+++ b/fakes/src/gooseberry_fakes/measure/fleet_model.py
@@ -29,6 +29,7 @@
     Step,
     Waiter,
 )
+from gooseberryrun._internal.state.serving.admission import UsageShares
 
 from .decision_baselines import ProductChoice, RunnerChoice
 from .engine_model import EngineModel, EngineSpeed, ModelStream
@@ -135,6 +136,7 @@
     in_flight: int
     unread_tokens: int
     prefill: PrefillLoad
+    shares: UsageShares
     at: float
 
 
@@ -309,7 +311,7 @@
         choice = self._choose(request)
         longest_s = self._longest_wait_s(request)
         is_spent = request.rounds > MAX_ROUNDS or longest_s <= 0
-        if choice is None or is_spent or choice.expected_s > longest_s:
+        if choice is None or is_spent or choice.refusal(longest_s):
             self._refuse(request)
             return
         self._ask(request, self._by_id[choice.candidate.runner.id], choice)
@@ -335,6 +337,7 @@
         self, request: ModelRequest, runner: _ModelRunner, seen: _Notice
     ) -> Candidate:
         prefill = seen.prefill.after(self._now - seen.at)
+        kind = request.kind
         return Candidate(
             runner.runner,
             RunnerView(seen.in_flight, 0, 0, 0, 1.0),
@@ -350,6 +353,9 @@
                 request.prompt_tokens, self._scenario.max_pause_s
             ),
             stream_s=request.output_tokens * self._scenario.speed.step_s * 1.5,
+            account_share=seen.shares.share(kind.priority, kind.account)
+            if kind.account
+            else 1.0,
         )
 
     def _needs_grant(self, request: ModelRequest, load: PrefillLoad) -> bool:
@@ -499,6 +505,11 @@
         runner.requests[stream.id] = request
         runner.unread[stream.id] = request.prompt_tokens
         runner.uses[request.adapter] += 1
+        kind = request.kind
+        if kind.account:
+            runner.queue.usage.record(
+                kind.priority, kind.account, request.prompt_tokens, self._now
+            )
         runner.queue.slots.record_use(
             "vm", request.adapter, runner.uses[request.adapter], self._now
         )
@@ -568,6 +579,7 @@
             len(runner.requests),
             sum(runner.unread.values()),
             queue.prefill_load(self._now),
+            queue.usage.shares(self._now),
             self._now,
         )
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -15,6 +15,7 @@
     Turn,
     View,
 )
+from gooseberryrun._internal.state.serving.admission import UsageShares
 from gooseberryrun._internal.state.serving.crossing import PressureSummary
 
 from ._message_base import Message
@@ -54,11 +55,18 @@
 
 
 class UseNotice(Message, frozen=True, array_like=True):
-    """Number of the sender's requests that currently use an adapter of a runner."""
+    """Number of the sender's requests that currently use an adapter of a runner.
+
+    ``account`` is that of a request that begins to use it, of a ``priority`` and with
+    ``tokens`` in its prompt; empty without accounts and at the end of a use.
+    """
 
     runner: str
     adapter: str
     count: int
+    account: str = ""
+    priority: int = 0
+    tokens: int = 0
 
 
 class ViewNotice(Message, frozen=True, array_like=True):
@@ -133,7 +141,8 @@
     one; each of them has to wait ``mean_slot_wait_s`` longer than the one before.
     ``prefill`` is the load of prompts as of the sending of the notice. The owner has no
     entry of an incarnation that ``is_undeclared``. ``kv_total`` are the tokens that fit
-    the runner's memory, 0 if it does not tell.
+    the runner's memory, 0 if it does not tell. ``shares`` is what the accounts use of
+    the runner, empty without accounts.
     """
 
     runner: str
@@ -146,6 +155,7 @@
     prefill: PrefillLoad = PrefillLoad()
     is_undeclared: bool = False
     kv_total: int = 0
+    shares: UsageShares = UsageShares()
 
 
 class AcquireAnswer(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+import msgspec
 from result import Err, Ok, Result
 
 from gooseberryrun._internal.state.serving import (
@@ -14,6 +15,10 @@
     adapter_key,
     is_base_model,
 )
+from gooseberryrun._internal.state.serving.admission import (
+    USAGE_TIME_S,
+    UsageShares,
+)
 
 from .._events import log_event
 from .._serving_messages import (
@@ -23,6 +28,7 @@
     ResidencyNotice,
     UseNotice,
 )
+from ._active_request import ActiveRequest
 from ._context import Context
 from ._membership import Membership
 from ._owner import OwnedRunners
@@ -118,6 +124,16 @@
             return PrefillLoad()
         return notice.prefill.after(self._ctx.residency.age_s(runner.id))
 
+    def account_share(self, runner: Runner, priority: int, account: str) -> float:
+        """Return what an account uses of a runner over its fair share, 1 if unknown."""
+        return self._shares(runner).share(priority, account) if account else 1.0
+
+    def _shares(self, runner: Runner) -> UsageShares:
+        """Return the shares of a runner unless their report is old."""
+        notice = self._current_notice(runner)
+        is_recent = self._ctx.residency.age_s(runner.id) <= USAGE_TIME_S
+        return notice.shares if notice is not None and is_recent else UsageShares()
+
     def kv_total(self, runner: Runner) -> int:
         """Return the tokens that fit a runner's memory, 0 if that is not known."""
         notice = self._current_notice(runner)
@@ -178,24 +194,36 @@
             queue.mean_slot_wait_s,
             self.prefill_load(runner),
             kv_total=self.kv_total(runner),
+            shares=self._shares(runner),
         )
         self._ctx.residency.record(notice)
 
-    def begin_use(self, runner: Runner, adapter: str) -> None:
+    def begin_use(self, runner: Runner, active: ActiveRequest) -> None:
         """Report to the owner that one more request uses an adapter."""
+        adapter = active.adapter_key
         self._uses[(runner.id, adapter)] += 1
-        self._send_use_notice(runner, adapter)
+        notice = self._use_notice(runner, adapter)
+        if active.account is not None:
+            notice = msgspec.structs.replace(
+                notice,
+                account=active.account.name,
+                priority=active.priority,
+                tokens=active.metadata.prompt_tokens,
+            )
+        self._send_use_notice(runner, notice)
 
     def end_use(self, runner: Runner, adapter: str) -> None:
         """Report to the owner that a request no longer uses an adapter."""
         self._uses[(runner.id, adapter)] -= 1
-        self._send_use_notice(runner, adapter)
+        self._send_use_notice(runner, self._use_notice(runner, adapter))
         if not self._uses[(runner.id, adapter)]:
             del self._uses[(runner.id, adapter)]
 
-    def _send_use_notice(self, runner: Runner, adapter: str) -> None:
+    def _use_notice(self, runner: Runner, adapter: str) -> UseNotice:
+        return UseNotice(runner.id, adapter, self._uses[(runner.id, adapter)])
+
+    def _send_use_notice(self, runner: Runner, notice: UseNotice) -> None:
         owner = self._ctx.owner_of(runner)
-        notice = UseNotice(runner.id, adapter, self._uses[(runner.id, adapter)])
         if owner is not None:
             self._send_to_owner(owner.vm, notice)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -103,10 +103,10 @@
         longest_wait_s = active.longest_wait_s(self._ctx.policy, now)
         if choice is None:
             return self._availability.refusal(active, "no_runner", BUSY_RETRY_S, now)
-        if choice.expected_s > longest_wait_s:
-            _log_overload(active, choice)
+        if reason := choice.refusal(longest_wait_s):
+            _log_overload(active, choice, reason)
             retry_in_s = max(BUSY_RETRY_S, choice.candidate.turn_wait_s)
-            return failure_response(active, "overload", retry_in_s)
+            return failure_response(active, reason, retry_in_s)
         ends_at = now + choice.expected_s + choice.candidate.stream_s
         if ends_at > self._ctx.stop_deadline:
             return stopping_response(active)
@@ -195,7 +195,7 @@
     ) -> LocalResponse | Round:
         runner = choice.candidate.runner
         adapter = active.adapter_key
-        self._adapters.begin_use(runner, adapter)
+        self._adapters.begin_use(runner, active)
         try:
             if not self._wait_for_turn(active, runner):
                 return Round.AGAIN
@@ -271,8 +271,8 @@
         return Round.AGAIN
 
 
-def _log_overload(active: ActiveRequest, choice: Choice) -> None:
-    """Log the figures by which even the best runner is too slow for a request."""
+def _log_overload(active: ActiveRequest, choice: Choice, reason: str) -> None:
+    """Log the figures by which a request is refused even at the best runner."""
     candidate = choice.candidate
     log_event(
         "overload",
@@ -286,4 +286,7 @@
         idle_places=candidate.available_slots,
         waiting=candidate.waiting,
         turn_s=candidate.slot_wait_s,
+        queue_s=choice.queue_s,
+        account_share=choice.account_share,
+        reason=reason,
     )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_owner.py
@@ -112,7 +112,7 @@
         """Record how many requests of a VM use an adapter."""
         task = self._tasks.get(notice.runner)
         if task is not None:
-            task.record_use(vm, notice.adapter, notice.count)
+            task.record_use(vm, notice)
 
     def handle_prefill_notice(self, notice: PrefillNotice) -> None:
         """Take back the grant of a long prompt."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -211,6 +211,9 @@
             breaks_streams=prefill.pace.breaks_streams(tokens, max_pause_s),
             stream_s=active.metadata.output_tokens * self.stream_pace.token_s,
             turn_wait_s=self._turns.expected_wait_s(runner, now),
+            account_share=self._adapters.account_share(
+                runner, active.priority, active.account.name if active.account else ""
+            ),
         )
 
     def _can_load(self, active: ActiveRequest, runner: Runner) -> bool:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -17,7 +17,7 @@
 )
 
 from .._events import log_event
-from .._serving_messages import AcquireRequest, ResidencyNotice
+from .._serving_messages import AcquireRequest, ResidencyNotice, UseNotice
 from .._tasks import spawn_until_done
 from ._adapter_orders import CHECK_INTERVAL_S, AdapterOrders
 from ._context import Context
@@ -86,10 +86,15 @@
         if not self._wake.ready():
             self._wake.send(None)
 
-    def record_use(self, vm: str, adapter: str, count: int) -> None:
-        """Record how many requests of a VM use an adapter."""
-        self._slots.record_use(vm, adapter, count, self._ctx.clock.monotonic())
-        if not count and self._queue.waiters:
+    def record_use(self, vm: str, notice: UseNotice) -> None:
+        """Record how many requests of a VM use an adapter, and of which account."""
+        now = self._ctx.clock.monotonic()
+        self._slots.record_use(vm, notice.adapter, notice.count, now)
+        if notice.account:
+            self._queue.usage.record(
+                notice.priority, notice.account, notice.tokens, now
+            )
+        if not notice.count and self._queue.waiters:
             self.wake()
 
     def end_prefill(self, request_id: str, took_s: float) -> None:
@@ -119,6 +124,7 @@
             self._queue.prefill_load(now),
             is_undeclared(runner.software_version),
             self._kv_total,
+            self._queue.usage.shares(now),
         )
 
     def acquire(self, request: AcquireRequest, deadline: float) -> Result[int, Refusal]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_where.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_where.py
@@ -224,8 +224,8 @@
             return result | _refused("no_runner")
         longest_wait_s = active.longest_wait_s(policy, now)
         result["longest_wait_s"] = round(longest_wait_s, 4)
-        if choice.expected_s > longest_wait_s:
-            return result | _refused("overload")
+        if reason := choice.refusal(longest_wait_s):
+            return result | _refused(reason)
         return result | _sent(choice.candidate, choice.expected_s)
 
     def _explain_plain(self, active: ActiveRequest, now: float) -> dict[str, Any]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -17,12 +17,15 @@
 from ._prefill import PrefillLoad
 from ._runners import Runner
 from ._waiting import EXPECTED_LOAD_S, EXPECTED_RELOAD_S
+from .admission import longest_queue_wait_s
 
 TURN_COST_PER_S = 10.0
 """Cost of a wait for a turn at a plain server, in fillings of its slots: about the
 requests that a slot serves in a second."""
 PLAIN_REMOTE_COST = 0.5
 """Cost of a plain server in another domain without figures of it, in fillings."""
+RESERVED_PLACES = 1
+"""Idle adapter places of a runner that an account beyond its share leaves to others."""
 RESULT_PRIOR = 2
 """Successes assumed for every runner, so that few results do not decide."""
 
@@ -38,7 +41,8 @@
     the expected time from the request's first to its last event. ``turn_wait_s`` is the
     expected wait for a turn at a runner that limits its requests. ``crossing_cost`` is
     the cost of a runner in another domain, in seconds or, for a plain server, fillings;
-    None: a constant.
+    None: a constant. ``account_share`` is what the request's account uses of the
+    runner, over its fair share.
     """
 
     runner: Runner
@@ -57,14 +61,30 @@
     stream_s: float = 0.0
     turn_wait_s: float = 0.0
     crossing_cost: float | None = None
+    account_share: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """Chosen runner and the expected seconds until the first event."""
+    """Chosen runner and the expected seconds until the first event.
+
+    ``queue_s`` is the part of them that is due to other requests, and
+    ``account_share`` the mean share of the request's account at all candidates.
+    """
 
     candidate: Candidate
     expected_s: float
+    queue_s: float = 0.0
+    account_share: float = 1.0
+
+    def refusal(self, longest_wait_s: float) -> str:
+        """Return why a request is refused that may wait that long, "" if it is not."""
+        if self.expected_s > longest_wait_s:
+            return "overload"
+        limit_s = longest_queue_wait_s(self.account_share, longest_wait_s)
+        if limit_s < longest_wait_s and self.queue_s > limit_s:
+            return "account_share"
+        return ""
 
 
 def failure_rate(view: RunnerView) -> float:
@@ -123,7 +143,28 @@
         )
         if best is None or cost_s < best[0]:
             best = (cost_s, Choice(candidate, expected_s))
-    return best[1] if best else None
+    if best is None:
+        return None
+    chosen, expected_s = best[1].candidate, best[1].expected_s
+    share = sum(c.account_share for c in candidates) / len(candidates)
+    queue_s = _queue_s(chosen, expected_s, prompt_tokens)
+    return Choice(chosen, expected_s, queue_s, share)
+
+
+def _queue_s(candidate: Candidate, expected_s: float, prompt_tokens: int) -> float:
+    """Return the part of the expected time that is due to other requests.
+
+    It includes the wait for the places that an account beyond its share leaves to
+    others.
+    """
+    tokens = max(0, prompt_tokens - candidate.cached_tokens)
+    queue_s = expected_s - candidate.prefill.pace.prefill_s(tokens)
+    if candidate.has_adapter:
+        return queue_s
+    load_s = EXPECTED_RELOAD_S if candidate.held_recently else EXPECTED_LOAD_S
+    ahead = candidate.waiting + 1 - candidate.available_slots
+    reserved = max(0, ahead + RESERVED_PLACES) - max(0, ahead)
+    return queue_s - load_s + reserved * candidate.slot_wait_s
 
 
 def model_runner_cost_s(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
@@ -7,14 +7,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Generic, TypeVar
 
 from ._adapter_slots import AdapterSlots, SlotWaitEstimator
 from ._policy import ServingPolicy
 from ._prefill import PrefillAdmission, PrefillLoad
 from ._waiting import SlotWait
-from .admission import Claim, FairShares, choose_displaced
+from .admission import AccountUsage, Claim, FairShares, choose_displaced
 
 RESERVATION_S = 0.15
 """Time for which a ready adapter is kept for the request it was acquired for."""
@@ -28,6 +30,10 @@
 prompt, so that the second of two that come together is not held back for long."""
 
 
+NO_WEIGHTS: Mapping[str, float] = MappingProxyType({})
+"""Equal weights of all accounts."""
+
+
 def adapter_key(model: str, adapter: str) -> str:
     """Return the key of an adapter, unique across models."""
     return f"{model}/{adapter}"
@@ -67,10 +73,16 @@
     """Waiting requests of one runner, its adapter slots and its prompts.
 
     ``suspected`` are adapters that the runner may have lost. ``max_pause_s`` is the
-    longest pause that the streams of the runner may make.
+    longest pause that the streams of the runner may make, ``usage`` what each account
+    has used of it.
     """
 
-    def __init__(self, max_adapters: int, policy: ServingPolicy) -> None:
+    def __init__(
+        self,
+        max_adapters: int,
+        policy: ServingPolicy,
+        weights: Mapping[str, float] = NO_WEIGHTS,
+    ) -> None:
         self._policy = policy
         self.slots = AdapterSlots(max_adapters)
         self.prefills = PrefillAdmission()
@@ -78,6 +90,7 @@
         self.suspected: set[str] = set()
         self.waiters: list[WaiterT] = []
         self.max_pause_s = 0.0
+        self.usage = AccountUsage(weights)
         self._shares = FairShares(CREDIT_TOKENS)
 
     def is_present(self, adapter: str, version: int) -> bool:
@@ -200,10 +213,15 @@
             self.remove(waiter)
             self.reserve(waiter.adapter, now)
             if has_accounts:
-                cost = _cost_tokens(waiter)
-                self._shares.charge(waiter.wait.priority, waiter.account, cost)
+                self._charge(waiter, now)
         return ready
 
+    def _charge(self, waiter: WaiterT, now: float) -> None:
+        priority, account = waiter.wait.priority, waiter.account
+        self._shares.charge(priority, account, _cost_tokens(waiter))
+        if waiter.needs_place:
+            self.usage.record(priority, account, PLACE_COST_TOKENS, now)
+
     def prefill_load(self, now: float) -> PrefillLoad:
         """Return the load of prompts, those that wait for an adapter included."""
         tokens = [w.prefill_tokens for w in self.waiters if w.prefill_tokens]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/__init__.py
@@ -1,5 +1,11 @@
 """Fair admission of requests where they queue for shared capacity."""
 
+from ._account_usage import (
+    USAGE_TIME_S,
+    AccountUsage,
+    UsageShares,
+    longest_queue_wait_s,
+)
 from ._fair_order import Claim, FairShares, Rank, choose_displaced
 from ._slot_claims import SlotChanges, SlotClaim, SlotDecision, SlotOutcome
 from ._slot_queue import LATE_WAIT_SHARE, SlotQueue
@@ -7,6 +13,7 @@
 from ._slot_waits import ExpectedSlotWaits
 
 __all__ = [
+    "AccountUsage",
     "Claim",
     "ExpectedSlotWaits",
     "FairShares",
@@ -20,6 +27,9 @@
     "SlotOutcome",
     "SlotQueue",
     "SlotSearch",
+    "USAGE_TIME_S",
+    "UsageShares",
     "choose_displaced",
     "due_in_s",
+    "longest_queue_wait_s",
 ]
