Let early repetitions of refused requests wait behind others

Cause: a caller that repeats a refused request at once had the same rank as one that comes at the time it was told, and its repetitions used up its account's share.

Nothing is remembered for requests without an account.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages.py
@@ -28,7 +28,8 @@
     after ``target_s``. ``is_missing`` is set if the runner has just responded that it
     lacks the adapter. With ``prefill_tokens``, the request also asks for a grant to
     start a long prompt, which a PrefillNotice returns. ``account`` is empty without
-    accounts.
+    accounts. ``is_early`` is set if its caller repeats it before the time named by a
+    refusal.
     """
 
     runner: str
@@ -41,6 +42,7 @@
     is_missing: bool
     prefill_tokens: int = 0
     account: str = ""
+    is_early: bool = False
 
 
 class PrefillNotice(Message, frozen=True, array_like=True):
@@ -230,7 +232,8 @@
 
     ``ticket`` identifies it among those of the sender. Its response is late after
     ``due_s``, and its attempt ends within ``left_s``. It does not wait if it would wait
-    for more than ``max_wait_s``.
+    for more than ``max_wait_s``. ``is_early`` is set if its caller repeats it before
+    the time named by a refusal.
     """
 
     server: str
@@ -241,6 +244,7 @@
     due_s: float
     left_s: float
     max_wait_s: float
+    is_early: bool = False
 
 
 class SlotAnswer(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -41,6 +41,7 @@
     ``account`` is the client account that sent it, None without a key or accounts;
     ``usage_permit`` allows the next send of a request whose account has a cap.
     ``slots`` is its search for a slot where plain servers' slots are granted.
+    ``is_early`` is set if its caller repeats it before the time named by a refusal.
     """
 
     request: InboundRequest
@@ -70,6 +71,7 @@
     account: ClientAccount | None = None
     slots: SlotSearch | None = None
     usage_permit: UsagePermit | None = None
+    is_early: bool = False
 
     @property
     def adapter_key(self) -> str:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapter_requirement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapter_requirement.py
@@ -21,3 +21,4 @@
     is_missing: bool
     prefill_tokens: int = 0
     account: str = ""
+    is_early: bool = False
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -238,6 +238,7 @@
             is_missing=requirement.is_missing,
             prefill_tokens=requirement.prefill_tokens,
             account=requirement.account,
+            is_early=requirement.is_early,
         )
         try:
             if owner.vm == self._ctx.vm:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -30,6 +30,7 @@
     reader_rank,
 )
 from gooseberryrun._internal.state.serving.accounts import ConfigurationFreshness
+from gooseberryrun._internal.state.serving.admission import RefusedRequests
 
 from .._ports import Peers
 from ._ports import Ports
@@ -81,6 +82,7 @@
     store_statuses: dict[str, StoreStatus] = field(default_factory=dict)
     residency: Residency = field(init=False)
     freshness: ConfigurationFreshness = field(init=False)
+    refused: RefusedRequests = field(default_factory=RefusedRequests)
     remote_views: dict[str, View] = field(default_factory=dict)
     covered_domains: dict[str, OwnershipState] = field(default_factory=dict)
     _ranked: tuple[View, int] | None = None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -124,6 +124,10 @@
             deadline,
             traits=request_traits(request, metadata, version),
             account=account,
+            is_early=account is not None
+            and self._ctx.refused.is_early(
+                account.name, metadata.request_id, request.read_at
+            ),
         )
 
     def _serve(self, active: ActiveRequest) -> None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -163,6 +163,7 @@
             active.missing_on == runner.id,
             active.metadata.prompt_tokens if needs_grant else 0,
             active.account.name if active.account else "",
+            active.is_early,
         )
         acquired = self._adapters.acquire(runner, requirement, deadline)
         stalled_s = self._ctx.clock.monotonic() - requested_at
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
@@ -121,6 +121,7 @@
         if retry_in_s is not None:
             least = 1.0 if response.is_earliest else 1 - RETRY_JITTER
             retry_in_s *= random.uniform(least, 1 + RETRY_JITTER)
+            self._record_refusal(active, retry_in_s)
         codec = self._ctx.ports.codec
         headers = codec.encode_refusal(active.metadata.request_id, retry_in_s)
         REFUSALS.labels(code=response.reason).inc()
@@ -134,6 +135,13 @@
         self.log(active, response.status, "relayed")
         active.caller.respond(response.status, end_to_end(response.headers), body)
 
+    def _record_refusal(self, active: ActiveRequest, retry_in_s: float) -> None:
+        """Remember when a request may come again, where accounts share capacity."""
+        if active.account is not None:
+            retry_at = self._ctx.clock.monotonic() + retry_in_s
+            request_id = active.metadata.request_id
+            self._ctx.refused.record(active.account.name, request_id, retry_at)
+
     def log(self, active: ActiveRequest, status: int, reason: str) -> None:
         """Log and count the end of a request."""
         active.is_logged = True
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_waiting_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_waiting_requests.py
@@ -113,6 +113,7 @@
             request.prefill_tokens,
             now,
             account=request.account,
+            is_early=request.is_early,
         )
         displaced = self.queue.make_room(waiter, now)
         if displaced is not None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_plain_slots.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_plain_slots.py
@@ -142,6 +142,7 @@
             due_in_s(age_s, active.route.target_latency_s, left_s),
             left_s,
             max_wait_s,
+            active.is_early,
         )
 
     def _ask(self, vm: str, request: SlotRequest) -> SlotAnswer | None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_slot_granter.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_slot_granter.py
@@ -73,6 +73,7 @@
             now + request.due_s,
             now + request.left_s,
             request.max_wait_s,
+            request.is_early,
         )
         decision = queue.ask(claim, now)
         self._end(request.server, queue, decision.displaced, DISPLACED)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
@@ -52,7 +52,8 @@
     ``prefill_tokens`` is the length of a prompt that needs a grant, otherwise 0.
     ``position`` is the request's position among those that wait for a slot, 0 if it
     needs none or found an idle one. ``account`` is the client account that sent it, if
-    any; ``needs_place`` is set if it made the runner load its adapter.
+    any; ``needs_place`` is set if it made the runner load its adapter, ``is_early`` if
+    its caller repeats it before the time named by a refusal.
     """
 
     request_id: str
@@ -65,6 +66,7 @@
     position: int = 0
     account: str = ""
     needs_place: bool = False
+    is_early: bool = False
 
 
 WaiterT = TypeVar("WaiterT", bound=Waiter)
@@ -127,7 +129,8 @@
     def _claim(self, waiter: WaiterT, now: float) -> Claim:
         rank = waiter.wait.rank(now, self._policy.late_wait_last)
         priority, is_late, deadline = rank
-        return Claim(waiter.account, priority, is_late, _cost_tokens(waiter), deadline)
+        cost = _cost_tokens(waiter)
+        return Claim(waiter.account, priority, is_late, cost, deadline, waiter.is_early)
 
     def _needs_place(self, waiter: WaiterT) -> bool:
         """Return whether a new request is the first that waits for its adapter."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/__init__.py
@@ -14,6 +14,7 @@
     Rank,
     choose_displaced,
 )
+from ._refused_requests import RefusedRequests
 from ._slot_claims import SlotChanges, SlotClaim, SlotDecision, SlotOutcome
 from ._slot_queue import LATE_WAIT_SHARE, SlotQueue
 from ._slot_search import MAX_ASKS, SlotHold, SlotSearch, due_in_s
@@ -29,6 +30,7 @@
     "MAX_ASKS",
     "NO_WEIGHTS",
     "Rank",
+    "RefusedRequests",
     "SlotChanges",
     "SlotClaim",
     "SlotDecision",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_fair_order.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_fair_order.py
@@ -23,7 +23,7 @@
 DEFAULT_WEIGHT = 1.0
 """Weight of an account without one of its own."""
 
-Rank = tuple[int, bool, float, float]
+Rank = tuple[int, int, float, float]
 """Sort key of a waiting request; the smallest is served first."""
 
 
@@ -31,8 +31,9 @@
 class Claim:
     """Waiting request's account, priority, and cost in units of the shared capacity.
 
-    ``is_late`` is set if the response will be late in any case. ``order`` sorts the
-    requests of one account that are equal otherwise.
+    ``is_late`` is set if the response will be late in any case, ``is_early`` if its
+    caller repeats it before the time named by a refusal. ``order`` sorts the requests
+    of one account that are equal otherwise.
     """
 
     account: str
@@ -40,6 +41,12 @@
     is_late: bool
     cost: float
     order: float
+    is_early: bool = False
+
+    @property
+    def rank_in_class(self) -> int:
+        """Return the rank within a priority that comes before that of accounts."""
+        return 2 * self.is_early + self.is_late
 
 
 @dataclass(slots=True)
@@ -100,7 +107,7 @@
             key = (claim.priority, claim.account)
             start = ends[key] if key in ends else self._start(*key)
             ends[key] = start + claim.cost / self._weight(claim.account)
-            ranks[index] = (claim.priority, claim.is_late, start, claim.order)
+            ranks[index] = (claim.priority, claim.rank_in_class, start, claim.order)
         return [ranks[index] for index in range(len(claims))]
 
     def _weight(self, account: str) -> float:
@@ -132,8 +139,8 @@
             shares.finishes[account] += by / self._weight(account)
 
 
-def _own_order(claim: Claim) -> tuple[int, bool, float]:
-    return claim.priority, claim.is_late, claim.order
+def _own_order(claim: Claim) -> tuple[int, int, float]:
+    return claim.priority, claim.rank_in_class, claim.order
 
 
 def choose_displaced(
@@ -145,10 +152,10 @@
     """Return the index of the claim that makes way for a new one in a full queue.
 
     That is the last of the least urgent class if it is less urgent than the new claim,
-    or the last of the account with the most claims there by its weight. That account
-    has at least two more than the new claim's account if both have the same weight, and
-    still has no fewer by weight without the claim. Returns None if the new claim has to
-    be refused.
+    the last early repetition there if the new claim is none, or the last of the account
+    with the most claims there by its weight. That account has at least two more than
+    the new claim's account if both have the same weight, and still has no fewer by
+    weight without the claim. Returns None if the new claim has to be refused.
     """
     least_urgent = max(claim.priority for claim in claims)
     if least_urgent < new.priority:
@@ -156,6 +163,13 @@
     indices = [n for n, claim in enumerate(claims) if claim.priority == least_urgent]
     if least_urgent > new.priority:
         return max(indices, key=lambda n: ranks[n])
+    early = [n for n in indices if claims[n].is_early]
+    if early and not new.is_early:
+        return max(early, key=lambda n: ranks[n])
+    if new.is_early:
+        indices = early
+        if not indices:
+            return None
     counts = Counter(claims[n].account for n in indices)
 
     def load(name: str, more: int = 0) -> float:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_slot_claims.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_slot_claims.py
@@ -13,6 +13,7 @@
 
     Its response is late after ``due_at``, and its attempt ends at ``ends_at`` at the
     latest. It is refused if its wait is expected to be over ``max_wait_s``.
+    ``is_early`` is set if its caller repeats it before the time named by a refusal.
     """
 
     vm: str
@@ -23,6 +24,7 @@
     due_at: float
     ends_at: float
     max_wait_s: float = math.inf
+    is_early: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_slot_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_slot_queue.py
@@ -172,6 +172,7 @@
             waiting.is_late,
             1.0,
             waiting.number,
+            claim.is_early,
         )
 
     def _refuse(self, claim: SlotClaim, wait_s: float, now: float) -> SlotDecision:
--- a/tests/lib/slot_replay.py
+++ b/tests/lib/slot_replay.py
@@ -106,8 +106,11 @@
 class SlotReplay:
     """Plays one scenario with one seed."""
 
-    def __init__(self, scenario: Scenario, is_fair: bool, seed: int) -> None:
+    def __init__(
+        self, scenario: Scenario, is_fair: bool, seed: int, ranks_early: bool = True
+    ) -> None:
         self.scenario = scenario
+        self.ranks_early = ranks_early
         self._is_fair = is_fair
         self._rng = random.Random(seed)
         self._now = 0.0
@@ -248,6 +251,7 @@
             self._now + due_in_s(self._now - request.read_at, target_s, left_s),
             self._now + left_s,
             max_wait_s,
+            self.ranks_early and request.tries > 1 and request.load.retries_at_once,
         )
         self._advance(server)
         self._count(server)
--- a/tests/unit/serving/test_plain_slots.py
+++ b/tests/unit/serving/test_plain_slots.py
@@ -67,6 +67,7 @@
         self.priority = 1
         self.may_have_run = False
         self.is_in_flight = False
+        self.is_early = False
         self.metadata: Any = type("Metadata", (), {"request_id": request_id})
         self.route: Any = type("Route", (), {"target_latency_s": 1.0})
         self.request: Any = type("Request", (), {"read_at": read_at})
