--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_allocators.py
@@ -77,9 +77,11 @@
         bucket = self._bucket(allocation, account.cap, owned_since)
         if bucket is None:
             return NOT_ALLOCATOR
+        for granted_at, amount in request.unused:
+            bucket.give_back(granted_at, amount, now)
         granted = bucket.take(request.cost, request.demand_per_s, now)
         if granted > 0.0 or request.cost <= 0.0:
-            return UsageAnswer(granted, 0.0, True)
+            return UsageAnswer(granted, 0.0, True, now)
         return UsageAnswer(0.0, bucket.retry_in_s(request.cost, now), True)
 
     def expected_wait_s(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_credit.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_credit.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ._accounts import UsageUnit
 from ._usage_limits import CREDIT_TTL_S, MAX_SEND_LAG_S
@@ -20,17 +20,36 @@
 """Units by which sums of amounts may differ by rounding."""
 
 
+@dataclass(frozen=True, slots=True)
+class GrantPart:
+    """Part of what a domain's allocator granted at a time on its clock."""
+
+    domain: str
+    granted_at: float
+    amount: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Credit:
+    """Amount that this VM asked for at a time; ``grant`` is None without one."""
+
+    asked_at: float
+    amount: float
+    grant: tuple[str, float] | None
+
+
 @dataclass(frozen=True, slots=True)
 class UsagePermit:
     """Permission to send one request of an account, which costs ``cost`` units.
 
-    The VM asked for it at ``asked_at`` and was granted it after that.
+    The VM asked for it at ``asked_at`` and was granted it after that, in ``parts``.
     """
 
     account: str
     unit: UsageUnit
     cost: float
     asked_at: float
+    parts: tuple[GrantPart, ...] = ()
 
     def is_valid(self, now: float) -> bool:
         """Return whether a request may be sent by the permit."""
@@ -43,11 +62,16 @@
     def __init__(self, account: str, unit: UsageUnit) -> None:
         self._account = account
         self._unit = unit
-        self._entries: deque[tuple[float, float]] = deque()
+        self._entries: deque[_Credit] = deque()
 
-    def add(self, amount: float, asked_at: float) -> None:
-        """Add an amount that was granted after ``asked_at``."""
-        self._entries.append((asked_at, amount))
+    def add(
+        self, amount: float, asked_at: float, grant: tuple[str, float] | None = None
+    ) -> None:
+        """Add an amount that was granted after ``asked_at``.
+
+        ``grant`` is the domain of the allocator and the time on its clock.
+        """
+        self._entries.append(_Credit(asked_at, amount, grant))
 
     @property
     def account(self) -> str:
@@ -56,7 +80,8 @@
 
     def available(self, now: float) -> float:
         """Return how much credit may be used now."""
-        return sum(a for asked_at, a in self._entries if now <= asked_at + CREDIT_TTL_S)
+        entries = self._entries
+        return sum(e.amount for e in entries if now <= e.asked_at + CREDIT_TTL_S)
 
     def covers(self, cost: float, now: float) -> bool:
         """Return whether ``take`` would return a permit."""
@@ -65,18 +90,28 @@
     def take(self, cost: float, now: float) -> UsagePermit | None:
         """Return a permit, made of the oldest credit; None if there is too little."""
         self._entries = deque(
-            sorted(e for e in self._entries if now <= e[0] + CREDIT_TTL_S)
+            sorted(
+                (e for e in self._entries if now <= e.asked_at + CREDIT_TTL_S),
+                key=lambda entry: entry.asked_at,
+            )
         )
         if not self.covers(cost, now):
             return None
-        first_asked_at = self._entries[0][0] if self._entries else now
+        first_asked_at = self._entries[0].asked_at if self._entries else now
         missing = cost
+        parts = []
         while missing > EPSILON and self._entries:
-            asked_at, amount = self._entries.popleft()
-            if amount > missing + EPSILON:
-                self._entries.appendleft((asked_at, amount - missing))
-            missing -= amount
-        return UsagePermit(self._account, self._unit, cost, first_asked_at)
+            entry = self._entries.popleft()
+            used = min(entry.amount, missing)
+            if entry.amount > missing + EPSILON:
+                rest = replace(entry, amount=entry.amount - missing)
+                self._entries.appendleft(rest)
+            if entry.grant is not None:
+                parts.append(GrantPart(*entry.grant, used))
+            missing -= entry.amount
+        return UsagePermit(
+            self._account, self._unit, cost, first_asked_at, tuple(parts)
+        )
 
     def give_back(self, permit: UsagePermit, now: float) -> None:
         """Take back a permit by which nothing was sent.
@@ -85,7 +120,12 @@
         """
         is_of_account = (permit.account, permit.unit) == (self._account, self._unit)
         if is_of_account and now <= permit.asked_at + CREDIT_TTL_S:
-            self.add(permit.cost, permit.asked_at)
+            for part in permit.parts:
+                grant = (part.domain, part.granted_at)
+                self.add(part.amount, permit.asked_at, grant)
+            known = sum(part.amount for part in permit.parts)
+            if permit.cost - known > EPSILON:
+                self.add(permit.cost - known, permit.asked_at)
 
 
 class DemandMeter:
