--- a/packages/gooseberryctl/src/gooseberryctl/_internal/commands/where.py
+++ b/packages/gooseberryctl/src/gooseberryctl/_internal/commands/where.py
@@ -78,7 +78,7 @@
         return []
     notes = [f"account {account['name'] or '(none)'}: {account['authentication']}"]
     if account["is_known"]:
-        notes[0] += f", priority {result.get('priority')}"
+        notes[0] += f", priority {result.get('priority')}, weight {account['weight']}"
     cap = result.get("cap")
     if cap is None:
         return [*notes, "no usage cap"] if account["is_known"] else notes
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages/_admission_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages/_admission_messages.py
@@ -10,7 +10,8 @@
 
     ``ticket`` identifies it among those of the sender. Its response is late after
     ``due_s``, and its attempt ends within ``left_s``. It does not wait if it would wait
-    for more than ``max_wait_s``.
+    for more than ``max_wait_s``. ``is_early`` is set if its caller repeats it before
+    the time named by a refusal.
     """
 
     server: str
@@ -21,6 +22,7 @@
     due_s: float
     left_s: float
     max_wait_s: float
+    is_early: bool = False
 
 
 class SlotAnswer(Message, frozen=True, array_like=True):
@@ -58,7 +60,9 @@
     """Request to the allocator of an account in a failure domain to grant usage.
 
     ``cost`` and ``demand_per_s``, the sender's own demand, are in the ``unit`` of the
-    account's cap by the sender's configuration.
+    account's cap by the sender's configuration. ``unused`` are parts of earlier grants
+    of this allocator, as (time on its clock, amount): the sender has not sent anything
+    by them and never will.
     """
 
     account: str
@@ -67,14 +71,17 @@
     cost: float
     demand_per_s: float
     configuration_version: int
+    unused: tuple[tuple[float, float], ...] = ()
 
 
 class UsageAnswer(Message, frozen=True, array_like=True):
     """Usage granted, or the time in which the account's next request can be served.
 
     A VM that is not the allocator, or does not know the account's cap, says so.
+    ``granted_at`` is the time of a grant on the allocator's clock.
     """
 
     granted: float
     retry_in_s: float
     is_allocator: bool
+    granted_at: float = 0.0
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages/_runner_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages/_runner_messages.py
@@ -8,6 +8,7 @@
     RunnerView,
     Turn,
 )
+from gooseberryrun._internal.state.serving.admission import UsageShares
 from gooseberryrun._internal.state.serving.placement import RunnerWeight
 
 from .._message_base import Message
@@ -20,7 +21,8 @@
     after ``target_s``. ``is_missing`` is set if the runner has just responded that it
     lacks the adapter. With ``prefill_tokens``, the request also asks for a grant to
     start a long prompt, which a PrefillNotice returns. ``account`` is empty without
-    accounts.
+    accounts. ``is_early`` is set if its caller repeats it before the time named by a
+    refusal.
     """
 
     runner: str
@@ -33,6 +35,7 @@
     is_missing: bool
     prefill_tokens: int = 0
     account: str = ""
+    is_early: bool = False
 
 
 class PrefillNotice(Message, frozen=True, array_like=True):
@@ -51,12 +54,17 @@
 
     ``step_s`` is the mean time between two tokens of a stream that has just ended,
     0 if none has.
+    ``account`` is that of a request that begins to use it, of a ``priority`` and with
+    ``tokens`` in its prompt; empty without accounts and at the end of a use.
     """
 
     runner: str
     adapter: str
     count: int
     step_s: float = 0.0
+    account: str = ""
+    priority: int = 0
+    tokens: int = 0
 
 
 class ResidencyNotice(Message, frozen=True, array_like=True):
@@ -67,7 +75,8 @@
     ``prefill`` is the load of prompts as of the sending of the notice. The owner has no
     entry of an incarnation that ``is_undeclared``. ``kv_total`` are the tokens that fit
     the runner's memory, 0 if it does not tell. ``weight`` is the runner's speed, None
-    as long as that of the median runner is assumed.
+    as long as that of the median runner is assumed. ``shares`` is what the accounts use
+    of the runner, empty without accounts.
     """
 
     runner: str
@@ -81,6 +90,7 @@
     is_undeclared: bool = False
     kv_total: int = 0
     weight: RunnerWeight | None = None
+    shares: UsageShares = UsageShares()
 
 
 class AcquireAnswer(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -14,6 +14,10 @@
     adapter_key,
     is_base_model,
 )
+from gooseberryrun._internal.state.serving.admission import (
+    USAGE_TIME_S,
+    UsageShares,
+)
 
 from .._events import log_event
 from .._serving_messages import (
@@ -23,6 +27,8 @@
     ResidencyNotice,
     UseNotice,
 )
+from ._active_request import ActiveRequest
+from ._adapter_requirement import AdapterRequirement
 from ._context import Context
 from ._membership import Membership
 from ._owner import OwnedRunners
@@ -42,23 +48,6 @@
 does not follow."""
 
 
-class AdapterRequirement(msgspec.Struct, frozen=True):
-    """Adapter, by its key, and the lowest version of it that a request needs.
-
-    The first event is late after ``target_deadline``. ``prefill_tokens`` is the length
-    of a prompt that needs a grant to start, otherwise 0.
-    """
-
-    adapter: str
-    version: int
-    target_deadline: float
-    priority: int
-    request_id: str
-    is_missing: bool
-    prefill_tokens: int = 0
-    account: str = ""
-
-
 class SlotQueue(msgspec.Struct, frozen=True):
     """Idle slots of a runner, requests waiting for one, and the mean wait per slot."""
 
@@ -117,6 +106,16 @@
             return PrefillLoad()
         return notice.prefill.after(self._ctx.residency.age_s(runner.id))
 
+    def account_share(self, runner: Runner, priority: int, account: str) -> float:
+        """Return what an account uses of a runner over its fair share, 1 if unknown."""
+        return self._shares(runner).share(priority, account) if account else 1.0
+
+    def _shares(self, runner: Runner) -> UsageShares:
+        """Return the shares of a runner unless their report is old."""
+        notice = self._current_notice(runner)
+        is_recent = self._ctx.residency.age_s(runner.id) <= USAGE_TIME_S
+        return notice.shares if notice is not None and is_recent else UsageShares()
+
     def kv_total(self, runner: Runner) -> int:
         """Return the tokens that fit a runner's memory, 0 if that is not known."""
         notice = self._current_notice(runner)
@@ -179,18 +178,28 @@
             queue.mean_slot_wait_s,
             self.prefill_load(runner),
             kv_total=self.kv_total(runner),
+            shares=self._shares(runner),
         )
         self._ctx.residency.record(notice)
 
-    def begin_use(self, runner: Runner, adapter: str) -> None:
+    def begin_use(self, runner: Runner, active: ActiveRequest) -> None:
         """Report to the owner that one more request uses an adapter."""
+        adapter = active.adapter_key
         self._uses[(runner.id, adapter)] += 1
-        self._send_use_notice(runner, adapter)
+        notice = self._use_notice(runner, adapter)
+        if active.account is not None:
+            notice = msgspec.structs.replace(
+                notice,
+                account=active.account.name,
+                priority=active.priority,
+                tokens=active.metadata.prompt_tokens,
+            )
+        self._send_use_notice(runner, notice)
 
     def end_use(self, runner: Runner, adapter: str) -> None:
         """Report to the owner that a request no longer uses an adapter."""
         self._uses[(runner.id, adapter)] -= 1
-        self._send_use_notice(runner, adapter)
+        self._send_use_notice(runner, self._use_notice(runner, adapter))
         if not self._uses[(runner.id, adapter)]:
             del self._uses[(runner.id, adapter)]
 
@@ -198,11 +207,12 @@
         """Record the step time of a stream for the notice of its end."""
         self._step_s[(runner.id, adapter)] = step_s
 
-    def _send_use_notice(self, runner: Runner, adapter: str) -> None:
-        owner = self._ctx.owner_of(runner)
+    def _use_notice(self, runner: Runner, adapter: str) -> UseNotice:
         step_s = self._step_s.pop((runner.id, adapter), 0.0)
-        uses = self._uses[(runner.id, adapter)]
-        notice = UseNotice(runner.id, adapter, uses, step_s)
+        return UseNotice(runner.id, adapter, self._uses[(runner.id, adapter)], step_s)
+
+    def _send_use_notice(self, runner: Runner, notice: UseNotice) -> None:
+        owner = self._ctx.owner_of(runner)
         if owner is not None:
             self._send_to_owner(owner.vm, notice)
 
@@ -234,6 +244,7 @@
             is_missing=requirement.is_missing,
             prefill_tokens=requirement.prefill_tokens,
             account=requirement.account,
+            is_early=requirement.is_early,
         )
         try:
             if owner.vm == self._ctx.vm:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -33,6 +33,7 @@
     reader_rank,
 )
 from gooseberryrun._internal.state.serving.accounts import ConfigurationFreshness
+from gooseberryrun._internal.state.serving.admission import RefusedRequests
 from gooseberryrun._internal.state.serving.placement import WeightTable
 
 from .._ports import Peers
@@ -85,6 +86,7 @@
     weights: WeightTable = field(default_factory=WeightTable)
     residency: Residency = field(init=False)
     freshness: ConfigurationFreshness = field(init=False)
+    refused: RefusedRequests = field(default_factory=RefusedRequests)
     remote_views: dict[str, View] = field(default_factory=dict)
     covered_domains: dict[str, OwnershipState] = field(default_factory=dict)
     _ranked: tuple[View, int] | None = None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -186,6 +186,9 @@
             stream_s=stream_s / speed_factor(weight),
             turn_wait_s=self._turns.expected_wait_s(runner, now),
             weight=weight,
+            account_share=self._adapters.account_share(
+                runner, active.priority, active.account.name if active.account else ""
+            ),
         )
 
     def _can_load(self, active: ActiveRequest, runner: Runner) -> bool:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_owner.py
@@ -15,10 +15,11 @@
     is_base_model,
     is_undeclared,
 )
+from gooseberryrun._internal.state.serving.admission import UsageShares
 from gooseberryrun._internal.state.serving.placement import WeightDecision
 
 from .._events import log_event
-from .._serving_messages import AcquireRequest, ResidencyNotice
+from .._serving_messages import AcquireRequest, ResidencyNotice, UseNotice
 from .._tasks import spawn_until_done
 from ._adapter_orders import CHECK_INTERVAL_S, AdapterOrders
 from ._context import Context
@@ -91,19 +92,18 @@
         if not self._wake.ready():
             self._wake.send(None)
 
-    def record_use(
-        self, vm: str, adapter: str, count: int, step_s: float = 0.0
-    ) -> None:
-        """Record how many requests of a VM use an adapter.
-
-        ``step_s`` is the step time of a stream that has just ended, if not 0.
-        """
+    def record_use(self, vm: str, notice: UseNotice) -> None:
+        """Record how many requests of a VM use an adapter, and of which account."""
         now = self._ctx.clock.monotonic()
-        self._slots.record_use(vm, adapter, count, now)
-        if step_s:
-            self._queue.prefills.speed.record_stream(step_s, now)
+        self._slots.record_use(vm, notice.adapter, notice.count, now)
+        if notice.account:
+            self._queue.usage.record(
+                notice.priority, notice.account, notice.tokens, now
+            )
+        if notice.step_s:
+            self._queue.prefills.speed.record_stream(notice.step_s, now)
             self._weigh()
-        if not count and self._queue.waiters:
+        if not notice.count and self._queue.waiters:
             self.wake()
 
     def end_prefill(self, request_id: str, took_s: float) -> None:
@@ -143,8 +143,13 @@
             is_undeclared(runner.software_version),
             self._kv_total,
             self._speeds.published(runner),
+            self.shares(),
         )
 
+    def shares(self) -> UsageShares:
+        """Return what the accounts use of the runner, over their fair shares."""
+        return self._queue.usage.shares(self._ctx.clock.monotonic())
+
     def acquire(self, request: AcquireRequest, deadline: float) -> Result[int, Refusal]:
         """Wait until the adapter is ready; return its version."""
         adapter = request.adapter
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_waiting_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_waiting_requests.py
@@ -74,7 +74,7 @@
         is_same = notice is not None and notice.born_ms == runner.born_ms
         known = notice.prefill if notice is not None and is_same else None
         self.queue: RunnerQueue[WaitingRequest] = RunnerQueue(
-            max_adapters, ctx.policy, known
+            max_adapters, ctx.policy, known, ctx.cfg.admission.weights
         )
 
     def end_prefill(self, request_id: str, took_s: float) -> None:
@@ -117,6 +117,7 @@
             request.prefill_tokens,
             now,
             account=request.account,
+            is_early=request.is_early,
         )
         displaced = self.queue.make_room(waiter, now)
         if displaced is not None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
@@ -13,6 +13,7 @@
 from gooseberryrun._internal.state.serving.accounts import (
     MAX_SEND_LAG_S,
     AccountCredit,
+    GrantPart,
     UsageCap,
     UsagePermit,
     separated_allowance,
@@ -84,7 +85,8 @@
         permit = active.usage_permit
         if permit is not None and permit.is_valid(self._ctx.clock.boottime()):
             return None
-        return self._get_permit(active, cap, self._usage_of(active, cap))
+        unused = permit.parts if permit is not None else ()
+        return self._get_permit(active, cap, self._usage_of(active, cap), unused)
 
     def release(self, active: ActiveRequest) -> None:
         """Take back the permit of a request that ends without being sent."""
@@ -114,11 +116,16 @@
         return usage
 
     def _get_permit(
-        self, active: ActiveRequest, cap: UsageCap, usage: AccountUsage
+        self,
+        active: ActiveRequest,
+        cap: UsageCap,
+        usage: AccountUsage,
+        unused: tuple[GrantPart, ...] = (),
     ) -> LocalResponse | None:
+        """Get a permit; ``unused`` are the parts of an older one that is void now."""
         cost = usage_cost(active, cap)
         active.usage_permit = None
-        obtained = self._obtain(active, cap, cost, usage)
+        obtained = self._obtain(active, cap, cost, usage, unused)
         active.usage_permit = obtained.permit
         USAGE_DECISIONS.labels(outcome=obtained.outcome).inc()
         if obtained.permit is not None:
@@ -136,7 +143,12 @@
         return refusal_over_cap(active, obtained.retry_in_s)
 
     def _obtain(
-        self, active: ActiveRequest, cap: UsageCap, cost: float, usage: AccountUsage
+        self,
+        active: ActiveRequest,
+        cap: UsageCap,
+        cost: float,
+        usage: AccountUsage,
+        unused: tuple[GrantPart, ...],
     ) -> _Obtained:
         """Get a permit from credit, from an allocator, or from the margin."""
         name = active.account.name if active.account else ""
@@ -154,6 +166,7 @@
                 cost,
                 usage.demand.per_s(asked_at),
                 self._accounts.version,
+                tuple((p.granted_at, p.amount) for p in unused if p.domain == domain),
             )
             answer = self._ask(vm, request, active.metadata.request_id)
             question = UsageQuestion(domain, vm, cap, cost, asked_at, _outcome(answer))
@@ -164,7 +177,8 @@
             if answer is None or not answer.is_allocator:
                 continue
             if answer.granted >= cost:
-                usage.credit.add(answer.granted, asked_at)
+                grant = (domain, answer.granted_at)
+                usage.credit.add(answer.granted, asked_at, grant)
                 permit = usage.credit.take(cost, self._ctx.clock.boottime())
                 if permit is not None:
                     return _Obtained(permit, "granted")
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_slot_granter.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_slot_granter.py
@@ -73,6 +73,7 @@
             now + request.due_s,
             now + request.left_s,
             request.max_wait_s,
+            request.is_early,
         )
         decision = queue.ask(claim, now)
         self._end(request.server, queue, decision.displaced, DISPLACED)
@@ -92,7 +93,9 @@
         queue = self._queues.get(server)
         if queue is None:
             self._drop_idle()
-            queue = self._queues[server] = SlotQueue(runner.slots)
+            queue = self._queues[server] = SlotQueue(
+                runner.slots, self._ctx.cfg.admission.weights
+            )
         queue.resize(runner.slots)
         return queue
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_account_state.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_account_state.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from typing import Any
 
 from gooseberryrun._internal.state.serving.accounts import ClientAccount
+from gooseberryrun._internal.state.serving.admission import DEFAULT_WEIGHT
 
 from ..accounts import Authentication, CapForecast
 
 
-def describe_account(checked: Authentication) -> dict[str, Any] | None:
+def describe_account(
+    checked: Authentication, weights: Mapping[str, float]
+) -> dict[str, Any] | None:
     """Return the state of an account, None if the configuration has no accounts.
 
     An unknown name is not repeated, since it may be a key that was given by mistake.
@@ -23,6 +27,7 @@
         "is_known": account is not None,
         "authentication": str(checked.outcome),
         "priority": account.priority if account else None,
+        "weight": weights.get(account.name, DEFAULT_WEIGHT) if account else None,
     }
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_explainer.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_explainer.py
@@ -77,7 +77,9 @@
         checked = self._authenticator.explain(table, route, query.account)
         if checked.account is not None:
             found["account"] = checked.account.name
-        found["account_state"] = describe_account(checked)
+        found["account_state"] = describe_account(
+            checked, self._ctx.cfg.admission.weights
+        )
         if checked.refusal is not None:
             refusal = checked.refusal
             return found | _refused(refusal.reason, refusal.retry_in_s)
@@ -156,8 +158,8 @@
             return result | _refused("no_runner")
         longest_wait_s = active.longest_wait_s(policy, now)
         result["longest_wait_s"] = round(longest_wait_s, 4)
-        if choice.expected_s > longest_wait_s:
-            return result | _refused("overload")
+        if reason := choice.refusal(longest_wait_s):
+            return result | _refused(reason)
         return result | _sent(choice.candidate, choice.expected_s)
 
     def _explain_plain(self, active: ActiveRequest, now: float) -> dict[str, Any]:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -69,6 +69,11 @@
     """Largest share of a service's requests that go to all other domains together."""
 
 
+MIN_WEIGHT = 0.01
+"""Smallest weight of an account: below it a share is too small to serve a request."""
+MAX_WEIGHT = 100.0
+
+
 class AdmissionSettings(Section, frozen=True, kw_only=True):
     """Fair admission where requests queue."""
 
@@ -76,6 +81,9 @@
     """Whether one VM grants the slots of each plain server to the requests of all; also
     on where the configuration has accounts, and unless set, in deployments of more than
     ``LARGE_FLEET_VMS``."""
+    weights: dict[str, Annotated[float, Meta(ge=MIN_WEIGHT, le=MAX_WEIGHT)]] = {}
+    """Weights of client accounts by name, 1 for those not named: accounts that wait get
+    shares of the capacity by them. All VMs need the same."""
     bounds_runner_memory: bool = False
     """Whether a model runner gets no more requests than its memory holds at once, for
     runners that crash beyond it instead of preempting requests."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -14,7 +15,13 @@
 from ._policy import ServingPolicy
 from ._prefill import PrefillAdmission, PrefillLoad
 from ._waiting import SlotWait
-from .admission import Claim, FairShares, choose_displaced
+from .admission import (
+    NO_WEIGHTS,
+    AccountUsage,
+    Claim,
+    FairShares,
+    choose_displaced,
+)
 
 RESERVATION_S = 0.15
 """Time for which a ready adapter is kept for the request it was acquired for."""
@@ -45,7 +52,8 @@
     ``prefill_tokens`` is the length of a prompt that needs a grant, otherwise 0.
     ``position`` is the request's position among those that wait for a slot, 0 if it
     needs none or found an idle one. ``account`` is the client account that sent it, if
-    any; ``needs_place`` is set if it made the runner load its adapter.
+    any; ``needs_place`` is set if it made the runner load its adapter, ``is_early`` if
+    its caller repeats it before the time named by a refusal.
     """
 
     request_id: str
@@ -58,6 +66,7 @@
     position: int = 0
     account: str = ""
     needs_place: bool = False
+    is_early: bool = False
 
 
 WaiterT = TypeVar("WaiterT", bound=Waiter)
@@ -67,8 +76,9 @@
     """Waiting requests of one runner, its adapter slots and its prompts.
 
     ``suspected`` are adapters that the runner may have lost. ``max_pause_s`` is the
-    longest pause that the streams of the runner may make. ``known`` is what a previous
-    owner has told of the same incarnation of the runner.
+    longest pause that the streams of the runner may make, ``usage`` what each account
+    has used of it. ``known`` is what a previous owner has told of the same incarnation
+    of the runner.
     """
 
     def __init__(
@@ -76,6 +86,7 @@
         max_adapters: int,
         policy: ServingPolicy,
         known: PrefillLoad | None = None,
+        weights: Mapping[str, float] = NO_WEIGHTS,
     ) -> None:
         self._policy = policy
         self.slots = AdapterSlots(max_adapters)
@@ -86,7 +97,9 @@
         self.suspected: set[str] = set()
         self.waiters: list[WaiterT] = []
         self.max_pause_s = 0.0
-        self._shares = FairShares(CREDIT_TOKENS)
+        self.usage = AccountUsage(weights)
+        self._shares = FairShares(CREDIT_TOKENS, weights)
+        self._weights = weights
 
     def is_present(self, adapter: str, version: int) -> bool:
         """Return whether an adapter is loaded at a version or newer, beyond doubt."""
@@ -113,13 +126,15 @@
             return None
         claims = [self._claim(other, now) for other in self.waiters]
         ranks = self._shares.ranks(claims)
-        index = choose_displaced(claims, ranks, self._claim(waiter, now))
+        new = self._claim(waiter, now)
+        index = choose_displaced(claims, ranks, new, self._weights)
         return None if index is None else self.waiters.pop(index)
 
     def _claim(self, waiter: WaiterT, now: float) -> Claim:
         rank = waiter.wait.rank(now, self._policy.late_wait_last)
         priority, is_late, deadline = rank
-        return Claim(waiter.account, priority, is_late, _cost_tokens(waiter), deadline)
+        cost = _cost_tokens(waiter)
+        return Claim(waiter.account, priority, is_late, cost, deadline, waiter.is_early)
 
     def _needs_place(self, waiter: WaiterT) -> bool:
         """Return whether a new request is the first that waits for its adapter."""
@@ -211,10 +226,16 @@
             self.remove(waiter)
             self.reserve(waiter.adapter, now)
             if has_accounts:
-                cost = _cost_tokens(waiter)
-                self._shares.charge(waiter.wait.priority, waiter.account, cost)
+                self._charge(waiter, now)
         return ready
 
+    def _charge(self, waiter: WaiterT, now: float) -> None:
+        priority, account = waiter.wait.priority, waiter.account
+        waiting = {w.account for w in self.waiters if w.wait.priority == priority}
+        self._shares.charge(priority, account, _cost_tokens(waiter), waiting)
+        if waiter.needs_place:
+            self.usage.record(priority, account, PLACE_COST_TOKENS, now)
+
     def prefill_load(self, now: float) -> PrefillLoad:
         """Return the load of prompts, those that wait for an adapter included."""
         tokens = [w.prefill_tokens for w in self.waiters if w.prefill_tokens]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/__init__.py
@@ -14,6 +14,7 @@
 from ._usage_credit import (
     AccountCredit,
     DemandMeter,
+    GrantPart,
     SeparatedUsage,
     UsagePermit,
 )
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    "GrantPart",
     "CREDIT_TTL_S",
     "MAX_SEND_LAG_S",
     "AccountCredit",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_bucket.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_bucket.py
@@ -10,6 +10,8 @@
 
 import math
 from collections import deque
+from dataclasses import dataclass
+from itertools import islice
 
 from ._usage_limits import CREDIT_TTL_S, DomainAllowance
 
@@ -27,6 +29,15 @@
 """Units by which sums of amounts may differ by rounding."""
 
 
+@dataclass(slots=True)
+class _Grant:
+    """Amount granted at a time, and the level of the bucket before it."""
+
+    at: float
+    amount: float
+    level_before: float
+
+
 class UsageBucket:
     """Grants of one allocator; all times are seconds on its ``boottime`` clock.
 
@@ -42,14 +53,16 @@
         self._since = since
         self._at = since
         self._level = -allowance.max_debt
-        self._granted: deque[tuple[float, float]] = deque()
+        self._granted: deque[_Grant] = deque()
         self._granted_sum = 0.0
+        self._changed_at = since
         self._last_retry_at = -math.inf
 
     def change(self, allowance: DomainAllowance, now: float) -> None:
         """Put another allowance in force; what was gathered so far stays."""
         self._refill(now)
         self._allowance = allowance
+        self._changed_at = now
         self._level = min(self._level, self._allowance.capacity)
 
     def take(self, cost: float, demand_per_s: float, now: float) -> float:
@@ -62,11 +75,35 @@
         if self.wait_s(cost, now) > 0.0:
             return 0.0
         granted = cost + self._credit_ahead(cost, demand_per_s)
+        self._granted.append(_Grant(now, granted, self._level))
         self._level -= granted
-        self._granted.append((now, granted))
         self._granted_sum += granted
         return granted
 
+    def give_back(self, granted_at: float, amount: float, now: float) -> None:
+        """Take back a part of a grant by which nothing was or will be sent.
+
+        The bucket is then at most where it would be without that part: what it could
+        not have held, since it was nearly full after the grant, is not given back. So
+        the later grants are those of a bucket that never made it. A grant before a
+        change of the allowance is not taken back, since it is not known what the level
+        would have been.
+        """
+        self._refill(now)
+        known = enumerate(self._granted)
+        index = next((n for n, grant in known if grant.at == granted_at), None)
+        if index is None or granted_at <= self._changed_at:
+            return
+        amount = max(0.0, min(amount, self._granted[index].amount))
+        capacity = self._allowance.capacity
+        highest = self._level
+        for later in islice(self._granted, index + 1, None):
+            highest = max(highest, later.level_before)
+            later.level_before = min(capacity, later.level_before + amount)
+        self._granted[index].amount -= amount
+        self._granted_sum -= amount
+        self._level += min(amount, max(0.0, capacity - highest))
+
     def _credit_ahead(self, cost: float, demand_per_s: float) -> float:
         if cost <= 0.0:
             return 0.0
@@ -89,8 +126,8 @@
     def _refill(self, now: float) -> None:
         self._level = self._level_at(now)
         self._at = max(self._at, now)
-        while self._granted and self._granted[0][0] < now - self._allowance.window_s:
-            self._granted_sum -= self._granted.popleft()[1]
+        while self._granted and self._granted[0].at < now - self._allowance.window_s:
+            self._granted_sum -= self._granted.popleft().amount
         if not self._granted:
             self._granted_sum = 0.0
 
@@ -124,9 +161,9 @@
             return math.inf
         known_in_s = self._since + allowance.window_s - now
         excess = self._granted_sum + cost - allowance.window_limit
-        for granted_at, amount in self._granted:
+        for grant in self._granted:
             if excess <= EPSILON:
                 break
-            excess -= amount
-            known_in_s = max(known_in_s, granted_at + allowance.window_s - now)
+            excess -= grant.amount
+            known_in_s = max(known_in_s, grant.at + allowance.window_s - now)
         return max(0.0, known_in_s)
--- a/tests/unit/serving/test_retry_delays.py
+++ b/tests/unit/serving/test_retry_delays.py
@@ -29,6 +29,7 @@
 
     may_have_run = False
     is_in_flight = False
+    account = None
 
 
 def send(response: LocalResponse, times: int) -> list[float]:
--- a/tests/unit/serving/test_runner_weights.py
+++ b/tests/unit/serving/test_runner_weights.py
@@ -150,7 +150,11 @@
         runner = make_runner(number, candidate.runner.slots)
         candidates.append(_replace(candidate, runner=runner))
     expected = former_choice(candidates, adapter, tokens, POLICY)
-    assert choose_model_runner(candidates, adapter, tokens, POLICY) == expected
+    choice = choose_model_runner(candidates, adapter, tokens, POLICY)
+    assert (choice is None) == (expected is None)
+    if choice is not None and expected is not None:
+        assert choice.candidate == expected.candidate
+        assert choice.expected_s == expected.expected_s
     is_held = any(candidate.has_adapter for candidate in candidates)
     for rank, candidate in enumerate(candidates):
         assert model_runner_cost_s(
--- a/tests/unit/serving/test_speed_gossip.py
+++ b/tests/unit/serving/test_speed_gossip.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 from functools import lru_cache
 
 import pytest
@@ -38,6 +39,7 @@
 )
 
 from tests.lib.fleet import GroupStore, make_members, make_vm
+from tests.lib.origins import make_request
 
 TOKEN_S = 1 / 20400
 KEYS = [f"m/a{number}" for number in range(200)]
@@ -247,10 +249,12 @@
     runner = next(
         r for r in vm.runners if (owner := owners[r.id]) and owner.vm != vm.ctx.vm
     )
-    vm.adapters.begin_use(runner, "m/a1")
+    active = make_request("r1")
+    active.metadata = replace(active.metadata, model="m", adapter="a1")
+    vm.adapters.begin_use(runner, active)
     vm.adapters.record_steps(runner, "m/a1", 0.012)
     vm.adapters.end_use(runner, "m/a1")
-    vm.adapters.begin_use(runner, "m/a1")
+    vm.adapters.begin_use(runner, active)
     vm.adapters.end_use(runner, "m/a1")
     told = [m.step_s for _, m in vm.peers.sent if isinstance(m, UseNotice)]
     assert told == [0.0, 0.012, 0.0, 0.0]
--- a/tests/unit/serving/test_where_accounts.py
+++ b/tests/unit/serving/test_where_accounts.py
@@ -14,6 +14,7 @@
     UsageRequest,
 )
 from gooseberryrun._internal.coordination.serving.where import WhereQuery, parse_query
+from gooseberryrun._internal.state._serving_settings import AdmissionSettings
 from gooseberryrun._internal.state.serving.accounts import key_digest
 from gooseberryrun._internal.state.serving.admission import SlotClaim
 
@@ -145,6 +146,16 @@
     assert states["free"]["cap"] is None
 
 
+def test_weight_of_the_account_is_shown(fleet: AccountFleet) -> None:
+    """Guards against weights in the settings that cannot be checked at a VM."""
+    ctx = fleet.vms["vm-000"]._ctx
+    admission = AdmissionSettings(weights={"urgent": 2.5})
+    ctx.cfg = ctx.cfg.model_copy(update={"admission": admission})
+    states = [explain(fleet, "vm-000", "r1", n)["account_state"] for n in KEYS]
+    weights = {state["name"]: state["weight"] for state in states}
+    assert weights == {"free": 1.0, "urgent": 2.5, "capped": 1.0}
+
+
 @pytest.mark.parametrize("is_allocator", [True, False])
 def test_request_over_the_cap_is_explained(
     fleet: AccountFleet, log: list[str], is_allocator: bool
--- a/tests/unit/test_where_command.py
+++ b/tests/unit/test_where_command.py
@@ -41,6 +41,7 @@
         "is_known": True,
         "authentication": "accepted",
         "priority": 3,
+        "weight": 0.5,
     },
     "cap": {
         "unit": "requests",
@@ -119,7 +120,7 @@
     notes = [line.removeprefix("note: ") for line in found.stderr.splitlines()]
     assert notes[:4] == [
         "would be refused: usage_cap, again in 0.25 s",
-        "account acme: accepted, priority 3",
+        "account acme: accepted, priority 3, weight 0.5",
         "cap of 6.0 requests a second, burst 6.0: over_cap, again in 0.25 s; "
         "costs 1.0, credit 0.0, would ask vm-1 then vm-2",
         "allocator asked last: vm-2 of d1 0.10 s ago, refused, again in 0.4 s",
