--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapters.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 
+import msgspec
 from result import Err, Ok, Result
 
 from gooseberryrun._internal.state.serving import (
@@ -42,8 +42,7 @@
 does not follow."""
 
 
-@dataclass(frozen=True, slots=True)
-class AdapterRequirement:
+class AdapterRequirement(msgspec.Struct, frozen=True):
     """Adapter, by its key, and the lowest version of it that a request needs.
 
     The first event is late after ``target_deadline``. ``prefill_tokens`` is the length
@@ -60,8 +59,7 @@
     account: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class SlotQueue:
+class SlotQueue(msgspec.Struct, frozen=True):
     """Idle slots of a runner, requests waiting for one, and the mean wait per slot."""
 
     idle: int
@@ -80,6 +78,7 @@
         self._membership = membership
         self._blocked_until: dict[str, float] = {}
         self._uses: Counter[tuple[str, str]] = Counter()
+        self._step_s: dict[tuple[str, str], float] = {}
 
     def held(self, runner: Runner) -> dict[str, int]:
         """Return the adapters that a runner is assumed to hold, with versions."""
@@ -139,6 +138,8 @@
             record_restart(self._ctx, notice.runner, notice.born_ms, sender)
         known = self._ctx.residency.newest(notice.runner)
         self._ctx.residency.update(notice)
+        if notice.weight is not None:
+            self._ctx.weights.merge(notice.runner, notice.weight)
         if known is not None and known.fencing_token == notice.fencing_token:
             return
         for (runner, adapter), count in self._uses.items():
@@ -193,9 +194,15 @@
         if not self._uses[(runner.id, adapter)]:
             del self._uses[(runner.id, adapter)]
 
+    def record_steps(self, runner: Runner, adapter: str, step_s: float) -> None:
+        """Record the step time of a stream for the notice of its end."""
+        self._step_s[(runner.id, adapter)] = step_s
+
     def _send_use_notice(self, runner: Runner, adapter: str) -> None:
         owner = self._ctx.owner_of(runner)
-        notice = UseNotice(runner.id, adapter, self._uses[(runner.id, adapter)])
+        step_s = self._step_s.pop((runner.id, adapter), 0.0)
+        uses = self._uses[(runner.id, adapter)]
+        notice = UseNotice(runner.id, adapter, uses, step_s)
         if owner is not None:
             self._send_to_owner(owner.vm, notice)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from gooseberryrun._internal.state import (
     Clock,
     ServingSettings,
@@ -31,6 +33,7 @@
     reader_rank,
 )
 from gooseberryrun._internal.state.serving.accounts import ConfigurationFreshness
+from gooseberryrun._internal.state.serving.placement import WeightTable
 
 from .._ports import Peers
 from ._ports import Ports
@@ -42,8 +45,7 @@
 """Age up to which a member's store status is used: two rounds of gossip."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoreStatus:
+class StoreStatus(msgspec.Struct, frozen=True):
     """Last reported status of a member: whether it reaches the store.
 
     The member has read the registry of runners up to ``registry_end``.
@@ -80,6 +82,7 @@
     stop_deadline: float = float("inf")
     is_new: bool = True
     store_statuses: dict[str, StoreStatus] = field(default_factory=dict)
+    weights: WeightTable = field(default_factory=WeightTable)
     residency: Residency = field(init=False)
     freshness: ConfigurationFreshness = field(init=False)
     remote_views: dict[str, View] = field(default_factory=dict)
@@ -219,6 +222,7 @@
         now = self.clock.monotonic()
         registered = [runner.id for runner in self.directory.all_runners()]
         self.residency.drop_unregistered(registered)
+        self.weights.drop_unregistered(registered)
         self.loads.expire_owner_totals(now)
         self.store_statuses = {
             vm: status
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_lease_renewals.py
@@ -9,12 +9,12 @@
 from gooseberryrun._internal.state.serving import OwnershipState
 
 from .._events import log_event
-from .._metrics import LEASE_LEFT, STORE_CALLS
+from .._metrics import LEASE_LEFT
 from .._ports import InboundMessage
 from .._serving_messages import RenewAnswer, RenewRequest
 from .._tasks import spawn
 from ._context import STORE_STATUS_TTL_S, Context
-from ._store_calls import check_for_silence
+from ._store_calls import check_for_silence, count_outcome
 from ._store_port import StoreFault
 
 MAX_RELAYS = 2
@@ -72,7 +72,7 @@
             if self.is_store_unreachable
             else "ok"
         )
-        STORE_CALLS.labels(call="renew", outcome=outcome).inc()
+        count_outcome("renew", outcome)
         LEASE_LEFT.set(self._lease_left_s())
         if isinstance(renewed, Err) or self._is_closed:
             return False
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_stream_relay.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
+import msgspec
 from result import Err
 
 from gooseberryrun._internal.state.serving import Runner, StreamPace
@@ -22,15 +21,14 @@
 cuts a response off that stays unread for some seconds."""
 
 
-@dataclass(slots=True)
-class StreamProgress:
+class StreamProgress(msgspec.Struct):
     """Part of the stream that the caller has received.
 
     ``unread_s`` is the time for which nothing was read from the runner of the present
     attempt, since the caller did not read what had come before.
     """
 
-    events: EventBuffer = field(default_factory=EventBuffer)
+    events: EventBuffer = msgspec.field(default_factory=EventBuffer)
     is_started: bool = False
     unread_s: float = 0.0
 
@@ -109,7 +107,7 @@
         if response.ends_with_connection and not _ends_after_event(active, progress):
             fault = AttemptFault(AttemptFailure.SENT, "closed within an event")
             return self._fail(active, runner, progress, fault)
-        self._finish(active, runner, response, progress)
+        self._finish(active, runner, response, progress, tracker)
         return Round.DONE
 
     def _fail(
@@ -169,10 +167,14 @@
         runner: Runner,
         response: RunnerResponse,
         progress: StreamProgress,
+        tracker: LoadTracker,
     ) -> None:
         self._attempts.record_success(active, runner)
         if progress.unread_s < MIN_UNREAD_S:
-            self._stream_pace.record(active.timing, active.metadata.output_tokens)
+            tokens = active.metadata.output_tokens
+            self._stream_pace.record(active.timing, tokens)
+            if active.attempts == 1 and not active.takes_up_stream:
+                tracker.record_stream(active.timing, tokens)
         remainder = progress.events.remainder()
         if remainder or not progress.is_started:
             self._send_events(active, response, progress, remainder)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_caller_connection.py
@@ -27,10 +27,11 @@
 from gooseberryrun._internal.state.serving import ClientLimits
 
 from ._event_sender import EventSender
-from ._http_caller import HttpCaller, interrupt_to_stop, watch_disconnect
+from ._http_caller import HttpCaller, check_disconnect, interrupt_to_stop
 from ._input_bounds import InputBounds
 from ._output import limit_send_buffer
 from ._request_reader import BadRequestError, RequestReader, has_body
+from ._sockets import SocketReader
 
 REJECTED_RETRY_S = "0.1"
 """Retry delay sent with a 503 for a request that is not served here."""
@@ -65,12 +66,14 @@
         max_head_bytes = state.limits().max_header_bytes
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_head_bytes)
         self._sender = EventSender(sock, self.http, state.bounds.slow_readers)
+        self._socket_reader = SocketReader(sock)
         self._reader = RequestReader(
-            sock, self._sender, state.limits, state.bounds, clock
+            self._socket_reader, self._sender, state.limits, state.bounds, clock
         )
 
     def close(self) -> None:
         """Close the socket."""
+        self._socket_reader.close()
         self._sock.close()
 
     def end(self) -> None:
@@ -136,16 +139,15 @@
     def _serve(self, handler: RequestHandler, request: InboundRequest) -> None:
         caller = HttpCaller(self._sender, request, self.closes_after)
         self._state.open_requests += 1
-        self._serving = (eventlet.getcurrent(), caller)
-        watcher = eventlet.spawn(
-            watch_disconnect, self._sock, eventlet.getcurrent(), caller
-        )
+        thread = eventlet.getcurrent()
+        self._serving = (thread, caller)
+        self._socket_reader.watch(lambda: check_disconnect(self._sock, thread, caller))
         try:
             handler.handle(request, caller)
         finally:
             caller.is_interruptible = False
             self._serving = None
-            watcher.kill()
+            self._socket_reader.end_watch()
             self._state.open_requests -= 1
 
     def _check_head(self, request: InboundRequest) -> EarlyRefusal | CheckedHead | None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_http_caller.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_http_caller.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import h11
-from eventlet.hubs import get_hub, trampoline
+from eventlet.hubs import get_hub
 
 from gooseberryrun._internal.coordination.serving import (
     Caller,
@@ -72,12 +72,13 @@
         return h11.Response(status_code=status, headers=headers)
 
 
-def watch_disconnect(sock: Any, request: Any, caller: HttpCaller) -> None:
-    """Interrupt the green thread of a request when its caller disconnects."""
+def check_disconnect(sock: Any, request: Any, caller: HttpCaller) -> None:
+    """Interrupt the green thread of a request if its caller has disconnected."""
     try:
-        trampoline(sock.fd, read=True)
-        if sock.fd.recv(1, socket.MSG_PEEK):
+        if sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
             return
+    except BlockingIOError:
+        return
     except OSError:
         pass
     caller.is_disconnected = True
