--- a/tests/unit/serving/test_usage_returns.py
+++ b/tests/unit/serving/test_usage_returns.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 
+import msgspec
 import pytest
 from gooseberryrun._internal.state.serving.accounts import (
     AccountCredit,
@@ -88,7 +88,9 @@
     bucket = make_bucket()
     bucket.take(60.0, 0.0, START_S)
     if granted_at == START_S:
-        bucket.change(replace(ALLOWANCE, rate_per_s=50.0), START_S + 0.1)
+        bucket.change(
+            msgspec.structs.replace(ALLOWANCE, rate_per_s=50.0), START_S + 0.1
+        )
     bucket.give_back(granted_at, 60.0, START_S + 0.1)
     assert bucket.take(40.0, 0.0, START_S + 0.1) == 0.0
 
