Refuse an account beyond its share only while others wait

Callers of accounts that are larger than the mean got 503 (account_share) at usual demand: on a deployment of 67 VMs and 16 accounts 94 requests in the first 4 s, before any account was hot, at runners with 2 to 5 idle places and nobody waiting (event=overload, account_share 1.4 to 1.9). Cause: the part of the expected wait that is due to others includes turns, loads and prompts being read, so the limit held where nobody waited. Change: it holds only where requests wait at the chosen runner for a place or a grant. Test: test_account_beyond_its_share_is_served_where_nobody_waits (fails before). The old test asked for a refusal at one idle place with nobody waiting, which keeps capacity idle; it now asks for it where requests wait.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_placement.py
@@ -84,11 +84,19 @@
         """Return why a request is refused that may wait that long, "" if it is not."""
         if self.expected_s > longest_wait_s:
             return "overload"
+        if not self._is_contended():
+            return ""
         limit_s = longest_queue_wait_s(self.account_share, longest_wait_s)
         if limit_s < longest_wait_s and self.queue_s > limit_s:
             return "account_share"
         return ""
 
+    def _is_contended(self) -> bool:
+        """Return whether requests wait at the chosen runner, for a place or a grant."""
+        chosen = self.candidate
+        is_full = chosen.waiting > chosen.available_slots
+        return is_full or chosen.prefill.waiting_s > 0.0
+
 
 def failure_rate(view: RunnerView) -> float:
     """Return the damped share of recent attempts that failed."""
