End the shares where the fleet becomes too small for them

The switch of crossing follows the number of VMs, but step returned at once where it was off: the shares, and that the VM is a reader, stayed as they were, and its contacts in other domains with them. The summaries that the shares rest on expire after 1.5 s, so no request left on them. A step without the switch now goes on with no service, by which the same code ends the shares. Test: test_shares_end_where_the_fleet_becomes_too_small_for_them (fails before).

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_crossing.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/crossing/_crossing.py
@@ -75,11 +75,12 @@
         return self._is_reader
 
     def step(self) -> None:
-        """Build the own domain's summaries if this VM has to; correct the shares."""
-        if not self.is_enabled:
-            return
+        """Build the own domain's summaries if this VM has to; correct the shares.
+
+        All shares end where the number of VMs no longer asks for them.
+        """
         now = self._ctx.clock.monotonic()
-        services = self._shared_services()
+        services = self._shared_services() if self.is_enabled else []
         rank = self._ctx.reader_rank()
         self._is_reader = bool(services) and rank < READERS_PER_DOMAIN
         if self._is_reader:
--- a/tests/unit/serving/test_crossing.py
+++ b/tests/unit/serving/test_crossing.py
@@ -8,7 +8,7 @@
 import pytest
 from gooseberryrun._internal.coordination._serving_messages import ServingGossip
 from gooseberryrun._internal.coordination.serving._gossip import FANOUT
-from gooseberryrun._internal.coordination.serving.crossing import _summaries
+from gooseberryrun._internal.coordination.serving.crossing import Crossing, _summaries
 from gooseberryrun._internal.state.serving import (
     READERS_PER_DOMAIN,
     Handling,
@@ -135,6 +135,24 @@
     assert count_domains(fleet, vm, PLAIN) == {"d1": 200}
 
 
+def test_shares_end_where_the_fleet_becomes_too_small_for_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against shares and reports that stay as they were at the switch."""
+    fleet = CrossingFleet()
+    fill_plain(fleet, d0=8, d1=1, d2=5)
+    fleet.gossip(12)
+    crossings = [serving._gossip._crossing for serving in fleet.vms.values()]
+    found = [crossing for crossing in crossings if crossing is not None]
+    assert any(crossing.is_reader for crossing in found)
+    assert any(crossing._controllers for crossing in found)
+    monkeypatch.setattr(Crossing, "is_enabled", False)
+    for crossing in found:
+        crossing.step()
+    assert not any(crossing.is_reader for crossing in found)
+    assert not any(crossing._controllers for crossing in found)
+
+
 def test_full_domain_of_runners_sends_to_the_adapters_homes_elsewhere() -> None:
     """VMs that follow only their own runners kept requests there when they were full.
 
