Use one piece of code where the parts had written it again

The loop that reads a body and the one that discards it are one; the weight of an account is looked up by weight_of in five places; the rounding of usage amounts is one constant; accounts are found by name in the table that is built with the configuration, which a cache beside it repeated. A queue looked twice for the adapters without a slot with each request; it looks once. No behaviour changes: the tests keep their assertions.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_authentication.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_authentication.py
@@ -65,8 +65,7 @@
         """
         if table.accounts is None:
             return Authentication()
-        known = (a for a in table.accounts.accounts if name and a.name == name)
-        account = next(known, None)
+        account = table.accounts.find_named(name) if name else None
         is_confirmed = self._ctx.freshness.is_confirmed(self._ctx.clock.boottime())
         is_known = account is not None
         outcome = key_outcome(bool(name), is_known, _is_public(route), is_confirmed)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_capped_accounts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_capped_accounts.py
@@ -20,8 +20,6 @@
         self._ctx = ctx
         self._known_domains: list[str] = []
         self._known_at = -math.inf
-        self._table: RouteTable | None = None
-        self._by_name: dict[str, ClientAccount] = {}
 
     @property
     def version(self) -> int:
@@ -52,12 +50,9 @@
 
     def find(self, name: str) -> ClientAccount | None:
         """Return the first account with a name, None if there is none."""
-        table = self._ctx.directory.table
-        if table is not self._table:
-            self._table = table
-            accounts = (table.configuration.accounts if table else None) or ()
-            self._by_name = {a.name: a for a in reversed(accounts)}
-        return self._by_name.get(name)
+        table: RouteTable | None = self._ctx.directory.table
+        accounts = table.accounts if table else None
+        return accounts.find_named(name) if accounts else None
 
 
 def has_usage_caps(ctx: Context) -> bool:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_account_state.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_account_state.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from gooseberryrun._internal.state.serving.accounts import ClientAccount
-from gooseberryrun._internal.state.serving.admission import DEFAULT_WEIGHT
+from gooseberryrun._internal.state.serving.admission import weight_of
 
 from ..accounts import Authentication, CapForecast
 
@@ -27,7 +27,7 @@
         "is_known": account is not None,
         "authentication": str(checked.outcome),
         "priority": account.priority if account else None,
-        "weight": weights.get(account.name, DEFAULT_WEIGHT) if account else None,
+        "weight": weight_of(weights, account.name) if account else None,
     }
 
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_runner_queue.py
@@ -112,8 +112,11 @@
         """Add a request; return False if too many wait."""
         if len(self.waiters) >= MAX_WAITERS:
             return False
-        waiter.position = self._position(waiter, now)
-        waiter.needs_place = self._needs_place(waiter)
+        ahead = self.adapters_without_slot()
+        is_coming = self._has_adapter(waiter) or waiter.adapter in self.slots.loading
+        waiter.needs_place = not is_coming and waiter.adapter not in ahead
+        needs_wait = waiter.needs_place and self.slots.idle_count(now) <= 0
+        waiter.position = len(ahead) + 1 if needs_wait else 0
         self.waiters.append(waiter)
         return True
 
@@ -136,19 +139,6 @@
         cost = _cost_tokens(waiter)
         return Claim(waiter.account, priority, is_late, cost, deadline, waiter.is_early)
 
-    def _needs_place(self, waiter: WaiterT) -> bool:
-        """Return whether a new request is the first that waits for its adapter."""
-        is_coming = self._has_adapter(waiter) or waiter.adapter in self.slots.loading
-        return not is_coming and waiter.adapter not in self.adapters_without_slot()
-
-    def _position(self, waiter: WaiterT, now: float) -> int:
-        """Return the position of a new request among those that wait for a slot."""
-        is_served = self._has_adapter(waiter) or waiter.adapter in self.slots.loading
-        ahead = self.adapters_without_slot()
-        if is_served or waiter.adapter in ahead or self.slots.idle_count(now) > 0:
-            return 0
-        return len(ahead) + 1
-
     def record_slot(self, waiter: WaiterT, now: float) -> None:
         """Record that a slot has been taken for a request."""
         if waiter.position and self._policy.learns_slot_waits:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_accounts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_accounts.py
@@ -55,13 +55,14 @@
 
 
 class AccountTable:
-    """Accounts of one configuration by the digests of their keys.
+    """Accounts of one configuration by the digests of their keys, and by name.
 
-    A key of several accounts belongs to the first of them in the list.
+    A key of several accounts belongs to the first of them in the list, and so does a
+    name.
     """
 
     def __init__(self, accounts: tuple[ClientAccount, ...]) -> None:
-        self.accounts = accounts
+        self._by_name = {account.name: account for account in reversed(accounts)}
         self._by_digest: dict[bytes, tuple[bytes, ClientAccount]] = {}
         for account in accounts:
             for digest in account.key_digests:
@@ -73,6 +74,10 @@
         known, account = self._by_digest.get(digest, (b"", None))
         return account if key and hmac.compare_digest(known, digest) else None
 
+    def find_named(self, name: str) -> ClientAccount | None:
+        """Return the account with a name, None without one."""
+        return self._by_name.get(name)
+
 
 def find_shared_keys(accounts: tuple[ClientAccount, ...]) -> list[tuple[str, str]]:
     """Return the names of accounts that share a key, the one it belongs to first."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_bucket.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_bucket.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from ._usage_limits import CREDIT_TTL_S, DomainAllowance
+from ._usage_limits import CREDIT_TTL_S, EPSILON, DomainAllowance
 
 QUIET_S = CREDIT_TTL_S
 """Time without grants of a new allocator: credit of its predecessor is in use."""
@@ -25,8 +25,6 @@
 """
 HIGH_LEVEL_SHARE = 0.5
 """Filled share of a bucket above which a VM gets credit for its coming requests."""
-EPSILON = 1e-6
-"""Units by which sums of amounts may differ by rounding."""
 
 
 @dataclass(slots=True)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_credit.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_credit.py
@@ -13,12 +13,10 @@
 import msgspec
 
 from ._accounts import UsageUnit
-from ._usage_limits import CREDIT_TTL_S, MAX_SEND_LAG_S
+from ._usage_limits import CREDIT_TTL_S, EPSILON, MAX_SEND_LAG_S
 
 DEMAND_TIME_S = 1.0
 """Time constant of the measured demand."""
-EPSILON = 1e-6
-"""Units by which sums of amounts may differ by rounding."""
 
 
 class GrantPart(msgspec.Struct, frozen=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_limits.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/accounts/_usage_limits.py
@@ -18,6 +18,8 @@
 from ..._serving_settings import UsageSettings
 from ._accounts import UsageCap, UsageUnit
 
+EPSILON = 1e-6
+"""Units by which sums of amounts may differ by rounding."""
 CREDIT_TTL_S = 0.4
 """Time from a VM's request for credit for which it may admit requests on it."""
 MAX_SEND_LAG_S = 0.8
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/__init__.py
@@ -13,6 +13,7 @@
     FairShares,
     Rank,
     choose_displaced,
+    weight_of,
 )
 from ._refused_requests import RefusedRequests
 from ._slot_claims import SlotChanges, SlotClaim, SlotDecision, SlotOutcome
@@ -43,4 +44,5 @@
     "choose_displaced",
     "due_in_s",
     "longest_queue_wait_s",
+    "weight_of",
 ]
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_account_usage.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_account_usage.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from ._fair_order import DEFAULT_WEIGHT
+from ._fair_order import weight_of
 
 USAGE_TIME_S = 8.0
 """Time constant of the usage: a runner serves some ten requests a second, so a shorter
@@ -79,10 +79,10 @@
         weights: dict[int, float] = defaultdict(float)
         for (priority, account), used in self._used.items():
             totals[priority] += used
-            weights[priority] += self._weight(account)
+            weights[priority] += weight_of(self._weights, account)
         shares = {
             (priority, account): used
-            / self._weight(account)
+            / weight_of(self._weights, account)
             / (totals[priority] / weights[priority])
             for (priority, account), used in self._used.items()
         }
@@ -95,9 +95,6 @@
             {p: round(sum(found) / len(found), 2) for p, found in rest.items()},
         )
 
-    def _weight(self, account: str) -> float:
-        return self._weights.get(account, DEFAULT_WEIGHT)
-
     def _decay(self, now: float) -> None:
         factor = math.exp(-max(0.0, now - self._at) / USAGE_TIME_S)
         self._at = max(self._at, now)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_fair_order.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_fair_order.py
@@ -23,6 +23,12 @@
 DEFAULT_WEIGHT = 1.0
 """Weight of an account without one of its own."""
 
+
+def weight_of(weights: Mapping[str, float], account: str) -> float:
+    """Return the weight of an account."""
+    return weights.get(account, DEFAULT_WEIGHT)
+
+
 Rank = tuple[int, int, float, float]
 """Sort key of a waiting request; the smallest is served first."""
 
@@ -106,13 +112,10 @@
             claim = claims[index]
             key = (claim.priority, claim.account)
             start = ends[key] if key in ends else self._start(*key)
-            ends[key] = start + claim.cost / self._weight(claim.account)
+            ends[key] = start + claim.cost / weight_of(self._weights, claim.account)
             ranks[index] = (claim.priority, claim.rank_in_class, start, claim.order)
         return [ranks[index] for index in range(len(claims))]
 
-    def _weight(self, account: str) -> float:
-        return self._weights.get(account, DEFAULT_WEIGHT)
-
     def _start(self, priority: int, account: str) -> float:
         shares = self._classes.get(priority)
         return shares.start(account) if shares else -self._credit
@@ -129,14 +132,14 @@
         if priority not in self._classes and len(self._classes) >= MAX_CLASSES:
             self._classes.clear()
         self._classes.setdefault(priority, _ClassShares(self._credit)).charge(
-            account, cost / self._weight(account), waiting
+            account, cost / weight_of(self._weights, account), waiting
         )
 
     def correct(self, priority: int, account: str, by: float) -> None:
         """Correct an earlier charge by the difference to what was used."""
         shares = self._classes.get(priority)
         if shares and account in shares.finishes:
-            shares.finishes[account] += by / self._weight(account)
+            shares.finishes[account] += by / weight_of(self._weights, account)
 
 
 def _own_order(claim: Claim) -> tuple[int, int, float]:
@@ -173,7 +176,7 @@
     counts = Counter(claims[n].account for n in indices)
 
     def load(name: str, more: int = 0) -> float:
-        return (counts[name] + more) / weights.get(name, DEFAULT_WEIGHT)
+        return (counts[name] + more) / weight_of(weights, name)
 
     account = max(counts, key=lambda name: (load(name), name))
     if account == new.account or load(account, -1) < load(new.account, 1):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_slot_queue.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/admission/_slot_queue.py
@@ -13,12 +13,12 @@
 from dataclasses import dataclass
 
 from ._fair_order import (
-    DEFAULT_WEIGHT,
     NO_WEIGHTS,
     Claim,
     FairShares,
     Rank,
     choose_displaced,
+    weight_of,
 )
 from ._slot_claims import SlotChanges, SlotClaim, SlotDecision, SlotOutcome
 
@@ -189,16 +189,14 @@
         key = (claim.priority, claim.account)
         accounts = {waiting.claim.account for waiting in self._waiting.values()}
         accounts.update(grant.claim.account for grant in self._grants.values())
-        total = sum(self._weight(name) for name in accounts | {claim.account})
-        share_s = self.interval_s * total / self._weight(claim.account)
+        accounts.add(claim.account)
+        total = sum(weight_of(self._weights, name) for name in accounts)
+        share_s = self.interval_s * total / weight_of(self._weights, claim.account)
         follows_at = self._retry_at.get(key, -math.inf) + share_s
         retry_at = max(now + wait_s, follows_at)
         self._retry_at[key] = min(retry_at, now + MAX_RETRY_S)
         return self._retry_at[key] - now
 
-    def _weight(self, account: str) -> float:
-        return self._weights.get(account, DEFAULT_WEIGHT)
-
     def _grant(self, claim: SlotClaim, now: float) -> None:
         self._shares.charge(claim.priority, claim.account, 1.0)
         started_at = now if self.in_use < self._slots else None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/placement/_speed.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/placement/_speed.py
@@ -205,8 +205,9 @@
         """
         if estimate is None or now - self.changed_at < CHANGE_INTERVAL_S:
             return None
-        is_known = known is not None and known.born_ms == self.born_ms
-        before = known if is_known and known else RunnerWeight(self.born_ms, 0, 4)
+        before = known
+        if before is None or before.born_ms != self.born_ms:
+            before = RunnerWeight(self.born_ms, 0, STEPS_PER_UNIT)
         steps = quantise(relative_speed(estimate, reference), before.steps)
         if steps == before.steps:
             return None
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_request_reader.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_request_reader.py
@@ -128,16 +128,36 @@
         return event
 
     def _read_body(self, headers: Headers) -> bytes:
-        limit = self._limits.max_body_bytes
         length = _content_length(headers)
-        if length > limit:
+        if length > self._limits.max_body_bytes:
             raise BadRequestError(413, "the body is too large")
         if not self._buffers.has_room(length):
             raise BadRequestError(503, "too many bodies are buffered")
-        self._body = self._buffers.open()
+        body = self._body = self._buffers.open()
         if self.http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._sender.send(go_on)
+
+        def keep(data: bytes) -> int:
+            body.append(data)
+            return body.size
+
+        self._read_pieces(keep)
+        return body.complete()
+
+    def discard_body(self) -> None:
+        """Discard the body of a request that has been answered."""
+        size = 0
+
+        def drop(data: bytes) -> int:
+            nonlocal size
+            size += len(data)
+            return size
+
+        self._read_pieces(drop)
+
+    def _read_pieces(self, take: Callable[[bytes], int]) -> None:
+        """Pass the pieces of a body to ``take``, which returns their size so far."""
         with Timeout(
             self._limits.idle_timeout_s,
             BadRequestError(408, "the body did not arrive in time"),
@@ -145,12 +165,12 @@
             while True:
                 event = self._next_event()
                 if isinstance(event, h11.EndOfMessage):
-                    return self._body.complete()
+                    return
                 if not isinstance(event, h11.Data):
                     raise ConnectionClosedError("closed by the caller within a body")
-                self._body.append(event.data)
+                size = take(event.data)
                 self._work.count_piece(len(event.data))
-                if self._body.size > limit:
+                if size > self._limits.max_body_bytes:
                     raise BadRequestError(413, "the body is too large")
 
     def _next_event(self) -> Any:
@@ -169,24 +189,6 @@
             raise ConnectionClosedError("closed")
         self.http.receive_data(data)
 
-    def discard_body(self) -> None:
-        """Discard the body of a request that has been answered."""
-        size = 0
-        with Timeout(
-            self._limits.idle_timeout_s,
-            BadRequestError(408, "the body did not arrive in time"),
-        ):
-            while True:
-                event = self._next_event()
-                if isinstance(event, h11.EndOfMessage):
-                    return
-                if not isinstance(event, h11.Data):
-                    raise ConnectionClosedError("closed by the caller within a body")
-                self._work.count_piece(len(event.data))
-                size += len(event.data)
-                if size > self._limits.max_body_bytes:
-                    raise BadRequestError(413, "the body is too large")
-
     def discard_input(self) -> None:
         """Discard input for a moment, since a reset could drop the response."""
         with Timeout(0.5, False):
