Make a request in one place, whether it is served or explained

The explanation of a decision built its own request beside the gateway's, by the same steps, and could not know an early repetition; both call make_active_request. The name of a request's account is a property instead of the same expression in five places. The fixture of log lines is one. Tests call the new function, and a stand-in has the property; their assertions are the same.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -22,6 +22,7 @@
 from gooseberryrun._internal.state.serving.accounts import ClientAccount, UsagePermit
 from gooseberryrun._internal.state.serving.admission import SlotSearch
 
+from ._context import Context
 from ._request_ports import Caller, InboundRequest, RequestMetadata
 
 
@@ -78,6 +79,11 @@
         """Return the key of the request's model and adapter."""
         return adapter_key(self.metadata.model, self.metadata.adapter)
 
+    @property
+    def account_name(self) -> str:
+        """Return the name of the account, empty without one."""
+        return self.account.name if self.account else ""
+
     @property
     def priority(self) -> int:
         """Return the account's priority, the route's if the account has none."""
@@ -158,3 +164,28 @@
     reason: str
     retry_in_s: float | None = None
     is_earliest: bool = False
+
+
+def make_active_request(
+    ctx: Context,
+    request: InboundRequest,
+    metadata: RequestMetadata,
+    caller: Caller,
+    route: Route,
+    account: ClientAccount | None,
+) -> ActiveRequest:
+    """Return a request as it is served from now on, by its route and account."""
+    wait_s = min(metadata.wait_s, route.timeout_s)
+    version = ctx.directory.version_of(metadata.model, metadata.adapter)
+    return ActiveRequest(
+        request,
+        metadata,
+        caller,
+        route,
+        route.pick_service(metadata.stream_id),
+        min(request.read_at + wait_s, ctx.stop_deadline),
+        traits=request_traits(request, metadata, version),
+        account=account,
+        is_early=account is not None
+        and ctx.refused.is_early(account.name, metadata.request_id, request.read_at),
+    )
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapter_requirement.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_adapter_requirement.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class AdapterRequirement:
+class AdapterRequirement(msgspec.Struct, frozen=True):
     """Adapter, by its key, and the lowest version of it that a request needs.
 
     The first event is late after ``target_deadline``. ``prefill_tokens`` is the length
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -11,7 +11,7 @@
 
 from .._events import bind_request, log_event
 from .._metrics import REFUSALS
-from ._active_request import ActiveRequest, LocalResponse, request_traits
+from ._active_request import ActiveRequest, LocalResponse, make_active_request
 from ._attempts import Attempts
 from ._context import Context
 from ._crash_guard import CrashGuard, suspect_response
@@ -105,7 +105,7 @@
             return
         route, account = found.ok_value
         self._serve(
-            self._make_active_request(request, metadata, caller, route, account)
+            make_active_request(self._ctx, request, metadata, caller, route, account)
         )
 
     def _find_route(
@@ -139,32 +139,6 @@
         route = table.find(request.host, request.path)
         return route, self._authenticator.check(table, route, metadata.credential)
 
-    def _make_active_request(
-        self,
-        request: InboundRequest,
-        metadata: RequestMetadata,
-        caller: Caller,
-        route: Route,
-        account: ClientAccount | None,
-    ) -> ActiveRequest:
-        wait_s = min(metadata.wait_s, route.timeout_s)
-        deadline = min(request.read_at + wait_s, self._ctx.stop_deadline)
-        version = self._ctx.directory.version_of(metadata.model, metadata.adapter)
-        return ActiveRequest(
-            request,
-            metadata,
-            caller,
-            route,
-            route.pick_service(metadata.stream_id),
-            deadline,
-            traits=request_traits(request, metadata, version),
-            account=account,
-            is_early=account is not None
-            and self._ctx.refused.is_early(
-                account.name, metadata.request_id, request.read_at
-            ),
-        )
-
     def _serve(self, active: ActiveRequest) -> None:
         """Serve a request unless it is beyond its account's cap."""
         try:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_model_requests.py
@@ -162,7 +162,7 @@
             active.metadata.request_id,
             active.missing_on == runner.id,
             active.metadata.prompt_tokens if needs_grant else 0,
-            active.account.name if active.account else "",
+            active.account_name,
             active.is_early,
         )
         acquired = self._adapters.acquire(runner, requirement, deadline)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_runner_choice.py
@@ -187,7 +187,7 @@
             turn_wait_s=self._turns.expected_wait_s(runner, now),
             weight=weight,
             account_share=self._adapters.account_share(
-                runner, active.priority, active.account.name if active.account else ""
+                runner, active.priority, active.account_name
             ),
         )
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/accounts/_usage_caps.py
@@ -100,7 +100,7 @@
         return self._usage.get(name)
 
     def _usage_of(self, active: ActiveRequest, cap: UsageCap) -> AccountUsage:
-        name = active.account.name if active.account else ""
+        name = active.account_name
         now = self._ctx.clock.boottime()
         usage = self._usage.get(name)
         if usage is None or usage.unit is not cap.unit:
@@ -133,7 +133,7 @@
         log_event(
             "usage_refused",
             request=active.metadata.request_id,
-            account=active.account.name if active.account else "",
+            account=active.account_name,
             cost=cost,
             retry_in_s=obtained.retry_in_s,
             why=obtained.outcome,
@@ -151,7 +151,7 @@
         unused: tuple[GrantPart, ...],
     ) -> _Obtained:
         """Get a permit from credit, from an allocator, or from the margin."""
-        name = active.account.name if active.account else ""
+        name = active.account_name
         permit = usage.credit.take(cost, self._ctx.clock.boottime())
         if permit is not None:
             return _Obtained(permit, "credit")
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_plain_slots.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/admission/_plain_slots.py
@@ -64,7 +64,7 @@
     def expected_wait_s(self, active: ActiveRequest, runner: Runner) -> float:
         """Return the expected wait for a slot, 0 if it is not known."""
         now = self._ctx.clock.monotonic()
-        return self._waits.wait_s(runner.id, _account(active), now)
+        return self._waits.wait_s(runner.id, active.account_name, now)
 
     def describe(self, active: ActiveRequest, runner: Runner) -> dict[str, Any]:
         """Return what is known of the wait for a slot, without asking for one.
@@ -72,7 +72,7 @@
         The numbers of grants and waiting requests are known where this VM grants the
         slots.
         """
-        told = self._told.find(runner.id, _account(active))
+        told = self._told.find(runner.id, active.account_name)
         age_s = self._ctx.clock.monotonic() - told.told_at if told else None
         queue = self.granter.queue(runner.id)
         return {
@@ -111,9 +111,9 @@
         now = self._ctx.clock.monotonic()
         outcome = str(answer.outcome) if answer else OWN_COUNT
         if answer is not None:
-            self._waits.record(runner.id, _account(active), answer.wait_s, now)
+            self._waits.record(runner.id, active.account_name, answer.wait_s, now)
             told = ToldWait(outcome, answer.wait_s, now)
-            self._told.record(runner.id, _account(active), told)
+            self._told.record(runner.id, active.account_name, told)
             if outcome not in (SlotOutcome.GRANTED, SlotOutcome.BUSY):
                 search.record_refusal(now + answer.retry_in_s)
                 active.ungranted.add(runner.id)
@@ -167,7 +167,7 @@
             runner.id,
             next(self._tickets),
             active.metadata.request_id,
-            _account(active),
+            active.account_name,
             active.priority,
             due_in_s(age_s, active.route.target_latency_s, left_s),
             left_s,
@@ -231,7 +231,3 @@
         result = self._results.get(notice.ticket)
         if result is not None and not result.ready():
             result.send(notice.answer)
-
-
-def _account(active: ActiveRequest) -> str:
-    return active.account.name if active.account else ""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_explainer.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_explainer.py
@@ -22,7 +22,7 @@
 from gooseberryrun._internal.state.serving.accounts import ClientAccount
 from gooseberryrun._internal.state.serving.placement import speed_factor
 
-from .._active_request import ActiveRequest, request_traits
+from .._active_request import ActiveRequest, make_active_request
 from .._context import Context
 from .._plain_requests import PlainRequests
 from .._request_ports import InboundRequest, PromptPart, RequestMetadata
@@ -120,18 +120,8 @@
             has_token_count=query.has_token_count,
         )
         inbound = InboundRequest("GET", query.path, query.host, [], b"", now)
-        version = self._ctx.directory.version_of(query.model, query.adapter)
-        wait_s = min(query.wait_s, route.timeout_s)
-        return ActiveRequest(
-            inbound,
-            metadata,
-            NoCaller(),
-            route,
-            route.pick_service(metadata.stream_id),
-            min(now + wait_s, self._ctx.stop_deadline),
-            traits=request_traits(inbound, metadata, version),
-            account=account,
-        )
+        caller = NoCaller()
+        return make_active_request(self._ctx, inbound, metadata, caller, route, account)
 
     def _explain_model(
         self, active: ActiveRequest, verdict: Verdict, now: float
--- a/tests/unit/serving/conftest.py
+++ b/tests/unit/serving/conftest.py
@@ -13,6 +13,14 @@
     monkeypatch.setattr("eventlet.spawn_after", lambda *args: None)
 
 
+@pytest.fixture(name="log")
+def _log(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Return the log lines of the test, which are added as they are written."""
+    lines: list[str] = []
+    monkeypatch.setattr("absl.logging.log", lambda _, __, text: lines.append(text))
+    return lines
+
+
 @pytest.fixture(name="store")
 def _store() -> GroupStore:
     """Return the store of a domain with three VMs."""
--- a/tests/unit/serving/test_checked_heads.py
+++ b/tests/unit/serving/test_checked_heads.py
@@ -28,13 +28,6 @@
 Accounts = tuple[ClientAccount, ...]
 
 
-@pytest.fixture(name="log")
-def _log(monkeypatch: pytest.MonkeyPatch) -> list[str]:
-    lines: list[str] = []
-    monkeypatch.setattr("absl.logging.log", lambda _, __, text: lines.append(text))
-    return lines
-
-
 @pytest.fixture(name="fleet")
 def _fleet(log: list[str]) -> AccountFleet:
     fleet = AccountFleet()
--- a/tests/unit/serving/test_early_repetitions.py
+++ b/tests/unit/serving/test_early_repetitions.py
@@ -7,6 +7,9 @@
 
 import pytest
 from gooseberryrun._internal.coordination.serving import LocalResponse
+from gooseberryrun._internal.coordination.serving._active_request import (
+    make_active_request,
+)
 from gooseberryrun._internal.coordination.serving._responses import ResponseWriter
 from gooseberryrun._internal.state.serving import (
     RunnerQueue,
@@ -132,11 +135,12 @@
     now = vm.fleet.clock.boottime()
     first = make_active(now)
     assert first.account is not None
-    refused = vm.fleet.vms["vm-000"].ctx.refused
+    ctx = vm.fleet.vms["vm-000"].ctx
+    refused = ctx.refused
     for told_in_s, is_early in ((0.0, False), (1.0, True)):
         refused.record(first.account.name, first.metadata.request_id, now + told_in_s)
-        again = vm.gateway._make_active_request(
-            first.request, first.metadata, first.caller, first.route, first.account
+        again = make_active_request(
+            ctx, first.request, first.metadata, first.caller, first.route, first.account
         )
         assert again.is_early is is_early
 
--- a/tests/unit/serving/test_plain_slots.py
+++ b/tests/unit/serving/test_plain_slots.py
@@ -61,6 +61,7 @@
         self.route: Any = type("Route", (), {"target_latency_s": 1.0})
         self.request: Any = type("Request", (), {"read_at": read_at})
         self.account: Any = type("Account", (), {"name": account}) if account else None
+        self.account_name = account
 
 
 class Fleet:
--- a/tests/unit/serving/test_where_accounts.py
+++ b/tests/unit/serving/test_where_accounts.py
@@ -34,13 +34,6 @@
 pytestmark = pytest.mark.usefixtures("nothing_scheduled")
 
 
-@pytest.fixture(name="log")
-def _log(monkeypatch: pytest.MonkeyPatch) -> list[str]:
-    lines: list[str] = []
-    monkeypatch.setattr("absl.logging.log", lambda _, __, text: lines.append(text))
-    return lines
-
-
 @pytest.fixture(name="fleet")
 def _fleet(log: list[str]) -> AccountFleet:
     fleet = AccountFleet()
