--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -343,6 +343,7 @@
         self.uses: dict[str, int] = defaultdict(int)
         self.orders: list[dict[str, Any]] = []
         self.ran: list[tuple[float, str]] = []
+        self.received: dict[str, dict[str, str]] = {}
         self.newest_version: dict[str, int] = {}
         self.server = serve(_RunnerHandler, self)
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
@@ -485,7 +486,17 @@
                 return
             runner.uses[adapter] += 1
             runner.ran.append((time.monotonic(), name))
-        runner.record.write("run", runner=runner.id, request=name, adapter=f"{adapter}@{held}")
+            runner.received[name] = {key.lower(): text for key, text in self.headers.items()}
+        key = self.headers.get("Authorization", "")
+        tenant = self.headers.get(PREFIX + "Tenant", "")
+        runner.record.write(
+            "run",
+            runner=runner.id,
+            request=name,
+            adapter=f"{adapter}@{held}",
+            tenant=tenant,
+            authorization=key,
+        )
         try:
             if adapter:
                 self._stream(runner, name, held)
@@ -558,7 +569,9 @@
     return found | fields
 
 
-def configuration(version: int, routes: list[dict[str, Any]]) -> dict[str, Any]:
+def configuration(
+    version: int, routes: list[dict[str, Any]], tenants: list[dict[str, Any]] | None
+) -> dict[str, Any]:
     """Return a configuration with one model service and one plain service."""
     engine = {
         "models": [
@@ -574,7 +587,8 @@
         "max_adapters": 6,
         "loads_per_s": 2.1,
     }
-    return {
+    found: dict[str, Any] = {} if tenants is None else {"tenants": tenants}
+    return found | {
         "version": version,
         "routes": routes,
         "services": [
@@ -737,11 +751,14 @@
                 address = f"127.{self.net}.{place + 1}.{number + 1}"
                 self.vms[name] = Vm(self, name, zone, address)
 
-    def configure(self, routes: list[dict[str, Any]]) -> None:
+    def configure(
+        self, routes: list[dict[str, Any]], tenants: list[dict[str, Any]] | None = None
+    ) -> None:
         """Write a configuration."""
         self._version += 3
-        self.store.put("keyed.op", "config", configuration(self._version, routes))
-        self.record.write("config", version=self._version)
+        config = configuration(self._version, routes, tenants)
+        self.store.put("keyed.op", "config", config)
+        self.record.write("config", version=self._version, tenants=tenants)
 
     def start(self) -> None:
         """Start everything and wait until all VMs are ready."""
