--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -333,6 +333,7 @@
         self.event_s = 0.03
         self.first_s = 0.1
         self.work_s = 0.05
+        self.more_headers: dict[str, str] = {}
         self.breaks_off: Callable[[str], bool] = lambda _name: False
         self.lock = threading.RLock()
         self.born_ms = int(time.time() * 1000)
@@ -347,6 +348,13 @@
         self.newest_version: dict[str, int] = {}
         self.server = serve(_RunnerHandler, self)
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
+        self.link: Link | None = None
+
+    def add_link(self) -> Link:
+        """Put a link before the runner that can be cut."""
+        self.link = Link(self.record, self.address)
+        self.address = self.link.address
+        return self.link
 
     def entry(self) -> dict[str, Any]:
         """Return the runner's entry in the store."""
@@ -503,7 +511,7 @@
             else:
                 time.sleep(runner.work_s)
                 stamp = {PREFIX + "Server-Stamp": f"s.{runner.id}"}
-                self._send(200, f"body of {name}".encode(), stamp)
+                self._send(200, f"body of {name}".encode(), stamp | runner.more_headers)
         except OSError:
             self.close_connection = True
         finally:
@@ -547,6 +555,87 @@
         self.wfile.write(data)
 
 
+class Link:
+    """The network before a runner: a TCP proxy that can be cut, and heals again.
+
+    While it is cut, a new channel is never answered, and bytes of older channels are
+    held. The sender's kernel sends them again at times that double from RTO_S on, as TCP
+    does, also when the sender has closed the channel meanwhile; a reset drops them.
+    """
+
+    RTO_S = 0.2
+
+    def __init__(self, record: Record, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._record = record
+        self._target = host, int(port)
+        self._is_cut = threading.Event()
+        self._is_whole = threading.Event()
+        self._is_whole.set()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self) -> None:
+        """Let nothing pass any more."""
+        self._record.write("cut", link=self.address)
+        self._is_whole.clear()
+        self._is_cut.set()
+
+    def heal(self) -> None:
+        """Let all pass again."""
+        self._record.write("healed", link=self.address)
+        self._is_cut.clear()
+        self._is_whole.set()
+
+    def _accept(self) -> None:
+        dropped = []
+        while True:
+            conn, _ = self._listener.accept()
+            if self._is_cut.is_set():
+                dropped.append(conn)
+                continue
+            threading.Thread(target=self._join, args=(conn,), daemon=True).start()
+
+    def _join(self, conn: socket.socket) -> None:
+        try:
+            other = socket.create_connection(self._target, 2)
+        except OSError:
+            conn.close()
+            return
+        for sock in (conn, other):
+            sock.settimeout(None)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        back = threading.Thread(target=self._pass, args=(other, conn), daemon=True)
+        back.start()
+        self._pass(conn, other)
+        back.join()
+        conn.close()
+        other.close()
+
+    def _pass(self, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            while data := source.recv(65536):
+                self._wait(time.monotonic())
+                sink.sendall(data)
+            self._wait(time.monotonic())
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            with contextlib.suppress(OSError):
+                sink.shutdown(socket.SHUT_RDWR)
+
+    def _wait(self, sent_at: float) -> None:
+        """Wait for the first time after the cut at which TCP sends the bytes again."""
+        if not self._is_cut.is_set():
+            return
+        self._is_whole.wait()
+        pause_s, again_at = self.RTO_S, sent_at
+        while again_at < time.monotonic():
+            again_at += pause_s
+            pause_s *= 2
+        time.sleep(max(0.0, again_at - time.monotonic()))
+
+
 # -------------------------------------------------------------------- configuration
 
 
@@ -608,10 +697,12 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a free TCP port below those that the system gives to new channels."""
+    while True:
+        port = random.randrange(12000, 30000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("", port))
+            return port
 
 
 def render(template: str, fields: dict[str, Any]) -> str:
@@ -856,6 +947,38 @@
     return answer
 
 
+class Channel:
+    """A client's channel to a VM, kept for many requests."""
+
+    def __init__(self, site: Site, vm: Vm) -> None:
+        self._site, self._vm = site, vm
+        self._conn: http.client.HTTPConnection | None = None
+
+    def send(self, method: str, path: str, request_id: str, body: bytes = b"") -> Answer:
+        """Send a request; open another channel if the last one was closed."""
+        if self._conn is None:
+            self._conn = http.client.HTTPConnection(
+                self._vm.address, self._site.ports[0], timeout=8
+            )
+        headers = {
+            "Host": HOST,
+            PREFIX + "Request-Id": request_id,
+            PREFIX + "Deadline-Ms": "4000",
+        }
+        self._site.record.write("sent", request=request_id, vm=self._vm.name, path=path)
+        answer = Answer(0, {}, b"", False)
+        try:
+            self._conn.request(method, path, body or None, headers)
+            response = self._conn.getresponse()
+            got = {name.lower(): value for name, value in response.getheaders()}
+            answer = Answer(response.status, got, response.read(), True)
+        except (OSError, http.client.HTTPException):
+            self._conn.close()
+            self._conn = None
+        self._site.record.write("answered", request=request_id, status=answer.status)
+        return answer
+
+
 class Traffic:
     """Sends requests at a rate from threads of their own until it is stopped."""
 
