--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -558,12 +558,15 @@
 class Link:
     """The network before a runner: a TCP proxy that can be cut, and heals again.
 
-    While it is cut, a new channel is never answered, and bytes of older channels are
-    held. The sender's kernel sends them again at times that double from RTO_S on, as TCP
-    does, also when the sender has closed the channel meanwhile; a reset drops them.
+    While it is cut, the opening packets of new channels are dropped, and the bytes of
+    older channels are held. The sender's kernel sends them again at times that double
+    from RTO_S on, as TCP does, also when the sender has closed the channel meanwhile; a
+    reset drops them.
     """
 
     RTO_S = 0.2
+    BACKLOG = 512
+    LOSS = 0.3
 
     def __init__(self, record: Record, target: str) -> None:
         host, _, port = target.rpartition(":")
@@ -572,29 +575,38 @@
         self._is_cut = threading.Event()
         self._is_whole = threading.Event()
         self._is_whole.set()
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=self.BACKLOG)
+        self._fillers: list[socket.socket] = []
+        self.lossy: Callable[[bytes], bool] = lambda _data: False
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
     def cut(self) -> None:
-        """Let nothing pass any more."""
+        """Let nothing pass any more; a full queue of new channels drops others."""
         self._record.write("cut", link=self.address)
         self._is_whole.clear()
         self._is_cut.set()
+        self._listener.listen(0)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self._listener.getsockname())
+            self._fillers.append(filler)
 
     def heal(self) -> None:
         """Let all pass again."""
         self._record.write("healed", link=self.address)
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._listener.listen(self.BACKLOG)
         self._is_cut.clear()
         self._is_whole.set()
 
     def _accept(self) -> None:
-        dropped = []
         while True:
             conn, _ = self._listener.accept()
-            if self._is_cut.is_set():
-                dropped.append(conn)
-                continue
+            self._is_whole.wait()
             threading.Thread(target=self._join, args=(conn,), daemon=True).start()
 
     def _join(self, conn: socket.socket) -> None:
@@ -617,6 +629,8 @@
         try:
             while data := source.recv(65536):
                 self._wait(time.monotonic())
+                if self.lossy(data):
+                    self._lose()
                 sink.sendall(data)
             self._wait(time.monotonic())
             sink.shutdown(socket.SHUT_WR)
@@ -624,6 +638,13 @@
             with contextlib.suppress(OSError):
                 sink.shutdown(socket.SHUT_RDWR)
 
+    def _lose(self) -> None:
+        """Delay bytes as TCP does that lose LOSS of their packets."""
+        pause_s = self.RTO_S
+        while random.random() < self.LOSS:
+            time.sleep(pause_s)
+            pause_s *= 2
+
     def _wait(self, sent_at: float) -> None:
         """Wait for the first time after the cut at which TCP sends the bytes again."""
         if not self._is_cut.is_set():
