--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,97 +1,63 @@
-"""A VM wakes while another one of its zone stops: who owns the runners then?"""
+"""The operator takes the last tenant away, and a client with its key goes on."""
 
 from __future__ import annotations
 
-import random
-import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
-from standins import BOUNDS, MODEL, Site, Traffic, Vm, route, run_case, send
+from standins import Site, route, run_case, send
 
-ZONE = "dakar-a"
-RUNNERS = ("i-d1bc52d9", "i-26a2c0bd", "i-068739fa", "i-dbc496cb", "i-a38fd547")
-"""Ids for which the first two in the VMs' ranking are the VMs that freeze and stop."""
-FREEZE_S = 7.0
-OBSERVED_S = 4.0
-ROUNDS = [(4, 1, 0.05), (1, 4, 0.1), (4, 1, 0.2), (1, 4, 0.3)]
-"""VM that freezes, VM that stops, and the time from the waking to the SIGTERM."""
-
-
-def broken_orders(site: Site, thawed: list[tuple[str, float]]) -> list[str]:
-    """Judge the orders to each runner by rule ONE."""
-    lease_s = BOUNDS["lease_ms"] / 1000
-    slack_s = BOUNDS["thaw_slack_ms"] / 1000
-    found = []
-    for runner in site.runners:
-        holder_of: dict[int, str] = {}
-        told: set[tuple[int, str]] = set()
-        last_at: dict[str, float] = {}
-        highest, previous = 0, ""
-        for order in runner.orders:
-            at, holder, fence = order["at"], order["holder"], order["fence"]
-            if any(vm == holder and at0 <= at < at0 + slack_s for vm, at0 in thawed):
-                continue
-            when = f"{runner.id} at {at - site.record.began_at:.3f}:"
-            known = holder_of.setdefault(fence, holder)
-            if known != holder and (fence, holder) not in told:
-                told.add((fence, holder))
-                found.append(f"{when} {known} and {holder} ordered with {fence}")
-            if fence < highest:
-                found.append(f"{when} {holder} ordered with {fence} after {highest}")
-            if previous not in ("", holder) and at - last_at.get(holder, -99.0) < lease_s:
-                found.append(f"{when} {holder} ordered again after {previous}")
-            highest, previous = max(highest, fence), holder
-            last_at[holder] = at
-    return found
+CONFIG_APPLY_S = 3.0
+KEY = "k-5f0c2b9a"
+TENANT = {"name": "notaries", "api_keys": [KEY]}
 
 
 def play(folder: Path, is_troubled: bool) -> list[str]:
-    """Play the case; return how the rule was broken."""
-    site = Site(folder, {ZONE: 4, "dakar-b": 1})
-    resting: set[str] = set()
-    thawed: list[tuple[str, float]] = []
+    """Play the case; return the requests that ran with a dropped key or none."""
+    site = Site(folder, {"dakar-a": 1, "dakar-b": 1, "dakar-c": 1})
+    broken: list[str] = []
     try:
-        for name in RUNNERS:
-            site.add_runner(name, "atelier-ai", ZONE, True)
+        for zone in site.zones:
+            site.add_runner(f"registry-{zone}", "franchise-app", zone, False)
         site.add_vms()
-        site.configure([route("chat", "stream", "atelier-ai")])
+        routes = [route("order", "unsafe", "franchise-app", timeout_ms=4000)]
+        site.configure(routes, [TENANT])
         site.start()
-        time.sleep(9.0)
+        time.sleep(5.0)
+        vms = list(site.vms.values())
 
-        def ask(number: int) -> None:
-            ready: list[Vm] = [vm for vm in site.vms.values() if vm.name not in resting]
-            model = f"{MODEL}/a{random.randrange(1, 200)}"
-            counts = {"X_Gooseberryrun_Model": model, "X_Gooseberryrun_Token_Count": "600,22"}
-            vm = random.choice(ready)
-            send(site, vm, "POST", "/chat/1", f"r{number}", b"p", 5000, **counts)
+        def ask(name: str, number: int, key: str) -> tuple[int, dict[str, str] | None]:
+            headers = {"Authorization": f"Token {key}"} if key else {}
+            vm = vms[number % len(vms)]
+            answer = send(site, vm, "POST", "/order/1", name, b"kit", 4000, **headers)
+            ran = [r.received[name] for r in site.runners if name in r.received]
+            return answer.status, ran[0] if ran else None
 
-        traffic = Traffic(25.0, ask)
-        for frozen_number, removed_number, delay_s in ROUNDS:
-            frozen = site.vms[f"front-{ZONE}-{frozen_number}"]
-            removed = site.vms[f"front-{ZONE}-{removed_number}"]
-            resting.add(frozen.name)
-            if is_troubled:
-                frozen.signal(signal.SIGSTOP)
-            time.sleep(FREEZE_S)
-            if is_troubled:
-                frozen.signal(signal.SIGCONT)
-                thawed.append((frozen.name, time.monotonic()))
-            time.sleep(delay_s)
-            resting.add(removed.name)
-            removed.signal(signal.SIGTERM)
-            time.sleep(1.0)
-            resting.discard(frozen.name)
-            time.sleep(OBSERVED_S - 1.0)
-            if removed.process is not None:
-                removed.process.wait(BOUNDS["grace_s"])
-            removed.start()
-            time.sleep(4.5)
-            resting.discard(removed.name)
-        traffic.stop(1.0)
-        return broken_orders(site, thawed)
+        for number in range(6):
+            status, ran = ask(f"before-{number}", number, KEY)
+            if (
+                status != 200
+                or ran is None
+                or ran.get("x-gooseberryrun-tenant") != "notaries"
+            ):
+                raise RuntimeError(f"a request with the key got {status}")
+            status, ran = ask(f"keyless-{number}", number, "")
+            if status != 401 or ran is not None:
+                raise RuntimeError(f"a request without a key got {status}")
+        site.configure(routes, [] if is_troubled else [TENANT])
+        time.sleep(CONFIG_APPLY_S + 2.0)
+        for number in range(6):
+            for name, key in ((f"dropped-{number}", KEY), (f"none-{number}", "")):
+                status, ran = ask(name, number, key)
+                if ran is None or (key and not is_troubled):
+                    continue
+                text = f"{name} got {status} and ran"
+                if "authorization" in ran:
+                    text += f"; the runner was shown {ran['authorization']!r}"
+                broken.append(text)
+        return broken
     finally:
         site.close()
 
--- a/review/6/run.py
+++ b/review/6/run.py
@@ -40,11 +40,29 @@
         def ask(number: int) -> None:
             path = random.choice(["/guide/1", "/plan/1"])
             model = f"{MODEL}/a{random.randrange(1, 9)}"
-            counts = {"X_Gooseberryrun_Model": model, "X_Gooseberryrun_Token_Count": "600,22"}
-            answer = send(site, random.choice(vms), "POST", path, f"r{number}", b"p", 5000, **counts)
+            counts = {
+                "X_Gooseberryrun_Model": model,
+                "X_Gooseberryrun_Token_Count": "600,22",
+            }
+            answer = send(
+                site,
+                random.choice(vms),
+                "POST",
+                path,
+                f"r{number}",
+                b"p",
+                5000,
+                **counts,
+            )
             last = f"id: {faulty.events}\ndata: r{number}\n\n".encode()
-            if answer.status == 200 and answer.is_whole and not answer.body.endswith(last):
-                broken.append(f"r{number} on {path} ended as complete with {answer.body[-24:]!r}")
+            if (
+                answer.status == 200
+                and answer.is_whole
+                and not answer.body.endswith(last)
+            ):
+                broken.append(
+                    f"r{number} on {path} ended as complete with {answer.body[-24:]!r}"
+                )
 
         traffic = Traffic(PER_S, ask)
         time.sleep(PLAY_S)
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,4 +1,4 @@
-"""A sound runner names a place in its own language: does its caller get the answer?"""
+"""A sound runner names a place in its own language, and its callers get no answer."""
 
 from __future__ import annotations
 
@@ -63,7 +63,9 @@
             thread.start()
         for thread in threads:
             thread.join(PLAY_S + 10)
-        return [line for lines in lost.values() if len(lines) > ALLOWED for line in lines]
+        return [
+            line for lines in lost.values() if len(lines) > ALLOWED for line in lines
+        ]
     finally:
         site.close()
 
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -25,9 +25,10 @@
 import time
 import tomllib
 from collections import defaultdict
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any, Callable
+from typing import Any
 from urllib.parse import parse_qsl, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -43,9 +44,18 @@
     "retry_slack": 58,
     "budget_window_s": 10,
 }
-CONTRACTS = (
-    "base drain config cost retry recover fleet stream engine platform".split()
-)
+CONTRACTS = [
+    "base",
+    "drain",
+    "config",
+    "cost",
+    "retry",
+    "recover",
+    "fleet",
+    "stream",
+    "engine",
+    "platform",
+]
 
 
 class Record:
@@ -78,7 +88,9 @@
         """Ignore connections that the other side closed."""
 
 
-def serve(handler: type, owner: Any, host: str = "127.0.0.1", label: str = "") -> Server:
+def serve(
+    handler: type, owner: Any, host: str = "127.0.0.1", label: str = ""
+) -> Server:
     """Serve on a free port in a thread."""
     server = Server((host, 0), handler)
     server.owner, server.label = owner, label
@@ -106,7 +118,9 @@
         """Distribute all partitions evenly over the members."""
         names = sorted(self.members)
         rows = [(topic, part) for topic in self.topics for part in range(PARTS)]
-        return {row: names[n % len(names)] for n, row in enumerate(rows)} if names else {}
+        return (
+            {row: names[n % len(names)] for n, row in enumerate(rows)} if names else {}
+        )
 
     def change(self) -> None:
         """Begin another generation; partitions without a holder are dealt at once."""
@@ -265,7 +279,9 @@
             return
         body = json.loads(data or b"{}")
         with store.changed:
-            self._send(200, json.dumps(self._reply(store, url.path, query, body)).encode())
+            self._send(
+                200, json.dumps(self._reply(store, url.path, query, body)).encode()
+            )
 
     def _append(self, store: Store, topic: str, data: bytes) -> None:
         records = []
@@ -301,7 +317,9 @@
                 "group",
                 group=body["group"],
                 generation=group.generation,
-                members=",".join(sorted(name.partition("@")[0] for name in group.members)),
+                members=",".join(
+                    sorted(name.partition("@")[0] for name in group.members)
+                ),
                 call=path,
                 by=body["member"].partition("@")[0],
             )
@@ -413,7 +431,12 @@
             status = self._order(body)
             at = time.monotonic()
             self.orders.append(
-                {"at": at, "holder": body["holder"], "fence": body["fence"], "status": status}
+                {
+                    "at": at,
+                    "holder": body["holder"],
+                    "fence": body["fence"],
+                    "status": status,
+                }
             )
             self.record.write(
                 "order",
@@ -488,13 +511,17 @@
         with runner.lock:
             runner.finish_loads()
             held = runner.adapters.get(adapter, 0)
-            is_wrong = bool(adapter) and (not held or (version or str(held)) != str(held))
+            is_wrong = bool(adapter) and (
+                not held or (version or str(held)) != str(held)
+            )
             if expected != runner.id or is_wrong:
                 self._send(421, b"", {})
                 return
             runner.uses[adapter] += 1
             runner.ran.append((time.monotonic(), name))
-            runner.received[name] = {key.lower(): text for key, text in self.headers.items()}
+            runner.received[name] = {
+                key.lower(): text for key, text in self.headers.items()
+            }
         key = self.headers.get("Authorization", "")
         tenant = self.headers.get(PREFIX + "Tenant", "")
         runner.record.write(
@@ -534,7 +561,9 @@
             is_last = is_cut and number > runner.events // 2
             if is_last:
                 data = data[: len(data) // 2]
-                runner.record.write("broken_off", runner=runner.id, request=name, event=number)
+                runner.record.write(
+                    "broken_off", runner=runner.id, request=name, event=number
+                )
             self.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
             if is_last:
                 break
@@ -726,51 +755,57 @@
             return port
 
 
-def render(template: str, fields: dict[str, Any]) -> str:
-    """Fill the deploy file's template in, as DEPLOY.md tells."""
+_SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.S)
+_VALUE = re.compile(r"\{\{([\w.]+)\}\}")
 
-    def look_up(name: str, scope: list[Any]) -> Any:
-        for fields in reversed(scope):
-            value: Any = fields
-            for step in name.split("."):
-                if isinstance(value, dict) and step in value:
-                    value = value[step]
-                elif isinstance(value, list) and step.isdigit() and int(step) < len(value):
-                    value = value[int(step)]
-                else:
-                    break
-            else:
-                return value
-        return None
-
-    def expand(text: str, scope: list[Any], item: tuple[Any, Any, bool] | None) -> str:
-        section = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.S)
-
-        def fill_section(match: re.Match[str]) -> str:
-            value = look_up(match[1], scope)
-            if value is None or value is False:
-                return ""
-            if isinstance(value, dict):
-                rows = list(value.items())
-            elif isinstance(value, list):
-                rows = list(enumerate(value))
-            else:
-                rows = [(0, value)]
-            return "".join(
-                expand(match[2], [*scope, value], (key, entry, n + 1 < len(rows)))
-                for n, (key, entry) in enumerate(rows)
-            )
 
-        text = section.sub(fill_section, text)
-        if item is not None:
-            key, entry, has_next = item
-            text = text.replace("{{@}}", str(key)).replace("{{.}}", str(entry))
-            text = text.replace("{{,}}", "," if has_next else "")
-        return re.sub(
-            r"\{\{([\w.]+)\}\}", lambda m: str(look_up(m[1], scope) or ""), text
-        )
+def _step(value: Any, name: str) -> Any:
+    """Return a field of a table or an entry of a list, None if there is none."""
+    if isinstance(value, dict):
+        return value.get(name)
+    if isinstance(value, list) and name.isdigit() and int(name) < len(value):
+        return value[int(name)]
+    return None
+
 
-    return expand(template, [fields], None)
+def _look_up(name: str, scope: list[Any]) -> Any:
+    """Return a value by its path, from the innermost table that has it."""
+    for fields in reversed(scope):
+        value = fields
+        for step in name.split("."):
+            value = _step(value, step)
+        if value is not None:
+            return value
+    return None
+
+
+def _rows(value: Any) -> list[tuple[Any, Any]]:
+    """Return the entries over which a section is rendered."""
+    if value is None or value is False:
+        return []
+    if isinstance(value, dict):
+        return list(value.items())
+    if isinstance(value, list):
+        return list(enumerate(value))
+    return [(0, value)]
+
+
+def render(template: str, scope: list[Any]) -> str:
+    """Fill in the deploy file's template, as DEPLOY.md tells."""
+
+    def fill_section(match: re.Match[str]) -> str:
+        value = _look_up(match[1], scope)
+        rows = _rows(value)
+        parts = []
+        for number, (key, entry) in enumerate(rows):
+            comma = "," if number + 1 < len(rows) else ""
+            text = match[2].replace("{{@}}", str(key)).replace("{{,}}", comma)
+            text = text.replace("{{.}}", str(entry))
+            parts.append(render(text, [*scope, value]))
+        return "".join(parts)
+
+    text = _SECTION.sub(fill_section, template)
+    return _VALUE.sub(lambda match: str(_look_up(match[1], scope) or ""), text)
 
 
 class Vm:
@@ -783,16 +818,19 @@
             "node": name,
             "zone": zone,
             "ip": address,
-            "listen": {"front": f"{address}:{ports[0]}", "ready": f"{address}:{ports[1]}"},
+            "listen": {
+                "front": f"{address}:{ports[0]}",
+                "ready": f"{address}:{ports[1]}",
+            },
             "internal_ports": ports[2:4],
-            "zones": {zone: "dakar" for zone in site.zones},
+            "zones": dict.fromkeys(site.zones, "dakar"),
             "bounds": BOUNDS | site.bounds,
             "contracts": list(CONTRACTS) + site.contracts,
             "platform": {"address": site.store.listen(name), "parts": PARTS},
         }
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["entry"]
-        text = render((ROOT / role["template"]).read_text(), fields)
+        text = render((ROOT / role["template"]).read_text(), [fields])
         self.settings = site.folder / f"{name}.toml"
         self.settings.write_text(text)
         self.log = site.folder / f"{name}.log"
@@ -812,14 +850,18 @@
 
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
-        self.site.record.write("signal", vm=self.name, number=signal.Signals(number).name)
+        self.site.record.write(
+            "signal", vm=self.name, number=signal.Signals(number).name
+        )
         if self.process is not None:
             self.process.send_signal(number)
 
     def is_ready(self) -> bool:
         """Return whether the VM answers the platform's question with 200."""
         try:
-            conn = http.client.HTTPConnection(self.address, self.site.ports[1], timeout=1)
+            conn = http.client.HTTPConnection(
+                self.address, self.site.ports[1], timeout=1
+            )
             conn.request("GET", "/v1/ready")
             return conn.getresponse().status == 200
         except (OSError, http.client.HTTPException):
@@ -919,7 +961,9 @@
 class Answer:
     """Answer to one request: the status is 0 if the channel closed without one."""
 
-    def __init__(self, status: int, headers: dict[str, str], body: bytes, is_whole: bool):
+    def __init__(
+        self, status: int, headers: dict[str, str], body: bytes, is_whole: bool
+    ):
         self.status, self.headers = status, headers
         self.body, self.is_whole = body, is_whole
 
@@ -975,7 +1019,9 @@
         self._site, self._vm = site, vm
         self._conn: http.client.HTTPConnection | None = None
 
-    def send(self, method: str, path: str, request_id: str, body: bytes = b"") -> Answer:
+    def send(
+        self, method: str, path: str, request_id: str, body: bytes = b""
+    ) -> Answer:
         """Send a request; open another channel if the last one was closed."""
         if self._conn is None:
             self._conn = http.client.HTTPConnection(
@@ -1015,7 +1061,9 @@
         next_at = time.monotonic()
         while not self._is_stopped.is_set():
             number += 1
-            thread = threading.Thread(target=self._send_one, args=(number,), daemon=True)
+            thread = threading.Thread(
+                target=self._send_one, args=(number,), daemon=True
+            )
             thread.start()
             self._threads.append(thread)
             next_at += random.expovariate(self._per_s)
