--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,71 +1,73 @@
-"""A sound runner names a place in its own language, and its callers get no answer."""
+"""A runner stops in the middle of an event, and its chunked answer ends there."""
 
 from __future__ import annotations
 
 import random
 import sys
-import threading
 import time
-from collections import defaultdict
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
-from standins import Channel, Site, route, run_case
+from standins import MODEL, Site, Traffic, route, run_case, send
 
-PLAY_S = 20.0
-CHANNELS = 3
-ALLOWED = 3
-"""Requests of a machine that rule LOST lets end so."""
+PLAY_S = 30.0
+PER_S = 12.0
+BROKEN_SHARE = 0.05
+"""Share of the answers of one runner in three that it breaks off, as in the sites."""
 
 
 def play(folder: Path, is_troubled: bool) -> list[str]:
-    """Play the case; return the requests that ran and were never answered."""
+    """Play the case; return the streams that look complete and are not."""
     site = Site(folder, {"dakar-a": 1, "dakar-b": 1, "dakar-c": 1})
-    lost: dict[str, list[str]] = defaultdict(list)
+    broken: list[str] = []
     try:
         for zone in site.zones:
-            site.add_runner(f"franchise-{zone}", "franchise-app", zone, False)
-        # Header values are bytes; http.server writes them as Latin-1.
-        place = "Thiès" if is_troubled else "Thies"
-        site.runners[0].more_headers = {"X-Workshop": place}
+            site.add_runner(f"atelier-{zone}", "atelier-ai", zone, True)
+        faulty = site.runners[0]
+        if is_troubled:
+            faulty.breaks_off = lambda _name: random.random() < BROKEN_SHARE
         site.add_vms()
         site.configure(
             [
-                route("order", "unsafe", "franchise-app", timeout_ms=4000),
-                route("look", "safe", "franchise-app", timeout_ms=4000, max_attempts=2),
+                route("guide", "stream", "atelier-ai"),
+                route("plan", "stream", "atelier-ai", resumable=True, max_attempts=2),
             ]
         )
         site.start()
-        time.sleep(5.0)
-        end_at = time.monotonic() + PLAY_S
+        time.sleep(8.0)
+        vms = list(site.vms.values())
 
-        def call(vm_name: str, number: int) -> None:
-            channel = Channel(site, site.vms[vm_name])
-            count = 0
-            while time.monotonic() < end_at:
-                count += 1
-                kind, method, body = random.choice(
-                    [("order", "POST", b"kit"), ("look", "GET", b"")]
+        def ask(number: int) -> None:
+            path = random.choice(["/guide/1", "/plan/1"])
+            model = f"{MODEL}/a{random.randrange(1, 9)}"
+            counts = {
+                "X_Gooseberryrun_Model": model,
+                "X_Gooseberryrun_Token_Count": "600,22",
+            }
+            answer = send(
+                site,
+                random.choice(vms),
+                "POST",
+                path,
+                f"r{number}",
+                b"p",
+                5000,
+                **counts,
+            )
+            last = f"id: {faulty.events}\ndata: r{number}\n\n".encode()
+            if (
+                answer.status == 200
+                and answer.is_whole
+                and not answer.body.endswith(last)
+            ):
+                broken.append(
+                    f"r{number} on {path} ended as complete with {answer.body[-24:]!r}"
                 )
-                name = f"{kind}-{vm_name}-{number}-{count}"
-                answer = channel.send(method, f"/{kind}/1", name, body)
-                ran = [r.id for r in site.runners if name in r.received]
-                if answer.status == 0 and ran:
-                    lost[vm_name].append(f"{name} ran at {ran[0]}; the channel closed")
-                time.sleep(random.uniform(0.05, 0.3))
 
-        threads = [
-            threading.Thread(target=call, args=(name, number), daemon=True)
-            for name in site.vms
-            for number in range(CHANNELS)
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join(PLAY_S + 10)
-        return [
-            line for lines in lost.values() if len(lines) > ALLOWED for line in lines
-        ]
+        traffic = Traffic(PER_S, ask)
+        time.sleep(PLAY_S)
+        traffic.stop(8.0)
+        return broken
     finally:
         site.close()
 
