Read the store within the deployment's bound for configurations

Cause: a poll waits up to 3 s, and its own time-out of 1 s was the only sign that its connection had gone silent, unless the renewals' connection had, too; what peers tell comes over connections that may be silent as well. None of the waits knew the deployment's bound, and in a row they passed it.

Each wait is now a share of the bound (ReadSchedule): polls, the time after which an answer is overdue and all connections are left, the time without readers, and the delay after which a peer's word makes a hanging poll be read anew. Waits are as before where no bound is given (7 s). A VM that starts to read asks for what is there before it polls. An unknown route is refused with 503 and not 404 while a peer has something newer.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -19,14 +19,17 @@
     CrashEvidence,
     DirectoryState,
     FleetSize,
+    HeardEnd,
     Member,
     OwnershipState,
     Position,
+    ReadSchedule,
     Runner,
     RunnerLoads,
     RunnerPauses,
     RunnerStatements,
     ServingPolicy,
+    Topic,
     UsageAllocation,
     View,
     is_followed_from,
@@ -86,6 +89,8 @@
     weights: WeightTable = field(default_factory=WeightTable)
     residency: Residency = field(init=False)
     freshness: ConfigurationFreshness = field(init=False)
+    schedule: ReadSchedule = field(init=False)
+    heard_configuration: HeardEnd = field(default_factory=HeardEnd)
     refused: RefusedRequests = field(default_factory=RefusedRequests)
     remote_views: dict[str, View] = field(default_factory=dict)
     covered_domains: dict[str, OwnershipState] = field(default_factory=dict)
@@ -95,6 +100,7 @@
         """Begin without any notice of a runner's owner, or of the configuration."""
         self.residency = Residency(self.clock)
         self.freshness = ConfigurationFreshness(self.clock.boottime())
+        self.schedule = ReadSchedule.within(self.cfg.bounds.configuration_ms / 1000)
 
     @property
     def vm(self) -> str:
@@ -219,6 +225,12 @@
             peer_port=member.port,
         )
 
+    def lacks_configuration(self) -> bool:
+        """Return whether a peer has read a configuration that this VM has not yet."""
+        return self.heard_configuration.is_beyond(
+            self.directory.ends[Topic.CONFIGURATION], self.clock.monotonic()
+        )
+
     def forget_gone(self) -> None:
         """Drop what is known of runners and VMs that are gone."""
         now = self.clock.monotonic()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_notices.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_directory_notices.py
@@ -10,13 +10,13 @@
 from ._context import Context
 from ._directory_peers import DirectoryPeers
 from ._ticks import MIN_SLEEP_S, sleep_until_tick
-from ._topic_reads import MAX_READER_POLL_S, TopicReads
+from ._topic_reads import TopicReads
 
 KEEPALIVE_INTERVAL_S = 1.0
 """Interval of the notices that the first reader sends to the VMs it reads for."""
 KEEPALIVE_STEP_S = 0.3
 """Additional time per rank after which another reader sends its own, if no earlier one
-has: the last of them does so within READER_TTL_S of the first one's last notice."""
+has: the last of them does so 1.6 s after the first one's last notice."""
 
 
 class DirectoryNotices:
@@ -46,7 +46,7 @@
         for topic, read_at in self._reads.read_at.items():
             if (
                 topic not in self._reads.unreachable_since
-                and now - read_at <= 2 * MAX_READER_POLL_S
+                and now - read_at <= 2 * self._ctx.schedule.reader_poll_s
             ):
                 self.send(topic, self._ctx.directory.ends[topic], [])
 
@@ -96,7 +96,9 @@
         if notice.is_after_outage and not ctx.directory.is_after_outage(now):
             ctx.directory.store_reachable_since = now
         if notice.start > ctx.directory.ends[notice.topic]:
-            self._reads.announced_ends[notice.topic] = notice.end
+            self._reads.expect(notice.topic, notice.end)
+            if notice.topic is Topic.CONFIGURATION:
+                self._peers.expect_configuration(peer, notice.end)
             return
         reply = DirectoryReply(notice.topic, notice.end, notice.records)
         self._peers.apply_reply(peer, reply)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_follower.py
@@ -36,9 +36,7 @@
         self._ctx = ctx
         self.reads = TopicReads(ctx)
         self._log = DirectoryLog()
-        self.peers = DirectoryPeers(
-            ctx, self._log, lambda topic: topic in self.reads.unreachable_since
-        )
+        self.peers = DirectoryPeers(ctx, self._log, self.reads)
         self.notices = DirectoryNotices(ctx, self.reads, self.peers)
         self.on_snapshot: Callable[[], None] = lambda: None
         self.on_epoch: Callable[[], None] = lambda: None
@@ -47,6 +45,7 @@
         """Start one green thread per topic, and the keepalives."""
         for topic in Topic:
             spawn_until_done(f"follow_{topic}", partial(self._follow, topic))
+        spawn_until_done("overdue_polls", self._leave_overdue_polls)
         spawn_until_done("directory_signs", self.notices.send_keepalives)
 
     def is_ready(self) -> bool:
@@ -63,7 +62,7 @@
                 sleep_until_tick(self._ctx.clock)
                 continue
             started_at = self._ctx.clock.monotonic()
-            read = self._read(topic, pacing.needs_snapshot, self.reads.poll_s(topic))
+            read = self._poll(topic, pacing.needs_snapshot)
             was_overtaken = not pacing.needs_snapshot and self.reads.has_read_since(
                 topic, started_at
             )
@@ -77,6 +76,23 @@
             if isinstance(read, Ok) and read.ok_value:
                 eventlet.sleep(BATCH_PAUSE_S[topic])
 
+    def _poll(self, topic: Topic, needs_snapshot: bool) -> Result[int, StoreFault]:
+        """Read a topic; a poll that is overdue is left for a new read."""
+        wait_s = 0.0 if needs_snapshot else self.reads.poll_s(topic)
+        if not wait_s:
+            return self._read(topic, needs_snapshot, wait_s)
+        now = self._ctx.clock.monotonic()
+        self.reads.poll_deadlines[topic] = now + wait_s + self._ctx.schedule.overdue_s
+        try:
+            return self._read(topic, needs_snapshot, wait_s)
+        finally:
+            self.reads.poll_deadlines.pop(topic, None)
+
+    def _leave_overdue_polls(self) -> None:
+        while True:
+            sleep_until_tick(self._ctx.clock)
+            self.reads.leave_overdue()
+
     def _was_interrupted(self, topic: Topic, fault: StoreFault) -> bool:
         """Return whether a read was ended from within; the next one does not wait."""
         check_for_silence(self._ctx.ports.store, f"read_{topic}", fault)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -34,6 +34,9 @@
 NOT_READY_RETRY_S = 0.5
 """Retry delay sent by a VM that has no configuration yet."""
 
+BEHIND_RETRY_S = 0.3
+"""Retry delay sent by a VM without a route, while peers have a newer configuration."""
+
 
 @dataclass(frozen=True, slots=True)
 class _GatewayHead(CheckedHead):
@@ -119,6 +122,8 @@
         checked.count()
         if checked.refusal is not None:
             return Err(checked.refusal)
+        if route is None and self._ctx.lacks_configuration():
+            return Err(LocalResponse(503, "behind", BEHIND_RETRY_S))
         if route is None:
             return Err(LocalResponse(404, f"no_route_in_{table.configuration.version}"))
         return Ok((route, checked.account))
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_topic_reads.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_topic_reads.py
@@ -11,19 +11,13 @@
 
 from .._events import log_event
 from ._context import Context
+from ._directory_log import describe_position
 from ._store_port import StoreFault
 
 MIN_OUTAGE_S = 0.8
 """Shortest store outage during which entries may have expired."""
-MAX_POLL_S = 3.0
-"""Longest poll. A connection that goes silent is noticed by a call that times out, at
-the latest by the poll itself: MAX_POLL_S, the store's timeout of 1 s and a new read, in
-all less than the 5 s within which a VM counts as in touch again and a configuration has
-to be in force."""
 MAX_ACCOUNTS_POLL_S = 2.0
 """Longest poll of a configuration with accounts: less than CONFIRMATION_TTL_S."""
-MAX_READER_POLL_S = 2.5
-"""Longest poll of a VM that reads for others, which get its notice after that."""
 
 
 class TopicReads:
@@ -33,7 +27,8 @@
     it was read last, ``snapshot_asked_at`` when all its records were last asked for,
     and ``notice_received_at`` when a reader last said that it reads it.
     ``announced_ends`` are ends that this VM has not come to yet, ``interrupted`` the
-    topics whose last read was ended from within.
+    topics whose next read is the first one after a pause or an interruption, and
+    ``poll_deadlines`` when the answers to the polls in progress are due.
     """
 
     def __init__(self, ctx: Context) -> None:
@@ -45,6 +40,7 @@
         self.is_reading = dict.fromkeys(Topic, True)
         self.interrupted: set[Topic] = set()
         self.announced_ends: dict[Topic, Position] = {}
+        self.poll_deadlines: dict[Topic, float] = {}
 
     def must_read(self, topic: Topic) -> bool:
         """Return whether this VM has to read the store; log when that changes."""
@@ -62,9 +58,12 @@
         is_announced = (
             self.announced_ends.get(topic, Position()) > self._ctx.directory.ends[topic]
         )
-        is_due = is_announced or reads_store(rank, received_at, now)
+        is_due = is_announced or reads_store(rank, received_at, now, self._ctx.schedule)
         if is_due is not self.is_reading[topic]:
             self.is_reading[topic] = is_due
+            if is_due:
+                # What it missed is there already, and a poll may hang.
+                self.interrupted.add(topic)
             age_s = now - received_at
             log_event(
                 "reading", topic=topic, is_due=is_due, rank=rank, heard_age_s=age_s
@@ -87,13 +86,46 @@
         """
         if topic in self.unreachable_since or topic in self.interrupted:
             return 0.0
-        longest_s = MAX_READER_POLL_S if self.reads_for_others() else MAX_POLL_S
+        schedule = self._ctx.schedule
+        longest_s = (
+            schedule.reader_poll_s if self.reads_for_others() else schedule.poll_s
+        )
         table = self._ctx.directory.table
         has_accounts = table is not None and table.accounts is not None
         if topic is Topic.CONFIGURATION and has_accounts:
             longest_s = MAX_ACCOUNTS_POLL_S
         return min(longest_s, self._ctx.cfg.store.poll_wait_s)
 
+    def expect(self, topic: Topic, end: Position) -> None:
+        """Read the store until a position that another VM has read up to."""
+        self.announced_ends[topic] = max(
+            end, self.announced_ends.get(topic, Position())
+        )
+
+    def leave_overdue(self) -> None:
+        """Leave the connections of all polls if the answer to one is overdue."""
+        now = self._ctx.clock.monotonic()
+        overdue = [t for t, at in self.poll_deadlines.items() if now >= at]
+        for topic in overdue:
+            del self.poll_deadlines[topic]
+            self.leave_connections(topic, "overdue")
+
+    def leave_connections(self, topic: Topic, why: str) -> None:
+        """End the reads that wait and read anew: their connections seem to be silent.
+
+        ``why`` is ``overdue`` if a poll's answer is, ``awaited`` if a peer has read
+        what this VM lacks.
+        """
+        interrupted = self._ctx.ports.store.interrupt_reads()
+        log_event(
+            "poll_hangs",
+            topic=topic,
+            why=why,
+            own=describe_position(self._ctx.directory.ends[topic]),
+            read_age_s=self._ctx.clock.monotonic() - self.read_at.get(topic, 0.0),
+            interrupted_reads=interrupted,
+        )
+
     def has_read_since(self, topic: Topic, since: float) -> bool:
         """Return whether a later read succeeded while this one hung."""
         return self.read_at.get(topic, float("-inf")) > since
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/_serving_settings.py
@@ -29,6 +29,14 @@
     """Partitions of each of the store's topics."""
 
 
+class BoundSettings(Section, frozen=True, kw_only=True):
+    """What the operators were promised of the deployment."""
+
+    configuration_ms: Annotated[int, Meta(gt=0)] = 7000
+    """Time from the store's acknowledgement of a configuration until each VM that
+    reaches the store has it in force."""
+
+
 class MembershipSettings(Section, frozen=True, kw_only=True):
     """Membership of the group of entry VMs and the lease on owned runners."""
 
@@ -112,6 +120,7 @@
 
     entry: EntrySettings
     store: StoreSettings
+    bounds: BoundSettings = BoundSettings()
     membership: MembershipSettings = MembershipSettings()
     repeats: RetrySettings = RetrySettings()
     crossing: CrossingSettings = CrossingSettings()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -43,6 +43,7 @@
     GossipActivity,
     idle_contacts,
 )
+from ._heard_end import HeardEnd
 from ._loads import RunnerLoads, RunnerView, fits_memory
 from ._outage_reports import (
     REPORT_TTL_S,
@@ -66,6 +67,7 @@
 from ._policy import ServingPolicy
 from ._prefill import PrefillAdmission, PrefillLoad, PrefillPace
 from ._read_pacing import ReadPacing
+from ._read_schedule import ReadSchedule
 from ._recorded_views import (
     MAX_EARLIER_VIEWS,
     RecordedView,
@@ -152,6 +154,7 @@
     "FleetSize",
     "Handling",
     "HeldModel",
+    "HeardEnd",
     "Member",
     "ModelSpec",
     "OutageReports",
@@ -164,6 +167,7 @@
     "PrefillPace",
     "RateLimit",
     "ReadPacing",
+    "ReadSchedule",
     "RecordedView",
     "RecordedViews",
     "RecentAdapters",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_distribution.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_distribution.py
@@ -11,6 +11,7 @@
 import heapq
 from collections.abc import Iterable
 
+from ._read_schedule import ReadSchedule
 from ._runners import Runner
 from ._views import Member
 
@@ -18,10 +19,6 @@
 """Runners of a service in a domain at or above which its VMs follow only these."""
 READERS_PER_DOMAIN = 3
 """VMs of a failure domain that read the store on behalf of the others."""
-READER_TTL_S = 2.2
-"""Time without a reader's message after which other VMs read the store themselves."""
-TAKEOVER_STEP_S = 0.03
-"""Additional wait per rank before a VM takes over reading."""
 
 
 def follows_all_domains(local_runners: int) -> bool:
@@ -34,17 +31,16 @@
     return runner.domain == domain or follows_all_domains(local_runners)
 
 
-def reads_store(rank: int, notice_received_at: float, now: float) -> bool:
+def reads_store(
+    rank: int, notice_received_at: float, now: float, schedule: ReadSchedule
+) -> bool:
     """Return whether a VM reads the store: as a reader, or for lack of a notice of one.
 
     Lower ranks take over first, so that the VMs do not all read at once.
     """
     if rank < READERS_PER_DOMAIN:
         return True
-    timeout_s = READER_TTL_S + TAKEOVER_STEP_S * min(
-        rank - READERS_PER_DOMAIN, READERS_PER_DOMAIN * 5
-    )
-    return now - notice_received_at > timeout_s
+    return now - notice_received_at > schedule.takeover_s(rank - READERS_PER_DOMAIN)
 
 
 def readers(domain: str, members: Iterable[Member]) -> list[str]:
--- a/tests/unit/serving/test_accounts.py
+++ b/tests/unit/serving/test_accounts.py
@@ -16,6 +16,7 @@
 from gooseberryrun._internal.coordination.serving import InboundRequest, end_to_end
 from gooseberryrun._internal.coordination.serving._directory_log import DirectoryLog
 from gooseberryrun._internal.coordination.serving._directory_peers import DirectoryPeers
+from gooseberryrun._internal.coordination.serving._topic_reads import TopicReads
 from gooseberryrun._internal.state import ManualClock
 from gooseberryrun._internal.state.serving import DirectoryRecord, RouteTable, Topic
 from gooseberryrun._internal.state.serving.accounts import (
@@ -396,7 +397,7 @@
     )
     ctx.directory.receive(Topic.CONFIGURATION, [record], Position(0, 4), 10.0)
     ctx.freshness.tick(clock.boottime())
-    peers = DirectoryPeers(ctx, DirectoryLog(), lambda _: False)
+    peers = DirectoryPeers(ctx, DirectoryLog(), TopicReads(ctx))
     peers.fetch_missing("vm-001", heard)
     assert ctx.freshness.is_confirmed(clock.boottime()) is is_confirmed
     clock.suspend(2.0)
--- a/tests/unit/serving/test_fleets.py
+++ b/tests/unit/serving/test_fleets.py
@@ -29,6 +29,7 @@
     Configuration,
     DirectoryRecord,
     Position,
+    ReadSchedule,
     RunnerLoads,
     RunnerView,
     Topic,
@@ -46,6 +47,7 @@
 )
 
 # Domains, VMs, model runners.
+SCHEDULE = ReadSchedule.within(7.0)
 FLEETS = [(3, 9, 5), (3, 72, 45), (5, 195, 78), (20, 440, 600)]
 
 
@@ -100,16 +102,18 @@
     readers = 0
     for member in members["d0"]:
         ctx, _ = make_vm(member, store, [], ManualClock())
-        readers += reads_store(ctx.reader_rank(), notice_received_at=0.0, now=1.0)
+        readers += reads_store(
+            ctx.reader_rank(), notice_received_at=0.0, now=1.0, schedule=ctx.schedule
+        )
     assert readers == READERS_PER_DOMAIN
 
 
 def test_others_read_the_store_when_its_readers_fall_silent() -> None:
-    assert not reads_store(READERS_PER_DOMAIN, notice_received_at=0.0, now=2.0)
-    assert reads_store(READERS_PER_DOMAIN, notice_received_at=0.0, now=2.5)
+    assert not reads_store(READERS_PER_DOMAIN, 0.0, 2.0, SCHEDULE)
+    assert reads_store(READERS_PER_DOMAIN, 0.0, 2.5, SCHEDULE)
     # VMs of different rank take over at different times.
-    assert not reads_store(READERS_PER_DOMAIN + 9, notice_received_at=0.0, now=2.3)
-    assert reads_store(READERS_PER_DOMAIN + 200, notice_received_at=0.0, now=3.0)
+    assert not reads_store(READERS_PER_DOMAIN + 9, 0.0, 2.3, SCHEDULE)
+    assert reads_store(READERS_PER_DOMAIN + 200, 0.0, 3.0, SCHEDULE)
 
 
 def make_follower(place: int) -> tuple[DirectoryFollower, GroupStore]:
--- a/tests/unit/serving/test_follower.py
+++ b/tests/unit/serving/test_follower.py
@@ -10,7 +10,6 @@
     StoreFault,
     StoreFaultKind,
     _follower,
-    _topic_reads,
 )
 from gooseberryrun._internal.coordination.serving._follower import DirectoryFollower
 from gooseberryrun._internal.coordination.serving._lease_renewals import LeaseRenewals
@@ -22,6 +21,7 @@
     Runner,
     Topic,
     _read_pacing,
+    _read_schedule,
 )
 from result import Err, Ok, Result
 
@@ -104,7 +104,7 @@
     store = LogStore()
     follower = make_follower(store)
     settle()
-    assert store.waits == [pytest.approx(_topic_reads.MAX_POLL_S)]
+    assert store.waits == [pytest.approx(_read_schedule.MAX_POLL_S)]
     store.failures = failures
     runner = make_runners(1, 1)[0]
     store.records.append(
@@ -186,9 +186,9 @@
 def test_longest_poll_leaves_time_to_apply_a_configuration() -> None:
     """Without any other sign a silent connection is noticed by the poll on it."""
     timeout_s = make_follower(LogStore())._ctx.cfg.store.timeout_s
-    blind_s = _topic_reads.MAX_POLL_S + timeout_s + READ_AND_APPLY_S
+    blind_s = _read_schedule.MAX_POLL_S + timeout_s + READ_AND_APPLY_S
     assert blind_s < IN_TOUCH_S + CONFIGURATION_S
-    reader_s = _topic_reads.MAX_READER_POLL_S + timeout_s + READ_AND_APPLY_S
+    reader_s = _read_schedule.MAX_READER_POLL_S + timeout_s + READ_AND_APPLY_S
     assert reader_s + NOTICE_S < IN_TOUCH_S + CONFIGURATION_S
 
 
--- a/tests/unit/serving/test_idle_cost.py
+++ b/tests/unit/serving/test_idle_cost.py
@@ -31,7 +31,7 @@
     Topic,
     reader_rank,
 )
-from gooseberryrun._internal.state.serving._distribution import READER_TTL_S
+from gooseberryrun._internal.state.serving._read_schedule import READER_TTL_S
 from result import Ok, Result
 
 from tests.lib.fleet import CountingPeers, GroupStore, make_members, make_vm
