Look for the caller's close before work is started

A request whose caller had left while the VM was behind was sent to a server all the same (GONE): its bytes were read first, the close behind them only at the next turn of the event loop, after the send. The connection is now looked at (one peek) when a request begins to be served, before each attempt and after a new connection to the server was opened.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from gooseberryrun._internal.state.serving import Runner
+from gooseberryrun._internal.state.serving import RouteKind, Runner
 from gooseberryrun._internal.state.serving.accounts import UsagePermit
 
 from .._events import log_event
@@ -16,6 +16,7 @@
 from ._request_ports import (
     AttemptFailure,
     AttemptFault,
+    CallerDisconnectedError,
     ForwardingMetadata,
     OutboundRequest,
     RunnerResponse,
@@ -59,7 +60,11 @@
         forwarding: ForwardingMetadata,
         deadline: float,
     ) -> Result[RunnerResponse, AttemptFault]:
-        """Send the request once; a "not run" response is returned as well."""
+        """Send the request once; a "not run" response is returned as well.
+
+        Raises CallerDisconnectedError if the caller has left before that.
+        """
+        check_connected(active)
         active.tried.add(runner.id)
         active.begin_attempt()
         outbound = self._outbound(active, forwarding)
@@ -110,13 +115,19 @@
             request.body,
             active.metadata.request_id,
             active.route.is_idempotent,
-            self._send_check(active.usage_permit),
+            self._send_check(active, active.usage_permit),
         )
 
-    def _send_check(self, permit: UsagePermit | None) -> Callable[[], bool] | None:
-        if permit is None:
-            return None
-        return lambda: permit.is_valid(self._ctx.clock.boottime())
+    def _send_check(
+        self, active: ActiveRequest, permit: UsagePermit | None
+    ) -> Callable[[], bool]:
+        """Return what decides just before the first byte whether to send."""
+
+        def may_send() -> bool:
+            is_permitted = permit is None or permit.is_valid(self._ctx.clock.boottime())
+            return is_permitted and not active.caller.has_left()
+
+        return may_send
 
     def _record_response(
         self,
@@ -209,6 +220,18 @@
         return not known.draining
 
 
+def check_connected(active: ActiveRequest) -> None:
+    """Raise CallerDisconnectedError if nobody waits for the request any more.
+
+    A VM that is behind has not come to the caller's close yet. An order that may have
+    run goes on.
+    """
+    if active.may_have_run and active.route.kind is RouteKind.UNSAFE:
+        return
+    if active.caller.has_left():
+        raise CallerDisconnectedError
+
+
 def _is_not_run(sent: Result[RunnerResponse, AttemptFault]) -> bool:
     """Return whether a runner certainly does not run the request that was sent."""
     if isinstance(sent, Err):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -12,7 +12,7 @@
 from .._events import bind_request, log_event
 from .._metrics import REFUSALS
 from ._active_request import ActiveRequest, LocalResponse, make_active_request
-from ._attempts import Attempts
+from ._attempts import Attempts, check_connected
 from ._context import Context
 from ._crash_guard import CrashGuard, suspect_response
 from ._model_requests import ModelRequests
@@ -147,6 +147,7 @@
     def _serve(self, active: ActiveRequest) -> None:
         """Serve a request unless it is beyond its account's cap."""
         try:
+            check_connected(active)
             refusal = self._admit(active)
             if refusal is not None:
                 self._responses.send_local(active, refusal)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -164,6 +164,10 @@
     def continue_after_disconnect(self) -> None:
         """Let the request continue even if the caller disconnects."""
 
+    @abstractmethod
+    def has_left(self) -> bool:
+        """Return whether the caller has disconnected, noticed until now or not."""
+
 
 class EarlyRefusal(msgspec.Struct, frozen=True):
     """Response without a body to a request whose own body need not be read."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_query.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_query.py
@@ -52,6 +52,9 @@
     def continue_after_disconnect(self) -> None:
         pass
 
+    def has_left(self) -> bool:
+        return False
+
 
 def parse_query(fields: Mapping[str, Sequence[str]]) -> Result[WhereQuery, str]:
     """Return the request that the fields of a query string describe."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_event_sender.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_event_sender.py
@@ -11,7 +11,7 @@
 
 from ._output import send_now, total_size
 from ._slow_readers import SlowReader, SlowReaders
-from ._sockets import end_connection
+from ._sockets import end_connection, has_ended
 
 SEND_TIMEOUT_S = 20.0
 """Time after which the connection of a caller that does not read is closed."""
@@ -31,6 +31,10 @@
         self.is_ended = True
         end_connection(self._sock)
 
+    def has_lost_reader(self) -> bool:
+        """Return whether the caller has closed the connection."""
+        return self.is_ended or has_ended(self._sock)
+
     def send(self, *events: Any, is_counted: bool = False) -> None:
         """Send the bytes of some events together.
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_http_caller.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_http_caller.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +17,7 @@
 )
 
 from ._event_sender import EventSender
+from ._sockets import has_ended
 
 
 class HttpCaller(Caller):
@@ -39,6 +39,10 @@
     def continue_after_disconnect(self) -> None:
         self.is_interruptible = False
 
+    def has_left(self) -> bool:
+        self.is_disconnected = self.is_disconnected or self._sender.has_lost_reader()
+        return self.is_disconnected
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         self._end_interruptions()
         framed = [*headers, ("content-length", str(len(body)))]
@@ -74,13 +78,8 @@
 
 def check_disconnect(sock: Any, request: Any, caller: HttpCaller) -> None:
     """Interrupt the green thread of a request if its caller has disconnected."""
-    try:
-        if sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
-            return
-    except BlockingIOError:
+    if not has_ended(sock):
         return
-    except OSError:
-        pass
     caller.is_disconnected = True
     get_hub().schedule_call_global(0, _interrupt, request, caller)
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_sockets.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_sockets.py
@@ -118,6 +118,19 @@
             self._hub.loop.remove_reader(self._fd)
 
 
+def has_ended(sock: Any) -> bool:
+    """Return whether the other side has closed or reset a connection.
+
+    Bytes that arrived before the end and were not read hide it.
+    """
+    try:
+        return not sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def end_connection(sock: Any) -> None:
     """Shut down a connection on which another green thread may be waiting."""
     try:
--- a/tests/unit/serving/test_usage_admission.py
+++ b/tests/unit/serving/test_usage_admission.py
@@ -20,6 +20,7 @@
 from gooseberryrun._internal.coordination.serving._attempts import Attempts
 from gooseberryrun._internal.coordination.serving._gateway import Gateway
 from gooseberryrun._internal.coordination.serving._responses import refusal_over_cap
+from gooseberryrun._internal.coordination.serving.where._query import NoCaller
 from gooseberryrun._internal.state import ManualClock
 from gooseberryrun._internal.state.serving import Handling, Verdict
 from gooseberryrun._internal.state.serving.accounts import UsagePermit, UsageUnit
@@ -88,14 +89,13 @@
 
 
 def make_active(now: float) -> ActiveRequest:
-    none: Any = None
     metadata = RequestMetadata(
         "r1", 15.0, "m", prompt_tokens=TOKENS, has_token_count=True
     )
     inbound = InboundRequest("POST", "/", "h", [], b"", now)
     account = make_account(60_000.0)
     return ActiveRequest(
-        inbound, metadata, none, ROUTE, "s", now + 15.0, account=account
+        inbound, metadata, NoCaller(), ROUTE, "s", now + 15.0, account=account
     )
 
 
