Keep an order whose caller left from servers that have not got it yet

Now it goes on from its first byte to a server, and not before; when the server says that it has not run it, a caller's close ends it again. One that may have run is finished as before.

test_request_whose_caller_left_while_it_waited_for_a_slot[unsafe] failed before (safe requests passed); test_order_that_a_server_has_got_goes_on_without_its_caller passed before and passes.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -89,6 +89,7 @@
             self._record_response(active, runner, sent.ok_value, requested_at)
         if _is_not_run(sent):
             active.usage_permit = permit
+            active.caller.end_after_disconnect()
         log_event(
             "attempt",
             request=active.metadata.request_id,
@@ -121,11 +122,18 @@
     def _send_check(
         self, active: ActiveRequest, permit: UsagePermit | None
     ) -> Callable[[], bool]:
-        """Return what decides just before the first byte whether to send."""
+        """Return what decides just before the first byte whether to send.
+
+        From then on a request that may run only once goes on without its caller.
+        """
 
         def may_send() -> bool:
             is_permitted = permit is None or permit.is_valid(self._ctx.clock.boottime())
-            return is_permitted and not active.caller.has_left()
+            if not is_permitted or active.caller.has_left():
+                return False
+            if active.route.kind is RouteKind.UNSAFE:
+                active.caller.continue_after_disconnect()
+            return True
 
         return may_send
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_plain_requests.py
@@ -13,7 +13,7 @@
 )
 
 from ._active_request import ActiveRequest, LocalResponse, Round
-from ._attempts import Attempts
+from ._attempts import Attempts, check_connected
 from ._availability import Availability
 from ._context import Context
 from ._request_ports import AttemptFailure, ForwardingMetadata, RunnerResponse
@@ -68,8 +68,6 @@
 
     def serve(self, active: ActiveRequest) -> None:
         """Serve a request and respond to its caller."""
-        if active.route.kind is RouteKind.UNSAFE:
-            active.caller.continue_after_disconnect()
         rounds = MAX_SENDS + (MAX_ASKS if self._slots.is_enabled() else 0)
         outcome = run_rounds(
             active, rounds, FULL_RETRY_S, lambda: self._try_once(active)
@@ -79,6 +77,8 @@
 
     def _try_once(self, active: ActiveRequest) -> LocalResponse | Round:
         """Choose a server and make one attempt."""
+        if active.sends:
+            check_connected(active)
         now = self._ctx.clock.monotonic()
         if now >= active.deadline:
             return failure_response(active, "deadline")
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -164,6 +164,10 @@
     def continue_after_disconnect(self) -> None:
         """Let the request continue even if the caller disconnects."""
 
+    @abstractmethod
+    def end_after_disconnect(self) -> None:
+        """Let the request end again if the caller disconnects, or already has."""
+
     @abstractmethod
     def has_left(self) -> bool:
         """Return whether the caller has disconnected, noticed until now or not."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_query.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/where/_query.py
@@ -52,6 +52,9 @@
     def continue_after_disconnect(self) -> None:
         pass
 
+    def end_after_disconnect(self) -> None:
+        pass
+
     def has_left(self) -> bool:
         return False
 
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_http_caller.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_http_caller.py
@@ -39,6 +39,9 @@
     def continue_after_disconnect(self) -> None:
         self.is_interruptible = False
 
+    def end_after_disconnect(self) -> None:
+        self.is_interruptible = not self.is_answered
+
     def has_left(self) -> bool:
         self.is_disconnected = self.is_disconnected or self._sender.has_lost_reader()
         return self.is_disconnected
