Serve the callers of a VM that is cut off from the runners through another VM

Callers of VMs that had lost their paths to all runners, while other VMs had theirs, were refused nearly always (RECOVER); the runners that such VMs owned got no orders, so that a quarter of the others' first tries failed as well. Cause: a VM took its own failure to connect for one of the runners, and had no other way to them.

New connections decide, not old ones.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages/_directory_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages/_directory_messages.py
@@ -60,6 +60,9 @@
     of VMs that the sender has known lately. ``pressure`` are recent summaries: of all
     failure domains to a VM of the own one, to others those of the own domain.
     ``weights`` are a bounded number of weights of runners, the changed ones first.
+    ``reaches_runners`` is set if a runner has answered the sender lately,
+    ``misses_runners`` if it could not connect to some and to none since; ``callers`` is
+    where it listens for callers, as ``HOST:PORT``.
     """
 
     vm: str
@@ -74,6 +77,9 @@
     counted_vms: int = 0
     pressure: list[PressureSummary] = []
     weights: dict[str, RunnerWeight] = {}
+    reaches_runners: bool = False
+    misses_runners: bool = False
+    callers: str = ""
 
 
 class DirectoryRequest(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_active_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hmac
 from dataclasses import dataclass
 from enum import Enum
 
@@ -42,7 +43,8 @@
     ``account`` is the client account that sent it, None without a key or accounts;
     ``usage_permit`` allows the next send of a request whose account has a cap.
     ``slots`` is its search for a slot where plain servers' slots are granted.
-    ``is_early`` is set if its caller repeats it before the time named by a refusal.
+    ``is_early`` is set if its caller repeats it before the time named by a refusal,
+    ``is_relayed`` if another VM sent it, which is cut off from the runners.
     """
 
     request: InboundRequest
@@ -73,6 +75,7 @@
     slots: SlotSearch | None = None
     usage_permit: UsagePermit | None = None
     is_early: bool = False
+    is_relayed: bool = False
 
     @property
     def adapter_key(self) -> str:
@@ -186,6 +189,13 @@
         min(request.read_at + wait_s, ctx.stop_deadline),
         traits=request_traits(request, metadata, version),
         account=account,
+        is_relayed=_is_of_vm(metadata.relay_secret, ctx),
         is_early=account is not None
         and ctx.refused.is_early(account.name, metadata.request_id, request.read_at),
     )
+
+
+def _is_of_vm(secret: str, ctx: Context) -> bool:
+    """Return whether a request bears the secret of the VMs."""
+    own = ctx.cfg.peer.secret.get_secret_value()
+    return bool(secret) and hmac.compare_digest(secret.encode(), own.encode())
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -146,6 +146,7 @@
     ) -> None:
         active.sends += 1
         now = self._ctx.clock.monotonic()
+        self._ctx.reach.record_contact(now)
         record_statement(self._ctx, runner, response.metadata.statement, requested_at)
         if response.metadata.is_not_run:
             if not response.metadata.is_misdirected:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -27,6 +27,7 @@
     Runner,
     RunnerLoads,
     RunnerPauses,
+    RunnerReach,
     RunnerStatements,
     ServingPolicy,
     Topic,
@@ -66,6 +67,7 @@
 
     The process began at ``started_at`` by the clock's ``boottime``. Once it is
     stopping, all responses are due at the monotonic time ``stop_deadline``.
+    ``caller_addresses`` are where other VMs listen for callers, as ``HOST:PORT``.
     """
 
     cfg: ServingSettings
@@ -80,6 +82,8 @@
     fleet_size: FleetSize = field(default_factory=FleetSize)
     statements: RunnerStatements = field(default_factory=RunnerStatements)
     pauses: RunnerPauses = field(default_factory=RunnerPauses)
+    reach: RunnerReach = field(default_factory=RunnerReach)
+    caller_addresses: dict[str, str] = field(default_factory=dict)
     policy: ServingPolicy = ServingPolicy()
     can_reach_store: bool = True
     has_called_store: bool = False
@@ -238,6 +242,12 @@
         self.residency.drop_unregistered(registered)
         self.weights.drop_unregistered(registered)
         self.loads.expire_owner_totals(now)
+        members = self.members()
+        self.caller_addresses = {
+            vm: address
+            for vm, address in self.caller_addresses.items()
+            if vm in members
+        }
         self.store_statuses = {
             vm: status
             for vm, status in self.store_statuses.items()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gateway.py
@@ -15,6 +15,7 @@
 from ._attempts import Attempts, check_connected
 from ._context import Context
 from ._crash_guard import CrashGuard, suspect_response
+from ._detour import Detours
 from ._model_requests import ModelRequests
 from ._plain_requests import PlainRequests
 from ._request_ports import (
@@ -72,6 +73,7 @@
         self._plain = plain
         self._models = models
         self._usage = usage
+        self._detours = Detours(ctx, responses)
 
     def check_head(self, request: InboundRequest) -> EarlyRefusal | CheckedHead | None:
         """Refuse a request without a valid key before its body is read."""
@@ -148,6 +150,9 @@
         """Serve a request unless it is beyond its account's cap."""
         try:
             check_connected(active)
+            if self._detours.is_needed(active):
+                self._detours.serve(active)
+                return
             refusal = self._admit(active)
             if refusal is not None:
                 self._responses.send_local(active, refusal)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -182,6 +182,9 @@
         now = ctx.clock.monotonic()
         return ServingGossip(
             vm=ctx.vm,
+            reaches_runners=ctx.reach.reaches_runners(now),
+            misses_runners=ctx.reach.unreached > 0,
+            callers=ctx.cfg.entry.callers,
             can_reach_store=ctx.can_reach_store,
             ends=dict(ctx.directory.ends),
             views=ctx.loads.own_views(now),
@@ -212,6 +215,9 @@
             # It may need a peer that renews its lease or has newer records.
             self._activity.record_news(now)
         ctx.fleet_size.hear(gossip.counted_vms, now)
+        ctx.reach.hear(gossip.vm, gossip.reaches_runners, gossip.misses_runners, now)
+        if gossip.callers:
+            ctx.caller_addresses[gossip.vm] = gossip.callers
         for runner_id, weight in gossip.weights.items():
             ctx.weights.merge(runner_id, weight)
         if self._crossing is not None:
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_membership.py
@@ -68,6 +68,7 @@
         self._unlisted_reads = 0
         self._missing_in = 0
         self._has_started = False
+        self._settled_at = float("inf")
         self._outdated_since: float | None = None
         self._is_view_awaited = False
         self._is_read_scheduled = False
@@ -240,39 +241,50 @@
 
     def _run_renewal(self) -> None:
         reacquire_delay_s = self._ctx.cfg.membership.turn_ms / 1000
-        settled_at = self._ctx.clock.boottime() + reacquire_delay_s
+        self._settled_at = self._ctx.clock.boottime() + reacquire_delay_s
         if self._is_own_domain and not self._has_started:
             self._start_after_predecessor()
             self._has_started = True
         while not self._has_left:
             begun_at = self._ctx.clock.boottime()
             self._renew()
-            self._sleep_until_due(begun_at, settled_at)
+            self._sleep_until_due(begun_at)
 
-    def _sleep_until_due(self, begun_at: float, settled_at: float) -> None:
+    def _sleep_until_due(self, begun_at: float) -> None:
         """Sleep for the interval since the last renewal, whatever triggered that one.
 
-        This one was begun at ``begun_at`` and may have failed. A new member becomes a
-        regular one from ``settled_at`` on.
+        This one was begun at ``begun_at`` and may have failed.
         """
         clock = self._ctx.clock
         interval_s = self._ctx.cfg.membership.renew_interval_s
         due_in_s = begun_at + interval_s - clock.boottime()
         while due_in_s > MIN_SLEEP_S:
             eventlet.sleep(due_in_s)
-            is_joining = self._is_own_domain and self._ctx.is_new
-            if is_joining and clock.boottime() >= settled_at:
-                self._finish_joining()
+            if self._is_own_domain:
+                self._check_standing()
             due_in_s = self._ownership.renewed_at + interval_s - clock.boottime()
 
-    def _finish_joining(self) -> None:
-        """Replace the ``is_new`` member by a regular one, which is assigned runners."""
-        new_member = self._ctx.own_member
-        self._ctx.is_new = False
+    def _check_standing(self) -> None:
+        """Become a regular member in time, or a new one if cut off from the runners."""
+        ctx = self._ctx
+        now = ctx.clock.boottime()
+        if ctx.reach.is_cut_off:
+            delay_s = ctx.cfg.membership.turn_ms / 1000 * random.uniform(1.0, 2.0)
+            self._settled_at = now + delay_s
+            if not ctx.is_new:
+                self._replace_member(is_new=True)
+        elif ctx.is_new and now >= self._settled_at:
+            self._replace_member(is_new=False)
+
+    def _replace_member(self, is_new: bool) -> None:
+        """Change between a member that is assigned runners and one that is not."""
+        before = self._ctx.own_member
+        self._ctx.is_new = is_new
         if self.renewals.renew():
-            left = self._ctx.ports.store.leave(self._group, new_member)
+            left = self._ctx.ports.store.leave(self._group, before)
             why = left.err_value.detail if isinstance(left, Err) else ""
-            log_event("member_settled", error=why)
+            event = "member_stepped_back" if is_new else "member_settled"
+            log_event(event, error=why)
 
     def _renew(self) -> None:
         if not self.renewals.renew() or not self._needs_read():
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_request_ports.py
@@ -33,6 +33,7 @@
     event and ``resumes``, the id of the request that brought its first one.
     ``credential`` is the API key, empty without exactly one of the expected scheme; it
     is never logged. Without ``has_token_count`` the caller stated no token counts.
+    ``relay_secret`` is the secret of the VM that has sent a request on for its caller.
     """
 
     request_id: str
@@ -46,6 +47,7 @@
     resumes: str = ""
     credential: str = field(default="", repr=False)
     has_token_count: bool = False
+    relay_secret: str = field(default="", repr=False)
 
     @property
     def stream_id(self) -> str:
@@ -128,6 +130,10 @@
     ) -> Headers:
         """Return the headers for a runner; hop-by-hop headers are already removed."""
 
+    @abstractmethod
+    def encode_relayed(self, headers: Headers, left_s: float, secret: str) -> Headers:
+        """Return the headers for another VM that serves the request instead."""
+
     @abstractmethod
     def decode_response(self, status: int, headers: Headers) -> ResponseMetadata:
         """Return the metadata of a runner's response."""
@@ -292,3 +298,15 @@
     @abstractmethod
     def refuses_connections(self, runner: Runner) -> bool:
         """Return whether the runner's address refuses connections now."""
+
+    @abstractmethod
+    def watch(self, on_connection: Callable[[Runner, bool], None]) -> None:
+        """Call a function with the result of each attempt to open a connection."""
+
+    @abstractmethod
+    def probe(self, runner: Runner) -> None:
+        """Open a connection to a runner, for the sake of its result."""
+
+    @abstractmethod
+    def close_idle(self) -> None:
+        """Close all connections on which there is no request."""
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_serving.py
@@ -44,6 +44,7 @@
 from ._origins import OriginKeeper
 from ._owner import OwnedRunners
 from ._plain_requests import PlainRequests
+from ._reach import Reach
 from ._registry_check import RegistryCheck
 from ._remote_domains import RemoteDomains
 from ._responses import ResponseWriter
@@ -65,6 +66,7 @@
         self._sweep = Sweep(ctx)
         self.membership = Membership(ctx)
         self.remote_domains = RemoteDomains(ctx)
+        self.reach = Reach(ctx)
         self.owned_runners = OwnedRunners(ctx)
         self.guard = CrashGuard(ctx)
         self._turns = Turns(ctx)
@@ -140,6 +142,7 @@
         self.follower.start()
         self._sweep.start()
         self.membership.start()
+        self.reach.start()
         self.remote_domains.start()
         self.owned_runners.start()
         self._gossip.start()
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/serving_app.py
@@ -124,6 +124,7 @@
         enable_garbage_collection()
         self._peers.find_vm = self._ctx.find_vm
         self._peers.dispatch = self._serving.dispatch
+        self._runners.watch(self._serving.reach.record_connection)
         self._peers.start()
         self._serving.start()
         self._callers.serve(*_parse_address(self._cfg.entry.callers))
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -87,6 +87,7 @@
     WeightedService,
 )
 from ._runner_queue import RunnerQueue, Waiter, adapter_key, is_base_model
+from ._runner_reach import RunnerReach
 from ._runners import HeldModel, Runner
 from ._software import (
     MAX_ORIGIN_S,
@@ -179,6 +180,7 @@
     "Runner",
     "RunnerLoads",
     "RunnerPauses",
+    "RunnerReach",
     "RunnerQueue",
     "RunnerStatement",
     "RunnerStatements",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/transport/serving/_runners.py
@@ -8,7 +8,7 @@
 
 import math
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import h11
 import msgspec
@@ -64,6 +64,21 @@
         self._codec = codec
         self._idle: dict[tuple[str, str, int], list[_IdleConnection]] = {}
         self._is_sweep_scheduled = False
+        self._on_connection: Callable[[Runner, bool], None] = lambda runner, _: None
+
+    def watch(self, on_connection: Callable[[Runner, bool], None]) -> None:
+        self._on_connection = on_connection
+
+    def probe(self, runner: Runner) -> None:
+        opened = self._open(runner, self._clock.monotonic() + CONNECT_TIMEOUT_S)
+        if not isinstance(opened, Err):
+            opened.ok_value.close()
+
+    def close_idle(self) -> None:
+        idle, self._idle = self._idle, {}
+        for entries in idle.values():
+            for entry in entries:
+                entry.conn.close()
 
     def send(
         self, runner: Runner, request: OutboundRequest, deadline: float
@@ -179,7 +194,9 @@
             with Timeout(max(0.001, min(CONNECT_TIMEOUT_S, left_s))):
                 sock = green_socket.create_connection((runner.host, runner.port))
         except (OSError, Timeout) as exc:
+            self._on_connection(runner, False)
             return Err(AttemptFault(AttemptFailure.NOT_SENT, f"connect: {exc!r}"))
+        self._on_connection(runner, True)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         limit_send_buffer(sock)
         return Ok(RunnerConnection(sock, InputWork(self.bounds.pieces, self._clock)))
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -121,7 +121,12 @@
     """Process of an entry VM, with its addresses and log file."""
 
     def __init__(
-        self, name: str, store_port: int, folder: Path, more_settings: str = ""
+        self,
+        name: str,
+        store_port: int,
+        folder: Path,
+        more_settings: str = "",
+        start: Sequence[str] = ("platform/start.py",),
     ) -> None:
         self.name = name
         self.port = free_port()
@@ -156,8 +161,7 @@
         )
         self.member = f"{name}@127.0.0.1:{peer_port}/zone-a#1"
         self.log = folder / f"{name}.log"
-        self._command = [sys.executable, "platform/start.py", "--settings"]
-        self._command.append(str(settings))
+        self._command = [sys.executable, *start, "--settings", str(settings)]
         self.process = self._start()
 
     def _start(self) -> subprocess.Popen[bytes]:
@@ -219,7 +223,10 @@
 
 
 class Site:
-    """A fake store, model runners (default two), two plain servers and entry VMs."""
+    """A fake store, model runners (default two), two plain servers and entry VMs.
+
+    While ``cut_marker`` exists, the first VM cannot connect to any of the servers.
+    """
 
     def __init__(
         self,
@@ -228,6 +235,7 @@
         configured: bool = True,
         models: int = 2,
         more_settings: str = "",
+        cut_marker: Path | None = None,
     ) -> None:
         self.store = PlatformStore()
         self._store_server = serve_store(self.store)
@@ -244,8 +252,13 @@
         port = self._store_server.server_address[1]
         self.vms = [
             EntryVm(f"vm-{number}", port, folder, more_settings)
-            for number in range(vms)
+            for number in range(1 if cut_marker else 0, vms)
         ]
+        if cut_marker is not None:
+            ports = ",".join(a.rpartition(":")[2] for a in self.addresses.values())
+            start = ("tests/lib/cut_off_start.py", str(cut_marker), ports)
+            cut_off = EntryVm("vm-0", port, folder, more_settings, start)
+            self.vms.insert(0, cut_off)
         if configured:
             self._wait_until_ready()
 
