--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -21,7 +21,7 @@
     OutboundRequest,
     RunnerResponse,
 )
-from ._responses import end_to_end
+from ._responses import end_to_end, with_length
 from ._retry_budgets import RetryBudgets
 from ._statements import record_statement
 
@@ -107,12 +107,10 @@
         request = active.request
         end_to_end_headers = end_to_end(request.headers)
         headers = self._ctx.ports.codec.encode_request(end_to_end_headers, forwarding)
-        if request.body or request.method != "GET":
-            headers = [*headers, ("content-length", str(len(request.body)))]
         return OutboundRequest(
             request.method,
             request.target,
-            headers,
+            with_length(headers, request),
             request.body,
             active.metadata.request_id,
             active.route.is_idempotent,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_detour.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_detour.py
@@ -30,6 +30,7 @@
     end_to_end,
     failure_response,
     stopping_response,
+    with_length,
 )
 
 MAX_PER_VM = 32
@@ -167,12 +168,10 @@
         headers = self._ctx.ports.codec.encode_relayed(
             end_to_end(request.headers), left_s, secret
         )
-        if request.body or request.method != "GET":
-            headers = [*headers, ("content-length", str(len(request.body)))]
         return OutboundRequest(
             request.method,
             request.target,
-            headers,
+            with_length(headers, request),
             request.body,
             active.metadata.request_id,
             active.route.is_idempotent,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_responses.py
@@ -19,7 +19,12 @@
 )
 from ._active_request import ActiveRequest, LocalResponse, Round
 from ._context import Context
-from ._request_ports import Headers, RunnerResponse, StoppingError
+from ._request_ports import (
+    Headers,
+    InboundRequest,
+    RunnerResponse,
+    StoppingError,
+)
 
 STOPPING_RETRY_S = 0.1
 """Retry delay sent by a VM that is stopping; other VMs serve at once."""
@@ -53,6 +58,13 @@
     return [(name, value) for name, value in headers if name.lower() not in excluded]
 
 
+def with_length(headers: Headers, request: InboundRequest) -> Headers:
+    """Return the headers of a request that is sent on, with the length of its body."""
+    if request.body or request.method != "GET":
+        return [*headers, ("content-length", str(len(request.body)))]
+    return headers
+
+
 def is_valid_response(response: RunnerResponse) -> bool:
     """Return whether a response is unencoded and, if successful, signed."""
     if response.metadata.is_encoded:
