--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_metrics.py
@@ -155,6 +155,15 @@
     "Connections ended since their callers did not read, by the bound reached",
     ["why"],
 )
+RUNNERS_CUT_OFF = Gauge(
+    PREFIX + "runners_cut_off", "1 while this VM reaches no runner and others do"
+)
+DETOURS = Counter(
+    PREFIX + "detours", "Requests sent through another VM, by outcome", ["outcome"]
+)
+POLLS_LEFT = Counter(
+    PREFIX + "polls_left", "Polls of the store left as hanging, by reason", ["why"]
+)
 INTERNAL_ERRORS = Counter(PREFIX + "internal_errors", "Bugs caught", ["task"])
 LOG_LINES_DROPPED = Counter(
     PREFIX + "log_lines_dropped", "Log lines dropped for want of a reader"
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_detour.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_detour.py
@@ -14,6 +14,7 @@
 from gooseberryrun._internal.state.serving import RouteKind, Runner
 
 from .._events import log_event
+from .._metrics import DETOURS
 from ._active_request import ActiveRequest, LocalResponse
 from ._attempts import check_connected
 from ._context import Context
@@ -113,6 +114,7 @@
             return relay.exchange(vm)
         finally:
             self._in_flight[vm.id] -= 1
+            DETOURS.labels(outcome=relay.outcome).inc()
             log_event(
                 "detour",
                 request=active.metadata.request_id,
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_reach.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_reach.py
@@ -10,6 +10,7 @@
 from gooseberryrun._internal.state.serving import Runner
 
 from .._events import log_event
+from .._metrics import RUNNERS_CUT_OFF
 from .._tasks import spawn_until_done
 from ._context import Context
 from ._ticks import sleep_until_tick
@@ -56,6 +57,7 @@
         if is_cut_off is reach.is_cut_off:
             return
         reach.is_cut_off = is_cut_off
+        RUNNERS_CUT_OFF.set(is_cut_off)
         if is_cut_off:
             self._ctx.ports.requests.close_idle()
         log_event(
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_topic_reads.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_topic_reads.py
@@ -10,6 +10,7 @@
 )
 
 from .._events import log_event
+from .._metrics import POLLS_LEFT
 from ._context import Context
 from ._directory_log import describe_position
 from ._store_port import StoreFault
@@ -117,6 +118,7 @@
         what this VM lacks.
         """
         interrupted = self._ctx.ports.store.interrupt_reads()
+        POLLS_LEFT.labels(why=why).inc()
         log_event(
             "poll_hangs",
             topic=topic,
