Keep the refusals of brittle runners below what they bear

A brittle runner (Server-Brittle = N) fails if it has to turn away more than N requests of all VMs together in a second; no code knew of it (LIMIT). Each VM now keeps what runners say of that, first-hand and by gossip, and sends nothing to a runner of such a service for a jittered time after a refusal, which grows with the number of VMs. The word of one runner holds for its service, an older word undoes no newer one.

Not done: fewer requests that wait at such runners.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages/_directory_messages.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/_serving_messages/_directory_messages.py
@@ -62,7 +62,8 @@
     ``weights`` are a bounded number of weights of runners, the changed ones first.
     ``reaches_runners`` is set if a runner has answered the sender lately,
     ``misses_runners`` if it could not connect to some and to none since; ``callers`` is
-    where it listens for callers, as ``HOST:PORT``.
+    where it listens for callers, as ``HOST:PORT``. ``brittle`` are the refusals a
+    second that brittle runners bear, each with the age of the statement in seconds.
     """
 
     vm: str
@@ -80,6 +81,7 @@
     reaches_runners: bool = False
     misses_runners: bool = False
     callers: str = ""
+    brittle: dict[str, tuple[float, RateLimit]] = {}
 
 
 class DirectoryRequest(Message, frozen=True, array_like=True):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_attempts.py
@@ -23,7 +23,7 @@
 )
 from ._responses import end_to_end, with_length
 from ._retry_budgets import RetryBudgets
-from ._statements import record_statement
+from ._statements import record_full, record_statement
 
 UNREACHABLE_PAUSE_S = 0.8
 """Time for which an unreachable runner gets no new requests."""
@@ -149,6 +149,7 @@
         if response.metadata.is_not_run:
             if not response.metadata.is_misdirected:
                 self._ctx.pauses.mark_down(runner.id, FULL_PAUSE_S, now)
+                record_full(self._ctx, runner)
             return
         active.may_have_run = True
         active.attempts += 1
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_context.py
@@ -81,6 +81,7 @@
     started_at: float
     fleet_size: FleetSize = field(default_factory=FleetSize)
     statements: RunnerStatements = field(default_factory=RunnerStatements)
+    brittle: RunnerStatements = field(default_factory=RunnerStatements)
     pauses: RunnerPauses = field(default_factory=RunnerPauses)
     reach: RunnerReach = field(default_factory=RunnerReach)
     caller_addresses: dict[str, str] = field(default_factory=dict)
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_gossip.py
@@ -106,6 +106,7 @@
             gossip.configuration_version,
             gossip.evidence_digest,
             tuple(sorted((runner, lim) for runner, (_, lim) in gossip.limits.items())),
+            tuple(sorted((runner, lim) for runner, (_, lim) in gossip.brittle.items())),
             tuple(sorted(gossip.leaving.items())),
         )
         self._activity.record_reports(reports, now)
@@ -191,6 +192,7 @@
             residency=self._residency(),
             evidence_digest=ctx.evidence.digest(),
             limits=ctx.statements.recent(now),
+            brittle=ctx.brittle.recent(now),
             leaving=ctx.directory.stated_leaving(),
             configuration_version=ctx.directory.configuration_version,
             counted_vms=count_vms(ctx),
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_statements.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_statements.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from gooseberryrun._internal.state.serving import RateLimit, Runner, RunnerStatement
+import random
+
+from gooseberryrun._internal.state.serving import (
+    PAUSE_JITTER,
+    RateLimit,
+    Runner,
+    RunnerStatement,
+    pause_after_refusal_s,
+)
 
 from .._events import log_event
 from .._metrics import RUNNER_LIMIT_CHANGES, RUNNER_PAUSES, RUNNERS_LEAVING
@@ -19,6 +27,8 @@
     """
     limit = RateLimit(runner.born_ms, statement.limit_per_s)
     record_limit(ctx, runner.id, limit, ctx.clock.monotonic(), ctx.vm)
+    brittle = RateLimit(runner.born_ms, statement.refusals_per_s)
+    record_brittle(ctx, runner.id, brittle, ctx.clock.monotonic(), ctx.vm)
     if statement.is_leaving:
         record_leaving(ctx, runner.id, runner.born_ms, ctx.vm)
     _record_pause(ctx, runner, statement, sent_at)
@@ -41,6 +51,8 @@
     now = ctx.clock.monotonic()
     for runner, (age_s, limit) in gossip.limits.items():
         record_limit(ctx, runner, limit, now - max(0.0, age_s), sender)
+    for runner, (age_s, limit) in gossip.brittle.items():
+        record_brittle(ctx, runner, limit, now - max(0.0, age_s), sender)
     for runner, born_ms in gossip.leaving.items():
         record_leaving(ctx, runner, born_ms, sender)
 
@@ -65,6 +77,36 @@
     )
 
 
+def record_brittle(
+    ctx: Context, runner: str, limit: RateLimit, at: float, source: str
+) -> None:
+    """Record how many refusals a brittle runner bears, as stated at ``at``."""
+    if not ctx.brittle.record(runner, limit, at):
+        return
+    log_event(
+        "runner_brittle",
+        runner=runner,
+        born_ms=limit.born_ms,
+        refusals_per_s="none" if limit.per_s is None else limit.per_s,
+        age_s=ctx.clock.monotonic() - at,
+        source=source,
+    )
+
+
+def record_full(ctx: Context, runner: Runner) -> None:
+    """Send nothing for a time to a brittle runner that has just refused a request."""
+    now = ctx.clock.monotonic()
+    limits = [
+        ctx.brittle.limit_per_s(other, now)
+        for other in ctx.directory.runners(runner.service, now)
+    ]
+    pause_s = pause_after_refusal_s(limits, ctx.fleet_size.value(now))
+    if pause_s > 0.0:
+        pause_s *= random.uniform(1.0 - PAUSE_JITTER, 1.0 + PAUSE_JITTER)
+        ctx.pauses.record_refusal(runner, pause_s, now)
+        log_event("runner_pause", runner=runner.id, pause_s=pause_s, why="brittle")
+
+
 def record_leaving(ctx: Context, runner: str, born_ms: int, source: str) -> None:
     """Record that an incarnation of a runner is leaving; log it if that is new."""
     if not ctx.directory.record_leaving(runner, born_ms):
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/__init__.py
@@ -8,6 +8,7 @@
     SlotWaitEstimator,
     Step,
 )
+from ._brittle import PAUSE_JITTER, pause_after_refusal_s
 from ._budget import RetryAllowance, ServiceRetryBudget
 from ._crash_evidence import (
     MAX_PARTS,
@@ -129,6 +130,7 @@
     "MAX_ORIGIN_S",
     "MAX_PARTS",
     "MAX_TURN_WAIT_S",
+    "PAUSE_JITTER",
     "READERS_PER_DOMAIN",
     "ACTIVE_HOLD_S",
     "IDLE_CONTACTS",
@@ -226,6 +228,7 @@
     "is_undeclared",
     "make_view",
     "rank_candidates",
+    "pause_after_refusal_s",
     "reader_rank",
     "readers",
     "reads_store",
--- a/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_statements.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/state/serving/_statements.py
@@ -23,16 +23,18 @@
 
     ``limit_per_s`` is the rate of requests that it takes from all VMs together, None if
     it names no limit. A runner that is leaving wants no new requests; one that turned a
-    request away may want none from this VM for ``pause_s`` seconds.
+    request away may want none from this VM for ``pause_s`` seconds. A brittle one fails
+    if it has to turn away more than ``refusals_per_s`` of all VMs together in a second.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
     pause_s: float | None = None
+    refusals_per_s: float | None = None
 
 
 class RateLimit(msgspec.Struct, frozen=True, array_like=True):
-    """Requests per second that a runner takes from all VMs together.
+    """Requests per second that a runner takes, or turns away, from all VMs together.
 
     ``per_s`` is None once the runner names no limit any more.
     """
