Do not say that a request has not run once another VM has begun to answer it

A VM that had to exit while it relayed the answer of another VM refused the request with 503, which promises that it has not run (REFUSED). Found when the change was read; the case test_detour.py[stopping_in_response] failed before. A request counts as one that may have run from the head of the other VM's response on.

--- a/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_detour.py
+++ b/packages/gooseberryrun/src/gooseberryrun/_internal/coordination/serving/_detour.py
@@ -153,6 +153,8 @@
         if isinstance(sent, Err):
             self.outcome = sent.err_value.failure.value
             return sent.err_value
+        # Whatever ends the relay now, the other VM may have had it run.
+        active.may_have_run = True
         response = sent.ok_value
         self.outcome = str(response.status)
         try:
